--- /dev/null
+++ b/emulator/src/demo.rs
@@ -0,0 +1,364 @@
+//! The main job in separate processes: stand-ins, entries, sides and a short load.
+
+use std::{
+    io,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::Method;
+
+use crate::{
+    load::{self, LoadClient, LoadReport},
+    processes::{self, ChildProcess},
+    workload::Deployment,
+};
+
+const ENTRIES: usize = 2;
+const START_LIMIT: Duration = Duration::from_secs(20);
+const STOP_LIMIT: Duration = Duration::from_secs(30);
+
+/// Settings of a fleet of processes.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    /// First port; a fleet takes about 60 from there.
+    pub port: u16,
+    /// Number of engines.
+    pub engines: usize,
+    /// Number of plain services' runners.
+    pub services: usize,
+    /// How long the log keeps records.
+    pub retention: Duration,
+    /// Deployments whose contracts are published.
+    pub deployment: Deployment,
+    /// Time of one call of a plain service.
+    pub call_time: Duration,
+}
+
+/// A running fleet of processes.
+#[derive(Debug)]
+pub struct FleetProcesses {
+    /// The stand-ins.
+    pub stand_ins: ChildProcess,
+    /// The entries.
+    pub entries: Vec<ChildProcess>,
+    /// The sides, engines' first.
+    pub sides: Vec<ChildProcess>,
+    settings: FleetSettings,
+    program: PathBuf,
+    folder: PathBuf,
+    starts: u32,
+}
+
+impl FleetProcesses {
+    /// Starts a fleet, publishes its contracts and waits until it serves.
+    ///
+    /// # Errors
+    /// Returns the failure to start a process, or a time-out.
+    pub async fn spawn(settings: FleetSettings) -> io::Result<FleetProcesses> {
+        let program = processes::system_program()?;
+        let folder = std::env::temp_dir().join(format!(
+            "sapphirewell-{}-{}",
+            std::process::id(),
+            settings.port
+        ));
+        std::fs::create_dir_all(&folder)?;
+        let stand_ins = start_stand_ins(&settings, &folder)?;
+        let mut fleet = FleetProcesses {
+            stand_ins,
+            entries: Vec::new(),
+            sides: Vec::new(),
+            settings,
+            program,
+            folder,
+            starts: 0,
+        };
+        fleet.wait_for_log().await?;
+        for index in 0..fleet.settings.engines + fleet.settings.services {
+            let side = fleet.start_side(index)?;
+            fleet.sides.push(side);
+        }
+        for index in 0..ENTRIES {
+            let entry = fleet.start_entry(index)?;
+            fleet.entries.push(entry);
+        }
+        fleet.publish_contracts()?;
+        fleet.wait_until_serving().await?;
+        Ok(fleet)
+    }
+
+    /// Returns the address of the log service and its fault controls.
+    pub fn platform_url(&self) -> String {
+        format!("http://127.0.0.1:{}", self.settings.port)
+    }
+
+    /// Returns the address of a target.
+    pub fn target_url(&self, index: usize) -> String {
+        format!("http://127.0.0.1:{}", self.settings.port + 1 + index as u16)
+    }
+
+    /// Returns the addresses of the entries.
+    pub fn entry_urls(&self) -> Vec<String> {
+        (0..ENTRIES).map(|index| format!("http://127.0.0.1:{}", self.entry_port(index))).collect()
+    }
+
+    /// Starts an entry in its place.
+    ///
+    /// # Errors
+    /// Returns the failure to start the process.
+    pub fn start_entry(&mut self, index: usize) -> io::Result<ChildProcess> {
+        let mut arguments = vec!["entry".to_owned()];
+        arguments.extend(flag("listen", format!("127.0.0.1:{}", self.entry_port(index))));
+        arguments.extend(flag("vm", format!("vm-entry-{index}")));
+        arguments.extend(flag("admin-token", "demo-token".to_owned()));
+        arguments.extend(flag("stop-notice-ms", "300".to_owned()));
+        arguments.extend(self.common_flags(index));
+        self.start(&format!("entry-{index}"), &arguments)
+    }
+
+    /// Starts a side in its place.
+    ///
+    /// # Errors
+    /// Returns the failure to start the process.
+    pub fn start_side(&mut self, index: usize) -> io::Result<ChildProcess> {
+        let mut arguments = vec!["side".to_owned()];
+        arguments.extend(flag("name", format!("side-{index}")));
+        arguments.extend(flag("vm", format!("vm-{index}")));
+        arguments.extend(flag("data-centre", format!("dc-{}", index % 3)));
+        arguments.extend(flag("listen", format!("127.0.0.1:{}", self.side_port(index))));
+        arguments.extend(flag("link-listen", format!("127.0.0.1:{}", self.side_port(index) + 1)));
+        arguments.extend(flag("targets", self.target_setting(index)));
+        arguments.extend(self.common_flags(10 + index));
+        self.start(&format!("side-{index}"), &arguments)
+    }
+
+    /// Sets the log service's faults, as JSON.
+    ///
+    /// # Errors
+    /// Returns the failure to reach it.
+    pub async fn set_faults(&self, faults: serde_json::Value) -> io::Result<()> {
+        let url = format!("{}/faults", self.platform_url());
+        let body = Bytes::from(faults.to_string());
+        let sent = LoadClient::default().send(Method::POST, &url, &[], body).await;
+        sent.map(|_| ()).map_err(|failure| io::Error::other(format!("{failure:?}")))
+    }
+
+    /// Returns the keys that took effect more than once.
+    ///
+    /// # Errors
+    /// Returns the failure to ask a service.
+    pub async fn doubled(&self) -> io::Result<u64> {
+        let mut counts = std::collections::BTreeMap::<String, u64>::new();
+        for index in self.settings.engines..self.settings.engines + self.settings.services {
+            let url = format!("{}/effects", self.target_url(index));
+            let (_, body) = LoadClient::default()
+                .send(Method::GET, &url, &[], Bytes::new())
+                .await
+                .map_err(|failure| io::Error::other(format!("{failure:?}")))?;
+            let effects: std::collections::BTreeMap<String, Vec<String>> =
+                serde_json::from_slice(&body)?;
+            for (key, attempts) in effects {
+                *counts.entry(key).or_default() += attempts.len() as u64;
+            }
+        }
+        Ok(counts.values().filter(|count| **count > 1).count() as u64)
+    }
+
+    /// Stops entries, then sides, and returns the names of those that did not end with status 0.
+    ///
+    /// # Errors
+    /// Returns the failure to signal or wait.
+    pub fn stop(&mut self) -> io::Result<Vec<String>> {
+        let mut failed = Vec::new();
+        for group in [&mut self.entries, &mut self.sides] {
+            for process in group.iter() {
+                process.signal("TERM")?;
+            }
+            for process in group.iter_mut() {
+                if !process.wait(STOP_LIMIT)?.success() {
+                    failed.push(process.name.clone());
+                }
+            }
+        }
+        Ok(failed)
+    }
+
+    /// Returns the folder with the processes' logs.
+    pub fn folder(&self) -> &std::path::Path {
+        &self.folder
+    }
+
+    /// Waits until a process answers on a path with status 200.
+    ///
+    /// # Errors
+    /// Returns a time-out.
+    pub async fn wait_for(&self, url: &str) -> io::Result<()> {
+        let started = Instant::now();
+        while started.elapsed() < START_LIMIT {
+            if let Ok((200, _)) =
+                LoadClient::default().send(Method::GET, url, &[], Bytes::new()).await
+            {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Err(io::Error::new(io::ErrorKind::TimedOut, url.to_owned()))
+    }
+
+    fn entry_port(&self, index: usize) -> u16 {
+        self.settings.port + 50 + index as u16
+    }
+
+    fn side_port(&self, index: usize) -> u16 {
+        self.settings.port + 100 + 2 * index as u16
+    }
+
+    fn target_setting(&self, index: usize) -> String {
+        let url = self.target_url(index);
+        if index < self.settings.engines {
+            let profile = &self.settings.deployment.engines()[index];
+            return format!("{}=engine,{},{},{url}", profile.name, profile.model, profile.pieces);
+        }
+        let (name, service) = &self.settings.deployment.services()[index - self.settings.engines];
+        format!("{name}=service,{service},8,{url}")
+    }
+
+    fn common_flags(&self, rank: usize) -> Vec<String> {
+        let url = self.platform_url();
+        let peers: Vec<String> =
+            (0..ENTRIES).map(|index| format!("127.0.0.1:{}", self.entry_port(index))).collect();
+        let mut flags = flag("log-url", url.clone());
+        flags.extend(flag("vm-list-url", url));
+        flags.extend(flag("peers", peers.join(",")));
+        flags.extend(flag("log-retention-ms", self.settings.retention.as_millis().to_string()));
+        flags.extend(flag("rank", rank.to_string()));
+        flags
+    }
+
+    fn start(&mut self, name: &str, arguments: &[String]) -> io::Result<ChildProcess> {
+        self.starts += 1;
+        let output = self.folder.join(format!("{name}-{}.log", self.starts));
+        ChildProcess::spawn(name, &self.program, arguments, &output)
+    }
+
+    async fn wait_for_log(&self) -> io::Result<()> {
+        self.wait_for(&format!("{}/vms", self.platform_url())).await
+    }
+
+    fn publish_contracts(&mut self) -> io::Result<()> {
+        for contract in self.settings.deployment.contracts() {
+            let file = self.folder.join(format!("{}.json", contract.customer));
+            std::fs::write(&file, serde_json::to_vec_pretty(&contract)?)?;
+            let mut arguments =
+                vec!["contract".to_owned(), "publish".to_owned(), file.display().to_string()];
+            arguments.extend(flag("log-url", self.platform_url()));
+            let mut process = self.start(&format!("publish-{}", contract.customer), &arguments)?;
+            if !process.wait(START_LIMIT)?.success() {
+                return Err(io::Error::other(format!(
+                    "contract of {} was not published",
+                    contract.customer
+                )));
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until each entry knows that every target takes work.
+    async fn wait_until_serving(&self) -> io::Result<()> {
+        let wanted = self.settings.engines + self.settings.services;
+        let started = Instant::now();
+        for url in self.entry_urls() {
+            self.wait_for(&format!("{url}/ready")).await?;
+            while self.accepting(&url).await < wanted {
+                if started.elapsed() > START_LIMIT {
+                    return Err(io::Error::new(
+                        io::ErrorKind::TimedOut,
+                        "targets do not take work",
+                    ));
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn accepting(&self, entry: &str) -> usize {
+        let url = format!("{entry}/state");
+        let Ok((200, body)) =
+            LoadClient::default().send(Method::GET, &url, &[], Bytes::new()).await
+        else {
+            return 0;
+        };
+        let state: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        let targets = state["machine"]["machine"]["beliefs"]["targets"]
+            .as_array()
+            .cloned()
+            .unwrap_or_default();
+        targets.iter().filter(|target| target["load"]["accepting"] == true).count()
+    }
+}
+
+/// Runs the demo for both deployments and returns the sum of their reports.
+///
+/// # Errors
+/// Returns the failure to start or stop a process.
+pub async fn run(port: u16, seconds: u64, seed: u64) -> io::Result<LoadReport> {
+    let mut total = LoadReport::default();
+    for (index, deployment) in [Deployment::Highway, Deployment::Honey].into_iter().enumerate() {
+        let settings = FleetSettings {
+            port: port + 300 * index as u16,
+            engines: 6,
+            services: 2,
+            retention: Duration::from_secs(3600),
+            deployment,
+            call_time: Duration::from_millis(20),
+        };
+        let mut fleet = FleetProcesses::spawn(settings).await?;
+        eprintln!("demo: {deployment} serves; logs in {}", fleet.folder().display());
+        let requests = deployment.requests(seed, Duration::from_secs(seconds), 3.0);
+        let mut report = load::run(fleet.entry_urls(), requests).await;
+        report.doubled = fleet.doubled().await?;
+        for name in fleet.stop()? {
+            eprintln!("demo: {name} did not end with status 0");
+            report.cut += 1;
+        }
+        add(&mut total, &report);
+    }
+    Ok(total)
+}
+
+fn start_stand_ins(settings: &FleetSettings, folder: &std::path::Path) -> io::Result<ChildProcess> {
+    let mut arguments = vec!["serve".to_owned()];
+    arguments.extend(flag("port", settings.port.to_string()));
+    arguments.extend(flag("engines", settings.engines.to_string()));
+    arguments.extend(flag("services", settings.services.to_string()));
+    arguments.extend(flag("retention-ms", settings.retention.as_millis().to_string()));
+    arguments.extend(flag("call-ms", settings.call_time.as_millis().to_string()));
+    let program = processes::emulator_program()?;
+    ChildProcess::spawn("stand-ins", &program, &arguments, &folder.join("stand-ins.log"))
+}
+
+fn flag(name: &str, value: String) -> Vec<String> {
+    vec![format!("--{name}"), value]
+}
+
+fn add(total: &mut LoadReport, report: &LoadReport) {
+    total.offered += report.offered;
+    total.in_time += report.in_time;
+    total.late += report.late;
+    total.refused_not_run += report.refused_not_run;
+    total.failed += report.failed;
+    total.unknown += report.unknown;
+    total.crossed += report.crossed;
+    total.doubled += report.doubled;
+    total.cut += report.cut;
+    total.role_changes += report.role_changes;
+    total.seconds += report.seconds;
+    for (reason, count) in &report.reasons {
+        *total.reasons.entry(reason.clone()).or_default() += count;
+    }
+    for (customer, count) in &report.in_time_by_customer {
+        *total.in_time_by_customer.entry(customer.clone()).or_default() += count;
+    }
+}
--- /dev/null
+++ b/emulator/src/lib.rs
@@ -0,0 +1,13 @@
+//! Stand-ins for the platform and the targets, and the load tool.
+//!
+//! Nothing here is shipped. The models are pure state machines; [`serve`]
+//! puts them behind HTTP.
+
+pub mod demo;
+pub mod engine;
+pub mod load;
+pub mod log;
+pub mod processes;
+pub mod serve;
+pub mod service;
+pub mod workload;
--- /dev/null
+++ b/src/carry.rs
@@ -0,0 +1,95 @@
+//! Re-appends state before the log drops the records that it came from.
+//!
+//! Every process can compute what is due. Each waits a time by its rank, and
+//! the first carry makes the item fresh for all others, so that as a rule one
+//! process appends. See [docs/design/log.md](../docs/design/log.md).
+
+use std::time::Duration;
+
+use crate::{
+    fold::FleetFold,
+    ids::LogTime,
+    record::{CarriedItem, CarriedState, LogRecord},
+};
+
+/// Delay between the ranks of processes that carry.
+pub const RANK_DELAY: Duration = Duration::from_secs(2);
+/// Largest number of records that one call returns.
+pub const MAX_CARRIES: usize = 16;
+/// Claims in one carried record.
+pub const CLAIMS_PER_CARRY: usize = 64;
+
+/// Returns the records that are due for a process of this rank.
+///
+/// An item is due at half of the log's retention. Marks of retired contracts
+/// are carried for twice the retention, so that a late carry of the contract
+/// that they ended always meets one.
+pub fn due(fold: &FleetFold, retention: Duration, rank: u32) -> Vec<LogRecord> {
+    let now = fold.view().time;
+    let age = retention / 2 + RANK_DELAY * rank;
+    let Some(limit) = now.checked_sub(age) else { return Vec::new() };
+    let mut items = Vec::new();
+    push_contracts(fold, limit, &mut items);
+    push_plan(fold, limit, &mut items);
+    push_sides(fold, limit, &mut items);
+    push_vms(fold, limit, &mut items);
+    push_claims(fold, limit, &mut items);
+    items.truncate(MAX_CARRIES);
+    let carried = |item| LogRecord::Carry(CarriedState { read_until: now, item });
+    items.into_iter().map(carried).collect()
+}
+
+/// Returns the time before which marks of retired contracts are dropped.
+pub fn tombstone_limit(now: LogTime, retention: Duration) -> LogTime {
+    now.saturating_sub(retention * 2)
+}
+
+fn push_contracts(fold: &FleetFold, limit: LogTime, items: &mut Vec<CarriedItem>) {
+    let due = fold.view().contracts.iter().filter(|(_, entry)| entry.recorded <= limit);
+    for (customer, entry) in due.take(MAX_CARRIES) {
+        items.push(CarriedItem::Contract {
+            customer: customer.clone(),
+            revision: entry.revision,
+            contract: entry.contract.as_deref().cloned(),
+        });
+    }
+}
+
+fn push_plan(fold: &FleetFold, limit: LogTime, items: &mut Vec<CarriedItem>) {
+    let plan = &fold.view().plan;
+    if plan.plan != 0 && plan.recorded <= limit {
+        items.push(CarriedItem::Plan { plan: plan.plan, roles: plan.roles.clone() });
+    }
+}
+
+fn push_sides(fold: &FleetFold, limit: LogTime, items: &mut Vec<CarriedItem>) {
+    let due = fold.view().sides.values().filter(|entry| entry.recorded <= limit && !entry.detached);
+    for entry in due.take(MAX_CARRIES) {
+        let attachment = entry.attachment.clone();
+        items.push(CarriedItem::Attachment { fence: entry.fence, attachment });
+    }
+}
+
+fn push_vms(fold: &FleetFold, limit: LogTime, items: &mut Vec<CarriedItem>) {
+    let due = fold.view().vms.iter().filter(|(_, entry)| entry.recorded <= limit && entry.leaving);
+    for (vm, entry) in due.take(MAX_CARRIES) {
+        items.push(CarriedItem::Vm {
+            vm: vm.clone(),
+            revision: entry.revision,
+            leaving: entry.leaving,
+        });
+    }
+}
+
+fn push_claims(fold: &FleetFold, limit: LogTime, items: &mut Vec<CarriedItem>) {
+    let due: Vec<_> = fold
+        .claims()
+        .iter()
+        .filter(|(_, entry)| entry.recorded <= limit)
+        .take(CLAIMS_PER_CARRY)
+        .map(|(key, entry)| (key.clone(), entry.clone()))
+        .collect();
+    if !due.is_empty() {
+        items.push(CarriedItem::Claims(due));
+    }
+}
--- /dev/null
+++ b/src/command.rs
@@ -0,0 +1,148 @@
+//! The command line.
+
+use std::process::ExitCode;
+
+use gumdrop::{Options, ParsingStyle};
+
+use crate::error::Error;
+
+mod change;
+mod launch;
+mod query;
+
+/// Exit status for wrong input.
+pub const EXIT_INPUT: u8 = 2;
+/// Exit status where a service could not be reached.
+pub const EXIT_UNAVAILABLE: u8 = 5;
+
+const OVERVIEW: &str = "\
+sapphirewell: serves language-model requests on a fixed fleet
+
+usage: sapphirewell COMMAND [--flag value ...]
+
+  entry                       run an entry process
+  side                        run a side process
+  contract publish FILE       publish a new contract
+  contract change FILE        replace the contract in force
+  contract retire CUSTOMER    retire a contract
+  contract list               list all contracts
+  contract show CUSTOMER      print one contract
+  contract status CHANGE      tell what became of a change
+  vm announce VM              announce that a VM is leaving
+  vm cancel VM                take an announcement back
+  vm list                     list announcements
+  claim list                  list unknown outcomes
+  claim settle CUSTOMER KEY   record what an operator found out
+  state ADDRESS               print the state of a process
+  check FILE                  check a contract without publishing it
+
+`sapphirewell COMMAND --help` lists the flags of a command.
+exit status: 0 done, 2 wrong input, 3 refused (superseded or shares exceeded),
+4 not known yet (ask again with `contract status`), 5 service unavailable
+";
+
+/// Flags of all commands; each command accepts those in its own table.
+#[derive(Debug, Default, Options)]
+pub(crate) struct CommandFlags {
+    #[options(free)]
+    pub(crate) words: Vec<String>,
+    #[options(no_short)]
+    pub(crate) help: bool,
+    #[options(no_short, meta = "FLAG=VALUE")]
+    pub(crate) set: Vec<String>,
+}
+
+/// Command words and flag values, split for the table of the command.
+#[derive(Debug, Default)]
+pub(crate) struct CommandLine {
+    pub(crate) words: Vec<String>,
+    pub(crate) help: bool,
+    values: Vec<(String, String)>,
+}
+
+impl CommandLine {
+    pub(crate) fn value(&self, flag: &str) -> Option<String> {
+        self.values.iter().rev().find(|(name, _)| name == flag).map(|(_, value)| value.clone())
+    }
+
+    pub(crate) fn unknown_flags(&self, table: &[crate::setting::Setting]) -> Vec<Error> {
+        let known = |name: &str| table.iter().any(|setting| setting.flag == name);
+        self.values
+            .iter()
+            .filter(|(name, _)| !known(name))
+            .map(|(name, _)| Error::new(crate::ErrorCode::Usage, format!("--{name}")))
+            .collect()
+    }
+}
+
+/// Runs the command line and returns the exit status.
+pub fn main(arguments: &[String]) -> ExitCode {
+    match parse(arguments) {
+        Ok(line) => run(&line),
+        Err(error) => fail(&[error]),
+    }
+}
+
+fn run(line: &CommandLine) -> ExitCode {
+    let words: Vec<&str> = line.words.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        [] | ["help"] => {
+            print!("{OVERVIEW}");
+            ExitCode::SUCCESS
+        }
+        ["entry"] => launch::entry(line),
+        ["side"] => launch::side(line),
+        ["check", file] => query::check(file, line),
+        ["state", address] => query::state(address, line),
+        ["contract", rest @ ..] => change::contract(rest, line),
+        ["vm", rest @ ..] => change::vm(rest, line),
+        ["claim", rest @ ..] => change::claim(rest, line),
+        _ => fail(&[Error::new(crate::ErrorCode::Usage, format!("{:?}", words.join(" ")))]),
+    }
+}
+
+/// Splits arguments with gumdrop, which sees each `--flag value` as `--set flag=value`.
+fn parse(arguments: &[String]) -> Result<CommandLine, Error> {
+    let rewritten = rewrite(arguments)?;
+    let flags = CommandFlags::parse_args(&rewritten, ParsingStyle::AllOptions)
+        .map_err(|e| Error::new(crate::ErrorCode::Usage, e.to_string()))?;
+    let values = flags
+        .set
+        .iter()
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect();
+    Ok(CommandLine { words: flags.words, help: flags.help, values })
+}
+
+fn rewrite(arguments: &[String]) -> Result<Vec<String>, Error> {
+    let mut rewritten = Vec::new();
+    let mut rest = arguments.iter();
+    while let Some(argument) = rest.next() {
+        match argument.strip_prefix("--") {
+            None | Some("" | "help") => rewritten.push(argument.clone()),
+            Some(flag) => {
+                let pair = match flag.split_once('=') {
+                    Some(_) => flag.to_owned(),
+                    None => {
+                        let value = rest.next().ok_or_else(|| {
+                            Error::new(crate::ErrorCode::Usage, format!("--{flag} without a value"))
+                        })?;
+                        format!("{flag}={value}")
+                    }
+                };
+                rewritten.extend(["--set".to_owned(), pair]);
+            }
+        }
+    }
+    Ok(rewritten)
+}
+
+/// Prints errors and returns the exit status of the first.
+pub(crate) fn fail(errors: &[Error]) -> ExitCode {
+    for error in errors {
+        eprintln!("sapphirewell: {error}");
+    }
+    let input = errors.iter().any(|error| error.category() == crate::ErrorCategory::Input);
+    ExitCode::from(if input { EXIT_INPUT } else { EXIT_UNAVAILABLE })
+}
--- /dev/null
+++ b/src/entry/placement.rs
@@ -0,0 +1,288 @@
+//! Choice of targets for one request.
+//!
+//! The choice looks at a bounded number of candidates, so that its time does
+//! not grow with the fleet. See [docs/POLICY.md](../../docs/POLICY.md).
+
+use std::time::Duration;
+
+use rand::{RngExt, rngs::SmallRng};
+use serde::Serialize;
+use smallvec::SmallVec;
+use strum::{Display, EnumString};
+
+use super::belief::{BeliefSlot, BeliefTable, TargetBelief, generates, reads_prompts};
+use crate::{
+    ids::{ClockTime, PrefixHash, SideId, TargetId},
+    record::{EngineRole, TargetOffer},
+    request::{PREFIX_BLOCK_TOKENS, pieces},
+};
+
+/// Candidates that are drawn where a route has more targets.
+const SAMPLED_CANDIDATES: usize = 24;
+/// Candidates that are added because they may hold the prompt's prefix.
+const PREFIX_CANDIDATES: usize = 8;
+/// Routes of at most this many targets are looked at as a whole.
+const FULL_SCAN_LIMIT: usize = 32;
+/// Time to move the KV cache of one piece between engines.
+const MOVE_PER_PIECE: Duration = Duration::from_millis(5);
+/// Fixed time of such a move.
+const MOVE_FIXED: Duration = Duration::from_millis(20);
+
+/// How targets are chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Display, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum PlacementPolicy {
+    /// By the estimated end, refusing at once what cannot be in time.
+    EarliestEnd,
+    /// In turn; a baseline for measurements.
+    RoundRobin,
+    /// Fewest requests waiting and running; a baseline for measurements.
+    LeastInFlight,
+}
+
+/// What a request needs.
+#[derive(Debug, Clone)]
+pub struct PlaceQuery<'a> {
+    /// Model or service.
+    pub route: &'a str,
+    /// Length of the prompt, in tokens.
+    pub prompt_tokens: u32,
+    /// Expected output, in tokens.
+    pub expected_output: u32,
+    /// Longest output, in tokens.
+    pub max_output: u32,
+    /// Hashes of the prompt's prefixes, shortest first.
+    pub prefixes: &'a [PrefixHash],
+    /// Time left until the deadline.
+    pub time_left: Duration,
+    /// Targets that declined or failed.
+    pub tried: &'a [TargetId],
+    /// Whether the target must run nothing else.
+    pub alone: bool,
+}
+
+/// The chosen target of one step.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlaceChoice {
+    /// The target.
+    pub target: TargetId,
+    /// Its side.
+    pub side: SideId,
+    /// Whether the request only gets its prompt read there.
+    pub prefill_only: bool,
+    /// Estimated time until the whole answer is there.
+    pub finish: Duration,
+}
+
+/// Step of a request that is being placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PlaceStep {
+    Start,
+    Decode,
+    Call,
+}
+
+/// Chooser with its random numbers and turn counter.
+#[derive(Debug, Clone)]
+pub(crate) struct TargetChooser {
+    pub(crate) policy: PlacementPolicy,
+    pub(crate) rng: SmallRng,
+    pub(crate) turn: usize,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Estimate {
+    slot: BeliefSlot,
+    seconds: f32,
+}
+
+impl TargetChooser {
+    /// Returns the best choice, or `None` where no target is usable.
+    pub(crate) fn choose(
+        &mut self,
+        now: ClockTime,
+        beliefs: &BeliefTable,
+        query: &PlaceQuery<'_>,
+        step: PlaceStep,
+    ) -> Option<PlaceChoice> {
+        let candidates = self.candidates(now, beliefs, query);
+        match step {
+            PlaceStep::Call => {
+                let best = self.best(beliefs, &candidates, |b| Some(call_seconds(b)))?;
+                Some(choice(beliefs, best, false))
+            }
+            PlaceStep::Decode => {
+                let best = self.best(beliefs, &candidates, |b| decode_seconds(b, query))?;
+                Some(choice(beliefs, best, false))
+            }
+            PlaceStep::Start => self.choose_start(beliefs, &candidates, query),
+        }
+    }
+
+    fn choose_start(
+        &mut self,
+        beliefs: &BeliefTable,
+        candidates: &[BeliefSlot],
+        query: &PlaceQuery<'_>,
+    ) -> Option<PlaceChoice> {
+        let whole = self.best(beliefs, candidates, |b| complete_seconds(b, query));
+        let read = self.best(beliefs, candidates, |b| prefill_seconds(b, query));
+        let write = self.best(beliefs, candidates, |b| split_decode_seconds(b, query));
+        let split = match (read, write) {
+            (Some(read), Some(write)) if !query.alone => {
+                let move_time = MOVE_FIXED + MOVE_PER_PIECE * pieces(query.prompt_tokens);
+                Some(Estimate {
+                    slot: read.slot,
+                    seconds: read.seconds + write.seconds + move_time.as_secs_f32(),
+                })
+            }
+            _ => None,
+        };
+        match (whole, split) {
+            (Some(whole), Some(split)) if whole.seconds <= split.seconds => {
+                Some(choice(beliefs, whole, false))
+            }
+            (_, Some(split)) => Some(choice(beliefs, split, true)),
+            (Some(whole), None) => Some(choice(beliefs, whole, false)),
+            (None, None) => None,
+        }
+    }
+
+    fn best(
+        &mut self,
+        beliefs: &BeliefTable,
+        candidates: &[BeliefSlot],
+        seconds: impl Fn(&TargetBelief) -> Option<f32>,
+    ) -> Option<Estimate> {
+        let estimate = |slot: &BeliefSlot| {
+            seconds(beliefs.at(*slot)).map(|seconds| Estimate { slot: *slot, seconds })
+        };
+        let estimates = candidates.iter().filter_map(estimate);
+        match self.policy {
+            PlacementPolicy::EarliestEnd => {
+                estimates.min_by(|a, b| a.seconds.total_cmp(&b.seconds))
+            }
+            PlacementPolicy::LeastInFlight => {
+                estimates.min_by_key(|e| in_flight(beliefs.at(e.slot)))
+            }
+            PlacementPolicy::RoundRobin => {
+                let able: SmallVec<[Estimate; 32]> = estimates.collect();
+                self.turn += 1;
+                (!able.is_empty()).then(|| able[self.turn % able.len()])
+            }
+        }
+    }
+
+    fn candidates(
+        &mut self,
+        now: ClockTime,
+        beliefs: &BeliefTable,
+        query: &PlaceQuery<'_>,
+    ) -> SmallVec<[BeliefSlot; 64]> {
+        let all = beliefs.route(query.route);
+        let usable = |slot: &BeliefSlot| {
+            let belief = beliefs.at(*slot);
+            belief.is_usable(now) && !query.tried.contains(&belief.load.target)
+        };
+        if all.len() <= FULL_SCAN_LIMIT || self.policy != PlacementPolicy::EarliestEnd {
+            return all.iter().copied().filter(usable).collect();
+        }
+        let mut drawn = SmallVec::new();
+        for prefix in query.prefixes.iter().rev() {
+            let holders = beliefs.holders(*prefix);
+            drawn.extend(holders.iter().copied().filter(usable).take(PREFIX_CANDIDATES));
+            if !drawn.is_empty() {
+                break;
+            }
+        }
+        for _ in 0..SAMPLED_CANDIDATES * 2 {
+            if drawn.len() >= SAMPLED_CANDIDATES {
+                break;
+            }
+            let slot = all[self.rng.random_range(0..all.len())];
+            if usable(&slot) && !drawn.contains(&slot) {
+                drawn.push(slot);
+            }
+        }
+        drawn
+    }
+}
+
+fn choice(beliefs: &BeliefTable, estimate: Estimate, prefill_only: bool) -> PlaceChoice {
+    let belief = beliefs.at(estimate.slot);
+    PlaceChoice {
+        target: belief.load.target.clone(),
+        side: belief.side.clone(),
+        prefill_only,
+        finish: Duration::from_secs_f32(estimate.seconds.clamp(0.0, 1.0e6)),
+    }
+}
+
+fn in_flight(belief: &TargetBelief) -> u32 {
+    belief.load.waiting + belief.load.running + belief.added
+}
+
+fn call_seconds(belief: &TargetBelief) -> f32 {
+    let slots = match belief.offer {
+        TargetOffer::Service { slots, .. } => slots.max(1),
+        TargetOffer::Engine { .. } => 1,
+    };
+    let rounds = in_flight(belief) as f32 / slots as f32 + 1.0;
+    rounds * belief.load.call_ms / 1000.0
+}
+
+fn read_seconds(belief: &TargetBelief, query: &PlaceQuery<'_>) -> f32 {
+    let known = query.prefixes.iter().rposition(|prefix| belief.has_prefix(*prefix));
+    let cached = known.map_or(0, |index| (index as u32 + 1) * PREFIX_BLOCK_TOKENS);
+    let waiting = belief.load.waiting_tokens + belief.added_tokens;
+    let own = query.prompt_tokens.saturating_sub(cached);
+    (waiting as f32 + own as f32) / belief.load.prefill_rate.max(1.0)
+}
+
+fn write_seconds(belief: &TargetBelief, query: &PlaceQuery<'_>) -> f32 {
+    query.expected_output as f32 * belief.load.token_gap_ms / 1000.0
+}
+
+fn waits_alone(belief: &TargetBelief, query: &PlaceQuery<'_>) -> f32 {
+    if query.alone { in_flight(belief) as f32 } else { 0.0 }
+}
+
+fn complete_seconds(belief: &TargetBelief, query: &PlaceQuery<'_>) -> Option<f32> {
+    if belief.load.role != Some(EngineRole::Mixed) || !fits(belief, query) {
+        return None;
+    }
+    Some(read_seconds(belief, query) + write_seconds(belief, query) + waits_alone(belief, query))
+}
+
+fn prefill_seconds(belief: &TargetBelief, query: &PlaceQuery<'_>) -> Option<f32> {
+    let able = belief.load.role == Some(EngineRole::Prefill);
+    able.then(|| read_seconds(belief, query))
+}
+
+fn split_decode_seconds(belief: &TargetBelief, query: &PlaceQuery<'_>) -> Option<f32> {
+    let able = belief.load.role == Some(EngineRole::Decode);
+    able.then(|| write_seconds(belief, query) + memory_wait(belief, query))
+}
+
+fn decode_seconds(belief: &TargetBelief, query: &PlaceQuery<'_>) -> Option<f32> {
+    let role = belief.load.role?;
+    let seconds = write_seconds(belief, query) + memory_wait(belief, query);
+    (generates(role) && (role == EngineRole::Decode || !reads_prompts(role) || fits(belief, query)))
+        .then_some(seconds)
+}
+
+fn fits(belief: &TargetBelief, query: &PlaceQuery<'_>) -> bool {
+    match belief.offer {
+        TargetOffer::Engine { pieces: total, .. } => {
+            pieces(query.prompt_tokens + query.max_output) <= total
+        }
+        TargetOffer::Service { .. } => true,
+    }
+}
+
+/// Estimates how long memory has to be waited for.
+fn memory_wait(belief: &TargetBelief, query: &PlaceQuery<'_>) -> f32 {
+    let needed = pieces(query.prompt_tokens + query.max_output);
+    let missing = needed.saturating_sub(belief.free_pieces()) + belief.load.waiting;
+    missing as f32 * 0.2
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,8 @@
+//! The sapphirewell program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    sapphirewell::command::main(&arguments)
+}
--- /dev/null
+++ b/src/process.rs
@@ -0,0 +1,18 @@
+//! The processes: I/O around the state machines.
+//!
+//! One thread holds the fold and the role's machine; the others carry traffic.
+//! See [docs/ARCHITECTURE.md](../docs/ARCHITECTURE.md).
+
+pub mod admin;
+pub mod control;
+pub mod entry;
+pub mod http;
+pub mod link;
+pub mod logging;
+pub mod metrics;
+pub mod peer;
+pub mod platform;
+pub mod side;
+pub mod stop;
+pub mod tail;
+pub mod target;
--- /dev/null
+++ b/src/side/claims.rs
@@ -0,0 +1,156 @@
+//! Non-idempotent attempts: from claim to recorded outcome.
+
+use super::{LOAD_INTERVAL, SideAction, attempt::AttemptPhase, machine::SideMachine};
+use crate::{
+    claim::{ClaimDecision, ClaimEvent, ServiceAnswer},
+    fold::FleetFold,
+    frame::AttemptEnd,
+    ids::{AttemptId, ClockTime},
+    request::RefusalReason,
+};
+
+impl SideMachine {
+    /// Does what the log says about the attempt's key.
+    pub(super) fn decide_claim(
+        &mut self,
+        now: ClockTime,
+        fold: &FleetFold,
+        id: AttemptId,
+        out: &mut Vec<SideAction>,
+    ) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let Some(key) = attempt.claim_key() else {
+            self.end_not_run(id, RefusalReason::BadKey, out);
+            return;
+        };
+        let window = std::time::Duration::from_secs(attempt.place.window_s);
+        let fingerprint = attempt.place.fingerprint;
+        match fold.claims().decide(fold.view().time, &key, fingerprint, id, window) {
+            ClaimDecision::Won => self.claim_won(now, id, out),
+            ClaimDecision::Free => self.ask_for_key(id, out),
+            ClaimDecision::Pending => self.await_owner(id),
+            ClaimDecision::Done(answer) => self.finish(id, AttemptEnd::Answered(answer), out),
+            ClaimDecision::Unknown => self.end_unknown(id, RefusalReason::OutcomeUnknown, out),
+            ClaimDecision::Expired => self.end_unknown(id, RefusalReason::BadKey, out),
+            ClaimDecision::Mismatch => self.end_not_run(id, RefusalReason::KeyMismatch, out),
+            ClaimDecision::BadKey => self.end_not_run(id, RefusalReason::BadKey, out),
+        }
+    }
+
+    fn claim_won(&mut self, now: ClockTime, id: AttemptId, out: &mut Vec<SideAction>) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        if now >= attempt.deadline || self.superseded {
+            self.give_up_claim(id, RefusalReason::DeadlineExceeded, out);
+        } else {
+            self.enqueue(now, id, out);
+        }
+    }
+
+    fn ask_for_key(&mut self, id: AttemptId, out: &mut Vec<SideAction>) {
+        if !self.log_reachable {
+            self.end_not_run(id, RefusalReason::LogUnavailable, out);
+            return;
+        }
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        if attempt.phase == AttemptPhase::Claiming {
+            return;
+        }
+        attempt.phase = AttemptPhase::Claiming;
+        let Some(key) = attempt.claim_key() else { return };
+        let place = &attempt.place;
+        let (fingerprint, window_s) = (place.fingerprint, place.window_s);
+        self.outbox.push_claim(ClaimEvent::Take { key, fingerprint, attempt: id, window_s });
+    }
+
+    /// Waits for the owner's outcome. Where this attempt has asked too, its request lost.
+    fn await_owner(&mut self, id: AttemptId) {
+        if let Some(attempt) = self.attempts.get_mut(&id) {
+            attempt.phase = AttemptPhase::AwaitOwner;
+        }
+    }
+
+    /// Ends an attempt that never started, and gives its key up where it may hold it.
+    pub(super) fn give_up_claim(
+        &mut self,
+        id: AttemptId,
+        reason: RefusalReason,
+        out: &mut Vec<SideAction>,
+    ) {
+        self.release_claim(id);
+        self.end_not_run(id, reason, out);
+    }
+
+    /// Writes that the attempt will never run.
+    pub(super) fn release_claim(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let Some(key) = attempt.claim_key() else { return };
+        if !self.outbox.withdraw(&key, id) {
+            self.outbox.push_claim(ClaimEvent::Release { key, attempt: id });
+        }
+    }
+
+    /// Writes the outcome, so that repeats anywhere get the same answer.
+    pub(super) fn record_outcome(&mut self, id: AttemptId, answer: &ServiceAnswer) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        if let Some(key) = attempt.claim_key() {
+            self.outbox.push_claim(ClaimEvent::Outcome {
+                key,
+                attempt: id,
+                answer: answer.clone(),
+            });
+        }
+    }
+
+    /// Ends an attempt of which nothing reached its target.
+    pub(super) fn end_not_run(
+        &mut self,
+        id: AttemptId,
+        reason: RefusalReason,
+        out: &mut Vec<SideAction>,
+    ) {
+        self.finish(id, AttemptEnd::NotRun { reason, retry_after: LOAD_INTERVAL }, out);
+    }
+
+    /// Ends an attempt of which it isn't known whether the request ran.
+    pub(super) fn end_unknown(
+        &mut self,
+        id: AttemptId,
+        reason: RefusalReason,
+        out: &mut Vec<SideAction>,
+    ) {
+        self.finish(id, AttemptEnd::Unknown { reason }, out);
+    }
+
+    /// Ends every attempt that has not started, where the side must not start it any more.
+    pub(super) fn abandon_unstarted(&mut self, out: &mut Vec<SideAction>) {
+        let unstarted: Vec<AttemptId> =
+            self.attempts.iter().filter(|(_, a)| !a.occupies_target()).map(|(id, _)| *id).collect();
+        for id in unstarted {
+            self.give_up(id, RefusalReason::Stopping, out);
+        }
+    }
+
+    /// Ends an attempt that has not started, by what its phase allows to say.
+    pub(super) fn give_up(
+        &mut self,
+        id: AttemptId,
+        reason: RefusalReason,
+        out: &mut Vec<SideAction>,
+    ) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let claimed = !attempt.place.idempotent;
+        match attempt.phase {
+            AttemptPhase::AwaitOwner => {
+                self.release_claim(id);
+                self.end_unknown(id, RefusalReason::InProgress, out);
+            }
+            AttemptPhase::Claiming | AttemptPhase::Queued if claimed => {
+                self.give_up_claim(id, reason, out)
+            }
+            AttemptPhase::CatchUp | AttemptPhase::Claiming | AttemptPhase::Queued => {
+                self.end_not_run(id, reason, out);
+            }
+            AttemptPhase::Running(_) | AttemptPhase::Doubt { .. } | AttemptPhase::KeepingCache => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/side/orders.rs
@@ -0,0 +1,170 @@
+//! Orders to engines: drain, change the role, and wait until it has settled.
+
+use std::time::Duration;
+
+use super::{
+    SideAction, TargetReport,
+    attempt::AttemptPhase,
+    machine::SideMachine,
+    target::{OrderState, TargetHealth},
+};
+use crate::{
+    fold::FleetFold,
+    ids::{AttemptId, ClockTime, LogOffset, TargetId},
+    request::RefusalReason,
+};
+
+/// Time after which an order without an effect is sent again.
+const ORDER_RETRY: Duration = Duration::from_secs(2);
+
+impl SideMachine {
+    /// Compares the plan in force with the engines' roles, and moves each one step on.
+    pub(super) fn follow_plan(
+        &mut self,
+        now: ClockTime,
+        fold: &FleetFold,
+        out: &mut Vec<SideAction>,
+    ) {
+        let Some(fence) = self.fence else { return };
+        if self.superseded {
+            return;
+        }
+        let plan = fold.view().plan.clone();
+        let names: Vec<TargetId> = self.targets.keys().cloned().collect();
+        for name in names {
+            let wanted = plan.roles.get(&name).copied();
+            self.plan_target(&name, wanted, plan.plan);
+            self.advance_order(now, &name, fence, out);
+        }
+    }
+
+    fn plan_target(
+        &mut self,
+        name: &TargetId,
+        wanted: Option<crate::record::EngineRole>,
+        plan: LogOffset,
+    ) {
+        let Some(target) = self.targets.get_mut(name) else { return };
+        let (Some(wanted), Some(role)) = (wanted, target.role) else { return };
+        if target.health != TargetHealth::Up {
+            return;
+        }
+        match target.order {
+            OrderState::Settled | OrderState::Draining { .. } if role == wanted => {
+                target.order = OrderState::Settled;
+            }
+            OrderState::Settled | OrderState::Draining { .. } => {
+                target.order = OrderState::Draining { role: wanted, plan };
+            }
+            OrderState::Ordered { .. } => {}
+        }
+    }
+
+    fn advance_order(
+        &mut self,
+        now: ClockTime,
+        name: &TargetId,
+        fence: u64,
+        out: &mut Vec<SideAction>,
+    ) {
+        let Some(target) = self.targets.get(name) else { return };
+        if let OrderState::Draining { role, plan } = target.order {
+            self.move_queue(name, out);
+            let busy = self.attempts.values().any(|a| a.target == *name && a.occupies_target());
+            if !busy {
+                out.push(SideAction::Order { target: name.clone(), fence, plan, role });
+                self.set_order(name, OrderState::Ordered { role, plan, sent: now });
+            }
+            return;
+        }
+        if let OrderState::Ordered { role, plan, sent } = target.order
+            && target.role.is_some()
+            && now > sent + ORDER_RETRY
+        {
+            out.push(SideAction::Order { target: name.clone(), fence, plan, role });
+            self.set_order(name, OrderState::Ordered { role, plan, sent: now });
+        }
+    }
+
+    fn set_order(&mut self, name: &TargetId, order: OrderState) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.order = order;
+        }
+    }
+
+    /// Hands queued attempts back to their entries, which place them elsewhere.
+    fn move_queue(&mut self, name: &TargetId, out: &mut Vec<SideAction>) {
+        let Some(target) = self.targets.get(name) else { return };
+        for id in target.queue.select(|_| true) {
+            self.give_up(id, RefusalReason::NoTarget, out);
+        }
+    }
+
+    pub(super) fn ordered(&mut self, name: &TargetId, plan: LogOffset, accepted: bool) {
+        let Some(target) = self.targets.get_mut(name) else { return };
+        match target.order {
+            OrderState::Ordered { plan: sent, .. } if sent == plan && accepted => {
+                target.role = None;
+                target.forget_prefixes();
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes in a target's own report, which alone ends a role change.
+    pub(super) fn report(
+        &mut self,
+        now: ClockTime,
+        name: &TargetId,
+        report: &TargetReport,
+        out: &mut Vec<SideAction>,
+    ) {
+        let Some(target) = self.targets.get_mut(name) else { return };
+        let restarted = target.boot != 0 && target.boot != report.boot;
+        let was = target.health;
+        target.health = TargetHealth::Up;
+        target.boot = report.boot;
+        if restarted || was == TargetHealth::Down {
+            self.target_crashed(now, name, out);
+        }
+        let Some(target) = self.targets.get_mut(name) else { return };
+        target.note_prefixes(report.cached.iter().copied());
+        target.role = if report.changing { None } else { report.role };
+        if let (OrderState::Ordered { role, .. }, Some(settled)) = (target.order, target.role)
+            && (role == settled || restarted)
+        {
+            target.order = OrderState::Settled;
+        }
+        self.resolve_doubts(name, out);
+    }
+
+    pub(super) fn target_down(
+        &mut self,
+        now: ClockTime,
+        name: &TargetId,
+        out: &mut Vec<SideAction>,
+    ) {
+        let Some(target) = self.targets.get_mut(name) else { return };
+        if target.health == TargetHealth::Down {
+            return;
+        }
+        target.health = TargetHealth::Down;
+        target.role = None;
+        self.target_crashed(now, name, out);
+        self.move_queue(name, out);
+    }
+
+    /// Ends broken runs of a target that has just shown that it did not crash.
+    fn resolve_doubts(&mut self, name: &TargetId, out: &mut Vec<SideAction>) {
+        let doubted: Vec<AttemptId> = self
+            .attempts
+            .iter()
+            .filter(|(_, a)| a.target == *name && matches!(a.phase, AttemptPhase::Doubt { .. }))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in doubted {
+            out.push(SideAction::Cancel { target: name.clone(), attempt: id });
+            self.end_broken(id, false, out);
+        }
+    }
+}
--- /dev/null
+++ b/src/side/runs.rs
@@ -0,0 +1,405 @@
+//! Attempts at targets: start, progress, failure and end.
+
+use std::time::Duration;
+
+use super::{
+    SideAction, TargetEvent, TargetFailure,
+    attempt::{AttemptPhase, RunProgress},
+    machine::SideMachine,
+    target::TargetHealth,
+};
+use crate::{
+    claim::ServiceAnswer,
+    fold::FleetFold,
+    frame::{AttemptEnd, AttemptWork, SideFrame},
+    ids::{AttemptId, ClockTime, TargetId},
+    record::SuspectReport,
+    request::RefusalReason,
+};
+
+/// How long a broken stream waits for its target to say whether it crashed.
+const DOUBT_LIMIT: Duration = Duration::from_millis(600);
+/// How long a non-idempotent call may outlast its deadline before its outcome is unknown.
+const CALL_GRACE: Duration = Duration::from_secs(30);
+/// How long a stream may be silent.
+const STREAM_TIMEOUT: Duration = Duration::from_secs(5);
+
+impl SideMachine {
+    /// Starts queued attempts while the target has room.
+    pub(super) fn dispatch(&mut self, now: ClockTime, name: &TargetId, out: &mut Vec<SideAction>) {
+        let Some(fence) = self.fence else { return };
+        while !self.superseded {
+            let Some(target) = self.targets.get_mut(name) else { return };
+            let Some(work) = target.queue.peek() else { return };
+            if target.health != TargetHealth::Up {
+                return;
+            }
+            if !target.has_room(now, work.pieces, work.prompt_tokens, work.alone) {
+                return;
+            }
+            let Some(work) = target.queue.pop() else { return };
+            target.running += 1;
+            target.used_pieces += work.pieces;
+            target.unread_tokens += u64::from(work.prompt_tokens);
+            if work.alone {
+                target.alone = Some(work.attempt);
+            }
+            let Some(attempt) = self.attempts.get_mut(&work.attempt) else { return };
+            attempt.phase = AttemptPhase::Running(RunProgress {
+                started: now,
+                read: false,
+                next_chunk: attempt.place.resume_chunks,
+                last_chunk: now,
+            });
+            let place = attempt.place.clone();
+            out.push(SideAction::Start { target: name.clone(), fence, place });
+        }
+    }
+
+    pub(super) fn target_event(
+        &mut self,
+        now: ClockTime,
+        fold: &FleetFold,
+        name: &TargetId,
+        event: TargetEvent,
+        out: &mut Vec<SideAction>,
+    ) {
+        match event {
+            TargetEvent::PromptRead { attempt } => self.prompt_read(now, attempt),
+            TargetEvent::Chunk { attempt, index, tokens, text } => {
+                self.chunk(now, attempt, index, tokens, text, out);
+            }
+            TargetEvent::Finished { attempt, chunks, tokens } => {
+                self.finished(fold, attempt, (chunks, tokens), out);
+            }
+            TargetEvent::Prefilled { attempt, handle } => self.prefilled(now, attempt, handle, out),
+            TargetEvent::Answered { attempt, answer } => self.answered(now, attempt, answer, out),
+            TargetEvent::Failed { attempt, failure } => {
+                self.failed(now, name, attempt, failure, out)
+            }
+            TargetEvent::Report(report) => self.report(now, name, &report, out),
+            TargetEvent::Down => self.target_down(now, name, out),
+            TargetEvent::Ordered { plan, accepted } => self.ordered(name, plan, accepted),
+        }
+        self.dispatch(now, name, out);
+    }
+
+    fn progress(&mut self, id: AttemptId) -> Option<&mut RunProgress> {
+        match &mut self.attempts.get_mut(&id)?.phase {
+            AttemptPhase::Running(progress) => Some(progress),
+            _ => None,
+        }
+    }
+
+    fn prompt_read(&mut self, now: ClockTime, id: AttemptId) {
+        let Some(progress) = self.progress(id) else { return };
+        if std::mem::replace(&mut progress.read, true) {
+            return;
+        }
+        progress.last_chunk = now;
+        let started = progress.started;
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let tokens = attempt.tokens_to_read();
+        let prefixes = attempt.place.prefixes.clone();
+        let Some(target) = self.targets.get_mut(&attempt.target) else { return };
+        target.unread_tokens -= u64::from(tokens);
+        target.gauge.prompt_read(now, started, tokens);
+        target.note_prefixes(prefixes);
+    }
+
+    fn chunk(
+        &mut self,
+        now: ClockTime,
+        id: AttemptId,
+        index: u32,
+        tokens: u32,
+        text: std::sync::Arc<str>,
+        out: &mut Vec<SideAction>,
+    ) {
+        self.prompt_read(now, id);
+        let Some(progress) = self.progress(id) else { return };
+        if index != progress.next_chunk {
+            return;
+        }
+        progress.next_chunk += 1;
+        let took = now.saturating_sub(progress.last_chunk);
+        progress.last_chunk = now;
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        if let Some(target) = self.targets.get_mut(&attempt.target) {
+            target.gauge.generated(took, tokens);
+        }
+        if let Some(link) = attempt.link {
+            out.push(SideAction::Send {
+                link,
+                frame: SideFrame::Chunk { attempt: id, index, text },
+            });
+        }
+    }
+
+    fn finished(
+        &mut self,
+        fold: &FleetFold,
+        id: AttemptId,
+        (chunks, tokens): (u32, u32),
+        out: &mut Vec<SideAction>,
+    ) {
+        let Some(progress) = self.progress(id) else { return };
+        let whole = progress.next_chunk == chunks;
+        self.clear_suspect(fold, id);
+        let end = if whole {
+            AttemptEnd::Whole { chunks, tokens }
+        } else {
+            AttemptEnd::Failed { crashed: false }
+        };
+        self.finish(id, end, out);
+    }
+
+    fn prefilled(&mut self, now: ClockTime, id: AttemptId, handle: u64, out: &mut Vec<SideAction>) {
+        self.prompt_read(now, id);
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        if !matches!(attempt.phase, AttemptPhase::Running(_)) {
+            return;
+        }
+        attempt.phase = AttemptPhase::KeepingCache;
+        if let Some(link) = attempt.link {
+            let end = AttemptEnd::Prefilled { handle };
+            out.push(SideAction::Send { link, frame: SideFrame::End { attempt: id, end } });
+        }
+        if let Some(target) = self.targets.get_mut(&attempt.target) {
+            target.running -= 1;
+            if target.alone == Some(id) {
+                target.alone = None;
+            }
+        }
+    }
+
+    fn answered(
+        &mut self,
+        now: ClockTime,
+        id: AttemptId,
+        answer: ServiceAnswer,
+        out: &mut Vec<SideAction>,
+    ) {
+        let Some(progress) = self.progress(id) else { return };
+        let took = now.saturating_sub(progress.started);
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        if let Some(target) = self.targets.get_mut(&attempt.target) {
+            target.gauge.called(took);
+        }
+        self.record_outcome(id, &answer);
+        self.finish(id, AttemptEnd::Answered(answer), out);
+    }
+
+    fn failed(
+        &mut self,
+        now: ClockTime,
+        name: &TargetId,
+        id: AttemptId,
+        failure: TargetFailure,
+        out: &mut Vec<SideAction>,
+    ) {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        if !matches!(attempt.phase, AttemptPhase::Running(_)) {
+            return;
+        }
+        let idempotent = attempt.place.idempotent;
+        if let Some(target) = self.targets.get_mut(name) {
+            target.gauge.failed(now);
+        }
+        match failure {
+            TargetFailure::NotReached | TargetFailure::Refused if !idempotent => {
+                self.give_up_claim(id, RefusalReason::TargetFailed, out);
+            }
+            TargetFailure::NotReached | TargetFailure::Refused => {
+                self.end_not_run(id, RefusalReason::TargetFailed, out);
+            }
+            TargetFailure::Broken => {
+                attempt.phase = AttemptPhase::Doubt { since: now };
+                out.push(SideAction::Probe { target: name.clone() });
+            }
+        }
+    }
+
+    /// Ends all runs of a target that crashed; each is a suspect until it runs alone to its end.
+    pub(super) fn target_crashed(
+        &mut self,
+        now: ClockTime,
+        name: &TargetId,
+        out: &mut Vec<SideAction>,
+    ) {
+        let lost: Vec<AttemptId> = self
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.target == *name && attempt.occupies_target())
+            .map(|(id, _)| *id)
+            .collect();
+        if let Some(target) = self.targets.get_mut(name) {
+            target.gauge.failed(now);
+            target.forget_prefixes();
+        }
+        let is_running = |id: &&AttemptId| {
+            self.attempts.get(id).is_some_and(|a| a.phase != AttemptPhase::KeepingCache)
+        };
+        let crashed: Vec<u64> = lost
+            .iter()
+            .filter(is_running)
+            .filter_map(|id| self.attempts.get(id))
+            .map(|attempt| attempt.place.fingerprint)
+            .collect();
+        if !crashed.is_empty() {
+            self.push_report(now, crashed, Vec::new());
+        }
+        for id in lost {
+            self.end_broken(id, true, out);
+        }
+    }
+
+    /// Ends a run whose target crashed or whose stream broke.
+    pub(super) fn end_broken(&mut self, id: AttemptId, crashed: bool, out: &mut Vec<SideAction>) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        if attempt.phase == AttemptPhase::KeepingCache {
+            self.forget(id);
+        } else if attempt.place.idempotent {
+            self.finish(id, AttemptEnd::Failed { crashed }, out);
+        } else {
+            self.end_unknown(id, RefusalReason::OutcomeUnknown, out);
+        }
+    }
+
+    /// Gives an attempt up for its entry or its caller.
+    pub(super) fn cancel(&mut self, fold: &FleetFold, id: AttemptId, out: &mut Vec<SideAction>) {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return };
+        attempt.link = None;
+        if !attempt.occupies_target() {
+            self.give_up(id, RefusalReason::DeadlineExceeded, out);
+            return;
+        }
+        // A non-idempotent call goes on, so that its outcome gets recorded.
+        if attempt.place.idempotent {
+            let target = attempt.target.clone();
+            out.push(SideAction::Cancel { target, attempt: id });
+            if attempt.alone && attempt.phase == AttemptPhase::KeepingCache {
+                self.clear_suspect(fold, id);
+            }
+            self.forget(id);
+        }
+    }
+
+    /// Ends attempts whose time is up.
+    pub(super) fn expire_attempts(
+        &mut self,
+        now: ClockTime,
+        fold: &FleetFold,
+        out: &mut Vec<SideAction>,
+    ) {
+        let ids: Vec<AttemptId> = self.attempts.keys().copied().collect();
+        for id in ids {
+            let Some(attempt) = self.attempts.get(&id) else { continue };
+            match attempt.phase {
+                AttemptPhase::Claiming if !self.log_reachable => {
+                    self.give_up(id, RefusalReason::LogUnavailable, out);
+                }
+                AttemptPhase::Claiming | AttemptPhase::CatchUp | AttemptPhase::AwaitOwner
+                    if now >= attempt.deadline =>
+                {
+                    self.give_up(id, RefusalReason::DeadlineExceeded, out);
+                }
+                AttemptPhase::Queued if now + self.least_time(id) >= attempt.deadline => {
+                    self.give_up(id, RefusalReason::CannotMeetDeadline, out);
+                }
+                AttemptPhase::Running(progress) => self.expire_run(now, fold, id, progress, out),
+                AttemptPhase::Doubt { since } if now > since + DOUBT_LIMIT => {
+                    let target = attempt.target.clone();
+                    out.push(SideAction::Cancel { target, attempt: id });
+                    self.end_broken(id, false, out);
+                }
+                AttemptPhase::KeepingCache if now >= attempt.deadline => self.cancel(fold, id, out),
+                _ => {}
+            }
+        }
+    }
+
+    fn expire_run(
+        &mut self,
+        now: ClockTime,
+        fold: &FleetFold,
+        id: AttemptId,
+        progress: RunProgress,
+        out: &mut Vec<SideAction>,
+    ) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let target = attempt.target.clone();
+        if !attempt.place.idempotent {
+            if now > attempt.deadline + CALL_GRACE {
+                self.end_unknown(id, RefusalReason::OutcomeUnknown, out);
+            }
+        } else if now >= attempt.deadline {
+            out.push(SideAction::Cancel { target, attempt: id });
+            self.clear_suspect(fold, id);
+            self.end_not_run(id, RefusalReason::DeadlineExceeded, out);
+        } else if progress.read && now > progress.last_chunk + STREAM_TIMEOUT {
+            self.failed(now, &target, id, TargetFailure::Broken, out);
+        }
+    }
+
+    /// Returns the shortest time in which a queued attempt could still run.
+    fn least_time(&self, id: AttemptId) -> Duration {
+        let Some(attempt) = self.attempts.get(&id) else { return Duration::ZERO };
+        let Some(target) = self.targets.get(&attempt.target) else { return Duration::ZERO };
+        if target.queue.order() == super::QueueOrder::Arrival {
+            return Duration::ZERO;
+        }
+        let read = 0.5 * attempt.tokens_to_read() as f32 / target.gauge.prefill_rate();
+        let write = match attempt.place.work {
+            AttemptWork::Prefill | AttemptWork::Call => 0.0,
+            AttemptWork::Complete | AttemptWork::Decode { .. } => {
+                0.5 * attempt.place.expected_output_tokens as f32 * target.gauge.gap_ms() / 1000.0
+            }
+        };
+        Duration::from_secs_f32(read + write)
+    }
+
+    fn clear_suspect(&mut self, fold: &FleetFold, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let fingerprint = attempt.place.fingerprint;
+        let known = fold.view().suspects.iter().any(|(suspect, _)| *suspect == fingerprint);
+        if attempt.alone && known {
+            self.push_report(ClockTime::ZERO, Vec::new(), vec![fingerprint]);
+        }
+    }
+
+    fn push_report(&mut self, now: ClockTime, crashed: Vec<u64>, cleared: Vec<u64>) {
+        self.reports += 1;
+        let fence = self.fence.unwrap_or(0);
+        let change =
+            format!("{}-{fence}-{}-{}", self.settings.side, self.reports, now.as_millis()).into();
+        self.outbox.push_report(SuspectReport { change, crashed, cleared });
+    }
+
+    /// Frees what an attempt holds at its target or in its queue.
+    pub(super) fn release_target(&mut self, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        let Some(target) = self.targets.get_mut(&attempt.target) else { return };
+        match attempt.phase {
+            AttemptPhase::Queued => {
+                target.queue.remove(id);
+            }
+            AttemptPhase::Running(progress) => {
+                target.running -= 1;
+                target.used_pieces -= attempt.pieces();
+                if !progress.read {
+                    target.unread_tokens -= u64::from(attempt.tokens_to_read());
+                }
+            }
+            AttemptPhase::Doubt { .. } => {
+                target.running -= 1;
+                target.used_pieces -= attempt.pieces();
+            }
+            AttemptPhase::KeepingCache => target.used_pieces -= attempt.pieces(),
+            AttemptPhase::CatchUp | AttemptPhase::Claiming | AttemptPhase::AwaitOwner => {}
+        }
+        if target.alone == Some(id) {
+            target.alone = None;
+        }
+    }
+}
--- /dev/null
+++ b/src/side/target.rs
@@ -0,0 +1,150 @@
+//! State of one target as its side keeps it.
+
+use std::collections::VecDeque;
+
+use serde::Serialize;
+
+use super::{
+    queue::{QueueOrder, WorkQueue},
+    speed::SpeedGauge,
+};
+use crate::{
+    frame::TargetLoad,
+    ids::{AttemptId, ClockTime, LogOffset, PrefixHash},
+    record::{EngineRole, TargetDescription, TargetOffer},
+};
+
+const MAX_RUNNING: u32 = 64;
+const MAX_KNOWN_PREFIXES: usize = 128;
+/// Work handed to an engine ahead of what it reads now, as a share of a second.
+const READ_AHEAD_SECONDS: f32 = 0.3;
+
+/// One target.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct SideTarget {
+    pub(crate) description: TargetDescription,
+    pub(crate) health: TargetHealth,
+    pub(crate) boot: u64,
+    pub(crate) role: Option<EngineRole>,
+    pub(crate) order: OrderState,
+    pub(crate) queue: WorkQueue,
+    pub(crate) gauge: SpeedGauge,
+    pub(crate) running: u32,
+    pub(crate) used_pieces: u32,
+    pub(crate) unread_tokens: u64,
+    pub(crate) alone: Option<AttemptId>,
+    pub(crate) prompt_total: u64,
+    pub(crate) output_total: u64,
+    #[serde(skip)]
+    prefixes: VecDeque<PrefixHash>,
+}
+
+/// Whether a target answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub(crate) enum TargetHealth {
+    /// It has not reported yet.
+    Unknown,
+    /// It reports.
+    Up,
+    /// It refuses connections.
+    Down,
+}
+
+/// Where an engine stands in a role change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub(crate) enum OrderState {
+    /// No change is wanted.
+    Settled,
+    /// Running work ends before the order is sent.
+    Draining { role: EngineRole, plan: LogOffset },
+    /// The order was sent.
+    Ordered { role: EngineRole, plan: LogOffset, sent: ClockTime },
+}
+
+impl SideTarget {
+    pub(crate) fn new(description: TargetDescription, order: QueueOrder) -> SideTarget {
+        SideTarget {
+            description,
+            health: TargetHealth::Unknown,
+            boot: 0,
+            role: None,
+            order: OrderState::Settled,
+            queue: WorkQueue::new(order),
+            gauge: SpeedGauge::default(),
+            running: 0,
+            used_pieces: 0,
+            unread_tokens: 0,
+            alone: None,
+            prompt_total: 0,
+            output_total: 0,
+            prefixes: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn is_engine(&self) -> bool {
+        matches!(self.description.offer, TargetOffer::Engine { .. })
+    }
+
+    /// Tells whether the target may get work that it has not got yet.
+    pub(crate) fn is_open(&self) -> bool {
+        let known_role = !self.is_engine() || self.role.is_some();
+        self.health == TargetHealth::Up && known_role && self.order == OrderState::Settled
+    }
+
+    pub(crate) fn free_pieces(&self) -> u32 {
+        match self.description.offer {
+            TargetOffer::Engine { pieces, .. } => pieces.saturating_sub(self.used_pieces),
+            TargetOffer::Service { .. } => u32::MAX,
+        }
+    }
+
+    /// Tells whether the work at the head of the queue may start now.
+    pub(crate) fn has_room(&self, now: ClockTime, pieces: u32, tokens: u32, alone: bool) -> bool {
+        if self.alone.is_some() || (alone && self.running > 0) {
+            return false;
+        }
+        let slots = match self.description.offer {
+            TargetOffer::Engine { .. } => MAX_RUNNING,
+            TargetOffer::Service { slots, .. } => slots,
+        };
+        if self.running >= self.gauge.allowed(now, slots) || pieces > self.free_pieces() {
+            return false;
+        }
+        let ahead = (self.gauge.prefill_rate() * READ_AHEAD_SECONDS) as u64;
+        tokens == 0 || self.unread_tokens == 0 || self.unread_tokens + u64::from(tokens) <= ahead
+    }
+
+    /// Notes prefixes that the cache holds, from own work or from the target's events.
+    pub(crate) fn note_prefixes(&mut self, prefixes: impl IntoIterator<Item = PrefixHash>) {
+        for prefix in prefixes {
+            self.prefixes.retain(|known| *known != prefix);
+            self.prefixes.push_back(prefix);
+            if self.prefixes.len() > MAX_KNOWN_PREFIXES {
+                self.prefixes.pop_front();
+            }
+        }
+    }
+
+    /// Forgets the cache, which a restart or a role change empties.
+    pub(crate) fn forget_prefixes(&mut self) {
+        self.prefixes.clear();
+    }
+
+    pub(crate) fn load(&self, open: bool) -> TargetLoad {
+        TargetLoad {
+            target: self.description.target.clone(),
+            role: self.role,
+            accepting: open && self.is_open(),
+            waiting_tokens: self.queue.waiting_tokens() + self.unread_tokens,
+            waiting: self.queue.len() as u32,
+            running: self.running,
+            free_pieces: self.free_pieces(),
+            prefill_rate: self.gauge.prefill_rate(),
+            token_gap_ms: self.gauge.gap_ms(),
+            call_ms: self.gauge.call_ms(),
+            prefixes: self.prefixes.iter().copied().collect(),
+            prompt_total: self.prompt_total,
+            output_total: self.output_total,
+        }
+    }
+}
