Measure the latency that the path adds

Change: `emulator path` calls a stand-in directly and through entry and side in turn and compares medians.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod load;
 pub mod log;
+pub mod path;
 pub mod processes;
 pub mod serve;
 pub mod service;
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -3,7 +3,7 @@
 use std::{process::ExitCode, time::Duration};
 
 use emulator::{
-    demo,
+    demo, path,
     serve::{self, ServeSettings},
     workload::Deployment,
 };
@@ -23,6 +23,8 @@
     Serve(ServeArguments),
     #[options(help = "run the whole system on this machine under a short load")]
     Demo(DemoArguments),
+    #[options(help = "measure the latency that the path adds to a direct call")]
+    Path(PathArguments),
 }
 
 #[derive(Debug, Options)]
@@ -53,6 +55,16 @@
     seed: u64,
 }
 
+#[derive(Debug, Options)]
+struct PathArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "first port", default = "18000")]
+    port: u16,
+    #[options(help = "calls of each kind", default = "300")]
+    repeats: u64,
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     let runtime = match tokio::runtime::Runtime::new() {
@@ -65,6 +77,7 @@
     match arguments.command {
         Some(Command::Serve(arguments)) => runtime.block_on(serve_stand_ins(arguments)),
         Some(Command::Demo(arguments)) => runtime.block_on(run_demo(arguments)),
+        Some(Command::Path(arguments)) => runtime.block_on(measure_path(arguments)),
         None => {
             eprintln!("{}", Arguments::usage());
             ExitCode::from(2)
@@ -104,3 +117,18 @@
     println!("{}", serde_json::json!(report));
     if report.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
+
+async fn measure_path(arguments: PathArguments) -> ExitCode {
+    match path::measure(arguments.port, arguments.repeats).await {
+        Ok(times) => {
+            for time in times {
+                println!("{}", serde_json::json!(time));
+            }
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("emulator: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
