--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -4,11 +4,16 @@
 //! puts them behind HTTP.
 
 pub mod demo;
+pub mod eager;
 pub mod engine;
 pub mod load;
 pub mod log;
+pub mod matrix;
 pub mod path;
 pub mod processes;
+pub mod rig;
 pub mod serve;
 pub mod service;
+pub mod shift;
+pub mod sweep;
 pub mod workload;
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -3,8 +3,9 @@
 use std::{process::ExitCode, time::Duration};
 
 use emulator::{
-    demo, path,
+    demo, matrix, path,
     serve::{self, ServeSettings},
+    sweep,
     workload::Deployment,
 };
 use gumdrop::Options;
@@ -25,6 +26,10 @@
     Demo(DemoArguments),
     #[options(help = "measure the latency that the path adds to a direct call")]
     Path(PathArguments),
+    #[options(help = "replay a seeded shift under a test clock")]
+    Shift(ShiftArguments),
+    #[options(help = "run the fault matrix")]
+    Matrix(MatrixArguments),
 }
 
 #[derive(Debug, Options)]
@@ -65,6 +70,31 @@
     repeats: u64,
 }
 
+#[derive(Debug, Options)]
+struct ShiftArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "highway or honey", default = "highway")]
+    deployment: String,
+    #[options(
+        help = "round-robin, least-in-flight, static-split, eager-roles, sapphirewell or all",
+        default = "sapphirewell"
+    )]
+    policy: String,
+    #[options(help = "first seed", default = "1")]
+    seed: u64,
+    #[options(help = "number of seeds", default = "1")]
+    seeds: u64,
+    #[options(help = "length of the shift in seconds", default = "600")]
+    seconds: u64,
+    #[options(help = "load in hundredths of the deployment's own", default = "100")]
+    load: u64,
+    #[options(help = "file for the reports as CSV")]
+    csv: Option<std::path::PathBuf>,
+    #[options(help = "file for a plot of goodput by policy and seed, as SVG")]
+    plot: Option<std::path::PathBuf>,
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     let runtime = match tokio::runtime::Runtime::new() {
@@ -78,6 +108,8 @@
         Some(Command::Serve(arguments)) => runtime.block_on(serve_stand_ins(arguments)),
         Some(Command::Demo(arguments)) => runtime.block_on(run_demo(arguments)),
         Some(Command::Path(arguments)) => runtime.block_on(measure_path(arguments)),
+        Some(Command::Shift(arguments)) => sweep::run(&arguments.into()),
+        Some(Command::Matrix(arguments)) => run_matrix(&arguments),
         None => {
             eprintln!("{}", Arguments::usage());
             ExitCode::from(2)
@@ -132,3 +164,46 @@
         }
     }
 }
+
+#[derive(Debug, Options)]
+struct MatrixArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "seeds as A..B, without B", default = "1..3")]
+    seeds: String,
+    #[options(help = "run all pairs of faults, too")]
+    pairs: bool,
+}
+
+fn run_matrix(arguments: &MatrixArguments) -> ExitCode {
+    let bounds = arguments
+        .seeds
+        .split_once("..")
+        .and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
+    let Some((first, end)) = bounds else {
+        eprintln!("emulator: --seeds {:?}, allowed A..B", arguments.seeds);
+        return ExitCode::from(2);
+    };
+    let seeds: std::ops::Range<u64> = first..end;
+    let mut cells = matrix::single_cells(seeds.clone());
+    if arguments.pairs {
+        cells.extend(matrix::pair_cells(seeds));
+    }
+    let summary = matrix::run_cells(cells);
+    println!("{summary}");
+    if summary.failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+impl From<ShiftArguments> for sweep::SweepSettings {
+    fn from(arguments: ShiftArguments) -> sweep::SweepSettings {
+        sweep::SweepSettings {
+            deployment: arguments.deployment,
+            policy: arguments.policy,
+            seeds: arguments.seed..arguments.seed + arguments.seeds,
+            duration: Duration::from_secs(arguments.seconds),
+            load: arguments.load as f64 / 100.0,
+            csv: arguments.csv,
+            plot: arguments.plot,
+        }
+    }
+}
--- /dev/null
+++ b/emulator/src/rig.rs
@@ -0,0 +1,336 @@
+//! Drives the system's decision machines under a test clock.
+//!
+//! The rig knows small fakes at the machines' interfaces and one constant
+//! delay for each kind of message. It serves the load tool and the fault
+//! matrix alike.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{SeedableRng, rngs::StdRng};
+use sapphirewell::{
+    contract::CustomerContract,
+    entry::PlacementPolicy,
+    fold::FleetFold,
+    ids::{ClockTime, LogTime},
+    side::{QueueOrder, SideEvent},
+};
+
+use crate::{
+    engine::{EngineModel, EngineProfile},
+    log::LogModel,
+    service::ServiceModel,
+    workload::OfferedRequest,
+};
+
+mod callers;
+mod faults;
+mod links;
+mod nodes;
+mod platform;
+mod referee;
+mod steps;
+mod targets;
+
+pub use callers::{CallerRecord, CallerState};
+pub use faults::{RigFault, TimedFault};
+pub use links::LinkDirection;
+pub use nodes::{NodeId, NodeState};
+pub use referee::{IN_FORCE_LIMIT, LEAVING_LIMIT, RuleBreach, RuleName};
+pub use steps::{FaultSite, ProtocolStep, StepTrigger};
+
+use callers::CallerBook;
+use links::LinkTable;
+use nodes::{EntryNode, SideNode};
+use platform::PlatformFaults;
+use referee::RuleReferee;
+use targets::{EngineSeat, ServiceSeat};
+
+/// Log service's clock at the rig's start.
+pub const LOG_EPOCH: LogTime = Duration::from_secs(1_700_000_000);
+const TICK: Duration = Duration::from_millis(20);
+
+/// How roles are assigned.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RolePolicy {
+    /// All engines read and generate.
+    AllMixed,
+    /// The engines at these indexes only read, the others only generate.
+    StaticSplit(Vec<usize>),
+    /// Roles follow the demand at once; a baseline.
+    Eager,
+    /// The system's planner.
+    Planned,
+}
+
+/// What a rig is made of.
+#[derive(Debug, Clone)]
+pub struct RigSettings {
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Number of entries.
+    pub entries: usize,
+    /// Engines, each behind a side of its own.
+    pub engines: Vec<EngineProfile>,
+    /// Plain services' runners and the service that each runs.
+    pub services: Vec<(String, String)>,
+    /// Contracts published at the start.
+    pub contracts: Vec<CustomerContract>,
+    /// Delay between processes.
+    pub delay: Duration,
+    /// Delay between callers and entries.
+    pub caller_delay: Duration,
+    /// How long the log keeps records.
+    pub retention: Duration,
+    /// Time of one call of a plain service.
+    pub call_time: Duration,
+    /// Choice of targets.
+    pub placement: PlacementPolicy,
+    /// Order of queues.
+    pub order: QueueOrder,
+    /// Assignment of roles.
+    pub roles: RolePolicy,
+    /// Whether callers repeat a non-idempotent request whose outcome is open.
+    pub callers_repeat: bool,
+}
+
+/// The rig.
+pub struct Rig {
+    pub(crate) settings: RigSettings,
+    pub(crate) now: ClockTime,
+    pub(crate) rng: StdRng,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    scheduled: u64,
+    pub(crate) log: LogModel,
+    /// Folds each record as it is appended, to know what the log has decided.
+    pub(crate) oracle: FleetFold,
+    pub(crate) platform: PlatformFaults,
+    pub(crate) entries: Vec<EntryNode>,
+    pub(crate) sides: Vec<SideNode>,
+    pub(crate) engines: Vec<EngineSeat>,
+    pub(crate) services: Vec<ServiceSeat>,
+    pub(crate) links: LinkTable,
+    pub(crate) callers: CallerBook,
+    pub(crate) referee: RuleReferee,
+    pub(crate) trigger: Option<StepTrigger>,
+    pub(crate) reached: std::collections::BTreeSet<ProtocolStep>,
+}
+
+struct Scheduled {
+    at: ClockTime,
+    order: u64,
+    event: RigEvent,
+}
+
+/// Something that happens in the rig.
+#[derive(Debug, Clone)]
+pub(crate) enum RigEvent {
+    Arrive { caller: usize, repeat: u32 },
+    Tick { node: NodeId, process: u64 },
+    Poll { node: NodeId, process: u64 },
+    Node { node: NodeId, process: u64, input: NodeInput },
+    Connect { entry: usize, side: usize },
+    Append { node: NodeId, process: u64, ticket: Option<u64>, body: Arc<str> },
+    EngineWake { engine: usize },
+    Target { side: usize, process: u64, action: targets::TargetAction },
+    ServiceDone { service: usize, call: targets::ServiceCall },
+    Restart { node: NodeId },
+    Fault(RigFault),
+}
+
+/// Event for a node's machine, delayed while the node is frozen.
+#[derive(Debug, Clone)]
+pub(crate) enum NodeInput {
+    Entry(Box<sapphirewell::entry::EntryEvent>),
+    Side(Box<SideEvent>),
+    FromSide { side: usize, epoch: u64, frame: Box<sapphirewell::frame::SideFrame> },
+    FromEntry { entry: usize, epoch: u64, frame: Box<sapphirewell::frame::EntryFrame> },
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Scheduled) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Scheduled) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Scheduled) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+impl Rig {
+    /// Makes a rig with its processes starting and its contracts published.
+    pub fn new(settings: RigSettings) -> Rig {
+        let targets = settings.engines.len() + settings.services.len();
+        let engines = settings.engines.iter().enumerate().map(|(index, profile)| {
+            let role = settings.roles.first_role(index);
+            EngineSeat::new(EngineModel::new(profile.clone(), role))
+        });
+        let services = settings
+            .services
+            .iter()
+            .map(|_| ServiceSeat::new(ServiceModel::new(settings.call_time)));
+        let mut rig = Rig {
+            now: ClockTime::ZERO,
+            rng: StdRng::seed_from_u64(settings.seed),
+            queue: BinaryHeap::new(),
+            scheduled: 0,
+            log: LogModel::new(settings.retention),
+            oracle: FleetFold::default(),
+            platform: PlatformFaults::default(),
+            entries: Vec::new(),
+            sides: Vec::new(),
+            engines: engines.collect(),
+            services: services.collect(),
+            links: LinkTable::new(settings.entries, targets),
+            callers: CallerBook::default(),
+            referee: RuleReferee::default(),
+            trigger: None,
+            reached: std::collections::BTreeSet::new(),
+            settings,
+        };
+        rig.start_nodes();
+        rig.publish_first_contracts();
+        rig
+    }
+
+    /// Adds requests that callers will send.
+    pub fn offer(&mut self, requests: Vec<OfferedRequest>) {
+        for request in requests {
+            let at = request.at;
+            let caller = self.callers.add(request);
+            self.schedule(at, RigEvent::Arrive { caller, repeat: 0 });
+        }
+    }
+
+    /// Adds a fault.
+    pub fn inject(&mut self, fault: TimedFault) {
+        self.schedule(fault.at, RigEvent::Fault(fault.fault));
+    }
+
+    /// Adds faults that happen when a step is first reached after a time.
+    pub fn inject_at_step(&mut self, trigger: StepTrigger) {
+        self.trigger = Some(trigger);
+    }
+
+    /// Tells whether a step was reached at any time.
+    pub fn has_reached(&self, step: ProtocolStep) -> bool {
+        self.reached.contains(&step)
+    }
+
+    /// Runs until a time.
+    pub fn run_until(&mut self, end: ClockTime) {
+        while let Some(Reverse(next)) = self.queue.peek() {
+            if next.at > end {
+                break;
+            }
+            let Some(Reverse(next)) = self.queue.pop() else { break };
+            self.now = next.at;
+            self.handle(next.event);
+        }
+        self.now = end;
+    }
+
+    /// Returns the clock.
+    pub fn now(&self) -> ClockTime {
+        self.now
+    }
+
+    /// Returns what became of each caller's request.
+    pub fn callers(&self) -> &[CallerRecord] {
+        self.callers.records()
+    }
+
+    /// Returns the breaches of the rules that were seen.
+    pub fn breaches(&self) -> Vec<RuleBreach> {
+        self.referee_breaches()
+    }
+
+    /// Returns the number of role changes of all engines.
+    pub fn role_changes(&self) -> u64 {
+        self.engines.iter().map(|seat| seat.model.role_changes()).sum()
+    }
+
+    /// Returns the number of records that were appended.
+    pub fn appends(&self) -> u64 {
+        self.log.appends()
+    }
+
+    /// Returns effects of plain services by key, over all runners.
+    pub fn effects(&self) -> BTreeMap<String, u64> {
+        let mut counts = BTreeMap::new();
+        for seat in &self.services {
+            for (key, attempts) in seat.model.effects() {
+                *counts.entry(key.clone()).or_insert(0) += attempts.len() as u64;
+            }
+        }
+        counts
+    }
+
+    pub(crate) fn log_time(&self) -> LogTime {
+        LOG_EPOCH + self.now
+    }
+
+    pub(crate) fn schedule(&mut self, at: ClockTime, event: RigEvent) {
+        self.scheduled += 1;
+        self.queue.push(Reverse(Scheduled { at, order: self.scheduled, event }));
+    }
+
+    pub(crate) fn after(&mut self, delay: Duration, event: RigEvent) {
+        self.schedule(self.now + delay, event);
+    }
+
+    fn handle(&mut self, event: RigEvent) {
+        match event {
+            RigEvent::Arrive { caller, repeat } => self.arrive(caller, repeat),
+            RigEvent::Tick { node, process } => self.tick(node, process),
+            RigEvent::Poll { node, process } => self.poll(node, process),
+            RigEvent::Node { node, process, input } => self.node_input(node, process, input),
+            RigEvent::Connect { entry, side } => self.connect(entry, side),
+            RigEvent::Append { node, process, ticket, body } => {
+                self.append(node, process, ticket, body)
+            }
+            RigEvent::EngineWake { engine } => self.engine_wake(engine),
+            RigEvent::Target { side, process, action } => self.target_action(side, process, action),
+            RigEvent::ServiceDone { service, call } => self.service_done(service, call),
+            RigEvent::Restart { node } => self.restart(node),
+            RigEvent::Fault(fault) => self.apply_fault(fault),
+        }
+    }
+
+    fn tick(&mut self, node: NodeId, process: u64) {
+        if !self.is_process(node, process) {
+            return;
+        }
+        self.after(TICK, RigEvent::Tick { node, process });
+        if !self.is_frozen(node) {
+            self.tick_node(node);
+        }
+    }
+}
+
+impl RolePolicy {
+    pub(crate) fn first_role(&self, engine: usize) -> sapphirewell::record::EngineRole {
+        use sapphirewell::record::EngineRole;
+        match self {
+            RolePolicy::AllMixed | RolePolicy::Planned => EngineRole::Mixed,
+            RolePolicy::StaticSplit(readers) if readers.contains(&engine) => EngineRole::Prefill,
+            RolePolicy::StaticSplit(_) => EngineRole::Decode,
+            RolePolicy::Eager if engine.is_multiple_of(2) => EngineRole::Prefill,
+            RolePolicy::Eager => EngineRole::Decode,
+        }
+    }
+}
--- /dev/null
+++ b/emulator/src/rig/callers.rs
@@ -0,0 +1,247 @@
+//! Callers in the rig: what they send, get, and send again.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sapphirewell::{
+    entry::EntryEvent,
+    ids::{ClockTime, RequestId},
+    request::{CallerRequest, FinalAnswer, PREFIX_BLOCK_TOKENS, RefusalReason},
+};
+
+use super::{
+    LOG_EPOCH, NodeInput, Rig, RigEvent,
+    nodes::{NodeId, NodeState},
+};
+use crate::{engine, workload::OfferedRequest};
+
+const MAX_REPEATS: u32 = 6;
+const REPEAT_DELAY: Duration = Duration::from_millis(700);
+
+/// How a caller's request ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallerState {
+    /// It was not sent yet, or waits.
+    Open,
+    /// The whole answer arrived after this time.
+    Whole(Duration),
+    /// It was refused.
+    Refused {
+        /// The reason.
+        reason: RefusalReason,
+        /// Whether it is certain that it had no effect.
+        not_run: bool,
+    },
+    /// The answer was not the caller's, or not whole.
+    Wrong,
+    /// The connection broke.
+    Cut,
+}
+
+/// One caller's request and what became of it.
+#[derive(Debug, Clone)]
+pub struct CallerRecord {
+    /// The request.
+    pub request: OfferedRequest,
+    /// How it ended last.
+    pub state: CallerState,
+    /// Repeats that were sent.
+    pub repeats: u32,
+    /// Time to the first output.
+    pub first_output: Option<Duration>,
+    /// Whether the text marks the request as one that crashes engines.
+    pub poison: bool,
+    sent: ClockTime,
+    pub(super) last_sent: ClockTime,
+    key: Option<String>,
+    text: String,
+}
+
+/// All callers.
+#[derive(Default)]
+pub(crate) struct CallerBook {
+    records: Vec<CallerRecord>,
+    open: BTreeMap<RequestId, (usize, usize)>,
+    clock: ClockTime,
+    turn: usize,
+}
+
+impl CallerBook {
+    pub(super) fn add(&mut self, request: OfferedRequest) -> usize {
+        let poison = &*request.kind == "poison";
+        self.records.push(CallerRecord {
+            request,
+            state: CallerState::Open,
+            repeats: 0,
+            first_output: None,
+            poison,
+            sent: ClockTime::ZERO,
+            last_sent: ClockTime::ZERO,
+            key: None,
+            text: String::new(),
+        });
+        self.records.len() - 1
+    }
+
+    pub(super) fn records(&self) -> &[CallerRecord] {
+        &self.records
+    }
+
+    pub(super) fn chunk(&mut self, id: RequestId, text: &str) {
+        let Some((caller, _)) = self.open.get(&id) else { return };
+        let record = &mut self.records[*caller];
+        record.text.push_str(text);
+        if record.first_output.is_none() {
+            record.first_output = Some(self.clock.saturating_sub(record.sent));
+        }
+    }
+
+    pub(super) fn set_clock(&mut self, now: ClockTime) {
+        self.clock = now;
+    }
+}
+
+impl CallerRecord {
+    /// Tells whether the whole answer arrived in time.
+    pub fn is_in_time(&self) -> bool {
+        matches!(self.state, CallerState::Whole(took) if took <= self.request.deadline)
+    }
+
+    /// Returns the key under which a plain service counts the request's effect.
+    pub fn effect_key(&self) -> Option<String> {
+        self.key.as_ref().map(|key| format!("{}/{key}", self.request.customer))
+    }
+
+    fn content(&self, caller: usize) -> String {
+        let mark = if self.poison { "POISON " } else { "" };
+        format!("{mark}{} {caller}", self.request.kind)
+    }
+
+    fn expected(&self, caller: usize) -> String {
+        crate::load::expected_text(&self.content(caller), self.request.max_output_tokens)
+    }
+}
+
+impl Rig {
+    pub(super) fn arrive(&mut self, caller: usize, repeat: u32) {
+        self.callers.set_clock(self.now);
+        let Some(entry) = self.ready_entry() else {
+            self.callers.records[caller].state = CallerState::Cut;
+            self.repeat_later(caller, repeat);
+            return;
+        };
+        let key_time = (LOG_EPOCH + self.now).as_millis();
+        let record = &mut self.callers.records[caller];
+        if repeat == 0 {
+            record.sent = self.now;
+            record.key = record.request.key.map(|number| format!("{key_time}-{number:016x}"));
+        }
+        record.repeats = repeat;
+        record.last_sent = self.now;
+        record.state = CallerState::Open;
+        record.text.clear();
+        let request = caller_request(record, caller);
+        let id = self.entries[entry].machine.next_id();
+        self.callers.open.insert(id, (caller, entry));
+        let process = self.entries[entry].base.process;
+        let input =
+            NodeInput::Entry(Box::new(EntryEvent::Submit { id, request: Box::new(request) }));
+        let event = RigEvent::Node { node: NodeId::Entry(entry), process, input };
+        self.after(self.settings.caller_delay, event);
+    }
+
+    /// Returns an entry that the balancer considers ready.
+    fn ready_entry(&mut self) -> Option<usize> {
+        let ready: Vec<usize> = (0..self.entries.len())
+            .filter(|index| {
+                let base = &self.entries[*index].base;
+                let ready = self.entries[*index].machine.is_ready();
+                base.state != NodeState::Ended && !base.draining && ready
+            })
+            .collect();
+        if ready.is_empty() {
+            return None;
+        }
+        self.callers.turn += 1;
+        Some(ready[self.callers.turn % ready.len()])
+    }
+
+    pub(super) fn caller_finish(&mut self, _entry: usize, id: RequestId, answer: FinalAnswer) {
+        self.callers.set_clock(self.now);
+        let Some((caller, _)) = self.callers.open.remove(&id) else { return };
+        let arrived = self.now + self.settings.caller_delay;
+        let record = &mut self.callers.records[caller];
+        let took = arrived.saturating_sub(record.sent);
+        record.state = match &answer {
+            FinalAnswer::Completed { .. } if record.text == record.expected(caller) => {
+                CallerState::Whole(took)
+            }
+            FinalAnswer::Completed { .. } => CallerState::Wrong,
+            FinalAnswer::Answered(answer) => {
+                let expected = record.effect_key().unwrap_or_else(|| record.content(caller));
+                if answer.body.contains(&expected) {
+                    CallerState::Whole(took)
+                } else {
+                    CallerState::Wrong
+                }
+            }
+            FinalAnswer::Refused(refusal) => {
+                CallerState::Refused { reason: refusal.reason, not_run: refusal.not_run }
+            }
+        };
+        if let FinalAnswer::Refused(refusal) = &answer
+            && refusal.not_run
+        {
+            self.referee.promised_not_run(id);
+        }
+        let repeat = record.repeats;
+        if matches!(answer, FinalAnswer::Refused(_)) {
+            self.repeat_later(caller, repeat);
+        }
+    }
+
+    /// Sends a non-idempotent or suspect request again, as real callers do.
+    fn repeat_later(&mut self, caller: usize, repeat: u32) {
+        let record = &self.callers.records[caller];
+        let again = record.request.key.is_some() || record.poison;
+        if self.settings.callers_repeat && again && repeat < MAX_REPEATS {
+            self.after(REPEAT_DELAY, RigEvent::Arrive { caller, repeat: repeat + 1 });
+        }
+    }
+
+    pub(super) fn callers_lose_entry(&mut self, entry: usize) {
+        let lost: Vec<(RequestId, usize)> = self
+            .callers
+            .open
+            .iter()
+            .filter(|(_, (_, at))| *at == entry)
+            .map(|(id, (caller, _))| (*id, *caller))
+            .collect();
+        let mut lost = lost;
+        lost.sort_unstable();
+        for (id, caller) in lost {
+            self.callers.open.remove(&id);
+            let record = &mut self.callers.records[caller];
+            record.state = CallerState::Cut;
+            let repeat = record.repeats;
+            self.repeat_later(caller, repeat);
+        }
+    }
+}
+
+fn caller_request(record: &CallerRecord, caller: usize) -> CallerRequest {
+    let request = &record.request;
+    let content = record.content(caller).into();
+    let key = record.key.as_deref().map(Into::into);
+    let mut made =
+        CallerRequest::from_text(request.customer.clone(), request.kind.clone(), key, content);
+    if !request.is_call {
+        made.prompt_tokens = request.prompt_tokens;
+        made.max_output_tokens = request.max_output_tokens;
+        let blocks = (request.prefix_tokens / PREFIX_BLOCK_TOKENS)
+            .min(sapphirewell::request::MAX_PREFIXES as u32);
+        let name = format!("{} {} {}", request.customer, request.kind, request.prefix_group);
+        let group = engine::prompt_hash(&name);
+        made.prefixes = (0..blocks).map(|block| group.wrapping_add(u64::from(block))).collect();
+    }
+    made
+}
--- /dev/null
+++ b/emulator/src/rig/faults.rs
@@ -0,0 +1,203 @@
+//! Faults that the rig can inject.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use sapphirewell::{contract::CustomerContract, ids::ClockTime, operator, side::SideEvent};
+
+use super::{
+    NodeInput, Rig, RigEvent,
+    links::LinkDirection,
+    nodes::{NodeId, NodeState, vm_name},
+    referee::IN_FORCE_LIMIT,
+};
+
+/// A fault at a time.
+#[derive(Debug, Clone)]
+pub struct TimedFault {
+    /// When it happens.
+    pub at: ClockTime,
+    /// What happens.
+    pub fault: RigFault,
+}
+
+/// Something that goes wrong, is planned, or is done by operators.
+#[derive(Debug, Clone)]
+pub enum RigFault {
+    /// Ends a process at once.
+    Kill(NodeId),
+    /// Starts a new process in the place of one that has ended.
+    Start(NodeId),
+    /// Stops a process without ending it.
+    Freeze(NodeId),
+    /// Lets a frozen process go on.
+    Thaw(NodeId),
+    /// Replaces the VM of a frozen side: a new process starts while the old one sleeps.
+    Replace(NodeId),
+    /// Cuts the path between an entry and a side, or mends it.
+    Cut(usize, usize, LinkDirection, bool),
+    /// Makes the connection between an entry and a side deliver nothing, while a new one would work.
+    Silence(usize, usize, LinkDirection),
+    /// Cuts a node from the log, or mends it.
+    CutFromLog(NodeId, bool),
+    /// Makes the log refuse everything, or mends it.
+    LogDown(bool),
+    /// Delays the log by a time.
+    LogSlow(Duration),
+    /// Loses the answers of appends that took effect, or mends it.
+    LoseAnswers(bool),
+    /// Crashes an engine.
+    CrashEngine(usize, Duration),
+    /// Crashes a plain service's runner.
+    CrashService(usize, Duration),
+    /// Drops one of an engine's streams.
+    DropStream(usize),
+    /// Ends one of an engine's streams early.
+    EndEarly(usize),
+    /// Makes an engine stand still for a time.
+    StallEngine(usize, Duration),
+    /// Loses the answers of an engine's orders, or mends it.
+    LoseOrders(usize, bool),
+    /// Makes a node's clock run fast or slow, in millionths.
+    Skew(NodeId, i64),
+    /// Announces that a side's VM is leaving.
+    AnnounceVm(usize),
+    /// Marks a side's VM as leaving in the VM list.
+    ListVm(usize),
+    /// Sends a process the signal to stop; a new one follows.
+    Stop(NodeId),
+    /// Two operators change a contract at the same time.
+    RaceContract(Box<CustomerContract>),
+    /// Checks that a contract's revision is in force everywhere.
+    CheckInForce(sapphirewell::ids::CustomerId, u64),
+    /// Orders a role change through the log.
+    PlanRole(usize, sapphirewell::record::EngineRole),
+}
+
+impl Rig {
+    pub(super) fn apply_fault(&mut self, fault: RigFault) {
+        match fault {
+            RigFault::Kill(node) if self.base(node).state != NodeState::Ended => {
+                self.end_process(node)
+            }
+            RigFault::Kill(_) => {}
+            RigFault::Start(node) => self.restart(node),
+            RigFault::Freeze(node) => self.freeze(node),
+            RigFault::Thaw(node) => self.thaw(node),
+            RigFault::Replace(node) => {
+                self.end_process(node);
+                self.restart(node);
+            }
+            RigFault::Cut(entry, side, direction, cut) => {
+                self.links.set_cut(entry, side, direction, cut)
+            }
+            RigFault::Silence(entry, side, direction) => self.links.silence(entry, side, direction),
+            RigFault::CutFromLog(node, cut) => self.base_mut(node).cut_from_log = cut,
+            RigFault::LogDown(down) => self.platform.log_down = down,
+            RigFault::LogSlow(delay) => self.platform.log_slow = delay,
+            RigFault::LoseAnswers(lose) => self.platform.lose_answers = lose,
+            RigFault::CrashEngine(engine, down) => self.crash_engine(engine, down),
+            RigFault::CrashService(service, down) => self.crash_service(service, down),
+            RigFault::DropStream(engine) => self.drop_stream(engine),
+            RigFault::EndEarly(engine) => self.end_stream_early(engine),
+            RigFault::StallEngine(engine, time) => {
+                let until = self.now + time;
+                self.engines[engine].model.stall(until);
+            }
+            RigFault::LoseOrders(engine, lose) => self.engines[engine].lose_orders = lose,
+            RigFault::Skew(node, ppm) => self.base_mut(node).skew_ppm = ppm,
+            RigFault::AnnounceVm(side) => self.announce_vm(side),
+            RigFault::ListVm(side) => self.list_vm(side),
+            RigFault::Stop(node) => {
+                if let NodeId::Side(side) = node {
+                    self.referee.mark_leaving(side, self.now);
+                }
+                self.drain_node(node);
+            }
+            RigFault::RaceContract(contract) => self.race_contract(*contract),
+            RigFault::CheckInForce(customer, revision) => self.check_in_force(&customer, revision),
+            RigFault::PlanRole(engine, role) => self.plan_role(engine, role),
+        }
+    }
+
+    fn freeze(&mut self, node: NodeId) {
+        if self.base(node).state == NodeState::Running {
+            self.base_mut(node).state = NodeState::Frozen;
+        }
+    }
+
+    fn thaw(&mut self, node: NodeId) {
+        if self.base(node).state != NodeState::Frozen {
+            return;
+        }
+        self.base_mut(node).state = NodeState::Running;
+        let process = self.base(node).process;
+        let held = std::mem::take(&mut self.base_mut(node).held);
+        for input in held {
+            self.after(Duration::ZERO, RigEvent::Node { node, process, input });
+        }
+    }
+
+    fn announce_vm(&mut self, side: usize) {
+        self.referee.mark_leaving(side, self.now);
+        let change = format!("vm-{side}-{}", self.now.as_millis()).into();
+        let record = operator::vm_record(change, vm_name(side), true);
+        if !self.platform.log_down {
+            self.append_now(&record);
+        }
+    }
+
+    /// The process reads the list once a second, so the mark takes up to that long.
+    fn list_vm(&mut self, side: usize) {
+        self.referee.mark_leaving(side, self.now);
+        let delay = Duration::from_millis(self.rng.random_range(0..1000));
+        let process = self.sides[side].base.process;
+        let input = NodeInput::Side(Box::new(SideEvent::Drain));
+        self.after(delay, RigEvent::Node { node: NodeId::Side(side), process, input });
+    }
+
+    /// Two operators replace the same revision; the log's first one wins.
+    fn race_contract(&mut self, contract: CustomerContract) {
+        if self.platform.log_down {
+            return;
+        }
+        let customer = contract.customer.clone();
+        let current = self.newest_revision(&customer);
+        for operator in 0..2 {
+            let mut changed = contract.clone();
+            changed.window_s += operator;
+            let change = format!("race-{operator}-{}", self.now.as_millis()).into();
+            let record = operator::publish_record(change, current, changed);
+            self.append_now(&record);
+        }
+        let revision = self.newest_revision(&customer);
+        self.reach(super::ProtocolStep::ContractAppended, super::FaultSite { entry: 0, side: 0 });
+        let at = self.now + IN_FORCE_LIMIT;
+        self.referee.accepted.push((self.now, customer.clone(), revision));
+        self.schedule(at, RigEvent::Fault(RigFault::CheckInForce(customer, revision)));
+    }
+
+    fn newest_revision(&self, customer: &str) -> u64 {
+        self.oracle.view().contracts.get(customer).map_or(0, |entry| entry.revision)
+    }
+
+    fn plan_role(&mut self, engine: usize, role: sapphirewell::record::EngineRole) {
+        if self.platform.log_down {
+            return;
+        }
+        let replaces = self.oracle.view().plan.plan;
+        let target = self.sides[engine].description.target.clone();
+        let roles = [(target, role)].into_iter().collect();
+        let record = sapphirewell::record::LogRecord::Plan(sapphirewell::record::PlanProposal {
+            replaces,
+            roles,
+        });
+        self.append_now(&record);
+        self.reach(super::ProtocolStep::PlanAppended, super::FaultSite { entry: 0, side: engine });
+    }
+
+    /// Says that only planned changes are injected, so that nothing may be cut.
+    pub fn expect_no_cuts(&mut self) {
+        self.referee.planned_only = true;
+    }
+}
--- /dev/null
+++ b/emulator/src/rig/links.rs
@@ -0,0 +1,198 @@
+//! Links between entries and sides in the rig.
+
+use std::time::Duration;
+
+use sapphirewell::{
+    entry::EntryEvent,
+    frame::{EntryFrame, SideFrame},
+    side::{LinkId, SideEvent},
+};
+
+use super::{
+    NodeInput, Rig, RigEvent,
+    nodes::{NodeId, NodeState, side_name},
+};
+
+const CONNECT_RETRY: Duration = Duration::from_millis(300);
+
+/// All links.
+pub(crate) struct LinkTable {
+    links: Vec<Vec<RigLink>>,
+    next_epoch: u64,
+}
+
+#[derive(Clone, Default)]
+struct RigLink {
+    /// Number of the connection; 0 while there is none.
+    epoch: u64,
+    connecting: bool,
+    /// The path between the two hosts is cut, for old and new connections.
+    cut_to_side: bool,
+    cut_to_entry: bool,
+    /// The connection with this number delivers nothing any more.
+    silent_to_side: u64,
+    silent_to_entry: u64,
+}
+
+/// Which direction of a link a fault concerns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkDirection {
+    /// From the entry to the side.
+    ToSide,
+    /// From the side to the entry.
+    ToEntry,
+    /// Both.
+    Both,
+}
+
+impl LinkTable {
+    pub(super) fn new(entries: usize, sides: usize) -> LinkTable {
+        LinkTable { links: vec![vec![RigLink::default(); sides]; entries], next_epoch: 0 }
+    }
+
+    pub(super) fn is_current(&self, entry: usize, side: usize, epoch: u64) -> bool {
+        epoch != 0 && self.links[entry][side].epoch == epoch
+    }
+
+    pub(super) fn entry_of(&self, side: usize, epoch: u64) -> Option<usize> {
+        (0..self.links.len()).find(|entry| self.links[*entry][side].epoch == epoch)
+    }
+
+    pub(super) fn set_cut(
+        &mut self,
+        entry: usize,
+        side: usize,
+        direction: LinkDirection,
+        cut: bool,
+    ) {
+        let link = &mut self.links[entry][side];
+        if direction != LinkDirection::ToEntry {
+            link.cut_to_side = cut;
+        }
+        if direction != LinkDirection::ToSide {
+            link.cut_to_entry = cut;
+        }
+    }
+
+    pub(super) fn silence(&mut self, entry: usize, side: usize, direction: LinkDirection) {
+        let link = &mut self.links[entry][side];
+        if direction != LinkDirection::ToEntry {
+            link.silent_to_side = link.epoch;
+        }
+        if direction != LinkDirection::ToSide {
+            link.silent_to_entry = link.epoch;
+        }
+    }
+
+    pub(super) fn is_cut(&self, entry: usize, side: usize) -> bool {
+        let link = &self.links[entry][side];
+        link.cut_to_side || link.cut_to_entry
+    }
+}
+
+impl Rig {
+    /// Connects an entry to the sides that its fold names.
+    pub(super) fn keep_links(&mut self, entry: usize) {
+        for side in 0..self.sides.len() {
+            let known = self.entries[entry].base.fold.view().sides.get(&side_name(side));
+            let wanted = known.is_some_and(|known| !known.detached);
+            let link = &mut self.links.links[entry][side];
+            if wanted && link.epoch == 0 && !link.connecting {
+                link.connecting = true;
+                let delay = self.settings.delay;
+                self.after(delay * 2, RigEvent::Connect { entry, side });
+            }
+        }
+    }
+
+    pub(super) fn connect(&mut self, entry: usize, side: usize) {
+        let running = |state| state == NodeState::Running;
+        let able = running(self.entries[entry].base.state)
+            && running(self.sides[side].base.state)
+            && !self.links.is_cut(entry, side);
+        if !able {
+            let again = self.entries[entry].base.state != NodeState::Ended;
+            if again {
+                self.after(CONNECT_RETRY, RigEvent::Connect { entry, side });
+            } else {
+                self.links.links[entry][side].connecting = false;
+            }
+            return;
+        }
+        self.links.next_epoch += 1;
+        let epoch = self.links.next_epoch;
+        let link = &mut self.links.links[entry][side];
+        link.connecting = false;
+        link.epoch = epoch;
+        self.step_entry(entry, EntryEvent::LinkUp { side: side_name(side) });
+        self.step_side(side, SideEvent::LinkUp { link: epoch });
+    }
+
+    pub(super) fn send_to_side(&mut self, entry: usize, side: usize, frame: EntryFrame) {
+        let link = &self.links.links[entry][side];
+        let epoch = link.epoch;
+        if epoch == 0 || link.cut_to_side || link.silent_to_side == epoch {
+            return;
+        }
+        let process = self.sides[side].base.process;
+        let input = NodeInput::FromEntry { entry, epoch, frame: Box::new(frame) };
+        let event = RigEvent::Node { node: NodeId::Side(side), process, input };
+        self.after(self.settings.delay, event);
+    }
+
+    pub(super) fn send_to_entry(&mut self, side: usize, epoch: LinkId, frame: SideFrame) {
+        let Some(entry) = self.links.entry_of(side, epoch) else { return };
+        let link = &self.links.links[entry][side];
+        if link.cut_to_entry || link.silent_to_entry == epoch {
+            return;
+        }
+        let process = self.entries[entry].base.process;
+        let input = NodeInput::FromSide { side, epoch, frame: Box::new(frame) };
+        let event = RigEvent::Node { node: NodeId::Entry(entry), process, input };
+        self.after(self.settings.delay, event);
+    }
+
+    /// Closes a connection from the entry's end; the side learns of it where the path works.
+    pub(super) fn close_link(&mut self, entry: usize, side: usize) {
+        let epoch = std::mem::take(&mut self.links.links[entry][side].epoch);
+        if epoch == 0 || self.links.links[entry][side].cut_to_side {
+            return;
+        }
+        let process = self.sides[side].base.process;
+        let input = NodeInput::Side(Box::new(SideEvent::LinkDown { link: epoch }));
+        self.after(
+            self.settings.delay,
+            RigEvent::Node { node: NodeId::Side(side), process, input },
+        );
+    }
+
+    /// Closes a connection from the side's end.
+    pub(super) fn close_link_by_epoch(&mut self, side: usize, epoch: LinkId) {
+        let Some(entry) = self.links.entry_of(side, epoch) else { return };
+        if epoch == 0 {
+            return;
+        }
+        self.links.links[entry][side].epoch = 0;
+        let process = self.entries[entry].base.process;
+        let input = NodeInput::Entry(Box::new(EntryEvent::LinkDown { side: side_name(side) }));
+        self.after(
+            self.settings.delay,
+            RigEvent::Node { node: NodeId::Entry(entry), process, input },
+        );
+    }
+
+    /// Breaks a connection because one of its processes ended.
+    pub(super) fn break_link(&mut self, entry: usize, side: usize) {
+        let epoch = std::mem::take(&mut self.links.links[entry][side].epoch);
+        if epoch == 0 || self.links.is_cut(entry, side) {
+            return;
+        }
+        let delay = self.settings.delay;
+        let process = self.entries[entry].base.process;
+        let input = NodeInput::Entry(Box::new(EntryEvent::LinkDown { side: side_name(side) }));
+        self.after(delay, RigEvent::Node { node: NodeId::Entry(entry), process, input });
+        let process = self.sides[side].base.process;
+        let input = NodeInput::Side(Box::new(SideEvent::LinkDown { link: epoch }));
+        self.after(delay, RigEvent::Node { node: NodeId::Side(side), process, input });
+    }
+}
--- /dev/null
+++ b/emulator/src/rig/nodes.rs
@@ -0,0 +1,481 @@
+//! Entries and sides in the rig.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use sapphirewell::{
+    carry,
+    entry::{EntryAction, EntryEvent, EntryMachine, EntrySettings},
+    fold::{FleetFold, FoldNotice},
+    ids::{ClockTime, LogOffset},
+    planner::{PlannerSettings, RolePlanner},
+    record::{LogRecord, SideAttachment, TargetDescription, TargetOffer},
+    side::{SideAction, SideEvent, SideMachine, SideSettings, TargetEvent},
+};
+
+use super::{FaultSite, NodeInput, ProtocolStep, Rig, RigEvent, RolePolicy, targets::TargetAction};
+use crate::eager::EagerPlanner;
+
+const ATTACH_INTERVAL: Duration = Duration::from_millis(1000);
+const RESTART_TIME: Duration = Duration::from_millis(500);
+const TARGET_DELAY: Duration = Duration::from_micros(200);
+const CARRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Names a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum NodeId {
+    /// An entry.
+    Entry(usize),
+    /// A side.
+    Side(usize),
+}
+
+/// Whether a node's process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NodeState {
+    /// It runs.
+    Running,
+    /// It stands still and will go on.
+    Frozen,
+    /// It has ended.
+    Ended,
+}
+
+/// What entries and sides have in common.
+pub(crate) struct NodeBase {
+    pub(crate) state: NodeState,
+    /// Counts the processes in this place.
+    pub(crate) process: u64,
+    pub(crate) instance: u64,
+    pub(crate) fold: FleetFold,
+    pub(crate) position: LogOffset,
+    pub(crate) cut_from_log: bool,
+    pub(crate) log_heard: ClockTime,
+    pub(crate) log_health: bool,
+    pub(crate) held: Vec<NodeInput>,
+    pub(crate) draining: bool,
+    /// Clock skew: a multiple of the rig's clock in millionths.
+    pub(crate) skew_ppm: i64,
+    next_carry: ClockTime,
+    next_attach: ClockTime,
+}
+
+pub(crate) struct EntryNode {
+    pub(crate) base: NodeBase,
+    pub(crate) machine: EntryMachine,
+    pub(crate) planner: NodePlanner,
+}
+
+pub(crate) struct SideNode {
+    pub(crate) base: NodeBase,
+    pub(crate) machine: SideMachine,
+    pub(crate) description: TargetDescription,
+}
+
+pub(crate) enum NodePlanner {
+    None,
+    System(Box<RolePlanner>),
+    Eager(Box<EagerPlanner>),
+}
+
+impl NodeBase {
+    fn new(process: u64, instance: u64) -> NodeBase {
+        NodeBase {
+            state: NodeState::Running,
+            process,
+            instance,
+            fold: FleetFold::default(),
+            position: 0,
+            cut_from_log: false,
+            log_heard: ClockTime::ZERO,
+            log_health: true,
+            held: Vec::new(),
+            draining: false,
+            skew_ppm: 0,
+            next_carry: ClockTime::ZERO,
+            next_attach: ClockTime::ZERO,
+        }
+    }
+
+    /// Returns the node's own clock.
+    pub(crate) fn clock(&self, now: ClockTime) -> ClockTime {
+        let skew = now.as_micros() as i64 / 1000 * self.skew_ppm / 1000;
+        let micros = (now.as_micros() as i64 + skew).max(0) as u64;
+        Duration::from_micros(micros)
+    }
+}
+
+impl Rig {
+    pub(super) fn start_nodes(&mut self) {
+        for index in 0..self.settings.entries {
+            let node = self.new_entry(index, 1);
+            self.entries.push(node);
+            self.start_timers(NodeId::Entry(index));
+        }
+        let engines = self.settings.engines.clone();
+        let services = self.settings.services.clone();
+        let engine_offers = engines.into_iter().map(|profile| TargetDescription {
+            target: profile.name.as_str().into(),
+            offer: TargetOffer::Engine { model: profile.model, pieces: profile.pieces },
+        });
+        let service_offers = services.into_iter().map(|(name, service)| TargetDescription {
+            target: name.as_str().into(),
+            offer: TargetOffer::Service { service, slots: 8 },
+        });
+        let descriptions: Vec<TargetDescription> = engine_offers.chain(service_offers).collect();
+        for (index, description) in descriptions.into_iter().enumerate() {
+            let node = self.new_side(index, 1, description);
+            self.sides.push(node);
+            self.start_timers(NodeId::Side(index));
+        }
+    }
+
+    fn new_entry(&mut self, index: usize, process: u64) -> EntryNode {
+        let instance = self.rng.random();
+        let machine = EntryMachine::new(EntrySettings {
+            instance,
+            policy: self.settings.placement,
+            seed: self.settings.seed ^ index as u64,
+        });
+        let planner = match self.settings.roles {
+            RolePolicy::AllMixed | RolePolicy::StaticSplit(_) => NodePlanner::None,
+            RolePolicy::Planned => {
+                NodePlanner::System(Box::new(RolePlanner::new(PlannerSettings {
+                    rank: index as u32,
+                })))
+            }
+            RolePolicy::Eager => NodePlanner::Eager(Box::new(EagerPlanner::new(index as u32))),
+        };
+        EntryNode { base: NodeBase::new(process, instance), machine, planner }
+    }
+
+    fn new_side(&mut self, index: usize, process: u64, description: TargetDescription) -> SideNode {
+        let instance = self.rng.random();
+        let machine = SideMachine::new(SideSettings {
+            side: side_name(index),
+            vm: vm_name(index),
+            targets: vec![description.clone()],
+            order: self.settings.order,
+        });
+        SideNode { base: NodeBase::new(process, instance), machine, description }
+    }
+
+    fn start_timers(&mut self, node: NodeId) {
+        let process = self.base(node).process;
+        let offset = Duration::from_micros(self.rng.random_range(0..20_000));
+        self.after(offset, RigEvent::Tick { node, process });
+        self.after(offset, RigEvent::Poll { node, process });
+    }
+
+    pub(crate) fn base(&self, node: NodeId) -> &NodeBase {
+        match node {
+            NodeId::Entry(index) => &self.entries[index].base,
+            NodeId::Side(index) => &self.sides[index].base,
+        }
+    }
+
+    pub(crate) fn base_mut(&mut self, node: NodeId) -> &mut NodeBase {
+        match node {
+            NodeId::Entry(index) => &mut self.entries[index].base,
+            NodeId::Side(index) => &mut self.sides[index].base,
+        }
+    }
+
+    pub(crate) fn node_ids(&self) -> Vec<NodeId> {
+        let entries = (0..self.entries.len()).map(NodeId::Entry);
+        entries.chain((0..self.sides.len()).map(NodeId::Side)).collect()
+    }
+
+    pub(crate) fn is_process(&self, node: NodeId, process: u64) -> bool {
+        let base = self.base(node);
+        base.process == process && base.state != NodeState::Ended
+    }
+
+    pub(crate) fn is_frozen(&self, node: NodeId) -> bool {
+        self.base(node).state == NodeState::Frozen
+    }
+
+    /// Delivers an event to a node, or keeps it while the node is frozen.
+    pub(super) fn node_input(&mut self, node: NodeId, process: u64, input: NodeInput) {
+        if !self.is_process(node, process) {
+            return;
+        }
+        if self.is_frozen(node) {
+            self.base_mut(node).held.push(input);
+            return;
+        }
+        match (node, input) {
+            (NodeId::Entry(index), NodeInput::Entry(event)) => self.step_entry(index, *event),
+            (NodeId::Side(index), NodeInput::Side(event)) => self.step_side(index, *event),
+            (NodeId::Entry(index), NodeInput::FromSide { side, epoch, frame }) => {
+                if self.links.is_current(index, side, epoch) {
+                    let event = EntryEvent::Frame { side: side_name(side), frame: *frame };
+                    self.step_entry(index, event);
+                }
+            }
+            (NodeId::Side(index), NodeInput::FromEntry { entry, epoch, frame }) => {
+                if self.links.is_current(entry, index, epoch) {
+                    self.step_side(index, SideEvent::Frame { link: epoch, frame: *frame });
+                }
+            }
+            (NodeId::Entry(_) | NodeId::Side(_), _) => {}
+        }
+    }
+
+    pub(crate) fn step_entry(&mut self, index: usize, event: EntryEvent) {
+        let mut actions = Vec::new();
+        let node = &mut self.entries[index];
+        let now = node.base.clock(self.now);
+        node.machine.step(now, node.base.fold.view(), event, &mut actions);
+        for action in actions {
+            self.perform_entry(index, action);
+        }
+    }
+
+    pub(crate) fn step_side(&mut self, index: usize, event: SideEvent) {
+        let mut actions = Vec::new();
+        let node = &mut self.sides[index];
+        let now = node.base.clock(self.now);
+        node.machine.step(now, &node.base.fold, event, &mut actions);
+        for action in actions {
+            self.perform_side(index, action);
+        }
+    }
+
+    fn perform_entry(&mut self, index: usize, action: EntryAction) {
+        match action {
+            EntryAction::Send { side, frame } => {
+                if let Some(side) = side_index(&side) {
+                    self.step_of_entry_frame(index, side, &frame);
+                    self.send_to_side(index, side, frame);
+                }
+            }
+            EntryAction::CloseLink { side } => {
+                if let Some(side) = side_index(&side) {
+                    self.close_link(index, side);
+                }
+            }
+            EntryAction::Chunk { id, text } => self.callers.chunk(id, &text),
+            EntryAction::Finish { id, answer } => self.caller_finish(index, id, answer),
+        }
+    }
+
+    fn perform_side(&mut self, index: usize, action: SideAction) {
+        let process = self.sides[index].base.process;
+        match action {
+            SideAction::Send { link, frame } => {
+                self.step_of_side_frame(index, link, &frame);
+                self.send_to_entry(index, link, frame);
+            }
+            SideAction::CloseLink { link } => self.close_link_by_epoch(index, link),
+            SideAction::Append { ticket, record } => {
+                self.send_append(NodeId::Side(index), Some(ticket), &record)
+            }
+            SideAction::Start { place, .. } => {
+                self.referee_start(index, &place);
+                self.step_of_start(index, &place);
+                let action = TargetAction::Start { place };
+                self.after(TARGET_DELAY, RigEvent::Target { side: index, process, action });
+            }
+            SideAction::Cancel { attempt, .. } => {
+                let action = TargetAction::Cancel { attempt };
+                self.after(TARGET_DELAY, RigEvent::Target { side: index, process, action });
+            }
+            SideAction::Probe { .. } => {
+                let action = TargetAction::Report;
+                self.after(TARGET_DELAY, RigEvent::Target { side: index, process, action });
+            }
+            SideAction::Order { fence, plan, role, .. } => {
+                let action = TargetAction::Order { fence, plan, role };
+                self.reach(ProtocolStep::OrderSent, FaultSite { entry: 0, side: index });
+                self.after(TARGET_DELAY, RigEvent::Target { side: index, process, action });
+            }
+            SideAction::Superseded => self.end_process(NodeId::Side(index)),
+        }
+    }
+
+    pub(super) fn tick_node(&mut self, node: NodeId) {
+        match node {
+            NodeId::Entry(index) => {
+                self.step_entry(index, EntryEvent::Tick);
+                self.keep_links(index);
+                self.propose(index);
+            }
+            NodeId::Side(index) => {
+                self.step_side(index, SideEvent::Tick);
+                self.attach(index);
+                self.finish_drain(index);
+            }
+        }
+        self.carry(node);
+    }
+
+    fn propose(&mut self, index: usize) {
+        let node = &mut self.entries[index];
+        let now = node.base.clock(self.now);
+        let view = node.base.fold.view();
+        let proposal = match &mut node.planner {
+            NodePlanner::None => None,
+            NodePlanner::System(planner) => planner.propose(now, view, &node.machine),
+            NodePlanner::Eager(planner) => planner.propose(now, view, &node.machine),
+        };
+        if let Some(proposal) = proposal {
+            self.send_append(NodeId::Entry(index), None, &LogRecord::Plan(proposal));
+        }
+    }
+
+    fn carry(&mut self, node: NodeId) {
+        let now = self.now;
+        let retention = self.settings.retention;
+        let rank = match node {
+            NodeId::Entry(index) => index,
+            NodeId::Side(index) => self.settings.entries + index,
+        };
+        let base = self.base_mut(node);
+        if now < base.next_carry {
+            return;
+        }
+        base.next_carry = now + CARRY_INTERVAL;
+        let limit = carry::tombstone_limit(base.fold.view().time, retention);
+        base.fold.drop_tombstones(limit);
+        for record in carry::due(&base.fold, retention, rank as u32) {
+            self.send_append(node, None, &record);
+        }
+    }
+
+    /// Appends the side's attachment until it reads it back.
+    fn attach(&mut self, index: usize) {
+        let node = &mut self.sides[index];
+        let view = node.base.fold.view();
+        let attached = view.sides.get(&side_name(index));
+        let is_own = attached.is_some_and(|entry| entry.attachment.instance == node.base.instance);
+        if is_own || self.now < node.base.next_attach || node.base.draining {
+            return;
+        }
+        node.base.next_attach = self.now + ATTACH_INTERVAL;
+        let record = LogRecord::Attach(SideAttachment {
+            side: side_name(index),
+            instance: node.base.instance,
+            vm: vm_name(index),
+            data_centre: format!("dc-{}", index % 3).into(),
+            address: format!("10.0.0.{index}:1"),
+            targets: vec![node.description.clone()],
+        });
+        self.send_append(NodeId::Side(index), None, &record);
+    }
+
+    pub(crate) fn notices(&mut self, node: NodeId, notices: &[FoldNotice]) {
+        let NodeId::Side(index) = node else { return };
+        let instance = self.sides[index].base.instance;
+        for notice in notices {
+            if let FoldNotice::Attached { fence, instance: attached, .. } = notice
+                && *attached == instance
+            {
+                self.step_side(index, SideEvent::Attached { fence: *fence });
+            }
+        }
+    }
+
+    /// Ends a node's process at once.
+    pub(crate) fn end_process(&mut self, node: NodeId) {
+        self.base_mut(node).state = NodeState::Ended;
+        self.base_mut(node).held.clear();
+        match node {
+            NodeId::Entry(index) => {
+                for side in 0..self.sides.len() {
+                    self.break_link(index, side);
+                }
+                self.callers_lose_entry(index);
+            }
+            NodeId::Side(index) => {
+                for entry in 0..self.entries.len() {
+                    self.break_link(entry, index);
+                }
+                self.target_loses_side(index);
+            }
+        }
+    }
+
+    /// Starts a new process in a node's place.
+    pub(super) fn restart(&mut self, node: NodeId) {
+        if self.base(node).state != NodeState::Ended {
+            return;
+        }
+        let process = self.base(node).process + 1;
+        match node {
+            NodeId::Entry(index) => self.entries[index] = self.new_entry(index, process),
+            NodeId::Side(index) => {
+                let description = self.sides[index].description.clone();
+                self.referee.unmark_leaving(index);
+                self.sides[index] = self.new_side(index, process, description);
+            }
+        }
+        self.base_mut(node).log_heard = self.now;
+        self.start_timers(node);
+    }
+
+    /// Tells a node to finish its work and end; a new process follows.
+    pub(crate) fn drain_node(&mut self, node: NodeId) {
+        if self.base(node).state != NodeState::Running || self.base(node).draining {
+            return;
+        }
+        self.base_mut(node).draining = true;
+        self.step_of_node(ProtocolStep::DrainBegun, node);
+        match node {
+            NodeId::Entry(index) => self.step_entry(index, EntryEvent::Open { open: false }),
+            NodeId::Side(index) => self.step_side(index, SideEvent::Drain),
+        }
+    }
+
+    fn finish_drain(&mut self, index: usize) {
+        let node = &self.sides[index];
+        if !node.base.draining || !node.machine.is_idle() {
+            return;
+        }
+        let fence =
+            node.base.fold.view().sides.get(&side_name(index)).map_or(0, |entry| entry.fence);
+        self.send_append(
+            NodeId::Side(index),
+            None,
+            &LogRecord::Detach { side: side_name(index), fence },
+        );
+        self.end_process(NodeId::Side(index));
+        self.after(RESTART_TIME, RigEvent::Restart { node: NodeId::Side(index) });
+    }
+
+    pub(super) fn finish_entry_drain(&mut self, index: usize) {
+        let node = &self.entries[index];
+        if node.base.draining
+            && node.base.state == NodeState::Running
+            && node.machine.in_flight() == 0
+        {
+            self.end_process(NodeId::Entry(index));
+            self.after(RESTART_TIME, RigEvent::Restart { node: NodeId::Entry(index) });
+        }
+    }
+
+    pub(crate) fn tell_side(&mut self, index: usize, process: u64, event: TargetEvent) {
+        let target = self.sides[index].description.target.clone();
+        let input = NodeInput::Side(Box::new(SideEvent::Target { target, event }));
+        self.after(TARGET_DELAY, RigEvent::Node { node: NodeId::Side(index), process, input });
+    }
+}
+
+pub(crate) fn side_name(index: usize) -> sapphirewell::ids::SideId {
+    format!("side-{index}").into()
+}
+
+pub(crate) fn vm_name(index: usize) -> sapphirewell::ids::VmId {
+    format!("vm-{index}").into()
+}
+
+fn side_index(side: &str) -> Option<usize> {
+    side.strip_prefix("side-")?.parse().ok()
+}
+
+impl Rig {
+    /// Returns the entries' states as JSON.
+    pub fn entry_dumps(&self) -> Vec<String> {
+        self.entries.iter().map(|entry| serde_json::json!(entry.machine).to_string()).collect()
+    }
+}
--- /dev/null
+++ b/emulator/src/rig/referee.rs
@@ -0,0 +1,222 @@
+//! Watches the rules that must always hold.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sapphirewell::{
+    frame::PlaceFrame,
+    ids::{AttemptId, ClockTime, ContractRevision, CustomerId, FencingNumber, RequestId},
+    suspect::MAX_CRASHES,
+};
+use strum::{Display, EnumIter};
+
+use super::{
+    CallerState, Rig,
+    nodes::{NodeId, vm_name},
+};
+
+/// Time after which a leaving target gets nothing new.
+pub const LEAVING_LIMIT: std::time::Duration = std::time::Duration::from_secs(3);
+/// Time after which an accepted contract is in force everywhere.
+pub const IN_FORCE_LIMIT: std::time::Duration = std::time::Duration::from_secs(6);
+
+/// One of the rules.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter)]
+#[strum(serialize_all = "snake_case")]
+pub enum RuleName {
+    /// A non-idempotent request runs at most once.
+    AtMostOnce,
+    /// A refusal that says "not run" is true.
+    TrueNotRun,
+    /// A caller gets the whole answer to its own request.
+    WholeOwnAnswer,
+    /// An accepted contract is in force within the limit.
+    InForce,
+    /// An accepted contract never reverts.
+    NeverReverts,
+    /// An engine accepts no order from a replaced process.
+    NoConflictingOrders,
+    /// A leaving target gets nothing new after the limit.
+    LeavingTarget,
+    /// A planned change cuts no request.
+    PlannedCutsNothing,
+    /// A request crashes only a fixed number of targets.
+    BoundedCrashes,
+    /// Every request ends by its deadline.
+    Ends,
+}
+
+/// A breach of a rule.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RuleBreach {
+    /// The rule.
+    pub rule: RuleName,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// What the referee keeps.
+#[derive(Default)]
+pub(crate) struct RuleReferee {
+    effects: BTreeSet<RequestId>,
+    not_run: BTreeSet<RequestId>,
+    revisions: BTreeMap<(NodeId, CustomerId), ContractRevision>,
+    fences: BTreeMap<usize, FencingNumber>,
+    leaving: BTreeMap<usize, ClockTime>,
+    crashes: u32,
+    /// Changes that were accepted, with the time and the revision.
+    pub(crate) accepted: Vec<(ClockTime, CustomerId, ContractRevision)>,
+    /// Whether only planned changes were injected.
+    pub(crate) planned_only: bool,
+    breaches: Vec<RuleBreach>,
+}
+
+impl RuleReferee {
+    pub(super) fn effect(&mut self, attempt: AttemptId) {
+        self.effects.insert(attempt.request);
+        self.check_not_run(attempt.request);
+    }
+
+    pub(super) fn promised_not_run(&mut self, id: RequestId) {
+        self.not_run.insert(id);
+        self.check_not_run(id);
+    }
+
+    pub(super) fn breach(&mut self, rule: RuleName, seen: String) {
+        self.breaches.push(RuleBreach { rule, seen });
+    }
+
+    pub(super) fn mark_leaving(&mut self, side: usize, now: ClockTime) {
+        self.leaving.entry(side).or_insert(now);
+    }
+
+    /// Forgets that a side was leaving, since a new process has taken its place.
+    pub(super) fn unmark_leaving(&mut self, side: usize) {
+        self.leaving.remove(&side);
+    }
+
+    fn check_not_run(&mut self, id: RequestId) {
+        if self.not_run.contains(&id) && self.effects.contains(&id) {
+            self.breach(RuleName::TrueNotRun, format!("request {}", id.sequence));
+        }
+    }
+}
+
+impl Rig {
+    pub(super) fn referee_contracts(&mut self, node: NodeId) {
+        let seen: Vec<(CustomerId, ContractRevision)> = self
+            .base(node)
+            .fold
+            .view()
+            .contracts
+            .iter()
+            .map(|(customer, entry)| (customer.clone(), entry.revision))
+            .collect();
+        for (customer, revision) in seen {
+            let known = self.referee.revisions.entry((node, customer.clone())).or_insert(0);
+            if revision < *known {
+                let seen = format!("{customer} went from {known} back to {revision} at {node:?}");
+                self.referee.breach(RuleName::NeverReverts, seen);
+            } else {
+                *known = revision;
+            }
+        }
+    }
+
+    pub(super) fn referee_order(&mut self, engine: usize, fence: FencingNumber) {
+        let highest = self.referee.fences.entry(engine).or_insert(0);
+        let newest = *highest;
+        *highest = newest.max(fence);
+        let checks = self.engines[engine].model.profile().checks_fence;
+        if fence < newest && !checks {
+            let seen = format!("engine {engine} got an order under {fence} after {newest}");
+            self.referee.breach(RuleName::NoConflictingOrders, seen);
+        }
+    }
+
+    pub(super) fn referee_start(&mut self, side: usize, place: &PlaceFrame) {
+        let Some(since) = self.referee.leaving.get(&side) else { return };
+        if self.now > *since + LEAVING_LIMIT {
+            let seen = format!(
+                "{} started {} at a leaving target",
+                vm_name(side),
+                place.attempt.request.sequence
+            );
+            self.referee.breach(RuleName::LeavingTarget, seen);
+        }
+    }
+
+    pub(super) fn referee_crash(&mut self, _engine: usize) {
+        self.referee.crashes += 1;
+    }
+
+    /// Returns all breaches, with those that show only at the end.
+    pub(super) fn referee_breaches(&self) -> Vec<RuleBreach> {
+        let mut breaches = self.referee.breaches.clone();
+        let mut add = |rule, seen| breaches.push(RuleBreach { rule, seen });
+        for (key, count) in self.effects() {
+            if count > 1 {
+                add(RuleName::AtMostOnce, format!("{key} took effect {count} times"));
+            }
+        }
+        let poisons = self.callers().iter().filter(|record| record.poison).count() as u32;
+        if self.referee.crashes > poisons * u32::from(MAX_CRASHES) {
+            add(
+                RuleName::BoundedCrashes,
+                format!("{} crashes by {poisons} requests", self.referee.crashes),
+            );
+        }
+        for (index, record) in self.callers().iter().enumerate() {
+            match record.state {
+                CallerState::Wrong => add(RuleName::WholeOwnAnswer, format!("caller {index}")),
+                CallerState::Cut if self.referee.planned_only => {
+                    add(RuleName::PlannedCutsNothing, format!("caller {index}"));
+                }
+                CallerState::Refused { reason, .. }
+                    if self.referee.planned_only && is_cut(reason) =>
+                {
+                    add(RuleName::PlannedCutsNothing, format!("caller {index} {reason}"));
+                }
+                CallerState::Open
+                    if record.request.at + record.request.deadline * 2 < self.now() =>
+                {
+                    add(RuleName::Ends, format!("caller {index} of {}", record.request.kind));
+                }
+                _ => {}
+            }
+        }
+        breaches
+    }
+
+    /// Checks that a change has been in force at every node that can read it.
+    pub(crate) fn check_in_force(&mut self, customer: &CustomerId, revision: ContractRevision) {
+        for node in self.node_ids() {
+            if !self.is_running(node) {
+                continue;
+            }
+            let known = self
+                .base(node)
+                .fold
+                .view()
+                .contracts
+                .get(customer)
+                .map_or(0, |entry| entry.revision);
+            if known < revision {
+                let seen = format!("{customer} at {known} instead of {revision} at {node:?}");
+                self.referee.breach(RuleName::InForce, seen);
+            }
+        }
+    }
+}
+
+/// Tells whether a refusal comes from a planned change that was handled badly.
+fn is_cut(reason: sapphirewell::request::RefusalReason) -> bool {
+    use sapphirewell::request::RefusalReason;
+    matches!(
+        reason,
+        RefusalReason::Stopping
+            | RefusalReason::NoTarget
+            | RefusalReason::TargetFailed
+            | RefusalReason::OutcomeUnknown
+            | RefusalReason::DeadlineExceeded
+    )
+}
--- /dev/null
+++ b/emulator/src/rig/targets.rs
@@ -0,0 +1,377 @@
+//! Engines and plain services in the rig.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use sapphirewell::{
+    claim::ServiceAnswer,
+    frame::{AttemptWork, PlaceFrame},
+    ids::{AttemptId, ClockTime, FencingNumber, LogOffset},
+    process::target::run_id,
+    record::EngineRole,
+    side::{TargetEvent, TargetFailure, TargetReport},
+};
+
+use super::{
+    FaultSite, ProtocolStep, Rig, RigEvent,
+    nodes::{NodeId, NodeState},
+};
+use crate::{
+    engine::{self, EngineModel, EngineOutput, EngineRun, EngineWork, RunKey},
+    service::ServiceModel,
+};
+
+/// An engine with the runs that it was given.
+pub(crate) struct EngineSeat {
+    pub(crate) model: EngineModel,
+    owners: BTreeMap<RunKey, RunOwner>,
+    keys: BTreeMap<AttemptId, RunKey>,
+    next_key: RunKey,
+    wake: Option<ClockTime>,
+    /// Orders are accepted, but their answers are lost.
+    pub(crate) lose_orders: bool,
+}
+
+#[derive(Clone)]
+struct RunOwner {
+    attempt: AttemptId,
+    process: u64,
+    prompt_hash: u64,
+}
+
+/// A plain service's runner.
+pub(crate) struct ServiceSeat {
+    pub(crate) model: ServiceModel,
+    pub(crate) boot: u64,
+    pub(crate) down_until: ClockTime,
+}
+
+/// A call that a service is running.
+#[derive(Debug, Clone)]
+pub(crate) struct ServiceCall {
+    attempt: AttemptId,
+    key: Option<String>,
+    content: Arc<str>,
+    process: u64,
+    boot: u64,
+}
+
+/// What a side asks of its target.
+#[derive(Debug, Clone)]
+pub(crate) enum TargetAction {
+    Start { place: Arc<PlaceFrame> },
+    Cancel { attempt: AttemptId },
+    Order { fence: FencingNumber, plan: LogOffset, role: EngineRole },
+    Report,
+}
+
+impl EngineSeat {
+    pub(super) fn new(model: EngineModel) -> EngineSeat {
+        EngineSeat {
+            model,
+            owners: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            next_key: 0,
+            wake: None,
+            lose_orders: false,
+        }
+    }
+}
+
+impl ServiceSeat {
+    pub(super) fn new(model: ServiceModel) -> ServiceSeat {
+        ServiceSeat { model, boot: 1, down_until: ClockTime::ZERO }
+    }
+}
+
+impl Rig {
+    pub(super) fn target_action(&mut self, side: usize, process: u64, action: TargetAction) {
+        let engines = self.engines.len();
+        if side < engines {
+            self.engine_action(side, process, action);
+        } else {
+            self.service_action(side, process, action);
+        }
+    }
+
+    fn engine_action(&mut self, index: usize, process: u64, action: TargetAction) {
+        let now = self.now;
+        match action {
+            TargetAction::Start { place } => self.start_run(index, process, &place),
+            TargetAction::Cancel { attempt } => {
+                let seat = &mut self.engines[index];
+                if let Some(key) = seat.keys.remove(&attempt) {
+                    seat.model.cancel(key);
+                    seat.owners.remove(&key);
+                }
+            }
+            TargetAction::Order { fence, plan, role } => {
+                self.referee_order(index, fence);
+                let mut outputs = Vec::new();
+                let accepted =
+                    self.engines[index].model.order(now, fence, plan, role, &mut outputs);
+                if accepted {
+                    self.reach(ProtocolStep::OrderAccepted, FaultSite { entry: 0, side: index });
+                }
+                self.engine_outputs(index, outputs);
+                if !self.engines[index].lose_orders {
+                    self.tell_side(index, process, TargetEvent::Ordered { plan, accepted });
+                }
+            }
+            TargetAction::Report => {
+                let seat = &mut self.engines[index];
+                let event = match seat.model.is_up(now) {
+                    true => TargetEvent::Report(seat.model.report(now)),
+                    false => TargetEvent::Down,
+                };
+                self.tell_side(index, process, event);
+            }
+        }
+        self.wake_engine(index);
+    }
+
+    fn start_run(&mut self, index: usize, process: u64, place: &PlaceFrame) {
+        let attempt = place.attempt;
+        if let AttemptWork::Decode { source, handle } = &place.work
+            && !self.holds_cache(source, *handle)
+        {
+            self.tell_side(
+                index,
+                process,
+                TargetEvent::Failed { attempt, failure: TargetFailure::Refused },
+            );
+            return;
+        }
+        let prompt_hash = engine::prompt_hash(&place.content);
+        let seat = &mut self.engines[index];
+        seat.next_key += 1;
+        let key = seat.next_key;
+        let run = EngineRun {
+            key,
+            work: match place.work {
+                AttemptWork::Prefill => EngineWork::Prefill,
+                AttemptWork::Decode { .. } => EngineWork::Decode,
+                AttemptWork::Complete | AttemptWork::Call => EngineWork::Complete,
+            },
+            prompt_tokens: place.prompt_tokens,
+            prefixes: place.prefixes.to_vec(),
+            output_tokens: engine::output_tokens(prompt_hash, place.max_output_tokens),
+            priority: place.priority,
+            resume_chunks: place.resume_chunks,
+            poison: place.content.contains("POISON"),
+        };
+        let up = seat.model.is_up(self.now);
+        if seat.model.submit(self.now, run) {
+            seat.owners.insert(key, RunOwner { attempt, process, prompt_hash });
+            seat.keys.insert(attempt, key);
+        } else {
+            let failure = if up { TargetFailure::Refused } else { TargetFailure::NotReached };
+            self.tell_side(index, process, TargetEvent::Failed { attempt, failure });
+        }
+    }
+
+    fn holds_cache(&self, engine: &str, handle: RunKey) -> bool {
+        self.engines
+            .iter()
+            .any(|seat| seat.model.profile().name == engine && seat.model.holds(handle))
+    }
+
+    pub(super) fn engine_wake(&mut self, index: usize) {
+        if self.engines[index].wake.is_some_and(|wake| wake <= self.now) {
+            self.engines[index].wake = None;
+        }
+        let mut outputs = Vec::new();
+        self.engines[index].model.advance(self.now, &mut outputs);
+        self.engine_outputs(index, outputs);
+        self.wake_engine(index);
+    }
+
+    fn wake_engine(&mut self, index: usize) {
+        let Some(next) = self.engines[index].model.next_wake() else { return };
+        let next = next.max(self.now);
+        if self.engines[index].wake.is_none_or(|wake| wake > next) {
+            self.engines[index].wake = Some(next);
+            self.schedule(next, RigEvent::EngineWake { engine: index });
+        }
+    }
+
+    fn engine_outputs(&mut self, index: usize, outputs: Vec<EngineOutput>) {
+        for output in outputs {
+            match output {
+                EngineOutput::Read(key) => {
+                    self.reach(ProtocolStep::PromptRead, FaultSite { entry: 0, side: index });
+                    self.tell_owner(index, key, false, |owner| TargetEvent::PromptRead {
+                        attempt: owner.attempt,
+                    });
+                }
+                EngineOutput::Chunk { key, index: chunk, tokens } => {
+                    self.tell_owner(index, key, false, |owner| TargetEvent::Chunk {
+                        attempt: owner.attempt,
+                        index: chunk,
+                        tokens,
+                        text: engine::chunk_text(owner.prompt_hash, chunk, tokens).into(),
+                    });
+                }
+                EngineOutput::Done { key, chunks, tokens } => {
+                    self.reach(ProtocolStep::StreamDone, FaultSite { entry: 0, side: index });
+                    self.tell_owner(index, key, true, |owner| TargetEvent::Finished {
+                        attempt: owner.attempt,
+                        chunks,
+                        tokens,
+                    });
+                }
+                EngineOutput::Prefilled(key) => self.tell_owner(index, key, true, |owner| {
+                    TargetEvent::Prefilled { attempt: owner.attempt, handle: key }
+                }),
+                EngineOutput::Lost(key) => self.tell_owner(index, key, true, |owner| {
+                    TargetEvent::Failed { attempt: owner.attempt, failure: TargetFailure::Broken }
+                }),
+                EngineOutput::Crashed => {
+                    self.referee_crash(index);
+                    self.break_runs(index);
+                }
+            }
+        }
+    }
+
+    fn tell_owner(
+        &mut self,
+        index: usize,
+        key: RunKey,
+        last: bool,
+        event: impl FnOnce(&RunOwner) -> TargetEvent,
+    ) {
+        let Some(owner) = self.engines[index].owners.get(&key).cloned() else { return };
+        if last {
+            self.engines[index].owners.remove(&key);
+        }
+        self.tell_side(index, owner.process, event(&owner));
+    }
+
+    /// Breaks the streams of all runs of an engine.
+    fn break_runs(&mut self, index: usize) {
+        let owners: Vec<RunOwner> =
+            std::mem::take(&mut self.engines[index].owners).into_values().collect();
+        self.engines[index].keys.clear();
+        for owner in owners {
+            let event =
+                TargetEvent::Failed { attempt: owner.attempt, failure: TargetFailure::Broken };
+            self.tell_side(index, owner.process, event);
+        }
+    }
+
+    pub(super) fn crash_engine(&mut self, index: usize, down: Duration) {
+        self.engines[index].model.crash(self.now, down);
+        self.break_runs(index);
+        self.wake_engine(index);
+    }
+
+    /// Drops one run's stream without a crash.
+    pub(super) fn drop_stream(&mut self, index: usize) {
+        let Some(key) = self.engines[index].owners.keys().min().copied() else { return };
+        self.tell_owner(index, key, true, |owner| TargetEvent::Failed {
+            attempt: owner.attempt,
+            failure: TargetFailure::Broken,
+        });
+        self.engines[index].model.cancel(key);
+    }
+
+    /// Ends one run early, as if it were complete.
+    pub(super) fn end_stream_early(&mut self, index: usize) {
+        let Some(key) = self.engines[index].owners.keys().min().copied() else { return };
+        let short = |owner: &RunOwner| TargetEvent::Finished {
+            attempt: owner.attempt,
+            chunks: u32::MAX,
+            tokens: 1,
+        };
+        self.tell_owner(index, key, true, short);
+        self.engines[index].model.cancel(key);
+    }
+
+    /// Stops the runs whose side's process ended: its connections are closed.
+    pub(super) fn target_loses_side(&mut self, side: usize) {
+        if side >= self.engines.len() {
+            return;
+        }
+        let seat = &mut self.engines[side];
+        let keys: Vec<RunKey> = std::mem::take(&mut seat.owners).into_keys().collect();
+        for key in keys {
+            seat.model.cancel(key);
+        }
+        seat.keys.clear();
+    }
+
+    fn service_action(&mut self, side: usize, process: u64, action: TargetAction) {
+        let index = side - self.engines.len();
+        let up = self.now >= self.services[index].down_until;
+        match action {
+            TargetAction::Start { place } if up => {
+                let call = ServiceCall {
+                    attempt: place.attempt,
+                    key: place.key.as_ref().map(|key| format!("{}/{key}", place.customer)),
+                    content: place.content.clone(),
+                    process,
+                    boot: self.services[index].boot,
+                };
+                let call_time = self.services[index].model.call_time;
+                self.after(call_time, RigEvent::ServiceDone { service: index, call });
+            }
+            TargetAction::Start { place } => {
+                let event = TargetEvent::Failed {
+                    attempt: place.attempt,
+                    failure: TargetFailure::NotReached,
+                };
+                self.tell_side(side, process, event);
+            }
+            TargetAction::Report if up => {
+                let boot = self.services[index].boot;
+                let report = TargetReport {
+                    boot,
+                    role: None,
+                    changing: false,
+                    fence: 0,
+                    cached: Vec::new(),
+                };
+                self.tell_side(side, process, TargetEvent::Report(report));
+            }
+            TargetAction::Report => self.tell_side(side, process, TargetEvent::Down),
+            TargetAction::Cancel { .. } | TargetAction::Order { .. } => {}
+        }
+    }
+
+    pub(super) fn service_done(&mut self, service: usize, call: ServiceCall) {
+        let side = self.engines.len() + service;
+        if self.services[service].boot != call.boot {
+            // The call took effect before the crash or not at all; the seed decides.
+            if call.attempt.request.sequence.is_multiple_of(2)
+                && let Some(key) = &call.key
+            {
+                self.services[service].model.run(key, &run_id(call.attempt));
+                self.referee.effect(call.attempt);
+            }
+            let event =
+                TargetEvent::Failed { attempt: call.attempt, failure: TargetFailure::Broken };
+            self.tell_side(side, call.process, event);
+            return;
+        }
+        let body = match &call.key {
+            Some(key) => {
+                self.referee.effect(call.attempt);
+                self.services[service].model.run(key, &run_id(call.attempt))
+            }
+            None => call.content.to_string(),
+        };
+        self.reach(ProtocolStep::CallAnswered, FaultSite { entry: 0, side });
+        let answer = ServiceAnswer { status: 200, body };
+        self.tell_side(side, call.process, TargetEvent::Answered { attempt: call.attempt, answer });
+    }
+
+    pub(super) fn crash_service(&mut self, index: usize, down: Duration) {
+        let seat = &mut self.services[index];
+        seat.boot += 1;
+        seat.down_until = self.now + down;
+    }
+
+    pub(super) fn is_running(&self, node: NodeId) -> bool {
+        self.base(node).state == NodeState::Running
+    }
+}
--- a/emulator/src/workload.rs
+++ b/emulator/src/workload.rs
@@ -83,7 +83,7 @@
 /// Part of requests that share a prefix.
 const PREFIX_SHARE: f64 = 0.6;
 /// Running requests at which a generating engine counts as well used.
-const FULL_BATCH: f64 = 48.0;
+const FULL_BATCH: f64 = 24.0;
 const ENGINE_SPEEDS: [f64; 14] =
     [0.5, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0, 1.0, 1.1, 1.2, 1.4, 1.6, 1.8, 2.0];
 const MODEL: &str = "assessor";
--- a/src/entry/belief.rs
+++ b/src/entry/belief.rs
@@ -172,7 +172,9 @@
             return;
         }
         let known = std::mem::replace(&mut belief.prefixes, fresh.clone());
-        for lost in known.difference(&fresh) {
+        let mut lost: Vec<PrefixHash> = known.difference(&fresh).copied().collect();
+        lost.sort_unstable();
+        for lost in &lost {
             if let Some(holders) = self.by_prefix.get_mut(lost) {
                 holders.retain(|holder| *holder != slot);
                 if holders.is_empty() {
@@ -180,8 +182,11 @@
                 }
             }
         }
-        for gained in fresh.difference(&known) {
-            self.by_prefix.entry(*gained).or_default().push(slot);
+        for gained in prefixes.iter().filter(|prefix| !known.contains(prefix)) {
+            let holders = self.by_prefix.entry(*gained).or_default();
+            if !holders.contains(&slot) {
+                holders.push(slot);
+            }
         }
     }
 }
--- a/src/entry/flow.rs
+++ b/src/entry/flow.rs
@@ -28,9 +28,10 @@
     pub(crate) next_chunk: u32,
     pub(crate) text: String,
     pub(crate) cache: Option<CacheLease>,
-    pub(crate) crashes: u8,
     /// Whether some attempt may have had an effect.
     pub(crate) may_have_run: bool,
+    /// Since when no target was usable.
+    pub(crate) waiting_since: Option<ClockTime>,
 }
 
 /// What a request waits for.
--- a/src/entry/machine.rs
+++ b/src/entry/machine.rs
@@ -11,7 +11,7 @@
 
 use super::{
     EntryAction, EntryEvent, EntrySettings, RetryBudget,
-    belief::BeliefTable,
+    belief::{BeliefTable, route_name},
     flow::{CacheLease, FlowPhase, PlacedAttempt, RequestFlow},
     placement::{PlaceChoice, PlaceQuery, PlaceStep, PlacementPolicy, TargetChooser},
 };
@@ -25,13 +25,17 @@
     },
     ids::{AttemptId, ClockTime, CustomerId, RequestId, SideId},
     request::{CallerRequest, FinalAnswer, FinalRefusal, RefusalReason, pieces},
-    suspect::{MAX_CRASHES, SuspectVerdict},
+    suspect::{SeenCrashes, SuspectVerdict},
 };
 
 /// Attempts after which a request fails.
 const MAX_ATTEMPTS: u32 = 12;
 /// Time within which a side has to answer a [`PlaceFrame`].
 const PLACE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which an entry counts as ready even where a route has no target.
+const READY_LIMIT: Duration = Duration::from_secs(5);
+/// Time for which a request waits for a target while none is usable.
+const TARGET_WAIT_LIMIT: Duration = Duration::from_secs(10);
 /// Shortest and longest advice on when to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
@@ -44,11 +48,14 @@
 pub struct EntryMachine {
     settings: EntrySettings,
     open: bool,
+    ready: bool,
+    started: Option<ClockTime>,
     sequence: u64,
     #[serde(serialize_with = "crate::pairs::serialize")]
     flows: BTreeMap<RequestId, RequestFlow>,
     beliefs: BeliefTable,
     budget: RetryBudget,
+    crashes: SeenCrashes,
     links: BTreeMap<SideId, ClockTime>,
     next_heartbeat: ClockTime,
     #[serde(skip)]
@@ -75,10 +82,13 @@
             chooser: TargetChooser { policy: settings.policy, rng, turn: 0 },
             settings,
             open: true,
+            ready: false,
+            started: None,
             sequence: 0,
             flows: BTreeMap::new(),
             beliefs: BeliefTable::default(),
             budget: RetryBudget::default(),
+            crashes: SeenCrashes::default(),
             links: BTreeMap::new(),
             next_heartbeat: ClockTime::ZERO,
             outputs: HashMap::new(),
@@ -107,6 +117,11 @@
         self.offered
     }
 
+    /// Tells whether the balancer should send requests here.
+    pub fn is_ready(&self) -> bool {
+        self.open && self.ready
+    }
+
     /// Handles one event.
     pub fn step(
         &mut self,
@@ -115,6 +130,7 @@
         event: EntryEvent,
         out: &mut Vec<EntryAction>,
     ) {
+        self.started.get_or_insert(now);
         match event {
             EntryEvent::Submit { id, request } => self.submit(now, view, id, request, out),
             EntryEvent::CallerGone { id } => self.caller_gone(id, out),
@@ -197,8 +213,8 @@
             next_chunk: 0,
             text: String::new(),
             cache: None,
-            crashes: 0,
             may_have_run: false,
+            waiting_since: None,
         })
     }
 
@@ -218,7 +234,7 @@
         out: &mut Vec<EntryAction>,
     ) {
         let Some(flow) = self.flows.get(&id) else { return };
-        let verdict = view.suspects.verdict(flow.fingerprint, flow.crashes);
+        let verdict = view.suspects.verdict(flow.fingerprint, self.crashes.count(flow.fingerprint));
         if verdict == SuspectVerdict::Barred {
             self.refuse(id, RefusalReason::CrashesTargets, MAX_RETRY_AFTER, out);
             return;
@@ -233,7 +249,7 @@
         }
         let time_left = flow.deadline - now;
         let Some((choice, step)) = self.choose(now, id, verdict, time_left) else {
-            self.refuse(id, RefusalReason::NoTarget, DEFAULT_RETRY_AFTER, out);
+            self.wait_for_target(now, id, out);
             return;
         };
         let late = choice.finish.saturating_sub(time_left);
@@ -244,6 +260,17 @@
         self.send_place(now, id, choice, step, out);
     }
 
+    /// Keeps a request while a target that serves it may come back in time.
+    fn wait_for_target(&mut self, now: ClockTime, id: RequestId, out: &mut Vec<EntryAction>) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        flow.tried.clear();
+        let since = *flow.waiting_since.get_or_insert(now);
+        let known = !self.beliefs.route(flow.route()).is_empty();
+        if !known || now > since + TARGET_WAIT_LIMIT {
+            self.refuse(id, RefusalReason::NoTarget, DEFAULT_RETRY_AFTER, out);
+        }
+    }
+
     fn choose(
         &mut self,
         now: ClockTime,
@@ -284,7 +311,9 @@
     ) {
         let Some(flow) = self.flows.get(&id) else { return };
         let expected_output_tokens = self.expected_output(&flow.request);
+        let crashes = self.crashes.count(flow.fingerprint);
         let Some(flow) = self.flows.get_mut(&id) else { return };
+        flow.waiting_since = None;
         let attempt = flow.next_attempt(id);
         let work = match (step, &flow.cache) {
             (PlaceStep::Call, _) => AttemptWork::Call,
@@ -298,7 +327,8 @@
         let tokens = if reads { flow.request.prompt_tokens } else { 0 };
         let memory = pieces(flow.request.prompt_tokens + flow.request.max_output_tokens);
         self.beliefs.add(&choice.target, tokens, memory);
-        let frame = place_frame(now, flow, attempt, &choice, work, expected_output_tokens);
+        let frame =
+            place_frame(now, flow, attempt, &choice, work, (expected_output_tokens, crashes));
         flow.phase = FlowPhase::Placed(PlacedAttempt {
             attempt,
             side: choice.side.clone(),
@@ -326,6 +356,7 @@
         match frame {
             SideFrame::Heartbeat | SideFrame::Welcome { .. } => {}
             SideFrame::Load(loads) => self.beliefs.report(now, view, &side, loads),
+            SideFrame::Suspects { crashed, cleared } => self.crashes.note(now, &crashed, &cleared),
             SideFrame::Taken { attempt } => self.taken(attempt),
             SideFrame::Chunk { attempt, index, text } => self.chunk(attempt, index, text, out),
             SideFrame::End { attempt, end } => self.end(now, view, attempt, end, out),
@@ -392,7 +423,6 @@
             }
             AttemptEnd::Stale { .. } => self.readmit(now, view, id, out),
             AttemptEnd::Failed { crashed } => {
-                flow.crashes = (flow.crashes + u8::from(crashed)).min(MAX_CRASHES);
                 flow.tried.push(placed.target.clone());
                 flow.may_have_run = true;
                 if crashed {
@@ -551,12 +581,27 @@
                 out.push(EntryAction::Send { side: side.clone(), frame: EntryFrame::Heartbeat });
             }
         }
+        self.ready = self.ready || self.knows_all_routes(now, view);
         let ids: Vec<RequestId> = self.flows.keys().copied().collect();
         for id in ids {
             self.check_time(now, view, id, out);
         }
     }
 
+    /// Tells whether each route that sides offer has a target that can be chosen.
+    fn knows_all_routes(&self, now: ClockTime, view: &FleetView) -> bool {
+        let sides = view.sides.values().filter(|entry| !entry.detached);
+        let descriptions = sides.flat_map(|entry| &entry.attachment.targets);
+        let mut routes: Vec<&str> = descriptions.map(|d| route_name(&d.offer)).collect();
+        routes.sort_unstable();
+        routes.dedup();
+        let usable = |route: &&str| {
+            self.beliefs.route(route).iter().any(|slot| self.beliefs.at(*slot).is_usable(now))
+        };
+        let waited = self.started.is_some_and(|started| now > started + READY_LIMIT);
+        !routes.is_empty() && (waited || routes.iter().all(usable))
+    }
+
     fn check_time(
         &mut self,
         now: ClockTime,
@@ -572,6 +617,10 @@
             self.refuse(id, RefusalReason::DeadlineExceeded, DEFAULT_RETRY_AFTER, out);
             return;
         }
+        if flow.phase == FlowPhase::Unplaced {
+            self.place(now, view, id, out);
+            return;
+        }
         let FlowPhase::Placed(placed) = &flow.phase else { return };
         if placed.taken || now <= placed.sent + PLACE_TIMEOUT {
             return;
@@ -628,7 +677,7 @@
     attempt: AttemptId,
     choice: &PlaceChoice,
     work: AttemptWork,
-    expected_output_tokens: u32,
+    (expected_output_tokens, crashes): (u32, u8),
 ) -> PlaceFrame {
     let kind = flow.kind();
     PlaceFrame {
@@ -651,7 +700,7 @@
         prefixes: flow.request.prefixes.clone(),
         resume_chunks: flow.next_chunk,
         resume_text: flow.text.clone(),
-        crashes: flow.crashes,
+        crashes,
     }
 }
 
--- a/src/frame.rs
+++ b/src/frame.rs
@@ -127,6 +127,13 @@
     },
     /// Reports the load of the side's targets.
     Load(Vec<TargetLoad>),
+    /// Tells every entry about a crash, which may not reach them through the log.
+    Suspects {
+        /// Requests that were running.
+        crashed: Vec<ContentFingerprint>,
+        /// Suspects that have run to their end.
+        cleared: Vec<ContentFingerprint>,
+    },
     /// Answers a [`PlaceFrame`]: the attempt is in the queue.
     Taken {
         /// The attempt.
--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::VecDeque,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -55,6 +58,8 @@
     fn propose(&mut self, now: ClockTime, view: &FleetView) -> Option<LogRecord>;
     /// Tells whether nothing is left to do.
     fn is_idle(&self) -> bool;
+    /// Tells whether new work should be sent here.
+    fn is_ready(&self) -> bool;
 }
 
 /// Message to the control thread.
@@ -115,11 +120,16 @@
 pub struct ControlHandle<E> {
     sender: mpsc::UnboundedSender<ControlMessage<E>>,
     view: Arc<ArcSwap<FleetView>>,
+    ready: Arc<AtomicBool>,
 }
 
 impl<E> Clone for ControlHandle<E> {
     fn clone(&self) -> ControlHandle<E> {
-        ControlHandle { sender: self.sender.clone(), view: self.view.clone() }
+        ControlHandle {
+            sender: self.sender.clone(),
+            view: self.view.clone(),
+            ready: self.ready.clone(),
+        }
     }
 }
 
@@ -129,6 +139,7 @@
     started: Instant,
     recent: VecDeque<StoredRecord>,
     view: Arc<ArcSwap<FleetView>>,
+    ready: Arc<AtomicBool>,
     metrics: Arc<ProcessMetrics>,
     settings: ControlSettings,
     next_carry: ClockTime,
@@ -153,12 +164,14 @@
 ) -> Result<ControlHandle<M::Event>> {
     let (sender, receiver) = mpsc::unbounded_channel();
     let view = Arc::new(ArcSwap::from_pointee(FleetView::default()));
+    let ready = Arc::new(AtomicBool::new(false));
     let control = ControlLoop {
         machine,
         fold: FleetFold::default(),
         started: Instant::now(),
         recent: VecDeque::new(),
         view: view.clone(),
+        ready: ready.clone(),
         metrics,
         settings,
         next_carry: ClockTime::ZERO,
@@ -174,7 +187,7 @@
         .name("control".to_owned())
         .spawn(move || runtime.block_on(control.run(receiver)))
         .map_err(|e| Error::new(ErrorCode::Network, format!("control thread ({e})")))?;
-    Ok(ControlHandle { sender, view })
+    Ok(ControlHandle { sender, view, ready })
 }
 
 impl<E> ControlHandle<E> {
@@ -189,6 +202,11 @@
         self.sender.send(message).ok();
     }
 
+    /// Tells whether new work should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
     /// Returns the newest snapshot.
     pub fn view(&self) -> Arc<FleetView> {
         self.view.load_full()
@@ -258,6 +276,7 @@
     fn tick(&mut self) {
         self.step(M::tick());
         let now = self.now();
+        self.ready.store(self.machine.is_ready(), Ordering::Relaxed);
         if let Some(record) = self.machine.propose(now, self.fold.view()) {
             (self.append)(record);
         }
@@ -391,6 +410,10 @@
     fn is_idle(&self) -> bool {
         self.machine.in_flight() == 0
     }
+
+    fn is_ready(&self) -> bool {
+        self.machine.is_ready()
+    }
 }
 
 /// Side machine together with the number of its process.
@@ -440,4 +463,8 @@
     fn is_idle(&self) -> bool {
         self.machine.is_idle()
     }
+
+    fn is_ready(&self) -> bool {
+        true
+    }
 }
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -108,9 +108,9 @@
     tokio::spawn(keep_links(shell.clone(), control.clone(), wake));
     let ready = Arc::new(AtomicBool::new(true));
     let is_ready = ready.clone();
-    let has_links = shell.clone();
+    let state = control.clone();
     let queries = StateQueries::new(&control, metrics, move || {
-        is_ready.load(Ordering::Relaxed) && !lock(&has_links.links).is_empty()
+        is_ready.load(Ordering::Relaxed) && state.is_ready()
     });
     admin::bind(settings.listen, api::routes(admin::routes(queries), shell)).await?;
     tokio::select! {
--- a/src/side/attempt.rs
+++ b/src/side/attempt.rs
@@ -38,7 +38,11 @@
     /// The target runs it.
     Running(RunProgress),
     /// The stream broke, and the target has to say whether it crashed.
-    Doubt { since: ClockTime },
+    Doubt {
+        since: ClockTime,
+        /// Whether the prompt had been read.
+        read: bool,
+    },
     /// The prompt is read; the target's memory holds its KV cache.
     KeepingCache,
 }
--- a/src/side/machine.rs
+++ b/src/side/machine.rs
@@ -338,7 +338,7 @@
         }
     }
 
-    fn broadcast(&self, frame: SideFrame, out: &mut Vec<SideAction>) {
+    pub(super) fn broadcast(&self, frame: SideFrame, out: &mut Vec<SideAction>) {
         for link in self.links.keys() {
             out.push(SideAction::Send { link: *link, frame: frame.clone() });
         }
--- a/src/side/runs.rs
+++ b/src/side/runs.rs
@@ -145,7 +145,7 @@
     ) {
         let Some(progress) = self.progress(id) else { return };
         let whole = progress.next_chunk == chunks;
-        self.clear_suspect(fold, id);
+        self.clear_suspect(fold, id, out);
         let end = if whole {
             AttemptEnd::Whole { chunks, tokens }
         } else {
@@ -199,9 +199,7 @@
         out: &mut Vec<SideAction>,
     ) {
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
-        if !matches!(attempt.phase, AttemptPhase::Running(_)) {
-            return;
-        }
+        let AttemptPhase::Running(RunProgress { read, .. }) = attempt.phase else { return };
         let idempotent = attempt.place.idempotent;
         if let Some(target) = self.targets.get_mut(name) {
             target.gauge.failed(now);
@@ -214,7 +212,7 @@
                 self.end_not_run(id, RefusalReason::TargetFailed, out);
             }
             TargetFailure::Broken => {
-                attempt.phase = AttemptPhase::Doubt { since: now };
+                attempt.phase = AttemptPhase::Doubt { since: now, read };
                 out.push(SideAction::Probe { target: name.clone() });
             }
         }
@@ -247,7 +245,7 @@
             .map(|attempt| attempt.place.fingerprint)
             .collect();
         if !crashed.is_empty() {
-            self.push_report(now, crashed, Vec::new());
+            self.push_report(now, crashed, Vec::new(), out);
         }
         for id in lost {
             self.end_broken(id, true, out);
@@ -279,7 +277,7 @@
             let target = attempt.target.clone();
             out.push(SideAction::Cancel { target, attempt: id });
             if attempt.alone && attempt.phase == AttemptPhase::KeepingCache {
-                self.clear_suspect(fold, id);
+                self.clear_suspect(fold, id, out);
             }
             self.forget(id);
         }
@@ -308,7 +306,7 @@
                     self.give_up(id, RefusalReason::CannotMeetDeadline, out);
                 }
                 AttemptPhase::Running(progress) => self.expire_run(now, fold, id, progress, out),
-                AttemptPhase::Doubt { since } if now > since + DOUBT_LIMIT => {
+                AttemptPhase::Doubt { since, .. } if now > since + DOUBT_LIMIT => {
                     let target = attempt.target.clone();
                     out.push(SideAction::Cancel { target, attempt: id });
                     self.end_broken(id, false, out);
@@ -335,7 +333,7 @@
             }
         } else if now >= attempt.deadline {
             out.push(SideAction::Cancel { target, attempt: id });
-            self.clear_suspect(fold, id);
+            self.clear_suspect(fold, id, out);
             self.end_not_run(id, RefusalReason::DeadlineExceeded, out);
         } else if progress.read && now > progress.last_chunk + STREAM_TIMEOUT {
             self.failed(now, &target, id, TargetFailure::Broken, out);
@@ -359,21 +357,29 @@
         Duration::from_secs_f32(read + write)
     }
 
-    fn clear_suspect(&mut self, fold: &FleetFold, id: AttemptId) {
+    fn clear_suspect(&mut self, fold: &FleetFold, id: AttemptId, out: &mut Vec<SideAction>) {
         let Some(attempt) = self.attempts.get(&id) else { return };
         let fingerprint = attempt.place.fingerprint;
         let known = fold.view().suspects.iter().any(|(suspect, _)| *suspect == fingerprint);
-        if attempt.alone && known {
-            self.push_report(ClockTime::ZERO, Vec::new(), vec![fingerprint]);
+        if attempt.alone && (known || attempt.place.crashes > 0) {
+            self.push_report(ClockTime::ZERO, Vec::new(), vec![fingerprint], out);
         }
     }
 
-    fn push_report(&mut self, now: ClockTime, crashed: Vec<u64>, cleared: Vec<u64>) {
+    /// Reports to the log, and to the entries at once.
+    fn push_report(
+        &mut self,
+        now: ClockTime,
+        crashed: Vec<u64>,
+        cleared: Vec<u64>,
+        out: &mut Vec<SideAction>,
+    ) {
         self.reports += 1;
         let fence = self.fence.unwrap_or(0);
-        let change =
-            format!("{}-{fence}-{}-{}", self.settings.side, self.reports, now.as_millis()).into();
-        self.outbox.push_report(SuspectReport { change, crashed, cleared });
+        let change = format!("{}-{fence}-{}-{}", self.settings.side, self.reports, now.as_millis());
+        let frame = SideFrame::Suspects { crashed: crashed.clone(), cleared: cleared.clone() };
+        self.broadcast(frame, out);
+        self.outbox.push_report(SuspectReport { change: change.into(), crashed, cleared });
     }
 
     /// Frees what an attempt holds at its target or in its queue.
@@ -384,17 +390,13 @@
             AttemptPhase::Queued => {
                 target.queue.remove(id);
             }
-            AttemptPhase::Running(progress) => {
+            AttemptPhase::Running(RunProgress { read, .. }) | AttemptPhase::Doubt { read, .. } => {
                 target.running -= 1;
                 target.used_pieces -= attempt.pieces();
-                if !progress.read {
+                if !read {
                     target.unread_tokens -= u64::from(attempt.tokens_to_read());
                 }
             }
-            AttemptPhase::Doubt { .. } => {
-                target.running -= 1;
-                target.used_pieces -= attempt.pieces();
-            }
             AttemptPhase::KeepingCache => target.used_pieces -= attempt.pieces(),
             AttemptPhase::CatchUp | AttemptPhase::Claiming | AttemptPhase::AwaitOwner => {}
         }
--- a/src/suspect.rs
+++ b/src/suspect.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{ContentFingerprint, LogTime},
+    ids::{ClockTime, ContentFingerprint, LogTime},
     record::SuspectReport,
 };
 
@@ -98,3 +98,38 @@
         }
     }
 }
+
+/// Crashes that an entry was told of directly, which count while the log is down.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct SeenCrashes {
+    #[serde(serialize_with = "crate::pairs::serialize")]
+    entries: BTreeMap<ContentFingerprint, (u8, ClockTime)>,
+}
+
+impl SeenCrashes {
+    /// Counts one crash, or the end of a suspect that ran alone.
+    pub fn note(
+        &mut self,
+        now: ClockTime,
+        crashed: &[ContentFingerprint],
+        cleared: &[ContentFingerprint],
+    ) {
+        self.entries.retain(|_, (_, last)| *last + SUSPECT_LIFETIME >= now);
+        for fingerprint in crashed {
+            let (count, last) = self.entries.entry(*fingerprint).or_insert((0, now));
+            *count = count.saturating_add(1);
+            *last = now;
+        }
+        for fingerprint in cleared {
+            self.entries.remove(fingerprint);
+        }
+        while self.entries.len() > MAX_SUSPECTS {
+            self.entries.pop_first();
+        }
+    }
+
+    /// Returns the crashes of one request content.
+    pub fn count(&self, fingerprint: ContentFingerprint) -> u8 {
+        self.entries.get(&fingerprint).map_or(0, |(count, _)| *count)
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,259 @@
+//! A side machine with one target, its log and its clock, for focused tests.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use sapphirewell::{
+    claim::ClaimEvent,
+    contract::CustomerContract,
+    fold::{FleetFold, FoldNotice, StoredRecord},
+    frame::{AttemptEnd, AttemptWork, EntryFrame, PlaceFrame, SideFrame},
+    ids::{AttemptId, RequestId},
+    operator,
+    record::{EngineRole, LogRecord, SideAttachment, TargetDescription, TargetOffer},
+    side::{
+        QueueOrder, SideAction, SideEvent, SideMachine, SideSettings, TargetEvent, TargetReport,
+    },
+};
+
+pub const LOG_START: Duration = Duration::from_secs(1_700_000_000);
+pub const LINK: u64 = 1;
+
+/// The log, as a list that every fold reads.
+#[derive(Default)]
+pub struct LogList {
+    pub records: Vec<StoredRecord>,
+    pub now: Duration,
+}
+
+impl LogList {
+    pub fn append(&mut self, record: &LogRecord) -> u64 {
+        let offset = self.records.len() as u64 + 1;
+        let body = record.encode().unwrap().into();
+        self.records.push(StoredRecord { offset, time: LOG_START + self.now, body });
+        offset
+    }
+
+    pub fn fold(&self) -> FleetFold {
+        let mut fold = FleetFold::default();
+        for record in &self.records {
+            fold.apply(record);
+        }
+        fold.advance(LOG_START + self.now);
+        fold
+    }
+}
+
+pub struct SideBench {
+    pub machine: SideMachine,
+    pub log: LogList,
+    pub fold: FleetFold,
+    pub now: Duration,
+    pub instance: u64,
+    pub log_down: bool,
+    pub lose_answers: bool,
+    pub ends: Vec<(AttemptId, AttemptEnd)>,
+    pub started: Vec<AttemptId>,
+    description: TargetDescription,
+}
+
+pub fn report(boot: u64) -> TargetReport {
+    TargetReport {
+        boot,
+        role: Some(EngineRole::Mixed),
+        changing: false,
+        fence: 0,
+        cached: Vec::new(),
+    }
+}
+
+pub fn contract(customer: &str, share_ppm: u32) -> CustomerContract {
+    let text = format!(
+        r#"{{"customer":"{customer}","share_ppm":{share_ppm},"window_s":600,"kinds":[
+        {{"name":"note","route":{{"engine":{{"model":"m","max_prompt_tokens":50000,"max_output_tokens":500}}}},
+          "priority":0,"deadline_ms":20000,"idempotent":true}},
+        {{"name":"ticket","route":{{"service":{{"service":"s"}}}},"priority":0,"deadline_ms":3000,"idempotent":false}}]}}"#
+    );
+    CustomerContract::parse(text.as_bytes()).unwrap()
+}
+
+impl SideBench {
+    pub fn with_engine() -> SideBench {
+        let offer = TargetOffer::Engine { model: "m".to_owned(), pieces: 100 };
+        SideBench::start(TargetDescription { target: "t".into(), offer }, LogList::default(), 1)
+    }
+
+    pub fn with_service() -> SideBench {
+        SideBench::service_on(LogList::default(), 1)
+    }
+
+    pub fn service_on(log: LogList, instance: u64) -> SideBench {
+        let offer = TargetOffer::Service { service: "s".to_owned(), slots: 4 };
+        SideBench::start(TargetDescription { target: "t".into(), offer }, log, instance)
+    }
+
+    fn start(description: TargetDescription, mut log: LogList, instance: u64) -> SideBench {
+        if log.records.is_empty() {
+            log.append(&operator::publish_record("first".into(), 0, contract("north", 1000)));
+        }
+        let settings = SideSettings {
+            side: "side".into(),
+            vm: "vm".into(),
+            targets: vec![description.clone()],
+            order: QueueOrder::Fair,
+        };
+        let mut bench = SideBench {
+            machine: SideMachine::new(settings),
+            now: log.now,
+            log,
+            fold: FleetFold::default(),
+            instance,
+            log_down: false,
+            lose_answers: false,
+            ends: Vec::new(),
+            started: Vec::new(),
+            description,
+        };
+        bench.attach();
+        bench.event(SideEvent::LinkUp { link: LINK });
+        bench.target(TargetEvent::Report(report(1)));
+        bench
+    }
+
+    pub fn attach(&mut self) {
+        let record = LogRecord::Attach(SideAttachment {
+            side: "side".into(),
+            instance: self.instance,
+            vm: "vm".into(),
+            data_centre: "dc".into(),
+            address: "127.0.0.1:1".into(),
+            targets: vec![self.description.clone()],
+        });
+        self.log.append(&record);
+        self.read_log();
+    }
+
+    /// Reads what is new in the log, as a running process does.
+    pub fn read_log(&mut self) {
+        let mut notices = Vec::new();
+        for record in self.log.records.clone() {
+            notices.extend(self.fold.apply(&record));
+        }
+        self.fold.advance(LOG_START + self.log.now);
+        for notice in notices {
+            if let FoldNotice::Attached { fence, instance, .. } = notice
+                && instance == self.instance
+            {
+                self.event(SideEvent::Attached { fence });
+            }
+        }
+        self.event(SideEvent::LogAdvanced);
+    }
+
+    pub fn event(&mut self, event: SideEvent) -> Vec<SideAction> {
+        let mut actions = Vec::new();
+        self.machine.step(self.now, &self.fold, event, &mut actions);
+        for action in &actions {
+            match action {
+                SideAction::Append { ticket, record } => self.append(*ticket, record),
+                SideAction::Start { place, .. } => self.started.push(place.attempt),
+                SideAction::Send { frame: SideFrame::End { attempt, end }, .. } => {
+                    self.ends.push((*attempt, end.clone()));
+                }
+                _ => {}
+            }
+        }
+        actions
+    }
+
+    fn append(&mut self, ticket: u64, record: &LogRecord) {
+        if !self.log_down {
+            self.log.append(record);
+        }
+        let confirmed = !self.log_down && !self.lose_answers;
+        self.event(SideEvent::Appended { ticket, confirmed });
+    }
+
+    pub fn target(&mut self, event: TargetEvent) -> Vec<SideAction> {
+        self.event(SideEvent::Target { target: "t".into(), event })
+    }
+
+    /// Lets time pass, with ticks.
+    pub fn tick_for(&mut self, time: Duration) -> Vec<SideAction> {
+        let mut actions = Vec::new();
+        let end = self.now + time;
+        while self.now < end {
+            self.now += Duration::from_millis(20);
+            self.log.now = self.log.now.max(self.now);
+            let heartbeat = SideEvent::Frame { link: LINK, frame: EntryFrame::Heartbeat };
+            actions.extend(self.event(heartbeat));
+            actions.extend(self.event(SideEvent::Tick));
+        }
+        actions
+    }
+
+    pub fn place_completion(&mut self, sequence: u64, prompt_tokens: u32) -> AttemptId {
+        self.place(sequence, |frame| frame.prompt_tokens = prompt_tokens)
+    }
+
+    /// Places a ticket with a key that was issued now.
+    pub fn place_ticket(&mut self, sequence: u64, key: &str) -> AttemptId {
+        let key = format!("{}-{key}", (LOG_START + self.log.now).as_millis());
+        self.place_ticket_with_key(sequence, &key)
+    }
+
+    pub fn place_ticket_with_key(&mut self, sequence: u64, key: &str) -> AttemptId {
+        let key: std::sync::Arc<str> = key.into();
+        self.place(sequence, |frame| {
+            frame.work = AttemptWork::Call;
+            frame.idempotent = false;
+            frame.key = Some(key.clone());
+            frame.time_left = Duration::from_secs(3);
+        })
+    }
+
+    pub fn place(&mut self, sequence: u64, change: impl FnOnce(&mut PlaceFrame)) -> AttemptId {
+        let attempt = AttemptId { request: RequestId { instance: 9, sequence }, number: 1 };
+        let mut frame = PlaceFrame {
+            attempt,
+            target: "t".into(),
+            work: AttemptWork::Complete,
+            customer: "north".into(),
+            revision: 1,
+            share_ppm: 1000,
+            priority: 0,
+            time_left: Duration::from_secs(20),
+            idempotent: true,
+            key: None,
+            window_s: 600,
+            fingerprint: 77,
+            content: "text".into(),
+            prompt_tokens: 100,
+            max_output_tokens: 50,
+            expected_output_tokens: 50,
+            prefixes: Default::default(),
+            resume_chunks: 0,
+            resume_text: String::new(),
+            crashes: 0,
+        };
+        change(&mut frame);
+        self.event(SideEvent::Frame { link: LINK, frame: EntryFrame::Place(Box::new(frame)) });
+        attempt
+    }
+
+    pub fn end_of(&self, attempt: AttemptId) -> Option<&AttemptEnd> {
+        self.ends.iter().find(|(id, _)| *id == attempt).map(|(_, end)| end)
+    }
+
+    pub fn claim_events(&self) -> Vec<ClaimEvent> {
+        let decoded =
+            self.log.records.iter().filter_map(|record| LogRecord::decode(&record.body).ok());
+        decoded
+            .filter_map(|record| match record {
+                LogRecord::Claims(batch) => Some(batch.events),
+                _ => None,
+            })
+            .flatten()
+            .collect()
+    }
+}
--- /dev/null
+++ b/tests/unread_tokens_leak.rs
@@ -0,0 +1,26 @@
+//! A stream that broke before its prompt was read left its tokens counted for ever,
+//! so that the target looked busy and requests were refused.
+
+mod support;
+
+use sapphirewell::{
+    frame::SideFrame,
+    side::{SideAction, SideEvent, TargetEvent, TargetFailure},
+};
+use support::SideBench;
+
+#[test]
+fn a_broken_stream_frees_its_unread_tokens() {
+    let mut bench = SideBench::with_engine();
+    let attempt = bench.place_completion(1, 2000);
+    let failure = TargetFailure::Broken;
+    bench.target(TargetEvent::Failed { attempt, failure });
+    bench.target(TargetEvent::Report(support::report(1)));
+    let actions = bench.tick_for(std::time::Duration::from_millis(400));
+    let loads = actions.iter().rev().find_map(|action| match action {
+        SideAction::Send { frame: SideFrame::Load(loads), .. } => Some(loads.clone()),
+        _ => None,
+    });
+    assert_eq!(loads.unwrap()[0].waiting_tokens, 0);
+    bench.event(SideEvent::Tick);
+}
