--- a/emulator/src/rig/nodes.rs
+++ b/emulator/src/rig/nodes.rs
@@ -54,6 +54,8 @@
     pub(crate) log_health: bool,
     pub(crate) held: Vec<NodeInput>,
     pub(crate) draining: bool,
+    /// A signal to stop that a frozen process gets once it goes on.
+    pub(crate) stop_pending: bool,
     /// Clock skew: a multiple of the rig's clock in millionths.
     pub(crate) skew_ppm: i64,
     next_carry: ClockTime,
@@ -91,6 +93,7 @@
             log_health: true,
             held: Vec::new(),
             draining: false,
+            stop_pending: false,
             skew_ppm: 0,
             next_carry: ClockTime::ZERO,
             next_attach: ClockTime::ZERO,
@@ -416,6 +419,9 @@
 
     /// Tells a node to finish its work and end; a new process follows.
     pub(crate) fn drain_node(&mut self, node: NodeId) {
+        if self.base(node).state == NodeState::Frozen {
+            self.base_mut(node).stop_pending = true;
+        }
         if self.base(node).state != NodeState::Running || self.base(node).draining {
             return;
         }
--- a/src/entry/machine.rs
+++ b/src/entry/machine.rs
@@ -24,8 +24,9 @@
         SideFrame,
     },
     ids::{AttemptId, ClockTime, CustomerId, RequestId, SideId},
+    record::SuspectReport,
     request::{CallerRequest, FinalAnswer, FinalRefusal, RefusalReason, pieces},
-    suspect::{SeenCrashes, SuspectVerdict},
+    suspect::{SuspectTable, SuspectVerdict},
 };
 
 /// Attempts after which a request fails.
@@ -55,7 +56,7 @@
     flows: BTreeMap<RequestId, RequestFlow>,
     beliefs: BeliefTable,
     budget: RetryBudget,
-    crashes: SeenCrashes,
+    told: SuspectTable,
     links: BTreeMap<SideId, ClockTime>,
     next_heartbeat: ClockTime,
     #[serde(skip)]
@@ -88,7 +89,7 @@
             flows: BTreeMap::new(),
             beliefs: BeliefTable::default(),
             budget: RetryBudget::default(),
-            crashes: SeenCrashes::default(),
+            told: SuspectTable::default(),
             links: BTreeMap::new(),
             next_heartbeat: ClockTime::ZERO,
             outputs: HashMap::new(),
@@ -234,7 +235,7 @@
         out: &mut Vec<EntryAction>,
     ) {
         let Some(flow) = self.flows.get(&id) else { return };
-        let verdict = view.suspects.verdict(flow.fingerprint, self.crashes.count(flow.fingerprint));
+        let verdict = SuspectVerdict::from_crashes(self.crashes(view, flow.fingerprint));
         if verdict == SuspectVerdict::Barred {
             self.refuse(id, RefusalReason::CrashesTargets, MAX_RETRY_AFTER, out);
             return;
@@ -257,7 +258,7 @@
             self.refuse(id, RefusalReason::CannotMeetDeadline, late, out);
             return;
         }
-        self.send_place(now, id, choice, step, out);
+        self.send_place(now, view, id, (choice, step), out);
     }
 
     /// Keeps a request while a target that serves it may come back in time.
@@ -304,14 +305,14 @@
     fn send_place(
         &mut self,
         now: ClockTime,
+        view: &FleetView,
         id: RequestId,
-        choice: PlaceChoice,
-        step: PlaceStep,
+        (choice, step): (PlaceChoice, PlaceStep),
         out: &mut Vec<EntryAction>,
     ) {
         let Some(flow) = self.flows.get(&id) else { return };
         let expected_output_tokens = self.expected_output(&flow.request);
-        let crashes = self.crashes.count(flow.fingerprint);
+        let crashes = self.crashes(view, flow.fingerprint);
         let Some(flow) = self.flows.get_mut(&id) else { return };
         flow.waiting_since = None;
         let attempt = flow.next_attempt(id);
@@ -356,13 +357,25 @@
         match frame {
             SideFrame::Heartbeat | SideFrame::Welcome { .. } => {}
             SideFrame::Load(loads) => self.beliefs.report(now, view, &side, loads),
-            SideFrame::Suspects { crashed, cleared } => self.crashes.note(now, &crashed, &cleared),
+            SideFrame::Suspects(reports) => self.told_of(now, &reports),
             SideFrame::Taken { attempt } => self.taken(attempt),
             SideFrame::Chunk { attempt, index, text } => self.chunk(attempt, index, text, out),
             SideFrame::End { attempt, end } => self.end(now, view, attempt, end, out),
         }
     }
 
+    /// Takes in reports that come straight from a side.
+    fn told_of(&mut self, now: ClockTime, reports: &[SuspectReport]) {
+        self.told.expire(now);
+        for report in reports {
+            self.told.apply(now, report);
+        }
+    }
+
+    fn crashes(&self, view: &FleetView, fingerprint: u64) -> u8 {
+        view.suspects.count_with(&self.told, fingerprint)
+    }
+
     fn taken(&mut self, attempt: AttemptId) {
         let Some(flow) = self.flows.get_mut(&attempt.request) else { return };
         if let FlowPhase::Placed(placed) = &mut flow.phase
--- a/src/fold.rs
+++ b/src/fold.rs
@@ -175,6 +175,12 @@
         self.vms.get(vm).is_some_and(|entry| entry.leaving)
     }
 
+    /// Returns how long a VM has been announced as leaving, by the log's clock.
+    pub fn leaving_for(&self, vm: &str) -> Option<Duration> {
+        let entry = self.vms.get(vm).filter(|entry| entry.leaving)?;
+        Some(self.time.saturating_sub(entry.recorded))
+    }
+
     /// Tells whether this is still the side's newest attachment.
     pub fn holds(&self, side: &str, fence: FencingNumber) -> bool {
         self.sides.get(side).is_some_and(|entry| entry.fence == fence && !entry.detached)
--- a/src/frame.rs
+++ b/src/frame.rs
@@ -16,7 +16,7 @@
         AttemptId, ContentFingerprint, ContractRevision, CustomerId, FencingNumber, LogOffset,
         PrefixHash, SideId, TargetId,
     },
-    record::EngineRole,
+    record::{EngineRole, SuspectReport},
     request::{MAX_BODY_BYTES, RefusalReason},
 };
 
@@ -127,13 +127,8 @@
     },
     /// Reports the load of the side's targets.
     Load(Vec<TargetLoad>),
-    /// Tells every entry about a crash, which may not reach them through the log.
-    Suspects {
-        /// Requests that were running.
-        crashed: Vec<ContentFingerprint>,
-        /// Suspects that have run to their end.
-        cleared: Vec<ContentFingerprint>,
-    },
+    /// Tells an entry about crashes, which may not reach it through the log.
+    Suspects(Vec<SuspectReport>),
     /// Answers a [`PlaceFrame`]: the attempt is in the queue.
     Taken {
         /// The attempt.
--- a/src/side/machine.rs
+++ b/src/side/machine.rs
@@ -1,6 +1,6 @@
 //! Dispatch of events to the parts of the side.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use serde::Serialize;
 
@@ -22,6 +22,12 @@
     suspect::SuspectVerdict,
 };
 
+/// Time between two events after which a process has been paused.
+const PAUSE_LIMIT: Duration = Duration::from_millis(1000);
+/// Time for which a process that was paused waits for the log before it starts work.
+const REREAD_LIMIT: Duration = Duration::from_millis(2000);
+/// Time for which a leaving side still starts what was queued before.
+const HAND_BACK_AFTER: Duration = Duration::from_secs(2);
 /// Estimated cost of one output token, in prompt tokens.
 const OUTPUT_COST: u64 = 10;
 
@@ -33,6 +39,10 @@
     pub(super) fence: Option<FencingNumber>,
     pub(super) superseded: bool,
     pub(super) draining: bool,
+    closed_since: Option<ClockTime>,
+    last_step: Option<ClockTime>,
+    /// When the process noticed that it had stood still, until it has read the log again.
+    pub(super) stood_still: Option<ClockTime>,
     pub(super) log_reachable: bool,
     pub(super) targets: BTreeMap<TargetId, SideTarget>,
     #[serde(serialize_with = "crate::pairs::serialize")]
@@ -65,6 +75,9 @@
             fence: None,
             superseded: false,
             draining: false,
+            closed_since: None,
+            last_step: None,
+            stood_still: None,
             log_reachable: true,
             targets,
             attempts: BTreeMap::new(),
@@ -84,6 +97,7 @@
         event: SideEvent,
         out: &mut Vec<SideAction>,
     ) {
+        self.notice_pause(now);
         match event {
             SideEvent::Attached { fence } => self.attach(fence, out),
             SideEvent::LinkUp { link } => self.link_up(now, link, out),
@@ -103,6 +117,17 @@
         self.flush(now, out);
     }
 
+    /// Notices that the process was paused: what it believes may be long outdated.
+    fn notice_pause(&mut self, now: ClockTime) {
+        let last = self.last_step.replace(now).unwrap_or(now);
+        if now.saturating_sub(last) > PAUSE_LIMIT {
+            self.stood_still = Some(now);
+        }
+        if self.stood_still.is_some_and(|since| now > since + REREAD_LIMIT) {
+            self.stood_still = None;
+        }
+    }
+
     /// Tells whether a draining side has nothing left to do.
     pub fn is_idle(&self) -> bool {
         let working = |attempt: &SideAttempt| attempt.phase != AttemptPhase::KeepingCache;
@@ -138,6 +163,10 @@
             let side = self.settings.side.clone();
             out.push(SideAction::Send { link, frame: SideFrame::Welcome { side, fence } });
         }
+        let reports = self.outbox.reports();
+        if !reports.is_empty() {
+            out.push(SideAction::Send { link, frame: SideFrame::Suspects(reports) });
+        }
         self.next_load = now;
     }
 
@@ -180,7 +209,8 @@
             return;
         }
         let id = place.attempt;
-        let suspect = fold.view().suspects.verdict(place.fingerprint, place.crashes);
+        let crashes = fold.view().suspects.count(place.fingerprint).max(place.crashes);
+        let suspect = SuspectVerdict::from_crashes(crashes);
         let attempt = SideAttempt {
             link: Some(link),
             target: place.target.clone(),
@@ -279,6 +309,7 @@
     }
 
     fn log_advanced(&mut self, now: ClockTime, fold: &FleetFold, out: &mut Vec<SideAction>) {
+        self.stood_still = None;
         if let Some(fence) = self.fence
             && !fold.view().holds(&self.settings.side, fence)
             && fold.view().next > fence
@@ -288,6 +319,7 @@
             self.abandon_unstarted(out);
             out.push(SideAction::Superseded);
         }
+        self.hand_back_queues(now, fold, out);
         let waiting: Vec<AttemptId> = self
             .attempts
             .iter()
@@ -307,6 +339,7 @@
 
     fn tick(&mut self, now: ClockTime, fold: &FleetFold, out: &mut Vec<SideAction>) {
         self.expire_attempts(now, fold, out);
+        self.hand_back_queues(now, fold, out);
         self.check_links(now, fold, out);
         self.follow_plan(now, fold, out);
         let names: Vec<TargetId> = self.targets.keys().cloned().collect();
@@ -325,6 +358,24 @@
         }
     }
 
+    /// Hands queued attempts back some time after the side has closed, so that a
+    /// leaving target gets nothing new however slow it is.
+    fn hand_back_queues(&mut self, now: ClockTime, fold: &FleetFold, out: &mut Vec<SideAction>) {
+        if self.fence.is_none() || self.is_open(fold) {
+            self.closed_since = None;
+            return;
+        }
+        let since = *self.closed_since.get_or_insert(now);
+        let announced = fold.view().leaving_for(&self.settings.vm).unwrap_or_default();
+        if now < since + HAND_BACK_AFTER && announced < HAND_BACK_AFTER {
+            return;
+        }
+        let names: Vec<TargetId> = self.targets.keys().cloned().collect();
+        for name in names {
+            self.move_queue(&name, out);
+        }
+    }
+
     fn check_links(&mut self, now: ClockTime, fold: &FleetFold, out: &mut Vec<SideAction>) {
         let silent: Vec<LinkId> = self
             .links
--- a/src/side/orders.rs
+++ b/src/side/orders.rs
@@ -93,7 +93,7 @@
     }
 
     /// Hands queued attempts back to their entries, which place them elsewhere.
-    fn move_queue(&mut self, name: &TargetId, out: &mut Vec<SideAction>) {
+    pub(super) fn move_queue(&mut self, name: &TargetId, out: &mut Vec<SideAction>) {
         let Some(target) = self.targets.get(name) else { return };
         for id in target.queue.select(|_| true) {
             self.give_up(id, RefusalReason::NoTarget, out);
--- a/src/side/outbox.rs
+++ b/src/side/outbox.rs
@@ -42,6 +42,15 @@
         self.reports.push(report);
     }
 
+    /// Returns the reports that the log may not hold yet.
+    pub(crate) fn reports(&self) -> Vec<SuspectReport> {
+        let in_flight = self.in_flight.as_ref().and_then(|flight| match &flight.record {
+            LogRecord::Suspects(report) => Some(report),
+            _ => None,
+        });
+        in_flight.into_iter().chain(&self.reports).cloned().collect()
+    }
+
     /// Withdraws a claim that has not been sent; returns whether it was still here.
     pub(crate) fn withdraw(&mut self, key: &ClaimKey, by: AttemptId) -> bool {
         let before = self.claims.len();
--- a/src/side/runs.rs
+++ b/src/side/runs.rs
@@ -28,7 +28,7 @@
     /// Starts queued attempts while the target has room.
     pub(super) fn dispatch(&mut self, now: ClockTime, name: &TargetId, out: &mut Vec<SideAction>) {
         let Some(fence) = self.fence else { return };
-        while !self.superseded {
+        while !self.superseded && self.stood_still.is_none() {
             let Some(target) = self.targets.get_mut(name) else { return };
             let Some(work) = target.queue.peek() else { return };
             if target.health != TargetHealth::Up {
@@ -377,9 +377,9 @@
         self.reports += 1;
         let fence = self.fence.unwrap_or(0);
         let change = format!("{}-{fence}-{}-{}", self.settings.side, self.reports, now.as_millis());
-        let frame = SideFrame::Suspects { crashed: crashed.clone(), cleared: cleared.clone() };
-        self.broadcast(frame, out);
-        self.outbox.push_report(SuspectReport { change: change.into(), crashed, cleared });
+        let report = SuspectReport { change: change.into(), crashed, cleared };
+        self.broadcast(SideFrame::Suspects(vec![report.clone()]), out);
+        self.outbox.push_report(report);
     }
 
     /// Frees what an attempt holds at its target or in its queue.
--- a/src/suspect.rs
+++ b/src/suspect.rs
@@ -7,9 +7,10 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use crate::{
-    ids::{ClockTime, ContentFingerprint, LogTime},
+    ids::{ChangeId, ContentFingerprint},
     record::SuspectReport,
 };
 
@@ -20,13 +21,13 @@
 /// Largest number of suspects that are kept; the oldest go first.
 pub const MAX_SUSPECTS: usize = 4096;
 
-/// Crash count of one request content.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// Crashes of one request content.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectEntry {
-    /// Crashes of targets that were running it.
-    pub crashes: u8,
-    /// Log time of the last crash.
-    pub last: LogTime,
+    /// Identities of the crashes, so that one that was told twice counts once.
+    pub crashes: SmallVec<[ChangeId; 4]>,
+    /// Time of the last crash.
+    pub last: Duration,
 }
 
 /// How a request with some content may be run.
@@ -40,7 +41,18 @@
     Barred,
 }
 
-/// All suspects.
+impl SuspectVerdict {
+    /// Returns the verdict for a number of crashes.
+    pub fn from_crashes(crashes: u8) -> SuspectVerdict {
+        match crashes {
+            0 => SuspectVerdict::Clear,
+            crashes if crashes < MAX_CRASHES => SuspectVerdict::Alone,
+            _ => SuspectVerdict::Barred,
+        }
+    }
+}
+
+/// Suspects by the hash of their content, as the log or as an entry knows them.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct SuspectTable {
     #[serde(with = "crate::pairs")]
@@ -49,12 +61,18 @@
 
 impl SuspectTable {
     /// Counts one report.
-    pub fn apply(&mut self, time: LogTime, report: &SuspectReport) {
+    pub fn apply(&mut self, time: Duration, report: &SuspectReport) {
         for fingerprint in &report.crashed {
-            let entry =
-                self.entries.entry(*fingerprint).or_insert(SuspectEntry { crashes: 0, last: time });
-            entry.crashes = entry.crashes.saturating_add(1);
+            let entry = self
+                .entries
+                .entry(*fingerprint)
+                .or_insert_with(|| SuspectEntry { crashes: SmallVec::new(), last: time });
             entry.last = time;
+            if !entry.crashes.contains(&report.change)
+                && entry.crashes.len() < usize::from(MAX_CRASHES)
+            {
+                entry.crashes.push(report.change.clone());
+            }
         }
         for fingerprint in &report.cleared {
             self.entries.remove(fingerprint);
@@ -62,23 +80,29 @@
         self.bound();
     }
 
-    /// Tells how a request may be run, given crashes that the log may not show yet.
-    pub fn verdict(&self, fingerprint: ContentFingerprint, seen: u8) -> SuspectVerdict {
-        let logged = self.entries.get(&fingerprint).map_or(0, |entry| entry.crashes);
-        match logged.max(seen) {
-            0 => SuspectVerdict::Clear,
-            crashes if crashes < MAX_CRASHES => SuspectVerdict::Alone,
-            _ => SuspectVerdict::Barred,
-        }
+    /// Returns the number of crashes that this table and another one know of together.
+    pub fn count_with(&self, other: &SuspectTable, fingerprint: ContentFingerprint) -> u8 {
+        let own = self.crashes(fingerprint);
+        let more = other.crashes(fingerprint).iter().filter(|change| !own.contains(change));
+        (own.len() + more.count()) as u8
+    }
+
+    /// Returns the number of crashes that this table knows of.
+    pub fn count(&self, fingerprint: ContentFingerprint) -> u8 {
+        self.crashes(fingerprint).len() as u8
+    }
+
+    fn crashes(&self, fingerprint: ContentFingerprint) -> &[ChangeId] {
+        self.entries.get(&fingerprint).map_or(&[], |entry| &entry.crashes)
     }
 
     /// Tells whether [`SuspectTable::expire`] would drop anything.
-    pub fn has_expired(&self, now: LogTime) -> bool {
+    pub fn has_expired(&self, now: Duration) -> bool {
         self.entries.values().any(|entry| entry.last + SUSPECT_LIFETIME < now)
     }
 
     /// Drops suspects whose last crash is long past.
-    pub fn expire(&mut self, now: LogTime) {
+    pub fn expire(&mut self, now: Duration) {
         self.entries.retain(|_, entry| entry.last + SUSPECT_LIFETIME >= now);
     }
 
@@ -98,38 +122,3 @@
         }
     }
 }
-
-/// Crashes that an entry was told of directly, which count while the log is down.
-#[derive(Debug, Clone, Default, Serialize)]
-pub struct SeenCrashes {
-    #[serde(serialize_with = "crate::pairs::serialize")]
-    entries: BTreeMap<ContentFingerprint, (u8, ClockTime)>,
-}
-
-impl SeenCrashes {
-    /// Counts one crash, or the end of a suspect that ran alone.
-    pub fn note(
-        &mut self,
-        now: ClockTime,
-        crashed: &[ContentFingerprint],
-        cleared: &[ContentFingerprint],
-    ) {
-        self.entries.retain(|_, (_, last)| *last + SUSPECT_LIFETIME >= now);
-        for fingerprint in crashed {
-            let (count, last) = self.entries.entry(*fingerprint).or_insert((0, now));
-            *count = count.saturating_add(1);
-            *last = now;
-        }
-        for fingerprint in cleared {
-            self.entries.remove(fingerprint);
-        }
-        while self.entries.len() > MAX_SUSPECTS {
-            self.entries.pop_first();
-        }
-    }
-
-    /// Returns the crashes of one request content.
-    pub fn count(&self, fingerprint: ContentFingerprint) -> u8 {
-        self.entries.get(&fingerprint).map_or(0, |(count, _)| *count)
-    }
-}
--- /dev/null
+++ b/tests/contracts_in_the_log.rs
@@ -0,0 +1,154 @@
+//! Contracts through races, retention and late carries.
+
+mod support;
+
+use std::time::Duration;
+
+use sapphirewell::{
+    carry,
+    fold::{ChangeResult, FleetFold, StoredRecord},
+    operator,
+    record::{CarriedItem, CarriedState, LogRecord},
+};
+use support::{LOG_START, LogList, contract};
+
+const RETENTION: Duration = Duration::from_secs(100);
+
+fn publish(log: &mut LogList, change: &str, replaces: u64, share: u32) -> u64 {
+    log.append(&operator::publish_record(change.into(), replaces, contract("north", share)))
+}
+
+/// Folds only the records that the log still holds.
+fn suffix_fold(log: &LogList) -> FleetFold {
+    let oldest = (LOG_START + log.now).saturating_sub(RETENTION);
+    let mut fold = FleetFold::default();
+    for record in log.records.iter().filter(|record| record.time >= oldest) {
+        fold.skip_to(record.offset);
+        fold.apply(record);
+    }
+    fold
+}
+
+fn carry_all(log: &mut LogList, fold: &FleetFold) {
+    for record in carry::due(fold, RETENTION, 0) {
+        log.append(&record);
+    }
+}
+
+#[test]
+fn of_two_racing_changes_the_first_wins_and_the_other_is_told() {
+    let mut log = LogList::default();
+    let first = publish(&mut log, "a", 0, 1000);
+    let winner = publish(&mut log, "b", first, 2000);
+    publish(&mut log, "c", first, 3000);
+    let fold = log.fold();
+    assert_eq!(fold.result("b"), Some(&ChangeResult::Accepted { revision: winner }));
+    assert_eq!(fold.result("c"), Some(&ChangeResult::Superseded { current: winner }));
+    assert_eq!(fold.view().contract("north").unwrap().1.share_ppm, 2000);
+}
+
+#[test]
+fn a_repeated_append_of_one_change_counts_once() {
+    let mut log = LogList::default();
+    let first = publish(&mut log, "a", 0, 1000);
+    let second = publish(&mut log, "b", first, 2000);
+    publish(&mut log, "c", second, 3000);
+    publish(&mut log, "b", first, 2000);
+    let fold = log.fold();
+    assert_eq!(fold.result("b"), Some(&ChangeResult::Accepted { revision: second }));
+    assert_eq!(fold.view().contract("north").unwrap().1.share_ppm, 3000);
+}
+
+#[test]
+fn shares_above_the_fleet_are_refused() {
+    let mut log = LogList::default();
+    publish(&mut log, "a", 0, 900_000);
+    log.append(&operator::publish_record("b".into(), 0, contract("south", 200_000)));
+    assert_eq!(log.fold().result("b"), Some(&ChangeResult::SharesExceeded { free_ppm: 100_000 }));
+}
+
+#[test]
+fn a_reader_of_what_is_left_holds_every_contract() {
+    let mut log = LogList::default();
+    publish(&mut log, "a", 0, 1000);
+    let mut full = log.fold();
+    for _ in 0..30 {
+        log.now += Duration::from_secs(20);
+        full = log.fold();
+        carry_all(&mut log, &full);
+    }
+    let suffix = suffix_fold(&log);
+    assert_eq!(
+        suffix.view().contract("north").map(|(revision, _)| revision),
+        full.view().contract("north").map(|(r, _)| r)
+    );
+}
+
+#[test]
+fn a_retired_contract_does_not_come_back_by_a_late_carry() {
+    let mut log = LogList::default();
+    let first = publish(&mut log, "a", 0, 1000);
+    log.now += Duration::from_secs(60);
+    // A process computes its carry and is paused before it appends.
+    let late: Vec<LogRecord> = carry::due(&log.fold(), RETENTION, 0);
+    assert_eq!(late.len(), 1);
+    log.now += Duration::from_secs(5);
+    log.append(&operator::retire_record("b".into(), first, "north".into()));
+    for wake in [10, 50, 99, 150, 250] {
+        let mut branch = LogList { records: log.records.clone(), now: log.now };
+        for _ in 0..wake {
+            branch.now += Duration::from_secs(1);
+            let fold = branch.fold();
+            carry_all(&mut branch, &fold);
+        }
+        for record in &late {
+            branch.append(record);
+        }
+        assert!(
+            branch.fold().view().contract("north").is_none(),
+            "full reader, woken after {wake} s"
+        );
+        assert!(
+            suffix_fold(&branch).view().contract("north").is_none(),
+            "late reader, woken after {wake} s"
+        );
+    }
+}
+
+#[test]
+fn a_carry_never_beats_a_change() {
+    let mut log = LogList::default();
+    let first = publish(&mut log, "a", 0, 1000);
+    let second = publish(&mut log, "b", first, 2000);
+    let item = CarriedItem::Contract {
+        customer: "north".into(),
+        revision: first,
+        contract: Some(contract("north", 1000)),
+    };
+    log.append(&LogRecord::Carry(CarriedState { read_until: LOG_START, item }));
+    assert_eq!(log.fold().view().contract("north").unwrap().0, second);
+}
+
+#[test]
+fn two_readers_of_one_log_agree_wherever_they_stop_and_go_on() {
+    let mut log = LogList::default();
+    let mut revision = 0;
+    for step in 0..20 {
+        log.now += Duration::from_secs(7);
+        revision = publish(&mut log, &format!("c{step}"), revision, 1000 + step);
+        let fold = log.fold();
+        carry_all(&mut log, &fold);
+    }
+    let full = log.fold();
+    for split in 0..log.records.len() {
+        let (head, tail): (&[StoredRecord], &[StoredRecord]) = log.records.split_at(split);
+        let mut fold = FleetFold::default();
+        head.iter().for_each(|record| drop(fold.apply(record)));
+        // A copy of the state travels to a new process, which reads on.
+        let text = serde_json::to_string(&fold).unwrap();
+        let mut copy: FleetFold = serde_json::from_str(&text).unwrap();
+        tail.iter().for_each(|record| drop(copy.apply(record)));
+        copy.advance(LOG_START + log.now);
+        assert_eq!(copy, full, "split at {split}");
+    }
+}
