Role planner, priorities in reading, and bounded load reports

Ruled out, by reasoning and not by a run: strict priority across customers (a customer could mark everything urgent and take others' share).

Change: a planner that moves one engine at a time by measured capacities; unread tokens counted by priority at sides and entries; work that fits passes work that does not; expected output as a share of the longest; time between tokens grows with what was placed since the report. Load reports are paced by the number of links, pass prefixes on only when they changed, and entries can link to a bounded number of sides for each route.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here is shipped. The models are pure state machines; [`serve`]
 //! puts them behind HTTP.
 
+pub mod capacity;
 pub mod demo;
 pub mod eager;
 pub mod engine;
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -3,7 +3,7 @@
 use std::{process::ExitCode, time::Duration};
 
 use emulator::{
-    demo, matrix, path,
+    capacity, demo, matrix, path,
     serve::{self, ServeSettings},
     sweep,
     workload::Deployment,
@@ -28,6 +28,8 @@
     Path(PathArguments),
     #[options(help = "replay a seeded shift under a test clock")]
     Shift(ShiftArguments),
+    #[options(help = "measure the slopes of docs/CAPACITY.md")]
+    Capacity(CapacityArguments),
     #[options(help = "run the fault matrix")]
     Matrix(MatrixArguments),
 }
@@ -109,6 +111,7 @@
         Some(Command::Demo(arguments)) => runtime.block_on(run_demo(arguments)),
         Some(Command::Path(arguments)) => runtime.block_on(measure_path(arguments)),
         Some(Command::Shift(arguments)) => sweep::run(&arguments.into()),
+        Some(Command::Capacity(_)) => measure_capacity(),
         Some(Command::Matrix(arguments)) => run_matrix(&arguments),
         None => {
             eprintln!("{}", Arguments::usage());
@@ -165,6 +168,19 @@
     }
 }
 
+#[derive(Debug, Options)]
+struct CapacityArguments {
+    #[options(help = "print this help")]
+    help: bool,
+}
+
+fn measure_capacity() -> ExitCode {
+    for point in capacity::measure() {
+        println!("{:<42} {:>8} {:>12.3} {}", point.name, point.size, point.value, point.unit);
+    }
+    ExitCode::SUCCESS
+}
+
 #[derive(Debug, Options)]
 struct MatrixArguments {
     #[options(help = "print this help")]
--- a/emulator/src/rig.rs
+++ b/emulator/src/rig.rs
@@ -326,11 +326,13 @@
     pub(crate) fn first_role(&self, engine: usize) -> sapphirewell::record::EngineRole {
         use sapphirewell::record::EngineRole;
         match self {
-            RolePolicy::AllMixed | RolePolicy::Planned => EngineRole::Mixed,
+            RolePolicy::AllMixed => EngineRole::Mixed,
             RolePolicy::StaticSplit(readers) if readers.contains(&engine) => EngineRole::Prefill,
             RolePolicy::StaticSplit(_) => EngineRole::Decode,
-            RolePolicy::Eager if engine.is_multiple_of(2) => EngineRole::Prefill,
-            RolePolicy::Eager => EngineRole::Decode,
+            RolePolicy::Eager | RolePolicy::Planned if engine.is_multiple_of(2) => {
+                EngineRole::Prefill
+            }
+            RolePolicy::Eager | RolePolicy::Planned => EngineRole::Decode,
         }
     }
 }
--- a/src/command/launch.rs
+++ b/src/command/launch.rs
@@ -118,6 +118,14 @@
         SettingCheck::Number { low: 0, high: 600_000 },
         "time for the balancer to notice a stopping entry",
     ),
+    setting(
+        "fanout",
+        "SAPPHIREWELL_FANOUT",
+        "sides",
+        Some("64"),
+        SettingCheck::Number { low: 1, high: 10_000 },
+        "largest number of sides to link to for each model or service",
+    ),
     RETENTION,
     RANK,
     LOG_LEVEL,
@@ -245,6 +253,7 @@
         control: control_settings(values),
         admin_token: values.text("admin-token").to_owned(),
         stop_notice: values.millis("stop-notice-ms"),
+        fanout: values.number("fanout") as usize,
         instance: rand::random(),
     })
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -21,7 +21,7 @@
 mod retry;
 
 pub use belief::{BeliefTable, TargetBelief};
-pub use machine::EntryMachine;
+pub use machine::{EntryMachine, OfferedTokens};
 pub use placement::{PlaceChoice, PlaceQuery, PlacementPolicy};
 pub use retry::RetryBudget;
 
--- a/src/entry/belief.rs
+++ b/src/entry/belief.rs
@@ -6,6 +6,7 @@
 };
 
 use serde::Serialize;
+use smallvec::SmallVec;
 
 use crate::{
     fold::FleetView,
@@ -34,7 +35,7 @@
     /// Whether the link to the side works.
     pub linked: bool,
     /// Prompt tokens placed since the report.
-    pub added_tokens: u64,
+    pub added_tokens: SmallVec<[(u8, u32); 4]>,
     /// Requests placed since the report.
     pub added: u32,
     /// Memory placed since the report, in pieces.
@@ -66,6 +67,12 @@
         self.prefixes.contains(&prefix)
     }
 
+    /// Returns the prompt tokens placed since the report that are read before a priority.
+    pub fn added_before(&self, priority: u8) -> u64 {
+        let before = self.added_tokens.iter().filter(|(other, _)| *other <= priority);
+        before.map(|(_, tokens)| u64::from(*tokens)).sum()
+    }
+
     /// Returns the free memory, in pieces.
     pub fn free_pieces(&self) -> u32 {
         self.load.free_pieces.saturating_sub(self.added_pieces)
@@ -86,13 +93,15 @@
             let description = entry.attachment.targets.iter().find(|d| d.target == load.target);
             let Some(description) = description else { continue };
             let slot = self.slot(side, &description.offer, &load);
-            self.update_prefixes(slot, &load.prefixes);
+            if let Some(prefixes) = &load.prefixes {
+                self.update_prefixes(slot, prefixes);
+            }
             let belief = &mut self.targets[slot];
             belief.side = side.clone();
             belief.load = load;
             belief.received = now;
             belief.linked = true;
-            belief.added_tokens = 0;
+            belief.added_tokens.clear();
             belief.added = 0;
             belief.added_pieces = 0;
         }
@@ -106,10 +115,10 @@
     }
 
     /// Counts work that was placed after the newest report.
-    pub fn add(&mut self, target: &TargetId, tokens: u32, pieces: u32) {
+    pub fn add(&mut self, target: &TargetId, priority: u8, tokens: u32, pieces: u32) {
         if let Some(slot) = self.by_name.get(target) {
             let belief = &mut self.targets[*slot];
-            belief.added_tokens += u64::from(tokens);
+            belief.added_tokens.push((priority, tokens));
             belief.added += 1;
             belief.added_pieces += pieces;
         }
@@ -155,7 +164,7 @@
             offer: offer.clone(),
             received: ClockTime::ZERO,
             linked: true,
-            added_tokens: 0,
+            added_tokens: SmallVec::new(),
             added: 0,
             added_pieces: 0,
             prefixes: HashSet::new(),
--- a/src/entry/machine.rs
+++ b/src/entry/machine.rs
@@ -42,6 +42,8 @@
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 /// Advice where nothing better is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Part of the longest output that is expected before any answer was seen.
+const START_OUTPUT_SHARE: f32 = 0.8;
 const OUTPUT_SMOOTHING: f32 = 0.05;
 
 /// The entry's state machine.
@@ -221,9 +223,8 @@
 
     fn expected_output(&self, request: &CallerRequest) -> u32 {
         let known = self.outputs.get(&(request.customer.clone(), request.kind.clone()));
-        known.map_or(request.max_output_tokens, |tokens| {
-            (*tokens as u32).min(request.max_output_tokens)
-        })
+        let share = known.copied().unwrap_or(START_OUTPUT_SHARE);
+        (share * request.max_output_tokens as f32).ceil() as u32
     }
 
     /// Places a request's next step, or gives the request up.
@@ -294,6 +295,7 @@
             expected_output: expected_output.saturating_sub(generated),
             max_output: flow.request.max_output_tokens,
             prefixes: &flow.request.prefixes,
+            priority: flow.kind().priority,
             time_left,
             tried: &flow.tried,
             alone: verdict == SuspectVerdict::Alone,
@@ -327,7 +329,7 @@
         let reads = matches!(work, AttemptWork::Prefill | AttemptWork::Complete);
         let tokens = if reads { flow.request.prompt_tokens } else { 0 };
         let memory = pieces(flow.request.prompt_tokens + flow.request.max_output_tokens);
-        self.beliefs.add(&choice.target, tokens, memory);
+        self.beliefs.add(&choice.target, flow.kind().priority, tokens, memory);
         let frame =
             place_frame(now, flow, attempt, &choice, work, (expected_output_tokens, crashes));
         flow.phase = FlowPhase::Placed(PlacedAttempt {
@@ -647,8 +649,9 @@
     fn learn_output(&mut self, id: RequestId, tokens: u32) {
         let Some(flow) = self.flows.get(&id) else { return };
         let key = (flow.request.customer.clone(), flow.request.kind.clone());
-        let known = self.outputs.entry(key).or_insert(tokens as f32);
-        *known += (tokens as f32 - *known) * OUTPUT_SMOOTHING;
+        let share = tokens as f32 / flow.request.max_output_tokens.max(1) as f32;
+        let known = self.outputs.entry(key).or_insert(START_OUTPUT_SHARE);
+        *known += (share - *known) * OUTPUT_SMOOTHING;
     }
 
     fn refuse(
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -28,6 +28,9 @@
 /// Fixed time of such a move.
 const MOVE_FIXED: Duration = Duration::from_millis(20);
 
+/// Part by which one more running request lengthens the time between tokens.
+const GAP_PER_RUN: f32 = 0.022;
+
 /// How targets are chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Display, EnumString)]
 #[strum(serialize_all = "kebab-case")]
@@ -53,6 +56,8 @@
     pub max_output: u32,
     /// Hashes of the prompt's prefixes, shortest first.
     pub prefixes: &'a [PrefixHash],
+    /// Priority from 0 (first) to 9 (last).
+    pub priority: u8,
     /// Time left until the deadline.
     pub time_left: Duration,
     /// Targets that declined or failed.
@@ -234,13 +239,14 @@
 fn read_seconds(belief: &TargetBelief, query: &PlaceQuery<'_>) -> f32 {
     let known = query.prefixes.iter().rposition(|prefix| belief.has_prefix(*prefix));
     let cached = known.map_or(0, |index| (index as u32 + 1) * PREFIX_BLOCK_TOKENS);
-    let waiting = belief.load.waiting_tokens + belief.added_tokens;
+    let waiting = belief.load.tokens_before(query.priority) + belief.added_before(query.priority);
     let own = query.prompt_tokens.saturating_sub(cached);
     (waiting as f32 + own as f32) / belief.load.prefill_rate.max(1.0)
 }
 
 fn write_seconds(belief: &TargetBelief, query: &PlaceQuery<'_>) -> f32 {
-    query.expected_output as f32 * belief.load.token_gap_ms / 1000.0
+    let growth = 1.0 + GAP_PER_RUN * belief.added as f32;
+    query.expected_output as f32 * belief.load.token_gap_ms * growth / 1000.0
 }
 
 fn waits_alone(belief: &TargetBelief, query: &PlaceQuery<'_>) -> f32 {
--- /dev/null
+++ b/src/fanout.rs
@@ -0,0 +1,51 @@
+//! Choice of the sides that an entry links to, where linking to all would cost too much.
+//!
+//! See [docs/CAPACITY.md](../docs/CAPACITY.md).
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    hash::{Hash, Hasher},
+};
+
+use siphasher::sip::SipHasher13;
+
+use crate::{
+    fold::FleetView,
+    ids::{SideId, VmId},
+    record::TargetOffer,
+};
+
+/// Returns the sides that the entry on `vm` links to: for each route, the `limit` sides
+/// that rank highest by a hash of both names.
+///
+/// Entries choose independently, so links spread evenly, and a side that comes or
+/// goes changes the choice of few entries.
+pub fn chosen_sides(view: &FleetView, vm: &VmId, limit: usize) -> BTreeSet<SideId> {
+    let mut routes: BTreeMap<&str, Vec<(u64, &SideId)>> = BTreeMap::new();
+    for (side, entry) in view.sides.iter().filter(|(_, entry)| !entry.detached) {
+        let rank = rank(vm, side);
+        for description in &entry.attachment.targets {
+            let route = match &description.offer {
+                TargetOffer::Engine { model, .. } => model,
+                TargetOffer::Service { service, .. } => service,
+            };
+            let ranked = routes.entry(route).or_default();
+            if ranked.last() != Some(&(rank, side)) {
+                ranked.push((rank, side));
+            }
+        }
+    }
+    let mut chosen = BTreeSet::new();
+    for ranked in routes.values_mut() {
+        ranked.sort_unstable();
+        chosen.extend(ranked.iter().rev().take(limit).map(|(_, side)| (*side).clone()));
+    }
+    chosen
+}
+
+fn rank(vm: &str, side: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    vm.hash(&mut hasher);
+    side.hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/frame.rs
+++ b/src/frame.rs
@@ -202,8 +202,8 @@
     pub role: Option<EngineRole>,
     /// Whether new work is accepted.
     pub accepting: bool,
-    /// Prompt tokens that wait to be read.
-    pub waiting_tokens: u64,
+    /// Prompt tokens that wait to be read, by priority; priorities without any are left out.
+    pub waiting_tokens: SmallVec<[(u8, u64); 3]>,
     /// Requests that wait.
     pub waiting: u32,
     /// Requests that generate or run.
@@ -216,14 +216,25 @@
     pub token_gap_ms: f32,
     /// Measured time of one call, in milliseconds; for plain services.
     pub call_ms: f32,
-    /// Prefixes that are believed cached, newest last.
-    pub prefixes: Vec<PrefixHash>,
+    /// Prefixes that are believed cached; `None` where they are those of the last report.
+    pub prefixes: Option<Vec<PrefixHash>>,
     /// Prompt tokens that were placed here in total.
     pub prompt_total: u64,
     /// Output tokens that were placed here in total.
     pub output_total: u64,
 }
 
+impl TargetLoad {
+    /// Returns the prompt tokens that are read before a new request of a priority.
+    pub fn tokens_before(&self, priority: u8) -> u64 {
+        self.waiting_tokens
+            .iter()
+            .filter(|(other, _)| *other <= priority)
+            .map(|(_, tokens)| tokens)
+            .sum()
+    }
+}
+
 /// Encodes a frame.
 ///
 /// # Errors
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod contract;
 pub mod entry;
 pub mod error;
+pub mod fanout;
 pub mod fold;
 pub mod frame;
 pub mod ids;
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -1,7 +1,7 @@
 //! The entry process.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -30,6 +30,7 @@
     api,
     entry::{EntryAction, EntryEvent, EntryMachine, EntrySettings, PlacementPolicy},
     error::Result,
+    fanout::chosen_sides,
     frame::{EntryFrame, SideFrame},
     ids::{RequestId, SideId, VmId},
     planner::{PlannerSettings, RolePlanner},
@@ -58,6 +59,8 @@
     pub admin_token: String,
     /// Time for the balancer to notice that a stopping entry is not ready.
     pub stop_notice: Duration,
+    /// Largest number of sides to link to for each model or service.
+    pub fanout: usize,
     /// Random number of this process.
     pub instance: u64,
 }
@@ -105,7 +108,7 @@
     let control = start_control(&settings, &shell)?;
     let wake = Arc::new(Notify::new());
     start_tail(&settings, &control, &wake, &metrics);
-    tokio::spawn(keep_links(shell.clone(), control.clone(), wake));
+    tokio::spawn(keep_links(settings.clone(), shell.clone(), control.clone(), wake));
     let ready = Arc::new(AtomicBool::new(true));
     let is_ready = ready.clone();
     let state = control.clone();
@@ -185,12 +188,16 @@
 }
 
 /// Keeps one link to each side that the log names.
-async fn keep_links(shell: Arc<EntryShell>, control: ControlHandle<EntryEvent>, wake: Arc<Notify>) {
+async fn keep_links(
+    settings: EntryProcessSettings,
+    shell: Arc<EntryShell>,
+    control: ControlHandle<EntryEvent>,
+    wake: Arc<Notify>,
+) {
     let mut tasks: HashMap<SideId, (u64, JoinHandle<()>)> = HashMap::new();
     loop {
         let view = control.view();
-        let wanted: HashSet<&SideId> =
-            view.sides.iter().filter(|(_, entry)| !entry.detached).map(|(side, _)| side).collect();
+        let wanted = chosen_sides(&view, &settings.vm, settings.fanout);
         tasks.retain(|side, (fence, task)| {
             let keep = wanted.contains(side)
                 && view.sides.get(side).is_some_and(|entry| entry.fence == *fence);
@@ -201,7 +208,7 @@
             }
             keep
         });
-        for side in wanted {
+        for side in &wanted {
             let Some(entry) = view.sides.get(side) else { continue };
             let Ok(address) = entry.attachment.address.parse() else { continue };
             tasks.entry(side.clone()).or_insert_with(|| {
--- a/src/side.rs
+++ b/src/side.rs
@@ -27,7 +27,7 @@
 mod target;
 
 pub use machine::SideMachine;
-pub use queue::{QueueOrder, QueuedWork, WorkQueue};
+pub use queue::{PRIORITIES, QueueOrder, QueuedWork, WorkQueue};
 pub use speed::SpeedGauge;
 
 /// Number of a link within a side process.
--- a/src/side/machine.rs
+++ b/src/side/machine.rs
@@ -22,6 +22,12 @@
     suspect::SuspectVerdict,
 };
 
+/// Size of one target's load in a report.
+const LOAD_BYTES: usize = 200;
+/// Bytes a second that a side may spend on load reports.
+const LOAD_BYTES_PER_SECOND: f64 = 4000.0;
+/// Longest time between load reports; an entry believes one for 1.5 s.
+const LONGEST_LOAD_INTERVAL: Duration = Duration::from_millis(1000);
 /// Time between two events after which a process has been paused.
 const PAUSE_LIMIT: Duration = Duration::from_millis(1000);
 /// Time for which a process that was paused waits for the log before it starts work.
@@ -167,6 +173,9 @@
         if !reports.is_empty() {
             out.push(SideAction::Send { link, frame: SideFrame::Suspects(reports) });
         }
+        for target in self.targets.values_mut() {
+            target.resend_prefixes();
+        }
         self.next_load = now;
     }
 
@@ -351,9 +360,9 @@
             self.broadcast(SideFrame::Heartbeat, out);
         }
         if now >= self.next_load && self.fence.is_some() {
-            self.next_load = now + LOAD_INTERVAL;
+            self.next_load = now + self.load_interval();
             let open = self.is_open(fold);
-            let loads = self.targets.values().map(|target| target.load(open)).collect();
+            let loads = self.targets.values_mut().map(|target| target.load(open)).collect();
             self.broadcast(SideFrame::Load(loads), out);
         }
     }
@@ -389,6 +398,14 @@
         }
     }
 
+    /// Returns the time between load reports, which grows with the number of links so
+    /// that the reports of a side stay within their share of the network.
+    fn load_interval(&self) -> Duration {
+        let bytes = LOAD_BYTES * self.targets.len() * self.links.len();
+        let least = Duration::from_secs_f64(bytes as f64 / LOAD_BYTES_PER_SECOND);
+        least.clamp(LOAD_INTERVAL, LONGEST_LOAD_INTERVAL)
+    }
+
     pub(super) fn broadcast(&self, frame: SideFrame, out: &mut Vec<SideAction>) {
         for link in self.links.keys() {
             out.push(SideAction::Send { link: *link, frame: frame.clone() });
--- a/src/side/queue.rs
+++ b/src/side/queue.rs
@@ -6,6 +6,9 @@
 
 use crate::ids::{AttemptId, ClockTime, CustomerId};
 
+/// Number of priorities.
+pub const PRIORITIES: usize = 10;
+
 /// Order in which a queue serves its work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub enum QueueOrder {
@@ -45,7 +48,7 @@
     flows: BTreeMap<CustomerId, CustomerFlow>,
     virtual_time: f64,
     arrivals: u64,
-    tokens: u64,
+    tokens: [u64; PRIORITIES],
     len: usize,
 }
 
@@ -66,7 +69,7 @@
             flows: BTreeMap::new(),
             virtual_time: 0.0,
             arrivals: 0,
-            tokens: 0,
+            tokens: [0; PRIORITIES],
             len: 0,
         }
     }
@@ -74,7 +77,8 @@
     /// Adds work.
     pub fn push(&mut self, work: QueuedWork) {
         self.arrivals += 1;
-        self.tokens += u64::from(work.prompt_tokens);
+        self.tokens[usize::from(work.priority).min(PRIORITIES - 1)] +=
+            u64::from(work.prompt_tokens);
         self.len += 1;
         let rank = match self.order {
             QueueOrder::Fair => (work.priority, work.deadline, self.arrivals),
@@ -87,15 +91,12 @@
         flow.work.insert(rank, work);
     }
 
-    /// Returns the work that is served next.
-    pub fn peek(&self) -> Option<&QueuedWork> {
-        let customer = self.next_flow()?;
-        self.flows[&customer].work.values().next()
-    }
-
-    /// Removes and returns the work that is served next.
-    pub fn pop(&mut self) -> Option<QueuedWork> {
-        let customer = self.next_flow()?;
+    /// Removes and returns the work that is served next among that for which `fits` holds.
+    ///
+    /// Work that does not fit keeps its place: what is served before it is
+    /// charged to its own customer.
+    pub fn pop_fitting(&mut self, fits: impl Fn(&QueuedWork) -> bool) -> Option<QueuedWork> {
+        let customer = self.next_flow(fits)?;
         let flow = self.flows.get_mut(&customer)?;
         let (_, work) = flow.work.pop_first()?;
         self.virtual_time = self.virtual_time.max(flow.finish);
@@ -104,6 +105,11 @@
         Some(work)
     }
 
+    /// Removes and returns the work that is served next.
+    pub fn pop(&mut self) -> Option<QueuedWork> {
+        self.pop_fitting(|_| true)
+    }
+
     /// Removes one attempt.
     pub fn remove(&mut self, attempt: AttemptId) -> Option<QueuedWork> {
         let flow = self
@@ -123,9 +129,9 @@
         all.filter(|work| test(work)).map(|work| work.attempt).collect()
     }
 
-    /// Returns the prompt tokens that wait.
-    pub fn waiting_tokens(&self) -> u64 {
-        self.tokens
+    /// Returns the prompt tokens that wait, by priority.
+    pub fn waiting_tokens(&self) -> &[u64; PRIORITIES] {
+        &self.tokens
     }
 
     /// Returns the number of attempts that wait.
@@ -144,17 +150,30 @@
     }
 
     fn forget(&mut self, work: &QueuedWork) {
-        self.tokens -= u64::from(work.prompt_tokens);
+        self.tokens[usize::from(work.priority).min(PRIORITIES - 1)] -=
+            u64::from(work.prompt_tokens);
         self.len -= 1;
         let virtual_time = self.virtual_time;
         self.flows.retain(|_, flow| !flow.work.is_empty() || flow.finish > virtual_time);
     }
 
-    fn next_flow(&self) -> Option<CustomerId> {
-        let waiting = self.flows.iter().filter(|(_, flow)| !flow.work.is_empty());
+    fn next_flow(&self, fits: impl Fn(&QueuedWork) -> bool) -> Option<CustomerId> {
+        fn head(flow: &CustomerFlow) -> Option<&QueuedWork> {
+            flow.work.values().next()
+        }
+        let first_arrival = |flow: &CustomerFlow| flow.work.keys().next().copied();
         let next = match self.order {
-            QueueOrder::Fair => waiting.min_by(|(_, a), (_, b)| a.finish.total_cmp(&b.finish)),
-            QueueOrder::Arrival => waiting.min_by_key(|(_, flow)| flow.work.keys().next().copied()),
+            QueueOrder::Fair => self
+                .flows
+                .iter()
+                .filter(|(_, flow)| head(flow).is_some_and(|work| fits(work)))
+                .min_by(|(_, a), (_, b)| a.finish.total_cmp(&b.finish)),
+            QueueOrder::Arrival => self
+                .flows
+                .iter()
+                .filter(|(_, flow)| !flow.work.is_empty())
+                .min_by_key(|(_, flow)| first_arrival(flow))
+                .filter(|(_, flow)| head(flow).is_some_and(|work| fits(work))),
         };
         next.map(|(customer, _)| customer.clone())
     }
--- a/src/side/runs.rs
+++ b/src/side/runs.rs
@@ -6,6 +6,7 @@
     SideAction, TargetEvent, TargetFailure,
     attempt::{AttemptPhase, RunProgress},
     machine::SideMachine,
+    queue::WorkQueue,
     target::TargetHealth,
 };
 use crate::{
@@ -30,17 +31,17 @@
         let Some(fence) = self.fence else { return };
         while !self.superseded && self.stood_still.is_none() {
             let Some(target) = self.targets.get_mut(name) else { return };
-            let Some(work) = target.queue.peek() else { return };
             if target.health != TargetHealth::Up {
                 return;
             }
-            if !target.has_room(now, work.pieces, work.prompt_tokens, work.alone) {
-                return;
-            }
-            let Some(work) = target.queue.pop() else { return };
+            let mut queue =
+                std::mem::replace(&mut target.queue, WorkQueue::new(self.settings.order));
+            let work = queue.pop_fitting(|work| target.has_room(now, work));
+            target.queue = queue;
+            let Some(work) = work else { return };
             target.running += 1;
             target.used_pieces += work.pieces;
-            target.unread_tokens += u64::from(work.prompt_tokens);
+            target.add_unread(work.priority, work.prompt_tokens);
             if work.alone {
                 target.alone = Some(work.attempt);
             }
@@ -102,7 +103,7 @@
         let tokens = attempt.tokens_to_read();
         let prefixes = attempt.place.prefixes.clone();
         let Some(target) = self.targets.get_mut(&attempt.target) else { return };
-        target.unread_tokens -= u64::from(tokens);
+        target.remove_unread(attempt.place.priority, tokens);
         target.gauge.prompt_read(now, started, tokens);
         target.note_prefixes(prefixes);
     }
@@ -394,7 +395,7 @@
                 target.running -= 1;
                 target.used_pieces -= attempt.pieces();
                 if !read {
-                    target.unread_tokens -= u64::from(attempt.tokens_to_read());
+                    target.remove_unread(attempt.place.priority, attempt.tokens_to_read());
                 }
             }
             AttemptPhase::KeepingCache => target.used_pieces -= attempt.pieces(),
--- a/src/side/target.rs
+++ b/src/side/target.rs
@@ -3,9 +3,10 @@
 use std::collections::VecDeque;
 
 use serde::Serialize;
+use smallvec::SmallVec;
 
 use super::{
-    queue::{QueueOrder, WorkQueue},
+    queue::{PRIORITIES, QueueOrder, QueuedWork, WorkQueue},
     speed::SpeedGauge,
 };
 use crate::{
@@ -31,12 +32,15 @@
     pub(crate) gauge: SpeedGauge,
     pub(crate) running: u32,
     pub(crate) used_pieces: u32,
-    pub(crate) unread_tokens: u64,
+    /// Prompt tokens that the engine still has to read, by priority.
+    unread: [u64; PRIORITIES],
     pub(crate) alone: Option<AttemptId>,
     pub(crate) prompt_total: u64,
     pub(crate) output_total: u64,
     #[serde(skip)]
     prefixes: VecDeque<PrefixHash>,
+    /// Whether the prefixes have changed since the last report.
+    prefixes_changed: bool,
 }
 
 /// Whether a target answers.
@@ -73,11 +77,12 @@
             gauge: SpeedGauge::default(),
             running: 0,
             used_pieces: 0,
-            unread_tokens: 0,
+            unread: [0; PRIORITIES],
             alone: None,
             prompt_total: 0,
             output_total: 0,
             prefixes: VecDeque::new(),
+            prefixes_changed: true,
         }
     }
 
@@ -99,24 +104,45 @@
     }
 
     /// Tells whether the work at the head of the queue may start now.
-    pub(crate) fn has_room(&self, now: ClockTime, pieces: u32, tokens: u32, alone: bool) -> bool {
-        if self.alone.is_some() || (alone && self.running > 0) {
+    pub(crate) fn has_room(&self, now: ClockTime, work: &QueuedWork) -> bool {
+        if self.alone.is_some() || (work.alone && self.running > 0) {
             return false;
         }
         let slots = match self.description.offer {
             TargetOffer::Engine { .. } => MAX_RUNNING,
             TargetOffer::Service { slots, .. } => slots,
         };
-        if self.running >= self.gauge.allowed(now, slots) || pieces > self.free_pieces() {
+        if self.running >= self.gauge.allowed(now, slots) || work.pieces > self.free_pieces() {
             return false;
         }
         let ahead = (self.gauge.prefill_rate() * READ_AHEAD_SECONDS) as u64;
-        tokens == 0 || self.unread_tokens == 0 || self.unread_tokens + u64::from(tokens) <= ahead
+        work.prompt_tokens == 0 || self.unread_before(work.priority) < ahead.max(1)
+    }
+
+    /// Counts prompt tokens that are handed to the engine.
+    pub(crate) fn add_unread(&mut self, priority: u8, tokens: u32) {
+        self.unread[usize::from(priority).min(PRIORITIES - 1)] += u64::from(tokens);
+    }
+
+    /// Counts prompt tokens that the engine has read or will not read.
+    pub(crate) fn remove_unread(&mut self, priority: u8, tokens: u32) {
+        self.unread[usize::from(priority).min(PRIORITIES - 1)] -= u64::from(tokens);
+    }
+
+    fn unread_before(&self, priority: u8) -> u64 {
+        self.unread.iter().take(usize::from(priority) + 1).sum()
+    }
+
+    fn waiting_tokens(&self) -> SmallVec<[(u8, u64); 3]> {
+        let queued = self.queue.waiting_tokens();
+        let sums = self.unread.iter().zip(queued).map(|(unread, queued)| unread + queued);
+        (0..).zip(sums).filter(|(_, tokens)| *tokens > 0).collect()
     }
 
     /// Notes prefixes that the cache holds, from own work or from the target's events.
     pub(crate) fn note_prefixes(&mut self, prefixes: impl IntoIterator<Item = PrefixHash>) {
         for prefix in prefixes {
+            self.prefixes_changed |= !self.prefixes.contains(&prefix);
             self.prefixes.retain(|known| *known != prefix);
             self.prefixes.push_back(prefix);
             if self.prefixes.len() > MAX_KNOWN_PREFIXES {
@@ -127,22 +153,30 @@
 
     /// Forgets the cache, which a restart or a role change empties.
     pub(crate) fn forget_prefixes(&mut self) {
+        self.prefixes_changed |= !self.prefixes.is_empty();
         self.prefixes.clear();
     }
 
-    pub(crate) fn load(&self, open: bool) -> TargetLoad {
+    /// Makes the next report pass on the prefixes, which a new link does not know.
+    pub(crate) fn resend_prefixes(&mut self) {
+        self.prefixes_changed = true;
+    }
+
+    pub(crate) fn load(&mut self, open: bool) -> TargetLoad {
+        let changed = std::mem::take(&mut self.prefixes_changed);
+        let prefixes = changed.then(|| self.prefixes.iter().copied().collect());
         TargetLoad {
             target: self.description.target.clone(),
             role: self.role,
             accepting: open && self.is_open(),
-            waiting_tokens: self.queue.waiting_tokens() + self.unread_tokens,
+            waiting_tokens: self.waiting_tokens(),
             waiting: self.queue.len() as u32,
             running: self.running,
             free_pieces: self.free_pieces(),
             prefill_rate: self.gauge.prefill_rate(),
             token_gap_ms: self.gauge.gap_ms(),
             call_ms: self.gauge.call_ms(),
-            prefixes: self.prefixes.iter().copied().collect(),
+            prefixes,
             prompt_total: self.prompt_total,
             output_total: self.output_total,
         }
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -56,7 +56,7 @@
     }
     assert_eq!(served(&mut queue, 10).len(), 10);
     assert!(queue.is_empty());
-    assert_eq!(queue.waiting_tokens(), 0);
+    assert_eq!(queue.waiting_tokens(), &[0; 10]);
 }
 
 #[test]
@@ -73,6 +73,6 @@
     let item = work(1, "a", 1000, 30, 9000);
     queue.push(item.clone());
     assert_eq!(queue.remove(item.attempt), Some(item));
-    assert_eq!((queue.len(), queue.waiting_tokens()), (0, 0));
+    assert_eq!((queue.len(), queue.waiting_tokens()), (0, &[0; 10]));
     assert!(queue.pop().is_none());
 }
--- a/tests/unread_tokens_leak.rs
+++ b/tests/unread_tokens_leak.rs
@@ -21,6 +21,6 @@
         SideAction::Send { frame: SideFrame::Load(loads), .. } => Some(loads.clone()),
         _ => None,
     });
-    assert_eq!(loads.unwrap()[0].waiting_tokens, 0);
+    assert!(loads.unwrap()[0].waiting_tokens.is_empty());
     bench.event(SideEvent::Tick);
 }
