--- a/src/planner.rs
+++ b/src/planner.rs
@@ -22,11 +22,11 @@
 /// Time over which demand is averaged.
 const DEMAND_MEMORY: Duration = Duration::from_secs(12);
 /// Time between two plans.
-const PLAN_DISTANCE: Duration = Duration::from_secs(12);
+const PLAN_DISTANCE: Duration = Duration::from_secs(20);
 /// Time after a start during which demand is only measured.
 const LEARNING_TIME: Duration = Duration::from_secs(10);
 /// Smallest gain of a move, as a factor of the tighter side's cover.
-const LEAST_GAIN: f64 = 1.12;
+const LEAST_GAIN: f64 = 1.25;
 /// Backlog of reading, in seconds, above which a move may be worth its cost.
 const READING_PRESSURE: f64 = 1.0;
 /// Running requests by compared batch above which a move may be worth its cost.
