Scenarios in a small line language, with their first findings

Found and mended: an append whose answer is lost held up those behind it for 2 s, so 18 of 20 tickets were answered late (answers_lost.scn); the log's own records now settle it. Suspects were estimated to wait a second for each running request, so 6 of 40 neighbours of a poison request were refused (poison.scn).

Ruled out: several appends in flight at once (order between a claim's events would then depend on the log service).

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod path;
 pub mod processes;
 pub mod rig;
+pub mod scenario;
 pub mod serve;
 pub mod service;
 pub mod shift;
--- a/emulator/src/matrix.rs
+++ b/emulator/src/matrix.rs
@@ -309,23 +309,7 @@
 
 /// Returns the small fleet of the matrix with its requests and its planned work.
 pub fn fleet(seed: u64) -> Rig {
-    let mut rig = Rig::new(RigSettings {
-        seed,
-        entries: 2,
-        engines: (0..ENGINES).map(engine).collect(),
-        services: (ENGINES..TARGETS)
-            .map(|index| (format!("tickets-{index}"), "tickets".to_owned()))
-            .collect(),
-        contracts: vec![contract("north", 300), contract("south", 300)],
-        delay: Duration::from_micros(1500),
-        caller_delay: Duration::from_millis(3),
-        retention: Duration::from_secs(20),
-        call_time: Duration::from_millis(150),
-        placement: PlacementPolicy::EarliestEnd,
-        order: QueueOrder::Fair,
-        roles: RolePolicy::AllMixed,
-        callers_repeat: true,
-    });
+    let mut rig = Rig::new(fleet_settings(seed));
     rig.offer(requests(seed));
     let planned = [
         (6000, RigFault::RaceContract(Box::new(contract("north", 300)))),
@@ -338,7 +322,8 @@
     rig
 }
 
-fn engine(index: usize) -> EngineProfile {
+/// Returns an engine of the small fleet.
+pub fn engine(index: usize) -> EngineProfile {
     EngineProfile {
         name: format!("engine-{index}"),
         model: "assessor".to_owned(),
@@ -348,6 +333,27 @@
     }
 }
 
+/// Returns the settings of the small fleet.
+pub fn fleet_settings(seed: u64) -> RigSettings {
+    RigSettings {
+        seed,
+        entries: 2,
+        engines: (0..ENGINES).map(engine).collect(),
+        services: (ENGINES..TARGETS)
+            .map(|index| (format!("tickets-{index}"), "tickets".to_owned()))
+            .collect(),
+        contracts: vec![contract("north", 300), contract("south", 300)],
+        delay: Duration::from_micros(1500),
+        caller_delay: Duration::from_millis(3),
+        retention: Duration::from_secs(20),
+        call_time: Duration::from_millis(150),
+        placement: PlacementPolicy::EarliestEnd,
+        order: QueueOrder::Fair,
+        roles: RolePolicy::AllMixed,
+        callers_repeat: true,
+    }
+}
+
 /// Returns a contract of the matrix; `share` is in thousandths of the fleet.
 pub fn contract(customer: &str, share: u32) -> CustomerContract {
     let engine_route = || KindRoute::Engine {
--- a/emulator/src/rig/nodes.rs
+++ b/emulator/src/rig/nodes.rs
@@ -17,6 +17,8 @@
 use crate::eager::EagerPlanner;
 
 const ATTACH_INTERVAL: Duration = Duration::from_millis(1000);
+/// Time for which a stopping entry still takes requests, until the balancer has noticed.
+const STOP_NOTICE: Duration = Duration::from_millis(1000);
 const RESTART_TIME: Duration = Duration::from_millis(500);
 const TARGET_DELAY: Duration = Duration::from_micros(200);
 const CARRY_INTERVAL: Duration = Duration::from_secs(1);
@@ -428,7 +430,12 @@
         self.base_mut(node).draining = true;
         self.step_of_node(ProtocolStep::DrainBegun, node);
         match node {
-            NodeId::Entry(index) => self.step_entry(index, EntryEvent::Open { open: false }),
+            NodeId::Entry(index) => {
+                let process = self.entries[index].base.process;
+                let input = NodeInput::Entry(Box::new(EntryEvent::Open { open: false }));
+                let event = RigEvent::Node { node: NodeId::Entry(index), process, input };
+                self.after(STOP_NOTICE, event);
+            }
             NodeId::Side(index) => self.step_side(index, SideEvent::Drain),
         }
     }
@@ -451,10 +458,8 @@
 
     pub(super) fn finish_entry_drain(&mut self, index: usize) {
         let node = &self.entries[index];
-        if node.base.draining
-            && node.base.state == NodeState::Running
-            && node.machine.in_flight() == 0
-        {
+        let closed = node.base.draining && !node.machine.is_ready();
+        if closed && node.base.state == NodeState::Running && node.machine.in_flight() == 0 {
             self.end_process(NodeId::Entry(index));
             self.after(RESTART_TIME, RigEvent::Restart { node: NodeId::Entry(index) });
         }
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -307,6 +307,23 @@
         }
     }
 
+    /// Tells whether an event needs no further append: it has taken effect, or another
+    /// one came first.
+    pub fn shows(&self, event: &ClaimEvent) -> bool {
+        match event {
+            ClaimEvent::Take { key, .. } => {
+                self.entries.get(key).is_some_and(|entry| entry.state != ClaimState::Free)
+            }
+            ClaimEvent::Outcome { key, .. } | ClaimEvent::Settle { key, .. } => {
+                let state = self.entries.get(key).map(|entry| &entry.state);
+                matches!(state, Some(ClaimState::Done { .. }))
+            }
+            ClaimEvent::Release { key, attempt } => {
+                self.entries.get(key).is_some_and(|entry| entry.released.contains(attempt))
+            }
+        }
+    }
+
     /// Returns the keys whose outcome is unknown at `time`, for operators.
     pub fn unknown(&self, time: LogTime) -> impl Iterator<Item = (&ClaimKey, &ClaimEntry)> {
         self.entries.iter().filter(move |(_, entry)| match &entry.state {
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -31,6 +31,9 @@
 /// Part by which one more running request lengthens the time between tokens.
 const GAP_PER_RUN: f32 = 0.022;
 
+/// Part of queued requests that are taken for suspects, which run one after the other.
+const QUEUED_ALONE_SHARE: f32 = 0.2;
+
 /// How targets are chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Display, EnumString)]
 #[strum(serialize_all = "kebab-case")]
@@ -249,8 +252,13 @@
     query.expected_output as f32 * belief.load.token_gap_ms * growth / 1000.0
 }
 
+/// Estimates how long a suspect waits until a target runs nothing else.
 fn waits_alone(belief: &TargetBelief, query: &PlaceQuery<'_>) -> f32 {
-    if query.alone { in_flight(belief) as f32 } else { 0.0 }
+    if !query.alone || in_flight(belief) == 0 {
+        return 0.0;
+    }
+    let queued = (belief.load.waiting + belief.added) as f32;
+    write_seconds(belief, query) * (1.0 + QUEUED_ALONE_SHARE * queued)
 }
 
 fn complete_seconds(belief: &TargetBelief, query: &PlaceQuery<'_>) -> Option<f32> {
--- a/src/side/machine.rs
+++ b/src/side/machine.rs
@@ -328,6 +328,7 @@
             self.abandon_unstarted(out);
             out.push(SideAction::Superseded);
         }
+        self.outbox.settle(fold);
         self.hand_back_queues(now, fold, out);
         let waiting: Vec<AttemptId> = self
             .attempts
--- a/src/side/outbox.rs
+++ b/src/side/outbox.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     claim::{ClaimEvent, ClaimKey},
+    fold::FleetFold,
     ids::{AttemptId, ClockTime, FencingNumber, SideId},
     record::{ClaimBatch, LogRecord, SuspectReport},
 };
@@ -91,6 +92,20 @@
         }
     }
 
+    /// Counts an append as confirmed once the log shows all of its effects.
+    ///
+    /// An append whose answer is lost would otherwise hold up those behind it.
+    pub(crate) fn settle(&mut self, fold: &FleetFold) {
+        let shown = self.in_flight.as_ref().is_some_and(|flight| match &flight.record {
+            LogRecord::Claims(batch) => batch.events.iter().all(|event| fold.claims().shows(event)),
+            LogRecord::Suspects(report) => fold.result(&report.change).is_some(),
+            _ => false,
+        });
+        if shown {
+            self.in_flight = None;
+        }
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.claims.is_empty()
             && self.unsure.is_empty()
