--- a/emulator/src/rig/nodes.rs
+++ b/emulator/src/rig/nodes.rs
@@ -6,7 +6,7 @@
 use sapphirewell::{
     carry,
     entry::{EntryAction, EntryEvent, EntryMachine, EntrySettings},
-    fold::{FleetFold, FoldNotice},
+    fold::FleetFold,
     ids::{ClockTime, LogOffset},
     planner::{PlannerSettings, RolePlanner},
     record::{LogRecord, SideAttachment, TargetDescription, TargetOffer},
@@ -158,6 +158,7 @@
         let instance = self.rng.random();
         let machine = SideMachine::new(SideSettings {
             side: side_name(index),
+            instance,
             vm: vm_name(index),
             targets: vec![description.clone()],
             order: self.settings.order,
@@ -369,18 +370,6 @@
         self.send_append(NodeId::Side(index), None, &record);
     }
 
-    pub(crate) fn notices(&mut self, node: NodeId, notices: &[FoldNotice]) {
-        let NodeId::Side(index) = node else { return };
-        let instance = self.sides[index].base.instance;
-        for notice in notices {
-            if let FoldNotice::Attached { fence, instance: attached, .. } = notice
-                && *attached == instance
-            {
-                self.step_side(index, SideEvent::Attached { fence: *fence });
-            }
-        }
-    }
-
     /// Ends a node's process at once.
     pub(crate) fn end_process(&mut self, node: NodeId) {
         self.base_mut(node).state = NodeState::Ended;
--- a/emulator/src/rig/platform.rs
+++ b/emulator/src/rig/platform.rs
@@ -171,14 +171,12 @@
     }
 
     fn fold_records(&mut self, node: NodeId, records: Vec<StoredRecord>) {
-        let mut notices = Vec::new();
         let base = self.base_mut(node);
         for record in records {
             base.position = record.offset + 1;
-            notices.extend(base.fold.apply(&record));
+            base.fold.apply(&record);
         }
         self.referee_contracts(node);
-        self.notices(node, &notices);
     }
 
     fn log_advanced(&mut self, node: NodeId) {
--- a/src/fold.rs
+++ b/src/fold.rs
@@ -111,31 +111,6 @@
     },
 }
 
-/// Notice about something that a record decided.
-#[derive(Debug, Clone, PartialEq)]
-pub enum FoldNotice {
-    /// A proposed change was decided.
-    Change {
-        /// The change.
-        change: ChangeId,
-        /// Its result.
-        result: ChangeResult,
-    },
-    /// Claims may have changed.
-    Claims,
-    /// A side attached.
-    Attached {
-        /// The side.
-        side: SideId,
-        /// Its fencing number.
-        fence: FencingNumber,
-        /// Its instance number.
-        instance: u64,
-    },
-    /// The record was not understood and was skipped.
-    Skipped,
-}
-
 /// The part of the state that traffic reads: an immutable snapshot, cheap to clone.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct FleetView {
@@ -232,24 +207,19 @@
     }
 
     /// Applies one record. A record before the next offset has no effect.
-    pub fn apply(&mut self, stored: &StoredRecord) -> Vec<FoldNotice> {
+    pub fn apply(&mut self, stored: &StoredRecord) {
         if stored.offset < self.view.next {
-            return Vec::new();
+            return;
         }
         self.view.next = stored.offset + 1;
         self.advance(stored.time);
-        match LogRecord::decode(&stored.body) {
-            Ok(record) => self.apply_record(stored.offset, stored.time, record),
-            Err(_) => vec![FoldNotice::Skipped],
+        // A record that is not understood is skipped everywhere alike.
+        if let Ok(record) = LogRecord::decode(&stored.body) {
+            self.apply_record(stored.offset, stored.time, record);
         }
     }
 
-    fn apply_record(
-        &mut self,
-        offset: LogOffset,
-        time: LogTime,
-        record: LogRecord,
-    ) -> Vec<FoldNotice> {
+    fn apply_record(&mut self, offset: LogOffset, time: LogTime, record: LogRecord) {
         match record {
             LogRecord::Contract(change) => self.apply_contract(offset, time, change),
             LogRecord::Vm(announcement) => self.apply_vm(offset, time, announcement),
@@ -260,21 +230,15 @@
                 for event in &batch.events {
                     self.claims.apply(time, &batch.side, batch.fence, event);
                 }
-                vec![FoldNotice::Claims]
             }
             LogRecord::Suspects(report) => self.apply_suspects(time, &report),
             LogRecord::Carry(carried) => self.apply_carry(time, carried),
         }
     }
 
-    fn apply_contract(
-        &mut self,
-        offset: LogOffset,
-        time: LogTime,
-        change: ContractChange,
-    ) -> Vec<FoldNotice> {
+    fn apply_contract(&mut self, offset: LogOffset, time: LogTime, change: ContractChange) {
         if self.result(&change.change).is_some() {
-            return Vec::new();
+            return;
         }
         let current = self.view.contracts.get(&change.customer).map_or(0, |entry| entry.revision);
         let retired =
@@ -292,96 +256,75 @@
             Arc::make_mut(&mut self.view.contracts).insert(change.customer, entry);
             ChangeResult::Accepted { revision: offset }
         };
-        vec![self.note_result(change.change, result)]
+        self.note_result(change.change, result);
     }
 
-    fn apply_vm(
-        &mut self,
-        offset: LogOffset,
-        time: LogTime,
-        announcement: VmAnnouncement,
-    ) -> Vec<FoldNotice> {
+    fn apply_vm(&mut self, offset: LogOffset, time: LogTime, announcement: VmAnnouncement) {
         if self.result(&announcement.change).is_some() {
-            return Vec::new();
+            return;
         }
         let entry = VmEntry { revision: offset, leaving: announcement.leaving, recorded: time };
         Arc::make_mut(&mut self.view.vms).insert(announcement.vm, entry);
-        vec![self.note_result(announcement.change, ChangeResult::Accepted { revision: offset })]
+        self.note_result(announcement.change, ChangeResult::Accepted { revision: offset });
     }
 
-    fn apply_attach(
-        &mut self,
-        offset: LogOffset,
-        time: LogTime,
-        attachment: SideAttachment,
-    ) -> Vec<FoldNotice> {
+    fn apply_attach(&mut self, offset: LogOffset, time: LogTime, attachment: SideAttachment) {
         let repeated = self
             .view
             .sides
             .get(&attachment.side)
             .is_some_and(|entry| entry.attachment.instance == attachment.instance);
         if repeated {
-            return Vec::new();
+            return;
         }
-        let (side, instance) = (attachment.side.clone(), attachment.instance);
+        let side = attachment.side.clone();
         self.claims.replace_side(&side, offset);
         let entry = SideEntry { fence: offset, attachment, detached: false, recorded: time };
-        Arc::make_mut(&mut self.view.sides).insert(side.clone(), entry);
-        vec![FoldNotice::Attached { side, fence: offset, instance }, FoldNotice::Claims]
+        Arc::make_mut(&mut self.view.sides).insert(side, entry);
     }
 
-    fn apply_detach(&mut self, side: &SideId, fence: FencingNumber) -> Vec<FoldNotice> {
+    fn apply_detach(&mut self, side: &SideId, fence: FencingNumber) {
         if let Some(entry) = Arc::make_mut(&mut self.view.sides).get_mut(side)
             && entry.fence == fence
         {
             entry.detached = true;
         }
-        Vec::new()
     }
 
-    fn apply_plan(
-        &mut self,
-        offset: LogOffset,
-        time: LogTime,
-        proposal: PlanProposal,
-    ) -> Vec<FoldNotice> {
+    fn apply_plan(&mut self, offset: LogOffset, time: LogTime, proposal: PlanProposal) {
         if proposal.replaces != self.view.plan.plan {
-            return Vec::new();
+            return;
         }
         let plan = Arc::make_mut(&mut self.view.plan);
         plan.plan = offset;
         plan.recorded = time;
         plan.roles.extend(proposal.roles);
-        Vec::new()
     }
 
-    fn apply_suspects(&mut self, time: LogTime, report: &SuspectReport) -> Vec<FoldNotice> {
+    fn apply_suspects(&mut self, time: LogTime, report: &SuspectReport) {
         if self.result(&report.change).is_some() {
-            return Vec::new();
+            return;
         }
         Arc::make_mut(&mut self.view.suspects).apply(time, report);
         let revision = self.view.next - 1;
-        vec![self.note_result(report.change.clone(), ChangeResult::Accepted { revision })]
+        self.note_result(report.change.clone(), ChangeResult::Accepted { revision });
     }
 
-    fn apply_carry(&mut self, time: LogTime, carried: CarriedState) -> Vec<FoldNotice> {
+    fn apply_carry(&mut self, time: LogTime, carried: CarriedState) {
         if time.saturating_sub(carried.read_until) > CARRY_VALID {
-            return Vec::new();
+            return;
         }
         match carried.item {
             CarriedItem::Contract { customer, revision, contract } => {
                 self.carry_contract(time, customer, revision, contract);
-                Vec::new()
             }
             CarriedItem::Plan { plan, roles } => {
                 if plan >= self.view.plan.plan {
                     self.view.plan = Arc::new(CurrentPlan { plan, roles, recorded: time });
                 }
-                Vec::new()
             }
             CarriedItem::Attachment { fence, attachment } => {
                 self.carry_attachment(time, fence, attachment);
-                Vec::new()
             }
             CarriedItem::Vm { vm, revision, leaving } => {
                 let known = self.view.vms.get(&vm).map_or(0, |entry| entry.revision);
@@ -389,13 +332,11 @@
                     let entry = VmEntry { revision, leaving, recorded: time };
                     Arc::make_mut(&mut self.view.vms).insert(vm, entry);
                 }
-                Vec::new()
             }
             CarriedItem::Claims(entries) => {
                 for (key, entry) in &entries {
                     self.claims.carry(time, key, entry);
                 }
-                vec![FoldNotice::Claims]
             }
         }
     }
@@ -445,11 +386,10 @@
         }
     }
 
-    fn note_result(&mut self, change: ChangeId, result: ChangeResult) -> FoldNotice {
+    fn note_result(&mut self, change: ChangeId, result: ChangeResult) {
         if self.results.len() == KEPT_RESULTS {
             self.results.pop_front();
         }
-        self.results.push_back((change.clone(), result.clone()));
-        FoldNotice::Change { change, result }
+        self.results.push_back((change, result));
     }
 }
--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -18,7 +18,7 @@
     carry,
     entry::{EntryAction, EntryEvent, EntryMachine},
     error::{Error, ErrorCode, Result},
-    fold::{ChangeResult, FleetFold, FleetView, FoldNotice, StoredRecord},
+    fold::{ChangeResult, FleetFold, FleetView, StoredRecord},
     ids::{ChangeId, ClockTime, LogOffset, LogTime},
     record::LogRecord,
     side::{SideAction, SideEvent, SideMachine},
@@ -52,8 +52,6 @@
     fn tick() -> Self::Event;
     /// Returns the event for new records.
     fn log_advanced() -> Self::Event;
-    /// Returns the event for a notice that concerns this process alone.
-    fn notice(&self, notice: &FoldNotice) -> Option<Self::Event>;
     /// Returns a record that the role wants appended on its own account.
     fn propose(&mut self, now: ClockTime, view: &FleetView) -> Option<LogRecord>;
     /// Tells whether nothing is left to do.
@@ -297,12 +295,11 @@
     }
 
     fn records(&mut self, records: Vec<StoredRecord>, time: Option<LogTime>) {
-        let mut notices = Vec::new();
         for record in records {
             if record.offset < self.fold.view().next {
                 continue;
             }
-            notices.extend(self.fold.apply(&record));
+            self.fold.apply(&record);
             if self.recent.len() == KEPT_RECORDS {
                 self.recent.pop_front();
             }
@@ -312,11 +309,6 @@
             self.fold.advance(time);
         }
         self.publish();
-        for notice in &notices {
-            if let Some(event) = self.machine.notice(notice) {
-                self.step(event);
-            }
-        }
         self.step(M::log_advanced());
     }
 
@@ -399,10 +391,6 @@
         EntryEvent::LogAdvanced
     }
 
-    fn notice(&self, _notice: &FoldNotice) -> Option<EntryEvent> {
-        None
-    }
-
     fn propose(&mut self, now: ClockTime, view: &FleetView) -> Option<LogRecord> {
         self.planner.propose(now, view, &self.machine).map(LogRecord::Plan)
     }
@@ -416,16 +404,7 @@
     }
 }
 
-/// Side machine together with the number of its process.
-#[derive(Debug, Serialize)]
-pub struct SideRole {
-    /// Guards targets.
-    pub machine: SideMachine,
-    /// Random number of this process.
-    pub instance: u64,
-}
-
-impl RoleMachine for SideRole {
+impl RoleMachine for SideMachine {
     type Event = SideEvent;
     type Action = SideAction;
 
@@ -436,7 +415,7 @@
         event: SideEvent,
         out: &mut Vec<SideAction>,
     ) {
-        self.machine.step(now, fold, event, out);
+        SideMachine::step(self, now, fold, event, out);
     }
 
     fn tick() -> SideEvent {
@@ -447,21 +426,12 @@
         SideEvent::LogAdvanced
     }
 
-    fn notice(&self, notice: &FoldNotice) -> Option<SideEvent> {
-        match notice {
-            FoldNotice::Attached { fence, instance, .. } if *instance == self.instance => {
-                Some(SideEvent::Attached { fence: *fence })
-            }
-            _ => None,
-        }
-    }
-
     fn propose(&mut self, _now: ClockTime, _view: &FleetView) -> Option<LogRecord> {
         None
     }
 
     fn is_idle(&self) -> bool {
-        self.machine.is_idle()
+        SideMachine::is_idle(self)
     }
 
     fn is_ready(&self) -> bool {
--- a/src/process/side.rs
+++ b/src/process/side.rs
@@ -18,7 +18,7 @@
 
 use super::{
     admin::{self, StateQueries},
-    control::{self, ControlHandle, ControlMessage, ControlSettings, SideRole},
+    control::{self, ControlHandle, ControlMessage, ControlSettings},
     link::{self, LinkContext, LinkSender},
     metrics::ProcessMetrics,
     peer::PeerClient,
@@ -132,16 +132,16 @@
 ) -> Result<ControlHandle<SideEvent>> {
     let machine = SideMachine::new(SideSettings {
         side: settings.side.clone(),
+        instance: settings.instance,
         vm: settings.vm.clone(),
         targets: settings.targets.iter().map(|(description, _)| description.clone()).collect(),
         order: QueueOrder::Fair,
     });
-    let role = SideRole { machine, instance: settings.instance };
     let (records, appends) = mpsc::unbounded_channel();
     tokio::spawn(append_records(settings.platform.clone(), appends));
     let performer = shell.clone();
     let control = control::spawn(
-        role,
+        machine,
         settings.control.clone(),
         shell.metrics.clone(),
         move |action| performer.perform(action),
--- a/src/side.rs
+++ b/src/side.rs
@@ -43,6 +43,8 @@
 pub struct SideSettings {
     /// The side.
     pub side: SideId,
+    /// Random number of the process, as in its attachment.
+    pub instance: u64,
     /// Its VM.
     pub vm: VmId,
     /// Its targets.
@@ -54,11 +56,6 @@
 /// Something that happened at a side.
 #[derive(Debug, Clone, PartialEq)]
 pub enum SideEvent {
-    /// The side's attachment was read back from the log.
-    Attached {
-        /// Its fencing number.
-        fence: FencingNumber,
-    },
     /// An entry connected.
     LinkUp {
         /// The link.
--- a/src/side/machine.rs
+++ b/src/side/machine.rs
@@ -105,7 +105,6 @@
     ) {
         self.notice_pause(now);
         match event {
-            SideEvent::Attached { fence } => self.attach(fence, out),
             SideEvent::LinkUp { link } => self.link_up(now, link, out),
             SideEvent::LinkDown { link } => self.link_down(fold, link, out),
             SideEvent::Frame { link, frame } => self.frame(now, fold, link, frame, out),
@@ -151,6 +150,15 @@
         self.fence.is_some() && !self.superseded && !self.draining && !leaving
     }
 
+    /// Takes up the fencing number once the log, or a copied state, shows the attachment.
+    fn find_attachment(&mut self, fold: &FleetFold, out: &mut Vec<SideAction>) {
+        let shown = fold.view().sides.get(&self.settings.side);
+        let own = shown.filter(|entry| entry.attachment.instance == self.settings.instance);
+        if let (None, Some(entry)) = (self.fence, own) {
+            self.attach(entry.fence, out);
+        }
+    }
+
     fn attach(&mut self, fence: FencingNumber, out: &mut Vec<SideAction>) {
         self.fence = Some(fence);
         let side = self.settings.side.clone();
@@ -319,6 +327,7 @@
 
     fn log_advanced(&mut self, now: ClockTime, fold: &FleetFold, out: &mut Vec<SideAction>) {
         self.stood_still = None;
+        self.find_attachment(fold, out);
         if let Some(fence) = self.fence
             && !fold.view().holds(&self.settings.side, fence)
             && fold.view().next > fence
--- /dev/null
+++ b/tests/attachment_in_a_copied_state.rs
@@ -0,0 +1,27 @@
+//! A side that copied its state from a peer, in which its attachment already stood,
+//! never took its fencing number up and served nothing.
+
+mod support;
+
+use sapphirewell::side::{QueueOrder, SideAction, SideEvent, SideMachine, SideSettings};
+use support::SideBench;
+
+#[test]
+fn the_attachment_is_found_in_a_copied_state() {
+    let peer = SideBench::with_service();
+    let targets = peer.fold.view().sides["side"].attachment.targets.clone();
+    let settings = SideSettings {
+        side: "side".into(),
+        instance: peer.instance,
+        vm: "vm".into(),
+        targets,
+        order: QueueOrder::Fair,
+    };
+    let mut machine = SideMachine::new(settings);
+    let mut actions = Vec::new();
+    machine.step(peer.now, &peer.fold, SideEvent::LinkUp { link: 1 }, &mut actions);
+    machine.step(peer.now, &peer.fold, SideEvent::LogAdvanced, &mut actions);
+    let welcomed = actions.iter().any(|action| matches!(action, SideAction::Send { .. }));
+    assert!(welcomed, "{actions:?}");
+    assert!(machine.is_open(&peer.fold));
+}
--- a/tests/contracts_in_the_log.rs
+++ b/tests/contracts_in_the_log.rs
@@ -143,11 +143,11 @@
     for split in 0..log.records.len() {
         let (head, tail): (&[StoredRecord], &[StoredRecord]) = log.records.split_at(split);
         let mut fold = FleetFold::default();
-        head.iter().for_each(|record| drop(fold.apply(record)));
+        head.iter().for_each(|record| fold.apply(record));
         // A copy of the state travels to a new process, which reads on.
         let text = serde_json::to_string(&fold).unwrap();
         let mut copy: FleetFold = serde_json::from_str(&text).unwrap();
-        tail.iter().for_each(|record| drop(copy.apply(record)));
+        tail.iter().for_each(|record| copy.apply(record));
         copy.advance(LOG_START + log.now);
         assert_eq!(copy, full, "split at {split}");
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use sapphirewell::{
     claim::ClaimEvent,
     contract::CustomerContract,
-    fold::{FleetFold, FoldNotice, StoredRecord},
+    fold::{FleetFold, StoredRecord},
     frame::{AttemptEnd, AttemptWork, EntryFrame, PlaceFrame, SideFrame},
     ids::{AttemptId, RequestId},
     operator,
@@ -98,6 +98,7 @@
         }
         let settings = SideSettings {
             side: "side".into(),
+            instance,
             vm: "vm".into(),
             targets: vec![description.clone()],
             order: QueueOrder::Fair,
@@ -135,18 +136,10 @@
 
     /// Reads what is new in the log, as a running process does.
     pub fn read_log(&mut self) {
-        let mut notices = Vec::new();
         for record in self.log.records.clone() {
-            notices.extend(self.fold.apply(&record));
+            self.fold.apply(&record);
         }
         self.fold.advance(LOG_START + self.log.now);
-        for notice in notices {
-            if let FoldNotice::Attached { fence, instance, .. } = notice
-                && instance == self.instance
-            {
-                self.event(SideEvent::Attached { fence });
-            }
-        }
         self.event(SideEvent::LogAdvanced);
     }
 
