--- a/src/api.rs
+++ b/src/api.rs
@@ -29,6 +29,8 @@
 
 /// Header with the caller's idempotency key.
 pub const KEY_HEADER: &str = "idempotency-key";
+/// Time for a caller to send its whole body.
+const BODY_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(10);
 const KEEP_ALIVE: std::time::Duration = std::time::Duration::from_secs(5);
 
 /// Body of a completion request.
@@ -196,9 +198,14 @@
 }
 
 async fn read_text(body: Body) -> Result<String, Error> {
-    let bytes = body.into_bytes_limit(MAX_BODY_BYTES).await.map_err(|e| {
-        Error::new(ErrorCode::TooLarge, format!("body ({e}), limit {MAX_BODY_BYTES} bytes"))
-    })?;
+    let read = tokio::time::timeout(BODY_TIMEOUT, body.into_bytes_limit(MAX_BODY_BYTES)).await;
+    let bytes = read
+        .map_err(|_| {
+            Error::new(ErrorCode::Timeout, format!("body, limit {} s", BODY_TIMEOUT.as_secs()))
+        })?
+        .map_err(|e| {
+            Error::new(ErrorCode::TooLarge, format!("body ({e}), limit {MAX_BODY_BYTES} bytes"))
+        })?;
     String::from_utf8(bytes.to_vec())
         .map_err(|_| Error::new(ErrorCode::Malformed, "body is not UTF-8"))
 }
@@ -211,6 +218,7 @@
 fn bad_input(error: &Error) -> Response {
     let status = match (error.code(), error.category()) {
         (ErrorCode::TooLarge, _) => StatusCode::PAYLOAD_TOO_LARGE,
+        (ErrorCode::Timeout, _) => StatusCode::REQUEST_TIMEOUT,
         (ErrorCode::NotFound, _) => StatusCode::NOT_FOUND,
         (ErrorCode::Unauthorized, _) => StatusCode::UNAUTHORIZED,
         (_, ErrorCategory::Input) => StatusCode::BAD_REQUEST,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -14,9 +14,11 @@
     request::{CallerRequest, FinalAnswer},
 };
 
+mod answers;
 mod belief;
 mod flow;
 mod machine;
+mod place;
 mod placement;
 mod retry;
 
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -17,7 +17,7 @@
 
 use super::{
     admin::{self, StateQueries},
-    control::{self, ControlHandle, ControlMessage, ControlSettings, EntryRole},
+    control::{self, ControlHandle, ControlSettings, EntryRole},
     link::{self, LinkContext, LinkSender},
     metrics::ProcessMetrics,
     peer::PeerClient,
@@ -39,8 +39,7 @@
 
 const LINK_RETRY: Duration = Duration::from_millis(300);
 const LINK_SCAN: Duration = Duration::from_millis(100);
-const IDLE_POLL: Duration = Duration::from_millis(50);
-const DRAIN_LIMIT: Duration = Duration::from_secs(600);
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
 /// Settings of an entry process.
 #[derive(Debug, Clone)]
@@ -124,7 +123,9 @@
     ready.store(false, Ordering::Relaxed);
     tokio::time::sleep(settings.stop_notice).await;
     control.event(EntryEvent::Open { open: false });
-    drain(&control).await?;
+    stop::drained(&control).await?;
+    // Leaves the last answers time to reach their callers.
+    tokio::time::sleep(LAST_ANSWERS).await;
     log::info!("stopped");
     Ok(())
 }
@@ -175,18 +176,6 @@
     tail.spawn();
 }
 
-async fn drain(control: &ControlHandle<EntryEvent>) -> Result<()> {
-    let idle = async {
-        while !control.ask(ControlMessage::Idle).await? {
-            tokio::time::sleep(IDLE_POLL).await;
-        }
-        // Leaves the last answers time to reach their callers.
-        tokio::time::sleep(IDLE_POLL * 4).await;
-        Ok(())
-    };
-    tokio::time::timeout(DRAIN_LIMIT, idle).await.unwrap_or(Ok(()))
-}
-
 /// Keeps one link to each side that the log names.
 async fn keep_links(
     settings: EntryProcessSettings,
--- a/src/process/side.rs
+++ b/src/process/side.rs
@@ -18,7 +18,7 @@
 
 use super::{
     admin::{self, StateQueries},
-    control::{self, ControlHandle, ControlMessage, ControlSettings},
+    control::{self, ControlHandle, ControlSettings},
     link::{self, LinkContext, LinkSender},
     metrics::ProcessMetrics,
     peer::PeerClient,
@@ -42,9 +42,7 @@
 const ATTACH_INTERVAL: Duration = Duration::from_millis(1000);
 /// Reports in a row that fail before a target counts as down.
 const FAILED_REPORTS: u32 = 2;
-const IDLE_POLL: Duration = Duration::from_millis(50);
-/// Longest time that a stopping side waits for work in flight.
-const DRAIN_LIMIT: Duration = Duration::from_secs(600);
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
 /// Settings of a side process.
 #[derive(Debug, Clone)]
@@ -120,7 +118,7 @@
     ready.store(false, Ordering::Relaxed);
     attach.abort();
     control.event(SideEvent::Drain);
-    drain(&control).await?;
+    stop::drained(&control).await?;
     detach(&settings, &control).await;
     log::info!("stopped");
     Ok(())
@@ -241,16 +239,6 @@
     }
 }
 
-async fn drain(control: &ControlHandle<SideEvent>) -> Result<()> {
-    let idle = async {
-        while !control.ask(ControlMessage::Idle).await? {
-            tokio::time::sleep(IDLE_POLL).await;
-        }
-        Ok(())
-    };
-    tokio::time::timeout(DRAIN_LIMIT, idle).await.unwrap_or(Ok(()))
-}
-
 async fn accept_links(
     listener: TcpListener,
     shell: Arc<SideShell>,
@@ -260,7 +248,7 @@
     let mut next_link: LinkId = 0;
     loop {
         let Ok((socket, _)) = listener.accept().await else {
-            tokio::time::sleep(IDLE_POLL).await;
+            tokio::time::sleep(ACCEPT_RETRY).await;
             continue;
         };
         next_link += 1;
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -4,12 +4,18 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 
-use super::platform::VmList;
+use super::{
+    control::{ControlHandle, ControlMessage},
+    platform::VmList,
+};
 use crate::{
     error::{Error, ErrorCode, Result},
     ids::VmId,
 };
 
+const IDLE_POLL: Duration = Duration::from_millis(50);
+/// Longest time that a stopping process waits for work in flight.
+const DRAIN_LIMIT: Duration = Duration::from_secs(600);
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Waits for SIGTERM or SIGINT.
@@ -38,3 +44,17 @@
         tokio::time::sleep(LIST_INTERVAL).await;
     }
 }
+
+/// Waits until the process's machine has nothing left to do.
+///
+/// # Errors
+/// Returns [`ErrorCode::Timeout`] where the control thread has ended.
+pub async fn drained<E>(control: &ControlHandle<E>) -> Result<()> {
+    let idle = async {
+        while !control.ask(ControlMessage::Idle).await? {
+            tokio::time::sleep(IDLE_POLL).await;
+        }
+        Ok(())
+    };
+    tokio::time::timeout(DRAIN_LIMIT, idle).await.unwrap_or(Ok(()))
+}
