The demo counts role changes; mixed engines are split only under pressure

Cause: reading as a newcomer: the demo's `role_changes` was never collected and always 0, and the planner split a fleet of mixed engines even when idle.

--- a/emulator/src/demo.rs
+++ b/emulator/src/demo.rs
@@ -165,6 +165,23 @@
         Ok(counts.values().filter(|count| **count > 1).count() as u64)
     }
 
+    /// Returns the role changes of all engines.
+    ///
+    /// # Errors
+    /// Returns the failure to ask an engine.
+    pub async fn role_changes(&self) -> io::Result<u64> {
+        let mut changes = 0;
+        for index in 0..self.settings.engines {
+            let url = format!("{}/role_changes", self.target_url(index));
+            let (_, body) = LoadClient::default()
+                .send(Method::GET, &url, &[], Bytes::new())
+                .await
+                .map_err(|failure| io::Error::other(format!("{failure:?}")))?;
+            changes += serde_json::from_slice::<u64>(&body)?;
+        }
+        Ok(changes)
+    }
+
     /// Stops entries, then sides, and returns the names of those that did not end with status 0.
     ///
     /// # Errors
@@ -319,6 +336,7 @@
         let requests = deployment.requests(seed, Duration::from_secs(seconds), 3.0);
         let mut report = load::run(fleet.entry_urls(), requests).await;
         report.doubled = fleet.doubled().await?;
+        report.role_changes = fleet.role_changes().await?;
         for name in fleet.stop()? {
             eprintln!("demo: {name} did not end with status 0");
             report.cut += 1;
--- a/emulator/src/scenario.rs
+++ b/emulator/src/scenario.rs
@@ -144,8 +144,9 @@
             ScenarioLine::Fault(fault) => rig.inject(fault),
             ScenarioLine::Run(end) => rig.run_until(end),
             ScenarioLine::Expect(expectation) => {
-                check(&rig, &expectation)
-                    .map_err(|seen| ScenarioError::NotMet { line: number, seen })?;
+                if let Some(seen) = unmet(&rig, &expectation) {
+                    return Err(ScenarioError::NotMet { line: number, seen });
+                }
             }
         }
     }
@@ -174,30 +175,23 @@
     first + requests.count
 }
 
-fn check(rig: &Rig, expectation: &Expectation) -> Result<(), String> {
+/// Returns what was seen where an expectation is not met.
+fn unmet(rig: &Rig, expectation: &Expectation) -> Option<String> {
     match expectation {
         Expectation::NoBreach | Expectation::NoCut => {
             let breaches = rig.breaches();
-            if breaches.is_empty() { Ok(()) } else { Err(format!("{breaches:?}")) }
+            (!breaches.is_empty()).then(|| format!("{breaches:?}"))
         }
         Expectation::Whole { kind, at_least, count } => {
             let of_kind = rig.callers().iter().filter(|record| &*record.request.kind == kind);
-            let states: Vec<&CallerState> = of_kind
-                .clone()
-                .filter(|record| !record.is_in_time())
-                .map(|record| &record.state)
-                .collect();
-            let whole = of_kind.filter(|record| record.is_in_time()).count();
-            let met = if *at_least { whole >= *count } else { whole == *count };
-            if met {
-                Ok(())
-            } else {
-                Err(format!("{whole} of {kind} whole in time, others {states:?}"))
-            }
+            let (whole, others): (Vec<_>, Vec<_>) = of_kind.partition(|record| record.is_in_time());
+            let met = if *at_least { whole.len() >= *count } else { whole.len() == *count };
+            let states: Vec<&CallerState> = others.iter().map(|record| &record.state).collect();
+            (!met).then(|| format!("{} of {kind} whole in time, others {states:?}", whole.len()))
         }
         Expectation::Effects(count) => {
             let seen: u64 = rig.effects().values().sum();
-            if seen == *count { Ok(()) } else { Err(format!("{seen} effects")) }
+            (seen != *count).then(|| format!("{seen} effects"))
         }
     }
 }
--- a/emulator/src/serve.rs
+++ b/emulator/src/serve.rs
@@ -337,6 +337,7 @@
         .at("/order", post(order_engine))
         .at("/state", get(engine_state))
         .at("/crash", post(crash_engine))
+        .at("/role_changes", get(engine_role_changes))
         .data(state)
         .data(registry);
     listen(port, app).await
@@ -439,6 +440,11 @@
     Json(model.report(now)).into_response()
 }
 
+#[handler]
+fn engine_role_changes(state: Data<&Arc<EngineState>>) -> Json<u64> {
+    Json(lock(&state.model).role_changes())
+}
+
 #[handler]
 fn crash_engine(Query(query): Query<CrashQuery>, state: Data<&Arc<EngineState>>) -> &'static str {
     state.crash(Duration::from_millis(query.down_ms));
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -178,12 +178,12 @@
             return None;
         }
         let engines = self.planned_engines(group);
-        if engines.iter().any(|engine| engine.role == EngineRole::Mixed) {
-            return self.first_split(engines);
-        }
         if !is_pressed(group) {
             return None;
         }
+        if engines.iter().any(|engine| engine.role == EngineRole::Mixed) {
+            return self.first_split(engines);
+        }
         let cover = self.cover(&engines);
         let (flipped, gain) = self.best_flip(&engines)?;
         if gain < cover * LEAST_GAIN {
@@ -276,11 +276,11 @@
 
 /// Tells whether requests wait to be read, or many generate at once.
 fn is_pressed(group: &[&TargetBelief]) -> bool {
-    let in_role = |role| group.iter().filter(move |belief| belief.load.role == Some(role));
-    let waiting: u64 = in_role(EngineRole::Prefill).map(|b| b.load.tokens_before(u8::MAX)).sum();
-    let rate: f64 = in_role(EngineRole::Prefill).map(|b| f64::from(b.load.prefill_rate)).sum();
-    let generating: f64 = in_role(EngineRole::Decode).map(|b| f64::from(b.load.running)).sum();
-    let batches = in_role(EngineRole::Decode).count() as f64 * COMPARED_BATCH;
+    let but = |role| group.iter().filter(move |belief| belief.load.role != Some(role));
+    let waiting: u64 = but(EngineRole::Decode).map(|b| b.load.tokens_before(u8::MAX)).sum();
+    let rate: f64 = but(EngineRole::Decode).map(|b| f64::from(b.load.prefill_rate)).sum();
+    let generating: f64 = but(EngineRole::Prefill).map(|b| f64::from(b.load.running)).sum();
+    let batches = but(EngineRole::Prefill).count() as f64 * COMPARED_BATCH;
     waiting as f64 > READING_PRESSURE * rate || generating > GENERATING_PRESSURE * batches
 }
 
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -19,10 +19,10 @@
     admin::{self, StateQueries},
     control::{self, ControlHandle, ControlSettings, EntryRole},
     link::{self, LinkContext, LinkSender},
+    lock,
     metrics::ProcessMetrics,
     peer::PeerClient,
-    platform::HttpPlatform,
-    side::{append_records, lock},
+    platform::{self, HttpPlatform},
     stop,
     tail::{ContactChange, LogTail},
 };
@@ -141,15 +141,13 @@
     });
     let rank = settings.control.carry_rank;
     let planner = RolePlanner::new(PlannerSettings { rank });
-    let (records, appends) = mpsc::unbounded_channel();
-    tokio::spawn(append_records(settings.platform.clone(), appends));
     let performer = shell.clone();
     let control = control::spawn(
         EntryRole { machine, planner },
         settings.control.clone(),
         shell.metrics.clone(),
         move |action| performer.perform(action),
-        move |record| drop(records.send(record)),
+        platform::spawn_appender(settings.platform.clone()),
     )?;
     *lock(&shell.control) = Some(control.clone());
     Ok(control)
--- a/src/process/platform.rs
+++ b/src/process/platform.rs
@@ -6,12 +6,14 @@
 
 use hyper::Method;
 use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
 
 use super::http::HttpClient;
 use crate::{
     error::Result,
     fold::StoredRecord,
     ids::{LogOffset, LogTime, VmId},
+    record::LogRecord,
 };
 
 /// How long one append may take before its answer counts as lost.
@@ -141,3 +143,19 @@
         self.client.json(Method::GET, &url, None::<&()>, LIST_TIMEOUT).await
     }
 }
+
+/// Starts a task that appends records in order, and returns the function that feeds it.
+///
+/// A record that is not appended is due again later, so its failure is only logged.
+pub fn spawn_appender<L: LogService>(log: L) -> impl FnMut(LogRecord) + Send + 'static {
+    let (sender, mut receiver) = mpsc::unbounded_channel::<LogRecord>();
+    tokio::spawn(async move {
+        while let Some(record) = receiver.recv().await {
+            let Ok(body) = record.encode() else { continue };
+            if let Err(error) = log.append(&body).await {
+                log::warn!(error:% = error; "record not appended");
+            }
+        }
+    });
+    move |record| drop(sender.send(record))
+}
--- a/src/process/side.rs
+++ b/src/process/side.rs
@@ -10,19 +10,16 @@
     time::Duration,
 };
 
-use tokio::{
-    net::TcpListener,
-    sync::{Notify, mpsc},
-    task::AbortHandle,
-};
+use tokio::{net::TcpListener, sync::Notify, task::AbortHandle};
 
 use super::{
     admin::{self, StateQueries},
     control::{self, ControlHandle, ControlSettings},
     link::{self, LinkContext, LinkSender},
+    lock,
     metrics::ProcessMetrics,
     peer::PeerClient,
-    platform::{HttpPlatform, LogService},
+    platform::{self, HttpPlatform, LogService},
     stop,
     tail::{ContactChange, LogTail},
     target::{HttpEngine, HttpService, ModelEngine, PlainService},
@@ -135,15 +132,13 @@
         targets: settings.targets.iter().map(|(description, _)| description.clone()).collect(),
         order: QueueOrder::Fair,
     });
-    let (records, appends) = mpsc::unbounded_channel();
-    tokio::spawn(append_records(settings.platform.clone(), appends));
     let performer = shell.clone();
     let control = control::spawn(
         machine,
         settings.control.clone(),
         shell.metrics.clone(),
         move |action| performer.perform(action),
-        move |record| drop(records.send(record)),
+        platform::spawn_appender(settings.platform.clone()),
     )?;
     *lock(&shell.control) = Some(control.clone());
     Ok(control)
@@ -170,19 +165,6 @@
     tail.spawn();
 }
 
-/// Appends records on the process's own account; a failed one is due again later.
-pub(super) async fn append_records<L: LogService>(
-    log: L,
-    mut records: mpsc::UnboundedReceiver<LogRecord>,
-) {
-    while let Some(record) = records.recv().await {
-        let Ok(body) = record.encode() else { continue };
-        if let Err(error) = log.append(&body).await {
-            log::warn!(error:% = error; "record not appended");
-        }
-    }
-}
-
 async fn attach(
     settings: SideProcessSettings,
     control: ControlHandle<SideEvent>,
@@ -455,8 +437,3 @@
         Err(failure) => TargetEvent::Failed { attempt, failure },
     }
 }
-
-/// Locks a mutex; a panic while it was held has left its data whole.
-pub(super) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
-}
