One constructor for the log's tail in both processes

Cause: entry and side built the tail field by field in the same way.

Change: LogTail::new; its fields are private now. No behaviour changes.

--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -21,7 +21,6 @@
     link::{self, LinkContext, LinkSender},
     lock,
     metrics::ProcessMetrics,
-    peer::PeerClient,
     platform::{self, HttpPlatform},
     stop,
     tail::{ContactChange, LogTail},
@@ -160,18 +159,12 @@
     metrics: &Arc<ProcessMetrics>,
 ) {
     let listener = control.clone();
-    let tail = LogTail {
-        control: control.clone(),
-        log: settings.platform.clone(),
-        peers: PeerClient::open(settings.peers.clone()),
-        wake: wake.clone(),
-        metrics: metrics.clone(),
-        on_contact: Box::new(move |change| match change {
-            ContactChange::Log(_) => {}
-            ContactChange::Anybody(open) => listener.event(EntryEvent::Open { open }),
-        }),
+    let on_contact = move |change| match change {
+        ContactChange::Log(_) => {}
+        ContactChange::Anybody(open) => listener.event(EntryEvent::Open { open }),
     };
-    tail.spawn();
+    let log = settings.platform.clone();
+    LogTail::new(control, log, &settings.peers, wake, metrics, on_contact).spawn();
 }
 
 /// Keeps one link to each side that the log names.
--- a/src/process/side.rs
+++ b/src/process/side.rs
@@ -18,7 +18,6 @@
     link::{self, LinkContext, LinkSender},
     lock,
     metrics::ProcessMetrics,
-    peer::PeerClient,
     platform::{self, HttpPlatform, LogService},
     stop,
     tail::{ContactChange, LogTail},
@@ -151,18 +150,12 @@
     metrics: &Arc<ProcessMetrics>,
 ) {
     let listener = control.clone();
-    let tail = LogTail {
-        control: control.clone(),
-        log: settings.platform.clone(),
-        peers: PeerClient::open(settings.peers.clone()),
-        wake: wake.clone(),
-        metrics: metrics.clone(),
-        on_contact: Box::new(move |change| match change {
-            ContactChange::Log(reachable) => listener.event(SideEvent::LogHealth { reachable }),
-            ContactChange::Anybody(_) => {}
-        }),
+    let on_contact = move |change| match change {
+        ContactChange::Log(reachable) => listener.event(SideEvent::LogHealth { reachable }),
+        ContactChange::Anybody(_) => {}
     };
-    tail.spawn();
+    let log = settings.platform.clone();
+    LogTail::new(control, log, &settings.peers, wake, metrics, on_contact).spawn();
 }
 
 async fn attach(
--- a/src/process/tail.rs
+++ b/src/process/tail.rs
@@ -1,6 +1,7 @@
 //! Reads the log, or, while it cannot be reached, a peer's copy of it.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -32,18 +33,12 @@
 
 /// Follows the log for one process.
 pub struct LogTail<E, L> {
-    /// The control thread.
-    pub control: ControlHandle<E>,
-    /// The log service.
-    pub log: L,
-    /// Peers to ask while the log cannot be reached.
-    pub peers: PeerClient,
-    /// Notified where a frame shows that a peer has read further.
-    pub wake: Arc<Notify>,
-    /// Metrics.
-    pub metrics: Arc<ProcessMetrics>,
-    /// Called on changes of contact.
-    pub on_contact: Box<dyn Fn(ContactChange) + Send + Sync>,
+    control: ControlHandle<E>,
+    log: L,
+    peers: PeerClient,
+    wake: Arc<Notify>,
+    metrics: Arc<ProcessMetrics>,
+    on_contact: Box<dyn Fn(ContactChange) + Send + Sync>,
 }
 
 #[derive(Debug)]
@@ -55,6 +50,25 @@
 }
 
 impl<E: Send + 'static, L: LogService> LogTail<E, L> {
+    /// Makes the tail of one process; `on_contact` hears of changes of contact.
+    pub fn new(
+        control: &ControlHandle<E>,
+        log: L,
+        peers: &[SocketAddr],
+        wake: &Arc<Notify>,
+        metrics: &Arc<ProcessMetrics>,
+        on_contact: impl Fn(ContactChange) + Send + Sync + 'static,
+    ) -> LogTail<E, L> {
+        LogTail {
+            control: control.clone(),
+            log,
+            peers: PeerClient::open(peers.to_vec()),
+            wake: wake.clone(),
+            metrics: metrics.clone(),
+            on_contact: Box::new(on_contact),
+        }
+    }
+
     /// Follows the log until the process ends.
     pub fn spawn(self) -> tokio::task::JoinHandle<()> {
         tokio::spawn(self.run())
