Thin path on the users' platform: an entry that calls targets itself

Cause: the platform has no address for the product's log service, VM list or sides, and the product had no adapter to its store and runners. Ruled out: feeding EntryMachine through pretended sides: its frames carry claims, revisions and texts that no request on the platform has, and each request would pay for two machines. Change: src/platform/ (settings, store, configuration, discovery, callers, runners), src/direct/ (decisions: routes, targets, placement, retry window, crashes, peers' load), src/process/direct/ (one thread for both), deploy file.

--- a/src/command.rs
+++ b/src/command.rs
@@ -22,6 +22,8 @@
 
   entry                       run an entry process
   side                        run a side process
+  direct-entry                run an entry that calls targets itself, with the
+                              settings file that SAPPHIREWELL_CONFIG names
   contract publish FILE       publish a new contract
   contract change FILE        replace the contract in force
   contract retire CUSTOMER    retire a contract
@@ -92,6 +94,7 @@
         }
         ["entry"] => launch::entry(line),
         ["side"] => launch::side(line),
+        ["direct-entry"] => launch::direct_entry(line),
         ["check", file] => query::check(file, line),
         ["state", address] => query::state(address, line),
         ["contract", rest @ ..] => change::contract(rest, line),
--- a/src/command/launch.rs
+++ b/src/command/launch.rs
@@ -6,8 +6,10 @@
 use crate::{
     contract::check_name,
     error::{Error, ErrorCode, Result},
+    platform,
     process::{
         control::ControlSettings,
+        direct,
         entry::{self, EntryProcessSettings},
         logging,
         platform::HttpPlatform,
@@ -131,6 +133,9 @@
     LOG_LEVEL,
 ];
 
+/// Settings of `sapphirewell direct-entry` beside the platform's settings file.
+pub(crate) const DIRECT_SETTINGS: &[Setting] = &[LOG_LEVEL];
+
 /// Settings of `sapphirewell side`.
 pub(crate) const SIDE_SETTINGS: &[Setting] = &[
     setting(
@@ -233,6 +238,34 @@
     }
 }
 
+/// Runs an entry that calls targets itself.
+pub(crate) fn direct_entry(line: &CommandLine) -> ExitCode {
+    if line.help {
+        print!("{}", setting::help(DIRECT_SETTINGS));
+        return ExitCode::SUCCESS;
+    }
+    let mut errors = line.unknown_flags(DIRECT_SETTINGS);
+    let variable = |name: &str| std::env::var(name).ok();
+    let values = setting::resolve(DIRECT_SETTINGS, |flag| line.value(flag), variable);
+    let values = values.unwrap_or_else(|wrong| {
+        errors.extend(wrong);
+        SettingValues::default()
+    });
+    let settings = match platform::settings::load() {
+        Ok(settings) if errors.is_empty() => settings,
+        Ok(_) => return fail(&errors),
+        Err(wrong) => {
+            errors.extend(wrong);
+            return fail(&errors);
+        }
+    };
+    logging::start(values.text("log-level"));
+    match direct::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&[error]),
+    }
+}
+
 fn control_settings(values: &SettingValues) -> ControlSettings {
     ControlSettings {
         retention: values.millis("log-retention-ms"),
@@ -240,7 +273,7 @@
     }
 }
 
-fn platform(values: &SettingValues) -> HttpPlatform {
+fn product_platform(values: &SettingValues) -> HttpPlatform {
     HttpPlatform::open(values.text("log-url"), values.text("vm-list-url"))
 }
 
@@ -249,7 +282,7 @@
         vm: values.text("vm").into(),
         listen: values.address("listen")?,
         peers: values.addresses("peers"),
-        platform: platform(values),
+        platform: product_platform(values),
         control: control_settings(values),
         admin_token: values.text("admin-token").to_owned(),
         stop_notice: values.millis("stop-notice-ms"),
@@ -267,7 +300,7 @@
         listen: values.address("listen")?,
         targets: parse_targets(values.text("targets"))?,
         peers: values.addresses("peers"),
-        platform: platform(values),
+        platform: product_platform(values),
         control: control_settings(values),
         instance: rand::random(),
     })
--- /dev/null
+++ b/src/direct/flow.rs
@@ -0,0 +1,80 @@
+//! State of one request on its way.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::Serialize;
+use smallvec::SmallVec;
+
+use super::{CallNumber, DirectRequest, DirectTarget, GiveUpReason, ServiceName};
+use crate::ids::{ClockTime, TargetId};
+
+/// Step that a call carries out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub(super) enum StepKind {
+    Run,
+    Prefill,
+    Decode,
+}
+
+/// Call under way.
+#[derive(Debug, Clone)]
+pub(super) struct OpenCall {
+    pub(super) number: CallNumber,
+    pub(super) target: Arc<DirectTarget>,
+    pub(super) step: StepKind,
+    pub(super) started: ClockTime,
+    /// Prompt tokens that the target still has to read for it.
+    pub(super) reading: u32,
+    pub(super) answered: bool,
+}
+
+/// KV cache that waits at a target.
+#[derive(Debug, Clone)]
+pub(super) struct HeldCache {
+    pub(super) target: Arc<DirectTarget>,
+    pub(super) handle: Arc<str>,
+}
+
+/// Request without a final answer.
+#[derive(Debug, Clone)]
+pub(super) struct DirectFlow {
+    pub(super) request: Box<DirectRequest>,
+    pub(super) service: ServiceName,
+    pub(super) arrived: ClockTime,
+    /// When the caller stops waiting.
+    pub(super) deadline: ClockTime,
+    /// When the route's time is up.
+    pub(super) limit: ClockTime,
+    pub(super) calls: CallNumber,
+    /// Targets that may have run it.
+    pub(super) runs: u32,
+    pub(super) prefills: u32,
+    pub(super) tried: SmallVec<[TargetId; 4]>,
+    pub(super) call: Option<OpenCall>,
+    pub(super) cache: Option<HeldCache>,
+    pub(super) may_have_run: bool,
+    pub(super) story: DirectStory,
+}
+
+/// What happened to a request, for its log line.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct DirectStory {
+    /// Route.
+    pub route: Arc<str>,
+    /// Calls in order: target, step and how it ended.
+    pub calls: Vec<String>,
+    /// Version of the configuration under which it was admitted.
+    pub version: u64,
+    /// Time from arrival to the first output, in milliseconds.
+    pub first_ms: Option<u64>,
+    /// Reason for giving up.
+    pub reason: Option<GiveUpReason>,
+    /// Estimate of the time to the first output when it was placed, in milliseconds.
+    pub estimate_ms: u64,
+}
+
+impl DirectFlow {
+    pub(super) fn time_left(&self, now: ClockTime) -> Duration {
+        self.deadline.min(self.limit).saturating_sub(now)
+    }
+}
--- /dev/null
+++ b/src/direct/machine.rs
@@ -0,0 +1,588 @@
+//! The state machine of an entry that calls targets itself.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use serde::Serialize;
+
+use super::{
+    CallNumber, CallOutcome, CrashReport, CrashTable, DirectAction, DirectEvent, DirectRequest,
+    DirectStory, EngineTerms, FlowId, GiveUp, GiveUpReason, LoadReport, PeerName, PeerTable,
+    RepeatRule, RetryWindow, RouteTable, ServiceName, TargetCount, TargetFleet,
+    estimate::{Placement, PlacementQuery, PlacementView, call_step},
+    flow::{DirectFlow, HeldCache, OpenCall, StepKind},
+};
+use crate::ids::{ClockTime, DataCentreId};
+
+/// Calls for one request, declined ones included.
+const MAX_CALLS: CallNumber = 5;
+/// Time after a route's limit for a target's own last answer to arrive.
+const LIMIT_GRACE: Duration = Duration::from_millis(150);
+/// Least time left with which a call is begun.
+const LEAST_TIME: Duration = Duration::from_millis(20);
+/// Shortest and longest advice on when to come back.
+const RETRY_AFTER_BOUNDS: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_secs(2));
+/// Entries among which the shared retry slack is divided at least.
+const LEAST_ENTRIES: usize = 4;
+/// Interval at which beliefs that are no longer used are dropped.
+const FORGET_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Settings of the machine.
+#[derive(Debug, Clone, Serialize)]
+pub struct DirectSettings {
+    /// Name of this process among the entries.
+    pub name: PeerName,
+    /// Random number of this start.
+    pub instance: u64,
+    /// Seed of the random choices.
+    pub seed: u64,
+    /// Data centre of this process.
+    pub data_centre: DataCentreId,
+    /// Calls beyond the first, as a share of the requests of a window.
+    pub retry_ratio: f64,
+    /// Calls beyond the first that are allowed besides, over all entries.
+    pub retry_slack: f64,
+    /// Length of that window.
+    pub retry_window: Duration,
+}
+
+/// Entry that calls targets itself.
+#[derive(Debug, Serialize)]
+pub struct DirectMachine {
+    settings: DirectSettings,
+    #[serde(skip)]
+    rng: SmallRng,
+    routes: Option<Arc<RouteTable>>,
+    fleet: TargetFleet,
+    peers: PeerTable,
+    most_entries: usize,
+    crashes: CrashTable,
+    own_crashes: u64,
+    budgets: HashMap<ServiceName, RetryWindow>,
+    #[serde(skip)]
+    flows: HashMap<FlowId, DirectFlow>,
+    #[serde(skip)]
+    limits: BTreeSet<(ClockTime, FlowId)>,
+    reports: u64,
+    next_forget: ClockTime,
+}
+
+impl DirectMachine {
+    /// Makes a machine that knows no configuration and no target.
+    pub fn new(settings: DirectSettings) -> DirectMachine {
+        DirectMachine {
+            rng: SmallRng::seed_from_u64(settings.seed),
+            settings,
+            routes: None,
+            fleet: TargetFleet::default(),
+            peers: PeerTable::default(),
+            most_entries: LEAST_ENTRIES,
+            crashes: CrashTable::default(),
+            own_crashes: 0,
+            budgets: HashMap::new(),
+            flows: HashMap::new(),
+            limits: BTreeSet::new(),
+            reports: 0,
+            next_forget: ClockTime::ZERO,
+        }
+    }
+
+    /// Returns the configuration in force, if one is known.
+    pub fn routes(&self) -> Option<&Arc<RouteTable>> {
+        self.routes.as_ref()
+    }
+
+    /// Returns the known targets.
+    pub fn fleet(&self) -> &TargetFleet {
+        &self.fleet
+    }
+
+    /// Returns the number of requests without an end.
+    pub fn in_flight(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Tells whether requests can be served: a configuration and a target are known.
+    pub fn is_ready(&self) -> bool {
+        self.routes.is_some() && !self.fleet.is_empty()
+    }
+
+    /// Returns what happened to a request so far.
+    pub fn story(&self, flow: FlowId) -> Option<&DirectStory> {
+        self.flows.get(&flow).map(|flow| &flow.story)
+    }
+
+    /// Makes the report of what this process has in flight, for its peers.
+    pub fn load_report(&mut self) -> LoadReport {
+        self.reports += 1;
+        let busy = self.fleet.iter().filter(|state| state.running + state.reading > 0);
+        let counts = busy.map(|state| TargetCount {
+            target: state.target.id.clone(),
+            running: state.running,
+            reading: state.reading,
+        });
+        LoadReport {
+            peer: self.settings.name.clone(),
+            instance: self.settings.instance,
+            sequence: self.reports,
+            counts: counts.collect(),
+        }
+    }
+
+    /// Handles one event.
+    pub fn step(&mut self, now: ClockTime, event: DirectEvent, out: &mut Vec<DirectAction>) {
+        match event {
+            DirectEvent::Submit { flow, request } => self.submit(now, flow, request, out),
+            DirectEvent::CallEnded { flow, call, outcome } => {
+                self.call_ended(now, flow, call, outcome, out);
+            }
+            DirectEvent::FirstOutput { flow } => self.first_output(now, flow),
+            DirectEvent::FlowEnded { flow, whole } => self.flow_ended(now, flow, whole, out),
+            DirectEvent::Target(change) => self.fleet.apply(change),
+            DirectEvent::Routes(routes) => self.adopt(routes),
+            DirectEvent::PeerLoad(report) => self.peer_load(now, report),
+            DirectEvent::Crashes(report) => self.crashes.apply(now, &report),
+            DirectEvent::Tick => self.tick(now, out),
+        }
+    }
+
+    /// Takes a configuration, unless it is older than the one in force.
+    fn adopt(&mut self, routes: Arc<RouteTable>) {
+        let newer = self.routes.as_ref().is_none_or(|known| known.version < routes.version);
+        if newer {
+            self.routes = Some(routes);
+        }
+    }
+
+    fn peer_load(&mut self, now: ClockTime, report: LoadReport) {
+        if report.peer != self.settings.name {
+            self.peers.apply(now, report);
+            self.most_entries = self.most_entries.max(self.peers.len() + 1);
+        }
+    }
+
+    fn submit(
+        &mut self,
+        now: ClockTime,
+        id: FlowId,
+        request: Box<DirectRequest>,
+        out: &mut Vec<DirectAction>,
+    ) {
+        let route = request.route.clone();
+        let service = self.pick_service(&request);
+        self.budget(&service).count_request(now);
+        let limit = now + route.timeout;
+        let version = self.routes.as_ref().map_or(0, |routes| routes.version);
+        let story = DirectStory { route: route.name.clone(), version, ..DirectStory::default() };
+        let flow = DirectFlow {
+            deadline: now + request.time_left,
+            request,
+            service,
+            arrived: now,
+            limit,
+            calls: 0,
+            runs: 0,
+            prefills: 0,
+            tried: Default::default(),
+            call: None,
+            cache: None,
+            may_have_run: false,
+            story,
+        };
+        self.flows.insert(id, flow);
+        self.limits.insert((limit + LIMIT_GRACE, id));
+        self.place(now, id, out);
+    }
+
+    fn pick_service(&mut self, request: &DirectRequest) -> ServiceName {
+        let services = &request.route.services;
+        let total: u32 = services.iter().map(|s| s.weight).sum();
+        let mut drawn = self.rng.random_range(0..total.max(1));
+        for weighted in services {
+            if drawn < weighted.weight {
+                return weighted.service.clone();
+            }
+            drawn -= weighted.weight;
+        }
+        services.first().map_or_else(|| "".into(), |weighted| weighted.service.clone())
+    }
+
+    fn budget(&mut self, service: &ServiceName) -> &mut RetryWindow {
+        let (span, ratio) = (self.settings.retry_window, self.settings.retry_ratio);
+        self.budgets.entry(service.clone()).or_insert_with(|| RetryWindow::new(span, ratio))
+    }
+
+    fn spend_retry(&mut self, now: ClockTime, id: FlowId) -> bool {
+        let slack = self.settings.retry_slack / self.most_entries as f64;
+        let Some(flow) = self.flows.get(&id) else { return false };
+        let service = flow.service.clone();
+        self.budget(&service).spend(now, slack)
+    }
+
+    /// Places a request anew; it has not run, or may run again.
+    fn place(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+        let Some(flow) = self.flows.get(&id) else { return };
+        if self.crashes.is_barred(flow.request.fingerprint) {
+            return self.give_up(id, GiveUpReason::CrashesTargets, Duration::MAX, out);
+        }
+        let left = flow.time_left(now);
+        if left < LEAST_TIME {
+            return self.give_up(id, GiveUpReason::TimedOut, Duration::ZERO, out);
+        }
+        if flow.calls >= MAX_CALLS {
+            return self.give_up(id, GiveUpReason::Declined, Duration::ZERO, out);
+        }
+        let Some(placement) = self.choose(now, id) else {
+            return self.give_up(id, GiveUpReason::NoTarget, Duration::from_millis(500), out);
+        };
+        let expected = placement.expected();
+        if let Some(flow) = self.flows.get_mut(&id) {
+            flow.story.estimate_ms = expected.as_millis() as u64;
+        }
+        if expected >= left {
+            return self.give_up(id, GiveUpReason::CannotMeetDeadline, expected, out);
+        }
+        self.call(now, id, placement, out);
+    }
+
+    fn choose(&mut self, now: ClockTime, id: FlowId) -> Option<Placement> {
+        let flow = self.flows.get(&id)?;
+        let view = PlacementView { fleet: &self.fleet, peers: &self.peers, now };
+        let query = PlacementQuery {
+            service: &flow.service,
+            engine: engine_terms(self.routes.as_ref(), &flow.service),
+            prompt: flow.request.prompt.as_ref(),
+            tried: &flow.tried,
+            data_centre: &self.settings.data_centre,
+        };
+        view.choose(&mut self.rng, &query)
+    }
+
+    fn place_decode(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+        let Some(flow) = self.flows.get(&id) else { return };
+        let source = flow.cache.as_ref().and_then(|cache| self.fleet.get(&cache.target.id));
+        let view = PlacementView { fleet: &self.fleet, peers: &self.peers, now };
+        let query = PlacementQuery {
+            service: &flow.service,
+            engine: engine_terms(self.routes.as_ref(), &flow.service),
+            prompt: flow.request.prompt.as_ref(),
+            tried: &flow.tried,
+            data_centre: &self.settings.data_centre,
+        };
+        let chosen = source.and_then(|source| view.choose_decode(&mut self.rng, &query, source));
+        match chosen {
+            Some(placement) => self.call(now, id, placement, out),
+            None => self.give_up(id, GiveUpReason::NoTarget, Duration::ZERO, out),
+        }
+    }
+
+    fn call(&mut self, now: ClockTime, id: FlowId, chosen: Placement, out: &mut Vec<DirectAction>) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let Some(state) = self.fleet.get_mut(&chosen.target) else { return };
+        flow.calls += 1;
+        let target = state.target.clone();
+        state.reading += chosen.reading;
+        match chosen.step {
+            StepKind::Prefill => flow.prefills += 1,
+            StepKind::Run | StepKind::Decode => state.running += 1,
+        }
+        let cache = match chosen.step {
+            StepKind::Decode => flow.cache.as_ref().map(|c| (c.target.address, c.handle.clone())),
+            StepKind::Run | StepKind::Prefill => None,
+        };
+        flow.call = Some(OpenCall {
+            number: flow.calls,
+            target: target.clone(),
+            step: chosen.step,
+            started: now,
+            reading: chosen.reading,
+            answered: false,
+        });
+        out.push(DirectAction::Call {
+            flow: id,
+            call: flow.calls,
+            target,
+            step: call_step(chosen.step, cache),
+            time_left: flow.time_left(now),
+            priority: flow.request.route.priority.min(9),
+        });
+    }
+
+    /// Takes what an ended call had in flight out of the counts.
+    fn close_call(&mut self, id: FlowId, ending: &str) -> Option<OpenCall> {
+        let flow = self.flows.get_mut(&id)?;
+        let call = flow.call.take()?;
+        flow.story.calls.push(format!("{} {:?} {ending}", call.target.id, call.step));
+        if let Some(state) = self.fleet.get_mut(&call.target.id) {
+            state.reading = state.reading.saturating_sub(call.reading);
+            if call.step != StepKind::Prefill {
+                state.running = state.running.saturating_sub(1);
+            }
+        }
+        Some(call)
+    }
+
+    fn call_ended(
+        &mut self,
+        now: ClockTime,
+        id: FlowId,
+        number: CallNumber,
+        outcome: CallOutcome,
+        out: &mut Vec<DirectAction>,
+    ) {
+        let open = self.flows.get(&id).and_then(|flow| flow.call.as_ref());
+        if open.is_none_or(|call| call.number != number) {
+            return;
+        }
+        match outcome {
+            CallOutcome::Declined => self.declined(now, id, out),
+            CallOutcome::WrongTarget => self.not_there(now, id, "wrong_target", true, out),
+            CallOutcome::Unreachable => self.not_there(now, id, "unreachable", false, out),
+            CallOutcome::Prefilled { handle } => self.prefilled(now, id, handle, out),
+            CallOutcome::Answered { success } => self.answered(now, id, success, out),
+            CallOutcome::Lost { closed } => self.lost(now, id, closed, out),
+        }
+    }
+
+    fn declined(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+        let Some(call) = self.close_call(id, "declined") else { return };
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        if call.step == StepKind::Decode {
+            self.drop_cache(id, out);
+        } else {
+            flow.tried.push(call.target.id.clone());
+        }
+        if self.spend_retry(now, id) {
+            self.place(now, id, out);
+        } else {
+            self.give_up(id, GiveUpReason::Declined, Duration::ZERO, out);
+        }
+    }
+
+    fn not_there(
+        &mut self,
+        now: ClockTime,
+        id: FlowId,
+        ending: &str,
+        arrived: bool,
+        out: &mut Vec<DirectAction>,
+    ) {
+        let Some(call) = self.close_call(id, ending) else { return };
+        if let Some(state) = self.fleet.get_mut(&call.target.id) {
+            state.rest(now);
+        }
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        flow.tried.push(call.target.id.clone());
+        if arrived && !self.spend_retry(now, id) {
+            return self.give_up(id, GiveUpReason::Declined, Duration::ZERO, out);
+        }
+        self.again(now, id, call.step, out);
+    }
+
+    /// Goes on after a call that did not run: from the KV cache, if one waits.
+    fn again(&mut self, now: ClockTime, id: FlowId, step: StepKind, out: &mut Vec<DirectAction>) {
+        match step {
+            StepKind::Decode => self.place_decode(now, id, out),
+            StepKind::Run | StepKind::Prefill => self.place(now, id, out),
+        }
+    }
+
+    fn prefilled(
+        &mut self,
+        now: ClockTime,
+        id: FlowId,
+        handle: Arc<str>,
+        out: &mut Vec<DirectAction>,
+    ) {
+        let Some(call) = self.close_call(id, "prefilled") else { return };
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        if let Some(state) = self.fleet.get_mut(&call.target.id) {
+            state.succeed();
+            let ahead = state.reading + self.peers.at(&call.target.id).1;
+            state.learn_read(call.reading + ahead, now.saturating_sub(call.started));
+            if let Some(prompt) = &flow.request.prompt {
+                state.keep(now, prompt);
+            }
+        }
+        flow.cache = Some(HeldCache { target: call.target, handle });
+        self.place_decode(now, id, out);
+    }
+
+    fn answered(&mut self, now: ClockTime, id: FlowId, success: bool, out: &mut Vec<DirectAction>) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let Some(call) = &mut flow.call else { return };
+        call.answered = true;
+        // Taken KV caches cannot be taken or freed again.
+        if call.step == StepKind::Decode && success {
+            flow.cache = None;
+        }
+        let target = call.target.id.clone();
+        if let Some(state) = self.fleet.get_mut(&target) {
+            if success { state.succeed() } else { state.fail() }
+        }
+        if !success && self.may_run_again(now, id) && self.spend_retry(now, id) {
+            let Some(call) = self.close_call(id, "failed") else { return };
+            self.run_again(now, id, call, out);
+            return;
+        }
+        let Some(flow) = self.flows.get(&id) else { return };
+        let time_left = (flow.limit + LIMIT_GRACE).saturating_sub(now);
+        out.push(DirectAction::Deliver { flow: id, time_left });
+    }
+
+    fn run_again(
+        &mut self,
+        now: ClockTime,
+        id: FlowId,
+        call: OpenCall,
+        out: &mut Vec<DirectAction>,
+    ) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        flow.runs += 1;
+        flow.may_have_run = true;
+        flow.tried.push(call.target.id.clone());
+        self.drop_cache(id, out);
+        self.place(now, id, out);
+    }
+
+    /// Tells whether a request may run once more after the call under way.
+    fn may_run_again(&self, now: ClockTime, id: FlowId) -> bool {
+        let Some(flow) = self.flows.get(&id) else { return false };
+        let route = &flow.request.route;
+        let repeatable = match route.repeat {
+            RepeatRule::Never => false,
+            RepeatRule::Always | RepeatRule::Resume => true,
+        };
+        repeatable
+            && flow.runs + 1 < route.max_attempts
+            && flow.time_left(now) >= LEAST_TIME
+            && !self.crashes.is_barred(flow.request.fingerprint)
+    }
+
+    fn lost(&mut self, now: ClockTime, id: FlowId, closed: bool, out: &mut Vec<DirectAction>) {
+        let Some(flow) = self.flows.get(&id) else { return };
+        let Some(step) = flow.call.as_ref().map(|call| call.step) else { return };
+        if closed && flow.request.prompt.is_some() {
+            self.report_crash(now, id, out);
+        }
+        let again = step == StepKind::Prefill || self.may_run_again(now, id);
+        let Some(call) = self.close_call(id, "lost") else { return };
+        if let Some(state) = self.fleet.get_mut(&call.target.id) {
+            if closed { state.rest(now) } else { state.fail() }
+        }
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        flow.may_have_run |= step != StepKind::Prefill;
+        if !again || !self.spend_retry(now, id) {
+            let reason = if step == StepKind::Prefill {
+                GiveUpReason::Declined
+            } else {
+                GiveUpReason::OutcomeUnknown
+            };
+            return self.give_up(id, reason, Duration::ZERO, out);
+        }
+        match step {
+            StepKind::Prefill => {
+                if let Some(flow) = self.flows.get_mut(&id) {
+                    flow.tried.push(call.target.id.clone());
+                }
+                self.place(now, id, out);
+            }
+            StepKind::Run | StepKind::Decode => self.run_again(now, id, call, out),
+        }
+    }
+
+    fn report_crash(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+        let Some(flow) = self.flows.get(&id) else { return };
+        self.own_crashes += 1;
+        let report = CrashReport {
+            reporter: self.settings.instance,
+            crashes: vec![(flow.request.fingerprint, self.own_crashes)],
+        };
+        self.crashes.apply(now, &report);
+        out.push(DirectAction::ReportCrashes(report));
+    }
+
+    fn first_output(&mut self, now: ClockTime, id: FlowId) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        flow.story.first_ms = Some(now.saturating_sub(flow.arrived).as_millis() as u64);
+        let Some(call) = &mut flow.call else { return };
+        let Some(state) = self.fleet.get_mut(&call.target.id) else { return };
+        state.reading = state.reading.saturating_sub(call.reading);
+        call.reading = 0;
+        if let Some(prompt) = &flow.request.prompt {
+            state.keep(now, prompt);
+        }
+    }
+
+    fn flow_ended(&mut self, now: ClockTime, id: FlowId, whole: bool, out: &mut Vec<DirectAction>) {
+        let answered = self.flows.get(&id).and_then(|flow| flow.call.as_ref()).cloned();
+        let call = self.close_call(id, if whole { "whole" } else { "broken_off" });
+        if let (true, Some(call)) = (whole && answered.is_some(), &call)
+            && let Some(state) = self.fleet.get_mut(&call.target.id)
+        {
+            state.learn_run(now.saturating_sub(call.started));
+        }
+        self.drop_cache(id, out);
+        if let Some(flow) = self.flows.remove(&id) {
+            self.limits.remove(&(flow.limit + LIMIT_GRACE, id));
+        }
+    }
+
+    fn drop_cache(&mut self, id: FlowId, out: &mut Vec<DirectAction>) {
+        let Some(cache) = self.flows.get_mut(&id).and_then(|flow| flow.cache.take()) else {
+            return;
+        };
+        out.push(DirectAction::FreeCache { target: cache.target, handle: cache.handle });
+    }
+
+    fn give_up(
+        &mut self,
+        id: FlowId,
+        reason: GiveUpReason,
+        wait: Duration,
+        out: &mut Vec<DirectAction>,
+    ) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let running = flow.call.as_ref().is_some_and(|call| call.step != StepKind::Prefill);
+        let not_run = !flow.may_have_run && !running;
+        flow.story.reason = Some(reason);
+        let (low, high) = RETRY_AFTER_BOUNDS;
+        // Spreads the returns of callers that were refused together.
+        let spread = self.rng.random_range(0.75..1.5);
+        let retry_after = wait.clamp(low, high).mul_f64(spread);
+        let answer = GiveUp { reason, not_run, retry_after };
+        out.push(DirectAction::GiveUp { flow: id, answer });
+    }
+
+    fn tick(&mut self, now: ClockTime, out: &mut Vec<DirectAction>) {
+        self.peers.expire(now);
+        if now >= self.next_forget {
+            self.next_forget = now + FORGET_INTERVAL;
+            self.fleet.forget_parts(now);
+            self.crashes.expire(now);
+        }
+        while let Some((limit, id)) = self.limits.first().copied() {
+            if limit > now {
+                return;
+            }
+            self.limits.pop_first();
+            let answered =
+                self.flows.get(&id).and_then(|f| f.call.as_ref()).is_some_and(|c| c.answered);
+            if !answered {
+                self.give_up(id, GiveUpReason::TimedOut, Duration::ZERO, out);
+            }
+        }
+    }
+}
+
+fn engine_terms<'a>(
+    routes: Option<&'a Arc<RouteTable>>,
+    service: &ServiceName,
+) -> Option<&'a EngineTerms> {
+    routes?.services.get(service)?.engine.as_ref()
+}
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,147 @@
+//! The operators' configuration, as the platform's store holds it.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::Deserialize;
+
+use crate::{
+    direct::{
+        EngineTerms, RepeatRule, RequestLimits, RouteTable, RouteTerms, ServiceTerms,
+        WeightedService,
+    },
+    error::{Error, ErrorCode, Result},
+};
+
+/// Topic with the operators' records, and the key of the newest configuration.
+pub const TOPIC: &str = "keyed.op";
+/// Key of the newest configuration.
+pub const KEY: &str = "config";
+
+#[derive(Deserialize)]
+struct WireConfig {
+    version: u64,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    limits: WireLimits,
+}
+
+#[derive(Deserialize)]
+struct WireRoute {
+    name: Arc<str>,
+    host: Arc<str>,
+    path_prefix: Arc<str>,
+    kind: WireKind,
+    timeout_ms: f64,
+    target_latency_ms: f64,
+    priority: u8,
+    service: Option<Arc<str>>,
+    #[serde(default)]
+    traffic_split: Vec<WireSplit>,
+    max_attempts: u32,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireKind {
+    Streaming,
+    Unsafe,
+    Safe,
+}
+
+#[derive(Deserialize)]
+struct WireSplit {
+    service: Arc<str>,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct WireService {
+    name: Arc<str>,
+    max_connections: u32,
+    engine: Option<WireEngine>,
+}
+
+#[derive(Deserialize)]
+struct WireEngine {
+    slots: u32,
+    kv_capacity_tokens: f64,
+    token_kv_bytes: f64,
+    link_mbps: f64,
+    handle_ttl_s: f64,
+}
+
+#[derive(Deserialize)]
+struct WireLimits {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: u64,
+    idle_timeout_ms: u64,
+}
+
+/// Weights may be fractions; they are kept to a thousandth.
+const WEIGHT_SCALE: f64 = 1000.0;
+
+/// Decodes a configuration.
+///
+/// # Errors
+/// Returns [`ErrorCode::Malformed`] with the reason.
+pub fn decode(value: &[u8]) -> Result<RouteTable> {
+    let config: WireConfig = serde_json::from_slice(value)
+        .map_err(|e| Error::new(ErrorCode::Malformed, format!("configuration ({e})")))?;
+    let services = config.services.into_iter().map(|s| (s.name.clone(), service_terms(s)));
+    Ok(RouteTable {
+        version: config.version,
+        routes: config.routes.into_iter().map(|route| Arc::new(route_terms(route))).collect(),
+        services: services.collect(),
+        limits: RequestLimits {
+            head_bytes: config.limits.max_header_bytes,
+            body_bytes: config.limits.max_body_bytes,
+            head_time: Duration::from_millis(config.limits.header_timeout_ms),
+            idle_time: Duration::from_millis(config.limits.idle_timeout_ms),
+        },
+    })
+}
+
+fn route_terms(route: WireRoute) -> RouteTerms {
+    let (repeat, streams) = match route.kind {
+        WireKind::Safe => (RepeatRule::Always, false),
+        WireKind::Unsafe => (RepeatRule::Never, false),
+        WireKind::Streaming if route.resumable => (RepeatRule::Resume, true),
+        WireKind::Streaming => (RepeatRule::Never, true),
+    };
+    let split = route.traffic_split.into_iter().map(|split| WeightedService {
+        service: split.service,
+        weight: (split.weight * WEIGHT_SCALE) as u32,
+    });
+    let single = route.service.into_iter().map(|service| WeightedService { service, weight: 1 });
+    let services = single.chain(split).filter(|weighted| weighted.weight > 0).collect();
+    RouteTerms {
+        name: route.name,
+        host: route.host.to_ascii_lowercase().into(),
+        prefix: route.path_prefix,
+        repeat,
+        streams,
+        timeout: millis(route.timeout_ms),
+        objective: millis(route.target_latency_ms),
+        priority: route.priority,
+        max_attempts: route.max_attempts.max(1),
+        services,
+    }
+}
+
+fn service_terms(service: WireService) -> ServiceTerms {
+    let engine = service.engine.map(|engine| EngineTerms {
+        slots: engine.slots,
+        memory_tokens: engine.kv_capacity_tokens as u32,
+        token_bytes: engine.token_kv_bytes,
+        link_bits: engine.link_mbps * 1.0e6,
+        cache_lifetime: Duration::from_secs_f64(engine.handle_ttl_s.max(0.0)),
+    });
+    ServiceTerms { max_connections: service.max_connections, engine }
+}
+
+fn millis(value: f64) -> Duration {
+    Duration::from_secs_f64(value.max(0.0) / 1000.0)
+}
--- a/src/process.rs
+++ b/src/process.rs
@@ -7,6 +7,8 @@
 
 pub mod admin;
 pub mod control;
+pub mod dial;
+pub mod direct;
 pub mod entry;
 pub mod http;
 pub mod link;
--- /dev/null
+++ b/src/process/direct/answer.rs
@@ -0,0 +1,180 @@
+//! Body of an answer on its way from a target to a caller.
+
+use std::{
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hyper::{
+    body::{Body, Frame, Incoming, SizeHint},
+    header::HeaderMap,
+};
+use snafu::Snafu;
+use tokio::time::Sleep;
+
+use super::{pool::ConnectionLease, shell::DirectShell};
+use crate::{
+    direct::{DirectEvent, FlowId},
+    platform::runner,
+};
+
+/// Why an answer was broken off; the caller's connection is closed with it.
+#[derive(Debug, Snafu)]
+pub(super) enum AnswerBreak {
+    /// The target's answer broke off.
+    #[snafu(display("the target's answer broke off ({source})"))]
+    Target {
+        /// The failure.
+        source: hyper::Error,
+    },
+    /// The route's time limit has passed.
+    #[snafu(display("the route's time limit has passed"))]
+    TimedOut,
+}
+
+/// Ends a request when it is dropped, whatever became of it.
+pub(super) struct FlowGuard {
+    shell: Rc<DirectShell>,
+    pub(super) flow: FlowId,
+    id: String,
+    whole: bool,
+    status: u16,
+}
+
+impl FlowGuard {
+    pub(super) fn new(shell: Rc<DirectShell>, flow: FlowId, id: String) -> FlowGuard {
+        FlowGuard { shell, flow, id, whole: false, status: 0 }
+    }
+
+    pub(super) fn set_status(&mut self, status: u16) {
+        self.status = status;
+    }
+}
+
+impl Drop for FlowGuard {
+    fn drop(&mut self) {
+        let story = self.shell.story(self.flow).unwrap_or_default();
+        self.shell.close_flow(self.flow, self.whole);
+        let reason = story.reason.map_or_else(String::new, |reason| reason.to_string());
+        log::info!(
+            request:% = self.id,
+            route:% = story.route,
+            version:% = story.version,
+            status:% = self.status,
+            whole:% = self.whole,
+            reason:% = reason,
+            calls:% = story.calls.join("; "),
+            estimate_ms:% = story.estimate_ms,
+            first_ms:? = story.first_ms;
+            "request ended"
+        );
+    }
+}
+
+/// Answer's body: the target's, the system's own, or nothing.
+pub(super) enum AnswerBody {
+    /// Bytes of the system's own answer.
+    Own(Option<Bytes>),
+    /// Bytes of the target's answer.
+    Target(Box<TargetBody>),
+}
+
+/// The target's body with all that ends together with it.
+pub(super) struct TargetBody {
+    pub(super) upstream: Incoming,
+    pub(super) lease: Option<ConnectionLease>,
+    pub(super) idle_limit: Option<Duration>,
+    pub(super) reusable: bool,
+    pub(super) guard: FlowGuard,
+    pub(super) cut: Pin<Box<Sleep>>,
+    pub(super) begun: bool,
+}
+
+impl AnswerBody {
+    pub(super) fn own(bytes: Bytes) -> AnswerBody {
+        AnswerBody::Own(Some(bytes))
+    }
+}
+
+impl TargetBody {
+    pub(super) fn reuse(headers: &HeaderMap) -> (bool, Option<Duration>) {
+        (!runner::closes(headers), runner::idle_limit(headers))
+    }
+
+    fn poll(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBreak>>> {
+        match Pin::new(&mut self.upstream).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                if !self.begun {
+                    self.begun = true;
+                    let flow = self.guard.flow;
+                    self.guard.shell.step(DirectEvent::FirstOutput { flow });
+                }
+                if self.upstream.is_end_stream() {
+                    self.finish();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(source))) => {
+                self.lease = None;
+                Poll::Ready(Some(Err(AnswerBreak::Target { source })))
+            }
+            Poll::Ready(None) => {
+                self.finish();
+                Poll::Ready(None)
+            }
+            Poll::Pending => match self.cut.as_mut().poll(context) {
+                Poll::Ready(()) => {
+                    self.lease = None;
+                    Poll::Ready(Some(Err(AnswerBreak::TimedOut)))
+                }
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+
+    fn finish(&mut self) {
+        self.guard.whole = true;
+        if let Some(lease) = self.lease.take()
+            && self.reusable
+        {
+            self.guard.shell.pools.give_back(lease, self.idle_limit);
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = AnswerBreak;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBreak>>> {
+        match self.get_mut() {
+            AnswerBody::Own(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            AnswerBody::Target(body) => body.poll(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            AnswerBody::Own(bytes) => bytes.is_none(),
+            AnswerBody::Target(body) => body.upstream.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Own(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            AnswerBody::Target(body) => body.upstream.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/src/process/direct/follow.rs
@@ -0,0 +1,228 @@
+//! Follows the platform's store: the configuration and the list of targets.
+
+use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+
+use super::shell::DirectShell;
+use crate::{
+    direct::{DirectEvent, DirectTarget, TargetChange},
+    ids::TargetId,
+    platform::{
+        configuration, discovery,
+        settings::PlatformSettings,
+        store::{KeyedRecord, RecordPage, StoreClient, StoreError},
+    },
+};
+
+/// How long the store may hold a read that finds nothing new. A silent
+/// connection is noticed after this and the call's own time limit.
+const READ_WAIT: Duration = Duration::from_millis(1200);
+/// Pause between reads of the configuration; a bound of the settings allows 2 s.
+const CONFIGURATION_PACE: Duration = Duration::from_millis(250);
+/// Pause between reads of the targets, so that one read takes several records;
+/// leaving targets have to be known within 2 s.
+const TARGET_PACE: Duration = Duration::from_millis(500);
+/// First pause after a failed call, and the longest one.
+const FAILURE_PAUSE: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(800));
+/// Time after an outage in which entries that lapsed meanwhile come back.
+const RETURN_TIME: Duration = Duration::from_millis(2500);
+/// How long a lapsed target is still used where its entry may come back; with
+/// the pace of reading this stays under the 2 s for leaving targets.
+const LAPSE_TIME: Duration = Duration::from_millis(1000);
+
+/// Starts both followers.
+pub(super) fn spawn(settings: &PlatformSettings, shell: &Rc<DirectShell>) {
+    let store = settings.store;
+    let configuration = ConfigurationFollower { shell: shell.clone() };
+    tokio::task::spawn_local(async move {
+        follow(StoreClient::open(store), configuration::TOPIC, CONFIGURATION_PACE, configuration)
+            .await;
+    });
+    let targets = TargetFollower::new(shell.clone());
+    tokio::task::spawn_local(async move {
+        follow(StoreClient::open(store), discovery::TOPIC, TARGET_PACE, targets).await;
+    });
+}
+
+/// What is done with the records of a topic.
+pub(super) trait TopicFollower {
+    /// Takes the newest record of every key.
+    fn whole(&mut self, records: Vec<KeyedRecord>);
+    /// Takes records in order.
+    fn changes(&mut self, records: Vec<KeyedRecord>);
+    /// Notes that the store did not answer.
+    fn unavailable(&mut self);
+    /// Called after each read, for what falls due with time.
+    fn settle(&mut self);
+}
+
+/// Reads a topic as a whole, then each change, and as a whole again where
+/// records were deleted.
+pub(super) async fn follow(
+    mut store: StoreClient,
+    topic: &'static str,
+    pace: Duration,
+    mut follower: impl TopicFollower,
+) {
+    let mut next: Option<u64> = None;
+    let mut pause = FAILURE_PAUSE.0;
+    let mut reachable = true;
+    loop {
+        let result = match next {
+            None => store.newest(topic).await.map(|page| (true, page)),
+            Some(from) => store.read(topic, from, READ_WAIT).await.map(|page| (false, page)),
+        };
+        match result {
+            Ok((whole, page)) => {
+                if !reachable {
+                    log::info!(topic:% = topic; "store reached again");
+                }
+                reachable = true;
+                pause = FAILURE_PAUSE.0;
+                next = Some(page.next);
+                apply(&mut follower, whole, page);
+                follower.settle();
+                tokio::time::sleep(pace).await;
+            }
+            Err(StoreError::Deleted { first }) => {
+                log::info!(topic:% = topic, first:% = first; "records deleted: topic read anew");
+                next = None;
+            }
+            Err(error) => {
+                if reachable {
+                    log::warn!(topic:% = topic, error:% = error; "store lost");
+                }
+                reachable = false;
+                if error == StoreError::Malformed {
+                    next = None;
+                }
+                follower.unavailable();
+                follower.settle();
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(FAILURE_PAUSE.1);
+            }
+        }
+    }
+}
+
+fn apply(follower: &mut impl TopicFollower, whole: bool, page: RecordPage) {
+    if whole {
+        follower.whole(page.records);
+    } else if !page.records.is_empty() {
+        follower.changes(page.records);
+    }
+}
+
+struct ConfigurationFollower {
+    shell: Rc<DirectShell>,
+}
+
+impl TopicFollower for ConfigurationFollower {
+    fn whole(&mut self, records: Vec<KeyedRecord>) {
+        self.changes(records);
+    }
+
+    fn changes(&mut self, records: Vec<KeyedRecord>) {
+        let newest = records.into_iter().rev().filter(|record| record.key == configuration::KEY);
+        for value in newest.filter_map(|record| record.value) {
+            match configuration::decode(&value) {
+                Ok(routes) => {
+                    log::info!(version:% = routes.version; "configuration read");
+                    self.shell.step(DirectEvent::Routes(Arc::new(routes)));
+                    return;
+                }
+                Err(error) => log::warn!(error:% = error; "configuration kept"),
+            }
+        }
+    }
+
+    fn unavailable(&mut self) {}
+
+    fn settle(&mut self) {}
+}
+
+struct TargetFollower {
+    shell: Rc<DirectShell>,
+    outage_end: Option<Instant>,
+    lapsed: HashMap<TargetId, Instant>,
+    known: HashMap<TargetId, ()>,
+}
+
+impl TargetFollower {
+    fn new(shell: Rc<DirectShell>) -> TargetFollower {
+        TargetFollower { shell, outage_end: None, lapsed: HashMap::new(), known: HashMap::new() }
+    }
+
+    fn list(&mut self, record: KeyedRecord) {
+        let id: TargetId = record.key.as_str().into();
+        let Some(value) = record.value else { return self.lapse(id) };
+        match discovery::decode(&id, &value) {
+            Ok(target) => self.listed(target),
+            Err(error) => log::info!(error:% = error; "entry ignored"),
+        }
+    }
+
+    fn listed(&mut self, target: DirectTarget) {
+        self.lapsed.remove(&target.id);
+        let fresh = self.known.insert(target.id.clone(), ()).is_none();
+        if fresh || target.leaving {
+            log::info!(
+                target_id:% = target.id, service:% = target.service, stage:% = target.stage,
+                leaving:% = target.leaving;
+                "target listed"
+            );
+        }
+        self.shell.step(DirectEvent::Target(TargetChange::Listed(target)));
+    }
+
+    /// Drops a target whose entry is gone.
+    ///
+    /// Entries lapse in an outage of the store although their targets live, and
+    /// come back after it; until then such a target is used a little longer.
+    fn lapse(&mut self, id: TargetId) {
+        let now = Instant::now();
+        let returning = self.outage_end.is_some_and(|end| now < end + RETURN_TIME);
+        if returning && self.known.contains_key(&id) {
+            self.lapsed.entry(id).or_insert(now + LAPSE_TIME);
+        } else {
+            self.drop_target(id);
+        }
+    }
+
+    fn drop_target(&mut self, id: TargetId) {
+        if self.known.remove(&id).is_some() {
+            log::info!(target_id:% = id; "target gone");
+        }
+        self.lapsed.remove(&id);
+        self.shell.step(DirectEvent::Target(TargetChange::Gone(id)));
+    }
+}
+
+impl TopicFollower for TargetFollower {
+    fn whole(&mut self, records: Vec<KeyedRecord>) {
+        let present: Vec<TargetId> =
+            records.iter().map(|record| record.key.as_str().into()).collect();
+        let missing: Vec<TargetId> =
+            self.known.keys().filter(|id| !present.contains(id)).cloned().collect();
+        missing.into_iter().for_each(|id| self.lapse(id));
+        records.into_iter().for_each(|record| self.list(record));
+    }
+
+    fn changes(&mut self, records: Vec<KeyedRecord>) {
+        records.into_iter().for_each(|record| self.list(record));
+    }
+
+    fn unavailable(&mut self) {
+        self.outage_end = Some(Instant::now());
+    }
+
+    fn settle(&mut self) {
+        let now = Instant::now();
+        let due: Vec<TargetId> =
+            self.lapsed.iter().filter(|(_, at)| **at <= now).map(|(id, _)| id.clone()).collect();
+        due.into_iter().for_each(|id| self.drop_target(id));
+        self.shell.pools.close_expired();
+    }
+}
--- /dev/null
+++ b/src/process/direct/gossip.rs
@@ -0,0 +1,173 @@
+//! Load and crashes that entries tell each other, in datagrams.
+//!
+//! A lost datagram is replaced by the next one, so nothing is sent again.
+//! Entries find each other through the platform's store.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use super::{
+    follow::{self, TopicFollower},
+    shell::DirectShell,
+};
+use crate::{
+    direct::{CrashReport, DirectEvent, LoadReport},
+    error::{Error, ErrorCode, Result},
+    platform::{
+        settings::PlatformSettings,
+        store::{KeyedRecord, StoreClient},
+    },
+};
+
+/// Topic in which entries leave their addresses.
+const PEER_TOPIC: &str = "keyed.entries";
+/// Interval of the reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between reads of the peers' addresses.
+const PEER_PACE: Duration = Duration::from_secs(2);
+/// Pause before an address is written again after a failure.
+const WRITE_PAUSE: Duration = Duration::from_secs(1);
+/// How long a crash is told; thirty reports, so that a few lost ones do no harm.
+const CRASH_TIME: Duration = Duration::from_secs(3);
+/// Largest datagram that is read.
+const DATAGRAM_BYTES: usize = 60 * 1024;
+
+#[derive(Debug, Serialize, Deserialize)]
+struct PeerDatagram {
+    load: LoadReport,
+    crashes: Vec<CrashReport>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct PeerEntry {
+    address: SocketAddr,
+}
+
+type PeerAddresses = Rc<RefCell<HashMap<String, SocketAddr>>>;
+
+/// Starts telling and listening.
+///
+/// # Errors
+/// Returns [`ErrorCode::Network`] where the port cannot be bound.
+pub(super) async fn spawn(
+    settings: &PlatformSettings,
+    instance: u64,
+    shell: &Rc<DirectShell>,
+) -> Result<()> {
+    let address = SocketAddr::new(settings.ip, settings.peer_port);
+    let failed = |e| Error::new(ErrorCode::Network, format!("{address} ({e})"));
+    let socket = Rc::new(UdpSocket::bind(address).await.map_err(failed)?);
+    let peers: PeerAddresses = Rc::default();
+    tokio::task::spawn_local(tell(shell.clone(), socket.clone(), peers.clone()));
+    tokio::task::spawn_local(listen(shell.clone(), socket));
+    let follower = PeerFollower { own: address.ip(), peers };
+    let (store, key) = (settings.store, settings.vm.to_string());
+    tokio::task::spawn_local(async move {
+        announce(store, &key, address).await;
+        follow::follow(StoreClient::open(store), PEER_TOPIC, PEER_PACE, follower).await;
+    });
+    log::debug!(instance:% = instance, address:% = address; "telling peers");
+    Ok(())
+}
+
+/// Leaves this process's address in the store.
+async fn announce(store: SocketAddr, key: &str, address: SocketAddr) {
+    let mut store = StoreClient::open(store);
+    // An entry of one address always has a JSON form.
+    let value = serde_json::to_vec(&PeerEntry { address }).unwrap_or_default();
+    while let Err(error) = store.put(PEER_TOPIC, key, &value).await {
+        log::warn!(error:% = error; "own address not written");
+        tokio::time::sleep(WRITE_PAUSE).await;
+    }
+}
+
+async fn tell(shell: Rc<DirectShell>, socket: Rc<UdpSocket>, peers: PeerAddresses) {
+    let mut interval = tokio::time::interval(REPORT_INTERVAL);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let addresses: Vec<SocketAddr> = peers.borrow().values().copied().collect();
+        if addresses.is_empty() {
+            continue;
+        }
+        let crashes = shell.recent_crashes(shell.now().saturating_sub(CRASH_TIME));
+        let datagram = PeerDatagram { load: shell.load_report(), crashes };
+        let mut bytes = Vec::new();
+        if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
+            log::error!(error:% = error; "report not encoded");
+            continue;
+        }
+        for address in addresses {
+            // A peer that is down refuses datagrams until it is back.
+            if let Err(error) = socket.send_to(&bytes, address).await {
+                log::debug!(address:% = address, error:% = error; "report not sent");
+            }
+        }
+    }
+}
+
+async fn listen(shell: Rc<DirectShell>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        let length = match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                log::debug!(error:% = error; "report not received");
+                tokio::time::sleep(REPORT_INTERVAL).await;
+                continue;
+            }
+        };
+        match ciborium::from_reader::<PeerDatagram, _>(&buffer[..length]) {
+            Ok(datagram) => {
+                shell.step(DirectEvent::PeerLoad(datagram.load));
+                for report in datagram.crashes {
+                    shell.step(DirectEvent::Crashes(report));
+                }
+            }
+            Err(error) => log::info!(error:% = error; "report ignored"),
+        }
+    }
+}
+
+struct PeerFollower {
+    own: IpAddr,
+    peers: PeerAddresses,
+}
+
+impl PeerFollower {
+    fn take(&mut self, record: KeyedRecord) {
+        let Some(value) = record.value else {
+            self.peers.borrow_mut().remove(&record.key);
+            return;
+        };
+        match serde_json::from_slice::<PeerEntry>(&value) {
+            Ok(entry) if entry.address.ip() == self.own => {}
+            Ok(entry) => {
+                self.peers.borrow_mut().insert(record.key, entry.address);
+            }
+            Err(error) => log::info!(key:% = record.key, error:% = error; "peer entry ignored"),
+        }
+    }
+}
+
+impl TopicFollower for PeerFollower {
+    fn whole(&mut self, records: Vec<KeyedRecord>) {
+        records.into_iter().for_each(|record| self.take(record));
+    }
+
+    fn changes(&mut self, records: Vec<KeyedRecord>) {
+        records.into_iter().for_each(|record| self.take(record));
+    }
+
+    fn unavailable(&mut self) {}
+
+    fn settle(&mut self) {}
+}
