Place by homes, learned speeds and what a read costs others; refuse by waiting time

Ruled out: processor time (0.018 of 0.19 cores); refusals by targets (the 'not run' arrivals are prefill calls). Change: an engine's cost counts the burden on later requests; a home is chosen by rendezvous hashing weighted with learned speeds; entries tell each other kept parts and reading rates; a request is refused at once when it would wait beyond its objective, with a floor for large ones; those that come back late get the last ranks; an engine whose streams would pause too long reads no long prompt. Log lines carry time and tokens of each call and the longest pause.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -7,7 +7,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use strum::{Display, IntoStaticStr};
 
@@ -24,7 +24,7 @@
 
 pub use budget::RetryWindow;
 pub use flow::DirectStory;
-pub use load::{LoadReport, PeerTable, TargetCount};
+pub use load::{InFlight, KeptReport, LoadReport, PeerTable, TargetCount};
 pub use machine::{DirectMachine, DirectSettings};
 pub use route::{
     EngineTerms, ModelName, RepeatRule, RequestLimits, RouteTable, RouteTerms, ServiceName,
@@ -41,7 +41,7 @@
 pub type PeerName = Arc<str>;
 
 /// Part of a prompt that other requests may share.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PromptPart {
     /// Hash of the part's name.
     pub id: u64,
--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -10,16 +10,12 @@
 use super::{
     CallStep, Distance, EngineTerms, PeerTable, PromptShape, ServiceName,
     flow::StepKind,
-    target::{TargetFleet, TargetStage, TargetState},
+    target::{CALL_TIME, TargetFleet, TargetStage, TargetState},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
 
-/// Fixed part of a call: connection, scheduling and the way back, in seconds.
-const CALL_SECONDS: f32 = 0.006;
 /// What a call to another data centre takes longer, in seconds.
 const FAR_SECONDS: f32 = 0.003;
-/// An engine that generates reads prompts at this part of its speed; a platform page.
-const DECODE_READ_PART: f32 = 0.5;
 /// KV cache between data centres takes this many times as long; a platform page.
 const FAR_MOVE_FACTOR: f32 = 2.0;
 /// Time of one run before any was timed, in seconds.
@@ -27,7 +23,26 @@
 /// What a target that always fails is taken to cost, in seconds.
 const FAILING_SECONDS: f32 = 1.0;
 /// Shared parts shorter than this are not worth a home, in tokens.
-const HOME_TOKENS: u32 = 1024;
+pub(super) const HOME_TOKENS: u32 = 1024;
+/// What reading costs the requests that come after it at the same engine, as a
+/// part of the reading time. Without it a busy home sends its subjects to
+/// engines that have to read their shared parts anew, which fills those as well.
+const READ_BURDEN: f32 = 1.0;
+/// The same at an engine that generates: each running stream there waits for
+/// every chunk of the prompt.
+const DECODE_READ_BURDEN: f32 = 2.0;
+/// Prompt tokens that such an engine reads between two tokens of its streams; a
+/// platform page and the deployments' sheets.
+const DECODE_CHUNK_TOKENS: f32 = 256.0;
+/// Tokens in one event of a stream; from the deployments' configuration.
+const EVENT_TOKENS: f32 = 12.0;
+/// Longest pause between events with which an answer is still in time, in
+/// seconds, less a margin; from the deployments' sheets.
+const PAUSE_LIMIT: f32 = 0.14;
+/// Prompts that are read within one event lengthen no pause beyond the limit.
+const SHORT_READ_TOKENS: u32 = 1024;
+/// What making the streams of an engine late is taken to cost, in seconds.
+const PAUSE_BURDEN: f32 = 1.5;
 /// Random spread between equal estimates, in seconds, so that entries do not
 /// all choose the same target.
 const SPREAD_SECONDS: f32 = 0.002;
@@ -39,6 +54,8 @@
     pub(super) prompt: Option<&'a PromptShape>,
     pub(super) tried: &'a [TargetId],
     pub(super) data_centre: &'a DataCentreId,
+    /// Whether its answer cannot be in time any more.
+    pub(super) late: bool,
 }
 
 /// The chosen target.
@@ -50,12 +67,25 @@
     pub(super) reading: u32,
     /// Expected time to the first output.
     pub(super) seconds: f32,
+    /// Part of it that the request itself needs.
+    pub(super) own_seconds: f32,
+    /// What the placement costs others, in seconds.
+    burden: f32,
 }
 
 impl Placement {
     /// Returns the expected time to the first output.
     pub(super) fn expected(&self) -> Duration {
-        Duration::from_secs_f32(self.seconds.clamp(0.0, 3600.0))
+        duration(self.seconds)
+    }
+
+    /// Returns the expected time that it waits for others.
+    pub(super) fn waiting(&self) -> Duration {
+        duration(self.seconds - self.own_seconds)
+    }
+
+    fn cost(&self) -> f32 {
+        self.seconds + self.burden
     }
 }
 
@@ -103,8 +133,8 @@
         let home = home_key(prompt);
         let readers = usable.iter().filter(|state| state.target.stage == TargetStage::Prefill);
         let writers = usable.iter().filter(|state| state.target.stage == TargetStage::Decode);
-        let reader_home = home.and_then(|key| home_of(key, readers.clone()));
-        let writer_home = home.and_then(|key| home_of(key, writers.clone()));
+        let reader_home = home.and_then(|key| self.home_of(key, readers.clone()));
+        let writer_home = home.and_then(|key| self.home_of(key, writers.clone()));
         let whole = best(
             rng,
             writers.clone().map(|state| {
@@ -121,9 +151,13 @@
         let source = self.fleet.get(&read.target)?;
         let write = best(rng, writers.map(|state| self.decode(state, query, prompt, source)));
         let Some(write) = write else { return whole };
-        let split = Placement { seconds: read.seconds + write.seconds, ..read };
+        let split = Placement {
+            seconds: read.seconds + write.seconds,
+            own_seconds: read.own_seconds + write.own_seconds,
+            ..read
+        };
         match whole {
-            Some(whole) if whole.seconds <= split.seconds => Some(whole),
+            Some(whole) if whole.cost() <= split.cost() => Some(whole),
             _ => Some(split),
         }
     }
@@ -141,8 +175,8 @@
     }
 
     fn plain(&self, state: &TargetState, query: &PlacementQuery<'_>) -> Placement {
-        let seconds = self.slot_wait(state) + self.fixed(state, query);
-        placement(state, StepKind::Run, 0, seconds)
+        let own = self.fixed(state, query);
+        placement(state, StepKind::Run, self.slot_wait(state), own)
     }
 
     /// Estimates a run that reads its prompt where it generates.
@@ -153,11 +187,17 @@
         prompt: &PromptShape,
         home: bool,
     ) -> Placement {
-        let own = uncached(state, prompt, home);
-        let waiting = state.reading + self.peers.at(&state.target.id).1;
-        let read = (waiting + own) as f32 / (state.read_rate * DECODE_READ_PART);
-        let seconds = read + self.slot_wait(state) + self.fixed(state, query);
-        placement(state, StepKind::Run, own, seconds)
+        let rate = self.rate(state);
+        let tokens = uncached(state, prompt);
+        let waiting = self.read_wait(state, query) + self.slot_wait(state);
+        let own = tokens as f32 / rate + self.fixed(state, query);
+        let lasting = lasting_read(state, prompt, home) as f32 / rate;
+        let pause = EVENT_TOKENS * DECODE_CHUNK_TOKENS / rate;
+        let disturbs = tokens > SHORT_READ_TOKENS && pause > PAUSE_LIMIT;
+        let disturbance = if disturbs { PAUSE_BURDEN } else { 0.0 };
+        let placed = placement(state, StepKind::Run, waiting, own);
+        let burden = lasting * DECODE_READ_BURDEN + disturbance;
+        Placement { reading: tokens, burden, ..placed }
     }
 
     fn read(
@@ -167,10 +207,12 @@
         prompt: &PromptShape,
         home: bool,
     ) -> Placement {
-        let own = uncached(state, prompt, home);
-        let waiting = state.reading + self.peers.at(&state.target.id).1;
-        let seconds = (waiting + own) as f32 / state.read_rate + self.fixed(state, query);
-        placement(state, StepKind::Prefill, own, seconds)
+        let rate = self.rate(state);
+        let tokens = uncached(state, prompt);
+        let own = tokens as f32 / rate + self.fixed(state, query);
+        let placed = placement(state, StepKind::Prefill, self.read_wait(state, query), own);
+        let burden = lasting_read(state, prompt, home) as f32 / rate * READ_BURDEN;
+        Placement { reading: tokens, burden, ..placed }
     }
 
     fn decode(
@@ -187,12 +229,38 @@
         };
         let bits = query.engine.map_or(0.0, |terms| terms.token_bytes * 8.0 / terms.link_bits);
         let moved = prompt.tokens as f32 * bits as f32 * factor;
-        let seconds = moved + self.slot_wait(state) + self.fixed(state, query);
-        placement(state, StepKind::Decode, 0, seconds)
+        let own = moved + self.fixed(state, query);
+        placement(state, StepKind::Decode, self.slot_wait(state), own)
+    }
+
+    fn read_wait(&self, state: &TargetState, query: &PlacementQuery<'_>) -> f32 {
+        let in_flight = state.in_flight + self.peers.at(&state.target.id);
+        in_flight.ahead(query.late) as f32 / self.rate(state)
+    }
+
+    fn rate(&self, state: &TargetState) -> f32 {
+        state.joint_rate(self.peers.read_rate(&state.target.id))
+    }
+
+    /// Returns the home of a key by rendezvous hashing, weighted with the
+    /// engines' speeds: it moves few keys when targets come and go, and is the
+    /// same at every entry.
+    fn home_of<'a, 'b: 'a>(
+        &self,
+        key: u64,
+        states: impl Iterator<Item = &'a &'b TargetState>,
+    ) -> Option<&'b TargetId> {
+        let weight = |state: &TargetState| {
+            let mut hasher = SipHasher13::new();
+            (key, &*state.target.id).hash(&mut hasher);
+            let drawn = (hasher.finish() >> 11) as f64 / (1_u64 << 53) as f64;
+            -state.rate_weight(self.rate(state)) / drawn.max(f64::MIN_POSITIVE).ln()
+        };
+        states.max_by(|a, b| weight(a).total_cmp(&weight(b))).map(|state| &state.target.id)
     }
 
     fn slot_wait(&self, state: &TargetState) -> f32 {
-        let running = state.running + self.peers.at(&state.target.id).0;
+        let running = state.in_flight.running + self.peers.at(&state.target.id).running;
         let slots = state.target.slots.max(1);
         let run = if state.run_seconds > 0.0 { state.run_seconds } else { START_RUN_SECONDS };
         // A fuller batch is slower, so that part of a run counts even where a slot is free.
@@ -206,26 +274,46 @@
             Distance::Near => 0.0,
             Distance::Far => FAR_SECONDS,
         };
-        CALL_SECONDS + far + state.failing * FAILING_SECONDS
+        CALL_TIME.as_secs_f32() + far + state.failing * FAILING_SECONDS
+    }
+}
+
+fn placement(state: &TargetState, step: StepKind, waiting: f32, own_seconds: f32) -> Placement {
+    Placement {
+        target: state.target.id.clone(),
+        step,
+        reading: 0,
+        seconds: waiting + own_seconds,
+        own_seconds,
+        burden: 0.0,
     }
 }
 
-fn placement(state: &TargetState, step: StepKind, reading: u32, seconds: f32) -> Placement {
-    Placement { target: state.target.id.clone(), step, reading, seconds }
+fn duration(seconds: f32) -> Duration {
+    Duration::from_secs_f32(seconds.clamp(0.0, 3600.0))
 }
 
 fn best(rng: &mut SmallRng, placements: impl Iterator<Item = Placement>) -> Option<Placement> {
-    let spread = placements.map(|p| (p.seconds + rng.random::<f32>() * SPREAD_SECONDS, p));
+    let spread = placements.map(|p| (p.cost() + rng.random::<f32>() * SPREAD_SECONDS, p));
     spread.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, placement)| placement)
 }
 
-/// Returns the tokens that a target has to read; a home is taken to keep the shared parts.
-fn uncached(state: &TargetState, prompt: &PromptShape, home: bool) -> u32 {
-    let shared = if home { shared_tokens(prompt) } else { state.cached(prompt) };
-    prompt.tokens.saturating_sub(shared).max(1)
+/// Returns the tokens that a target has to read.
+fn uncached(state: &TargetState, prompt: &PromptShape) -> u32 {
+    prompt.tokens.saturating_sub(state.cached(prompt)).max(1)
 }
 
-fn shared_tokens(prompt: &PromptShape) -> u32 {
+/// Returns the reading that keeps a target from later requests. The shared
+/// parts do not count at their home: reading them there serves those.
+fn lasting_read(state: &TargetState, prompt: &PromptShape, home: bool) -> u32 {
+    if home {
+        prompt.tokens.saturating_sub(shared_tokens(prompt)).max(1)
+    } else {
+        uncached(state, prompt)
+    }
+}
+
+pub(super) fn shared_tokens(prompt: &PromptShape) -> u32 {
     let shared = prompt.parts.len().saturating_sub(1);
     prompt.parts.iter().take(shared).map(|part| part.tokens).sum()
 }
@@ -241,20 +329,6 @@
     Some(hasher.finish())
 }
 
-/// Returns the home of a key by rendezvous hashing, which moves few keys when
-/// targets come and go, and is the same at every entry.
-fn home_of<'a, 'b: 'a>(
-    key: u64,
-    states: impl Iterator<Item = &'a &'b TargetState>,
-) -> Option<&'b TargetId> {
-    let weight = |state: &&&TargetState| {
-        let mut hasher = SipHasher13::new();
-        (key, &*state.target.id).hash(&mut hasher);
-        hasher.finish()
-    };
-    states.max_by_key(weight).map(|state| &state.target.id)
-}
-
 /// Makes the call step of a placement.
 pub(super) fn call_step(
     step: StepKind,
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -4,12 +4,14 @@
 
 use serde::Serialize;
 use smallvec::SmallVec;
+use strum::Display;
 
 use super::{CallNumber, DirectRequest, DirectTarget, GiveUpReason, ServiceName};
 use crate::ids::{ClockTime, TargetId};
 
 /// Step that a call carries out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Display)]
+#[strum(serialize_all = "snake_case")]
 pub(super) enum StepKind {
     Run,
     Prefill,
@@ -25,9 +27,23 @@
     pub(super) started: ClockTime,
     /// Prompt tokens that the target still has to read for it.
     pub(super) reading: u32,
+    /// Prompt tokens that it had to read at first.
+    pub(super) planned: u32,
+    /// Prompt tokens that were ahead of it.
+    pub(super) ahead: u32,
     pub(super) answered: bool,
 }
 
+impl OpenCall {
+    /// Describes the call for a log line: target, step, ending, time, and the
+    /// prompt tokens that it had to read and that were ahead of it.
+    pub(super) fn describe(&self, now: ClockTime, ending: &str) -> String {
+        let took = now.saturating_sub(self.started).as_millis();
+        let (id, step) = (&self.target.id, self.step);
+        format!("{id} {step} {ending} {took}ms {}+{}", self.planned, self.ahead)
+    }
+}
+
 /// KV cache that waits at a target.
 #[derive(Debug, Clone)]
 pub(super) struct HeldCache {
@@ -41,6 +57,10 @@
     pub(super) request: Box<DirectRequest>,
     pub(super) service: ServiceName,
     pub(super) arrived: ClockTime,
+    /// Whether its objective had passed when it came.
+    pub(super) late: bool,
+    /// When its answer should begin to have its full worth.
+    pub(super) objective: ClockTime,
     /// When the caller stops waiting.
     pub(super) deadline: ClockTime,
     /// When the route's time is up.
@@ -69,11 +89,23 @@
     pub first_ms: Option<u64>,
     /// Reason for giving up.
     pub reason: Option<GiveUpReason>,
+    /// Expected time that it would wait for others, in milliseconds.
+    pub waiting_ms: u64,
     /// Estimate of the time to the first output when it was placed, in milliseconds.
     pub estimate_ms: u64,
 }
 
 impl DirectFlow {
+    /// Returns the story with the call under way.
+    pub(super) fn whole_story(&self, now: ClockTime) -> DirectStory {
+        let mut story = self.story.clone();
+        if let Some(call) = &self.call {
+            let ending = if call.answered { "answered" } else { "open" };
+            story.calls.push(call.describe(now, ending));
+        }
+        story
+    }
+
     pub(super) fn time_left(&self, now: ClockTime) -> Duration {
         self.deadline.min(self.limit).saturating_sub(now)
     }
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -4,21 +4,44 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::PeerName;
+use super::{PeerName, PromptPart};
 use crate::ids::{ClockTime, TargetId};
 
 /// Age at which a peer's report no longer counts; ten missed reports.
 pub const PEER_LIFETIME: Duration = Duration::from_millis(1500);
 
-/// What one entry has in flight at one target.
+/// Work in flight at a target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InFlight {
+    /// Requests.
+    pub running: u32,
+    /// Prompt tokens still to be read for requests that can be in time.
+    pub fresh: u32,
+    /// Prompt tokens still to be read for requests that are late already, which
+    /// targets read after the others.
+    pub late: u32,
+}
+
+/// What one entry has in flight at one target, and has learned of it.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct TargetCount {
     /// The target.
     pub target: TargetId,
-    /// Requests.
-    pub running: u32,
-    /// Prompt tokens that are not yet read.
-    pub reading: u32,
+    /// Its work in flight.
+    pub in_flight: InFlight,
+    /// Prompt tokens that it read in a second.
+    pub read_rate: f32,
+    /// Number of timings behind that rate.
+    pub samples: u32,
+}
+
+/// Part of a prompt that a target has read lately.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct KeptReport {
+    /// The target.
+    pub target: TargetId,
+    /// The part.
+    pub part: PromptPart,
 }
 
 /// What one entry has in flight at all targets.
@@ -30,8 +53,10 @@
     pub instance: u64,
     /// Number of the report within that process.
     pub sequence: u64,
-    /// Targets where it has anything in flight.
+    /// Targets where it has anything in flight, or that it has timed.
     pub counts: Vec<TargetCount>,
+    /// Long shared parts that targets have read for it lately.
+    pub kept: Vec<KeptReport>,
 }
 
 #[derive(Debug, Clone, Serialize)]
@@ -39,7 +64,7 @@
     instance: u64,
     sequence: u64,
     received: ClockTime,
-    counts: HashMap<TargetId, (u32, u32)>,
+    counts: HashMap<TargetId, TargetCount>,
 }
 
 /// The newest report of each peer.
@@ -57,7 +82,7 @@
         if stale {
             return;
         }
-        let counts = report.counts.into_iter().map(|c| (c.target, (c.running, c.reading)));
+        let counts = report.counts.into_iter().map(|count| (count.target.clone(), count));
         let load = PeerLoad {
             instance: report.instance,
             sequence: report.sequence,
@@ -82,9 +107,57 @@
         self.peers.is_empty()
     }
 
-    /// Returns requests and unread prompt tokens that peers have at a target.
-    pub fn at(&self, target: &TargetId) -> (u32, u32) {
-        let counts = self.peers.values().filter_map(|peer| peer.counts.get(target));
-        counts.fold((0, 0), |sum, count| (sum.0 + count.0, sum.1 + count.1))
+    /// Returns what peers have in flight at a target.
+    pub fn at(&self, target: &TargetId) -> InFlight {
+        self.counts(target).fold(InFlight::default(), |sum, count| sum + count.in_flight)
+    }
+
+    /// Returns the reading rate that peers have learned, and their number of timings.
+    pub fn read_rate(&self, target: &TargetId) -> (f32, u32) {
+        let timed = self.counts(target).map(|count| (count.read_rate, count.samples));
+        let (sum, samples) = timed.fold((0.0, 0), |(sum, total), (rate, samples)| {
+            (sum + rate * samples as f32, total + samples)
+        });
+        (if samples == 0 { 0.0 } else { sum / samples as f32 }, samples)
+    }
+
+    fn counts(&self, target: &TargetId) -> impl Iterator<Item = &TargetCount> {
+        self.peers.values().filter_map(move |peer| peer.counts.get(target))
+    }
+}
+
+impl std::ops::Add for InFlight {
+    type Output = InFlight;
+
+    fn add(self, other: InFlight) -> InFlight {
+        InFlight {
+            running: self.running + other.running,
+            fresh: self.fresh + other.fresh,
+            late: self.late + other.late,
+        }
+    }
+}
+
+impl InFlight {
+    /// Adds prompt tokens.
+    pub fn read_more(&mut self, late: bool, tokens: u32) {
+        let count = if late { &mut self.late } else { &mut self.fresh };
+        *count += tokens;
+    }
+
+    /// Takes prompt tokens out.
+    pub fn read_done(&mut self, late: bool, tokens: u32) {
+        let count = if late { &mut self.late } else { &mut self.fresh };
+        *count = count.saturating_sub(tokens);
+    }
+
+    /// Returns the prompt tokens that are read before a new request's.
+    pub fn ahead(&self, late: bool) -> u32 {
+        if late { self.fresh + self.late } else { self.fresh }
+    }
+
+    /// Tells whether nothing is in flight.
+    pub fn is_idle(&self) -> bool {
+        *self == InFlight::default()
     }
 }
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -1,7 +1,7 @@
 //! The state machine of an entry that calls targets itself.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -11,12 +11,13 @@
 
 use super::{
     CallNumber, CallOutcome, CrashReport, CrashTable, DirectAction, DirectEvent, DirectRequest,
-    DirectStory, EngineTerms, FlowId, GiveUp, GiveUpReason, LoadReport, PeerName, PeerTable,
-    RepeatRule, RetryWindow, RouteTable, ServiceName, TargetCount, TargetFleet,
-    estimate::{Placement, PlacementQuery, PlacementView, call_step},
+    DirectStory, EngineTerms, FlowId, GiveUp, GiveUpReason, KeptReport, LoadReport, PeerName,
+    PeerTable, PromptShape, RepeatRule, RetryWindow, RouteTable, ServiceName, TargetCount,
+    TargetFleet,
+    estimate::{HOME_TOKENS, Placement, PlacementQuery, PlacementView, call_step, shared_tokens},
     flow::{DirectFlow, HeldCache, OpenCall, StepKind},
 };
-use crate::ids::{ClockTime, DataCentreId};
+use crate::ids::{ClockTime, DataCentreId, TargetId};
 
 /// Calls for one request, declined ones included.
 const MAX_CALLS: CallNumber = 5;
@@ -29,6 +30,12 @@
     (Duration::from_millis(100), Duration::from_secs(2));
 /// Entries among which the shared retry slack is divided at least.
 const LEAST_ENTRIES: usize = 4;
+/// Part of its objective that a request may wait for others although it will be late.
+const LATE_WAIT_PART: f32 = 0.25;
+/// First rank of requests that are late already.
+const LATE_RANK: u8 = 5;
+/// How long a kept part is told to peers; three reports, so that a lost one does no harm.
+const KEPT_TIME: Duration = Duration::from_millis(350);
 /// Interval at which beliefs that are no longer used are dropped.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -68,7 +75,11 @@
     flows: HashMap<FlowId, DirectFlow>,
     #[serde(skip)]
     limits: BTreeSet<(ClockTime, FlowId)>,
+    #[serde(skip)]
+    longest_waits: HashMap<Arc<str>, Duration>,
     reports: u64,
+    #[serde(skip)]
+    kept: VecDeque<(ClockTime, KeptReport)>,
     next_forget: ClockTime,
 }
 
@@ -87,7 +98,9 @@
             budgets: HashMap::new(),
             flows: HashMap::new(),
             limits: BTreeSet::new(),
+            longest_waits: HashMap::new(),
             reports: 0,
+            kept: VecDeque::new(),
             next_forget: ClockTime::ZERO,
         }
     }
@@ -113,24 +126,30 @@
     }
 
     /// Returns what happened to a request so far.
-    pub fn story(&self, flow: FlowId) -> Option<&DirectStory> {
-        self.flows.get(&flow).map(|flow| &flow.story)
+    pub fn story(&self, now: ClockTime, flow: FlowId) -> Option<DirectStory> {
+        self.flows.get(&flow).map(|flow| flow.whole_story(now))
     }
 
     /// Makes the report of what this process has in flight, for its peers.
-    pub fn load_report(&mut self) -> LoadReport {
+    pub fn load_report(&mut self, now: ClockTime) -> LoadReport {
         self.reports += 1;
-        let busy = self.fleet.iter().filter(|state| state.running + state.reading > 0);
-        let counts = busy.map(|state| TargetCount {
+        let known =
+            self.fleet.iter().filter(|state| !state.in_flight.is_idle() || state.samples > 0);
+        let counts = known.map(|state| TargetCount {
             target: state.target.id.clone(),
-            running: state.running,
-            reading: state.reading,
+            in_flight: state.in_flight,
+            read_rate: state.read_rate,
+            samples: state.samples,
         });
+        while self.kept.front().is_some_and(|(told, _)| *told + KEPT_TIME < now) {
+            self.kept.pop_front();
+        }
         LoadReport {
             peer: self.settings.name.clone(),
             instance: self.settings.instance,
             sequence: self.reports,
             counts: counts.collect(),
+            kept: self.kept.iter().map(|(_, kept)| kept.clone()).collect(),
         }
     }
 
@@ -161,6 +180,11 @@
 
     fn peer_load(&mut self, now: ClockTime, report: LoadReport) {
         if report.peer != self.settings.name {
+            for kept in &report.kept {
+                let Some(state) = self.fleet.get_mut(&kept.target) else { continue };
+                let memory = memory_tokens(self.routes.as_ref(), &state.target.service);
+                state.keep_part(now, kept.part, memory);
+            }
             self.peers.apply(now, report);
             self.most_entries = self.most_entries.max(self.peers.len() + 1);
         }
@@ -179,8 +203,11 @@
         let limit = now + route.timeout;
         let version = self.routes.as_ref().map_or(0, |routes| routes.version);
         let story = DirectStory { route: route.name.clone(), version, ..DirectStory::default() };
+        let age = self.age(&request);
         let flow = DirectFlow {
+            late: age >= route.objective,
             deadline: now + request.time_left,
+            objective: (now + route.objective).saturating_sub(age),
             request,
             service,
             arrived: now,
@@ -199,6 +226,16 @@
         self.place(now, id, out);
     }
 
+    /// Returns how long the caller has waited before, by the deadlines of its route.
+    ///
+    /// Callers that come back after a refusal bring what is left of their time,
+    /// while new requests of a route bring the whole.
+    fn age(&mut self, request: &DirectRequest) -> Duration {
+        let longest = self.longest_waits.entry(request.route.name.clone()).or_default();
+        *longest = request.time_left.max(*longest);
+        *longest - request.time_left
+    }
+
     fn pick_service(&mut self, request: &DirectRequest) -> ServiceName {
         let services = &request.route.services;
         let total: u32 = services.iter().map(|s| s.weight).sum();
@@ -240,12 +277,13 @@
         let Some(placement) = self.choose(now, id) else {
             return self.give_up(id, GiveUpReason::NoTarget, Duration::from_millis(500), out);
         };
-        let expected = placement.expected();
-        if let Some(flow) = self.flows.get_mut(&id) {
-            flow.story.estimate_ms = expected.as_millis() as u64;
-        }
-        if expected >= left {
-            return self.give_up(id, GiveUpReason::CannotMeetDeadline, expected, out);
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        flow.story.estimate_ms = placement.expected().as_millis() as u64;
+        flow.story.waiting_ms = placement.waiting().as_millis() as u64;
+        let allowed = allowed_wait(now, flow, &placement);
+        if placement.expected() >= left || placement.waiting() > allowed {
+            let excess = placement.waiting().saturating_sub(allowed);
+            return self.give_up(id, GiveUpReason::CannotMeetDeadline, excess, out);
         }
         self.call(now, id, placement, out);
     }
@@ -259,6 +297,7 @@
             prompt: flow.request.prompt.as_ref(),
             tried: &flow.tried,
             data_centre: &self.settings.data_centre,
+            late: flow.late,
         };
         view.choose(&mut self.rng, &query)
     }
@@ -273,6 +312,7 @@
             prompt: flow.request.prompt.as_ref(),
             tried: &flow.tried,
             data_centre: &self.settings.data_centre,
+            late: flow.late,
         };
         let chosen = source.and_then(|source| view.choose_decode(&mut self.rng, &query, source));
         match chosen {
@@ -286,10 +326,12 @@
         let Some(state) = self.fleet.get_mut(&chosen.target) else { return };
         flow.calls += 1;
         let target = state.target.clone();
-        state.reading += chosen.reading;
+        let in_flight = state.in_flight + self.peers.at(&chosen.target);
+        let ahead = in_flight.ahead(flow.late);
+        state.in_flight.read_more(flow.late, chosen.reading);
         match chosen.step {
             StepKind::Prefill => flow.prefills += 1,
-            StepKind::Run | StepKind::Decode => state.running += 1,
+            StepKind::Run | StepKind::Decode => state.in_flight.running += 1,
         }
         let cache = match chosen.step {
             StepKind::Decode => flow.cache.as_ref().map(|c| (c.target.address, c.handle.clone())),
@@ -301,6 +343,8 @@
             step: chosen.step,
             started: now,
             reading: chosen.reading,
+            planned: chosen.reading,
+            ahead,
             answered: false,
         });
         out.push(DirectAction::Call {
@@ -309,19 +353,19 @@
             target,
             step: call_step(chosen.step, cache),
             time_left: flow.time_left(now),
-            priority: flow.request.route.priority.min(9),
+            priority: priority(flow),
         });
     }
 
     /// Takes what an ended call had in flight out of the counts.
-    fn close_call(&mut self, id: FlowId, ending: &str) -> Option<OpenCall> {
+    fn close_call(&mut self, now: ClockTime, id: FlowId, ending: &str) -> Option<OpenCall> {
         let flow = self.flows.get_mut(&id)?;
         let call = flow.call.take()?;
-        flow.story.calls.push(format!("{} {:?} {ending}", call.target.id, call.step));
+        flow.story.calls.push(call.describe(now, ending));
         if let Some(state) = self.fleet.get_mut(&call.target.id) {
-            state.reading = state.reading.saturating_sub(call.reading);
+            state.in_flight.read_done(flow.late, call.reading);
             if call.step != StepKind::Prefill {
-                state.running = state.running.saturating_sub(1);
+                state.in_flight.running = state.in_flight.running.saturating_sub(1);
             }
         }
         Some(call)
@@ -350,7 +394,7 @@
     }
 
     fn declined(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
-        let Some(call) = self.close_call(id, "declined") else { return };
+        let Some(call) = self.close_call(now, id, "declined") else { return };
         let Some(flow) = self.flows.get_mut(&id) else { return };
         if call.step == StepKind::Decode {
             self.drop_cache(id, out);
@@ -372,7 +416,7 @@
         arrived: bool,
         out: &mut Vec<DirectAction>,
     ) {
-        let Some(call) = self.close_call(id, ending) else { return };
+        let Some(call) = self.close_call(now, id, ending) else { return };
         if let Some(state) = self.fleet.get_mut(&call.target.id) {
             state.rest(now);
         }
@@ -399,14 +443,14 @@
         handle: Arc<str>,
         out: &mut Vec<DirectAction>,
     ) {
-        let Some(call) = self.close_call(id, "prefilled") else { return };
+        let Some(call) = self.close_call(now, id, "prefilled") else { return };
         let Some(flow) = self.flows.get_mut(&id) else { return };
         if let Some(state) = self.fleet.get_mut(&call.target.id) {
             state.succeed();
-            let ahead = state.reading + self.peers.at(&call.target.id).1;
-            state.learn_read(call.reading + ahead, now.saturating_sub(call.started));
+            state.learn_read(call.reading, call.ahead, now.saturating_sub(call.started));
             if let Some(prompt) = &flow.request.prompt {
-                state.keep(now, prompt);
+                state.keep(now, prompt, memory_tokens(self.routes.as_ref(), &flow.service));
+                note_kept(&mut self.kept, now, &call.target.id, prompt);
             }
         }
         flow.cache = Some(HeldCache { target: call.target, handle });
@@ -426,7 +470,7 @@
             if success { state.succeed() } else { state.fail() }
         }
         if !success && self.may_run_again(now, id) && self.spend_retry(now, id) {
-            let Some(call) = self.close_call(id, "failed") else { return };
+            let Some(call) = self.close_call(now, id, "failed") else { return };
             self.run_again(now, id, call, out);
             return;
         }
@@ -471,7 +515,7 @@
             self.report_crash(now, id, out);
         }
         let again = step == StepKind::Prefill || self.may_run_again(now, id);
-        let Some(call) = self.close_call(id, "lost") else { return };
+        let Some(call) = self.close_call(now, id, "lost") else { return };
         if let Some(state) = self.fleet.get_mut(&call.target.id) {
             if closed { state.rest(now) } else { state.fail() }
         }
@@ -512,16 +556,20 @@
         flow.story.first_ms = Some(now.saturating_sub(flow.arrived).as_millis() as u64);
         let Some(call) = &mut flow.call else { return };
         let Some(state) = self.fleet.get_mut(&call.target.id) else { return };
-        state.reading = state.reading.saturating_sub(call.reading);
+        state.in_flight.read_done(flow.late, call.reading);
         call.reading = 0;
         if let Some(prompt) = &flow.request.prompt {
-            state.keep(now, prompt);
+            state.keep(now, prompt, memory_tokens(self.routes.as_ref(), &flow.service));
+            note_kept(&mut self.kept, now, &call.target.id, prompt);
+        }
+        if call.step == StepKind::Run {
+            state.learn_read(call.planned, call.ahead, now.saturating_sub(call.started));
         }
     }
 
     fn flow_ended(&mut self, now: ClockTime, id: FlowId, whole: bool, out: &mut Vec<DirectAction>) {
         let answered = self.flows.get(&id).and_then(|flow| flow.call.as_ref()).cloned();
-        let call = self.close_call(id, if whole { "whole" } else { "broken_off" });
+        let call = self.close_call(now, id, if whole { "whole" } else { "broken_off" });
         if let (true, Some(call)) = (whole && answered.is_some(), &call)
             && let Some(state) = self.fleet.get_mut(&call.target.id)
         {
@@ -563,7 +611,6 @@
         self.peers.expire(now);
         if now >= self.next_forget {
             self.next_forget = now + FORGET_INTERVAL;
-            self.fleet.forget_parts(now);
             self.crashes.expire(now);
         }
         while let Some((limit, id)) = self.limits.first().copied() {
@@ -580,6 +627,44 @@
     }
 }
 
+/// Returns how long a request may wait for others.
+///
+/// While more comes than the targets can do, a queue that outlasts the
+/// objective makes every answer late; with a shorter one those that are
+/// admitted are in time. A request that needs long by itself may still wait a
+/// little, so that large ones are served as well.
+fn allowed_wait(now: ClockTime, flow: &DirectFlow, placement: &Placement) -> Duration {
+    let own = placement.expected().saturating_sub(placement.waiting());
+    let left = flow.objective.saturating_sub(now).saturating_sub(own);
+    left.max(flow.request.route.objective.mul_f32(LATE_WAIT_PART))
+}
+
+/// Returns the priority at targets: what cannot be in time goes last.
+fn priority(flow: &DirectFlow) -> u8 {
+    let rank = flow.request.route.priority.min(LATE_RANK - 1);
+    if flow.late { rank + LATE_RANK } else { rank }
+}
+
+/// Notes long shared parts, which peers are told of.
+fn note_kept(
+    kept: &mut VecDeque<(ClockTime, KeptReport)>,
+    now: ClockTime,
+    target: &TargetId,
+    prompt: &PromptShape,
+) {
+    if shared_tokens(prompt) < HOME_TOKENS {
+        return;
+    }
+    let shared = prompt.parts.len().saturating_sub(1);
+    for part in &prompt.parts[..shared] {
+        kept.push_back((now, KeptReport { target: target.clone(), part: *part }));
+    }
+}
+
+fn memory_tokens(routes: Option<&Arc<RouteTable>>, service: &ServiceName) -> u32 {
+    engine_terms(routes, service).map_or(0, |terms| terms.memory_tokens)
+}
+
 fn engine_terms<'a>(
     routes: Option<&'a Arc<RouteTable>>,
     service: &ServiceName,
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -10,21 +10,33 @@
 use serde::Serialize;
 use strum::Display;
 
-use super::{PromptShape, ServiceName};
+use super::{InFlight, PromptPart, PromptShape, ServiceName};
 use crate::ids::{ClockTime, DataCentreId, TargetId};
 
 /// Prompt tokens that an engine of ordinary speed reads in a second, before any
 /// of its own calls was timed; from the deployments' sheets.
 const START_READ_RATE: f32 = 61_000.0;
+/// An engine that generates reads prompts at this part of its speed; a platform page.
+const DECODE_READ_PART: f32 = 0.5;
+/// Part of an engine's memory that shared parts are taken to have; the rest is
+/// for running requests and KV caches that wait to be taken.
+const PARTS_SHARE: f32 = 0.75;
+/// Time of a call beside reading: connection, scheduling and the way back.
+pub(super) const CALL_TIME: Duration = Duration::from_millis(6);
+/// Shortest prompt whose reading time says something about the engine's speed, in tokens.
+const LEARN_TOKENS: u32 = 1024;
+/// Steps in which learned rates are compared, so that entries agree on homes:
+/// rates within a third of each other count as equal.
+const RATE_STEP: f32 = 1.35;
 /// Weight of a new timing in a learned figure.
 const LEARN_SHARE: f32 = 0.2;
+/// Timings after which a rate is a moving mean.
+const MAX_SAMPLES: u32 = 10;
 /// Bounds of a learned reading rate, as parts of the starting one.
 const RATE_BOUNDS: (f32, f32) = (0.15, 3.0);
 /// First pause after a target could not be reached, and the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
-/// Time after its last use at which a cached part is no longer believed.
-const PART_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Part that an engine plays.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Display)]
@@ -78,12 +90,12 @@
 #[derive(Debug, Clone, Serialize)]
 pub(super) struct TargetState {
     pub(super) target: Arc<DirectTarget>,
-    /// Requests of this process.
-    pub(super) running: u32,
-    /// Prompt tokens that this process has sent and that are not yet read.
-    pub(super) reading: u32,
-    /// Prompt tokens read in a second.
+    /// Work of this process.
+    pub(super) in_flight: InFlight,
+    /// Prompt tokens read in a second, by this process's own timings.
     pub(super) read_rate: f32,
+    /// Number of those timings.
+    pub(super) samples: u32,
     /// Time of one run, in seconds.
     pub(super) run_seconds: f32,
     pub(super) paused_until: ClockTime,
@@ -91,7 +103,14 @@
     /// Share of the last calls that failed.
     pub(super) failing: f32,
     #[serde(skip)]
-    parts: HashMap<u64, ClockTime>,
+    parts: HashMap<u64, KeptPart>,
+    kept_tokens: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct KeptPart {
+    used: ClockTime,
+    tokens: u32,
 }
 
 /// All known targets.
@@ -102,16 +121,18 @@
 
 impl TargetState {
     fn new(target: DirectTarget) -> TargetState {
+        let read_rate = start_rate(target.stage);
         TargetState {
             target: Arc::new(target),
-            running: 0,
-            reading: 0,
-            read_rate: START_READ_RATE,
+            in_flight: InFlight::default(),
+            read_rate,
+            samples: 0,
             run_seconds: 0.0,
             paused_until: ClockTime::ZERO,
             pause: FIRST_PAUSE,
             failing: 0.0,
             parts: HashMap::new(),
+            kept_tokens: 0,
         }
     }
 
@@ -121,20 +142,62 @@
         kept.map(|part| part.tokens).sum()
     }
 
-    /// Notes that the target keeps the shared parts of a prompt.
-    pub(super) fn keep(&mut self, now: ClockTime, prompt: &PromptShape) {
+    /// Notes that the target keeps the shared parts of a prompt; the parts that
+    /// were not used for longest yield where its memory is full.
+    pub(super) fn keep(&mut self, now: ClockTime, prompt: &PromptShape, memory_tokens: u32) {
         let shared = prompt.parts.len().saturating_sub(1);
         for part in prompt.parts.iter().take(shared) {
-            self.parts.insert(part.id, now);
+            self.keep_part(now, *part, memory_tokens);
         }
     }
 
-    /// Learns from the time that reading some tokens took.
-    pub(super) fn learn_read(&mut self, tokens: u32, took: Duration) {
-        let seconds = took.as_secs_f32().max(0.001);
+    /// Notes that the target keeps a part.
+    pub(super) fn keep_part(&mut self, now: ClockTime, part: PromptPart, memory_tokens: u32) {
+        let kept = KeptPart { used: now, tokens: part.tokens };
+        if self.parts.insert(part.id, kept).is_none() {
+            self.kept_tokens += part.tokens;
+        }
+        let limit = (memory_tokens as f32 * PARTS_SHARE) as u32;
+        while self.kept_tokens > limit {
+            let oldest = self.parts.iter().min_by_key(|(_, kept)| kept.used).map(|(id, _)| *id);
+            let Some(kept) = oldest.and_then(|id| self.parts.remove(&id)) else { return };
+            self.kept_tokens = self.kept_tokens.saturating_sub(kept.tokens);
+        }
+    }
+
+    fn forget_parts(&mut self) {
+        self.parts.clear();
+        self.kept_tokens = 0;
+    }
+
+    /// Learns from the time that reading some tokens took, those ahead included.
+    pub(super) fn learn_read(&mut self, own: u32, ahead: u32, took: Duration) {
+        if own < LEARN_TOKENS {
+            return;
+        }
+        let seconds = took.saturating_sub(CALL_TIME).as_secs_f32().max(0.001);
         let (low, high) = RATE_BOUNDS;
-        let rate = (tokens as f32 / seconds).clamp(START_READ_RATE * low, START_READ_RATE * high);
-        self.read_rate += LEARN_SHARE * (rate - self.read_rate);
+        let start = start_rate(self.target.stage);
+        let rate = ((own + ahead) as f32 / seconds).clamp(start * low, start * high);
+        self.samples = (self.samples + 1).min(MAX_SAMPLES);
+        let share = (1.0 / self.samples as f32).max(LEARN_SHARE);
+        self.read_rate += share * (rate - self.read_rate);
+    }
+
+    /// Returns the rate that a number of timings of peers, with their mean, and
+    /// the own ones give together.
+    pub(super) fn joint_rate(&self, (peer_rate, peer_samples): (f32, u32)) -> f32 {
+        let samples = (self.samples + peer_samples) as f32;
+        if samples == 0.0 {
+            return self.read_rate;
+        }
+        (self.read_rate * self.samples as f32 + peer_rate * peer_samples as f32) / samples
+    }
+
+    /// Returns a reading rate in steps, as a weight for homes.
+    pub(super) fn rate_weight(&self, rate: f32) -> f64 {
+        let ratio = rate / start_rate(self.target.stage);
+        f64::from(RATE_STEP.powf(ratio.log(RATE_STEP).round()))
     }
 
     /// Learns from the time that one run took.
@@ -188,7 +251,9 @@
             return;
         }
         if target.born_ms != known.target.born_ms || target.stage != known.target.stage {
-            known.parts.clear();
+            known.forget_parts();
+            known.read_rate = start_rate(target.stage);
+            known.samples = 0;
         }
         if target.born_ms != known.target.born_ms {
             known.paused_until = ClockTime::ZERO;
@@ -224,10 +289,11 @@
     pub fn is_empty(&self) -> bool {
         self.targets.is_empty()
     }
+}
 
-    pub(super) fn forget_parts(&mut self, now: ClockTime) {
-        for state in self.targets.values_mut() {
-            state.parts.retain(|_, used| now <= *used + PART_LIFETIME);
-        }
+fn start_rate(stage: TargetStage) -> f32 {
+    match stage {
+        TargetStage::Prefill | TargetStage::Plain => START_READ_RATE,
+        TargetStage::Decode => START_READ_RATE * DECODE_READ_PART,
     }
 }
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -13,7 +13,7 @@
     header::HeaderMap,
 };
 use snafu::Snafu;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 use super::{pool::ConnectionLease, shell::DirectShell};
 use crate::{
@@ -42,11 +42,12 @@
     id: String,
     whole: bool,
     status: u16,
+    longest_pause: Duration,
 }
 
 impl FlowGuard {
     pub(super) fn new(shell: Rc<DirectShell>, flow: FlowId, id: String) -> FlowGuard {
-        FlowGuard { shell, flow, id, whole: false, status: 0 }
+        FlowGuard { shell, flow, id, whole: false, status: 0, longest_pause: Duration::ZERO }
     }
 
     pub(super) fn set_status(&mut self, status: u16) {
@@ -68,7 +69,9 @@
             reason:% = reason,
             calls:% = story.calls.join("; "),
             estimate_ms:% = story.estimate_ms,
-            first_ms:? = story.first_ms;
+            waiting_ms:% = story.waiting_ms,
+            first_ms:? = story.first_ms,
+            pause_ms:% = self.longest_pause.as_millis();
             "request ended"
         );
     }
@@ -90,7 +93,7 @@
     pub(super) reusable: bool,
     pub(super) guard: FlowGuard,
     pub(super) cut: Pin<Box<Sleep>>,
-    pub(super) begun: bool,
+    pub(super) last_output: Option<Instant>,
 }
 
 impl AnswerBody {
@@ -110,11 +113,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerBreak>>> {
         match Pin::new(&mut self.upstream).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
-                if !self.begun {
-                    self.begun = true;
-                    let flow = self.guard.flow;
-                    self.guard.shell.step(DirectEvent::FirstOutput { flow });
-                }
+                self.note_output();
                 if self.upstream.is_end_stream() {
                     self.finish();
                 }
@@ -138,6 +137,20 @@
         }
     }
 
+    fn note_output(&mut self) {
+        let now = Instant::now();
+        match self.last_output.replace(now) {
+            Some(last) => {
+                let pause = now - last;
+                self.guard.longest_pause = self.guard.longest_pause.max(pause);
+            }
+            None => {
+                let flow = self.guard.flow;
+                self.guard.shell.step(DirectEvent::FirstOutput { flow });
+            }
+        }
+    }
+
     fn finish(&mut self) {
         self.guard.whole = true;
         if let Some(lease) = self.lease.take()
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -249,7 +249,7 @@
         reusable,
         guard,
         cut: Box::pin(tokio::time::sleep(time_left)),
-        begun: false,
+        last_output: None,
     };
     let mut response = Response::new(AnswerBody::Target(Box::new(body)));
     *response.status_mut() = parts.status;
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -118,11 +118,11 @@
     }
 
     pub(super) fn story(&self, flow: FlowId) -> Option<DirectStory> {
-        self.machine.borrow().story(flow).cloned()
+        self.machine.borrow().story(self.now(), flow)
     }
 
     pub(super) fn load_report(&self) -> LoadReport {
-        self.machine.borrow_mut().load_report()
+        self.machine.borrow_mut().load_report(self.now())
     }
 
     pub(super) fn in_flight(&self) -> usize {
