Stand-in for the platform with real processes, and tests of the direct entry

Change: declining targets rest for 50 ms to 0.8 s; a lapsed cache counts against its reader; the fingerprint is host, path and body; peers are told apart by address and port; a broken answer is reported.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod serve;
 pub mod service;
 pub mod shift;
+pub mod stand_in;
 pub mod sweep;
 pub mod workload;
--- a/emulator/src/processes.rs
+++ b/emulator/src/processes.rs
@@ -25,10 +25,25 @@
         program: &Path,
         arguments: &[String],
         output: &Path,
+    ) -> io::Result<ChildProcess> {
+        ChildProcess::spawn_with(name, program, arguments, &[], output)
+    }
+
+    /// Starts a program with environment variables of its own.
+    ///
+    /// # Errors
+    /// Returns the failure to start it or to create the file.
+    pub fn spawn_with(
+        name: &str,
+        program: &Path,
+        arguments: &[String],
+        variables: &[(&str, String)],
+        output: &Path,
     ) -> io::Result<ChildProcess> {
         let file = std::fs::File::create(output)?;
         let child = Command::new(program)
             .args(arguments)
+            .envs(variables.iter().map(|(name, value)| (name, value)))
             .stdin(Stdio::null())
             .stdout(file.try_clone()?)
             .stderr(file)
--- /dev/null
+++ b/emulator/tests/platform.rs
@@ -0,0 +1,199 @@
+//! The real program on the stand-in platform: calm, faulty targets, a faulty
+//! store, planned changes.
+
+use std::time::Duration;
+
+use emulator::stand_in::{
+    caller::{CallerKind, CallerOutcome, CallerRequest},
+    fleet::{PLAIN, PlatformFleet, PlatformSizes, mixed_requests},
+    referee,
+    runner::RunnerFaults,
+    store::StoreFaults,
+};
+use yare::parameterized;
+
+const PAUSE: Duration = Duration::from_millis(15);
+
+fn sizes(port: u16) -> PlatformSizes {
+    PlatformSizes { port, entries: 2, prefill: 2, decode: 3, plain: 3 }
+}
+
+struct TargetFault {
+    port: u16,
+    /// Targets with the fault: the first engine that reads, the first that
+    /// generates, the first plain one.
+    targets: &'static [usize],
+    faults: RunnerFaults,
+    /// Least number of whole answers among 120.
+    whole: usize,
+}
+
+#[parameterized(
+    calm = { TargetFault { port: 22_000, targets: &[], faults: RunnerFaults::default(), whole: 120 } },
+    declining = { TargetFault { port: 22_010, targets: &[0, 2, 5], faults: RunnerFaults { decline: true, ..RunnerFaults::default() }, whole: 100 } },
+    failing = { TargetFault { port: 22_020, targets: &[2, 5], faults: RunnerFaults { fail: true, ..RunnerFaults::default() }, whole: 80 } },
+    answers_lost = { TargetFault { port: 22_030, targets: &[2, 5], faults: RunnerFaults { lose_answer: true, ..RunnerFaults::default() }, whole: 80 } },
+    streams_broken = { TargetFault { port: 22_040, targets: &[2], faults: RunnerFaults { break_after: Some(2), ..RunnerFaults::default() }, whole: 70 } },
+    answers_crossed = { TargetFault { port: 22_050, targets: &[2, 5], faults: RunnerFaults { cross_answers: true, ..RunnerFaults::default() }, whole: 80 } },
+    answers_unsigned = { TargetFault { port: 22_060, targets: &[2, 5], faults: RunnerFaults { unsigned: true, ..RunnerFaults::default() }, whole: 80 } },
+    caches_lapse = { TargetFault { port: 22_070, targets: &[0, 1], faults: RunnerFaults { forget_handles: true, ..RunnerFaults::default() }, whole: 100 } },
+)]
+fn promises_hold_with_faulty_targets(case: TargetFault) {
+    run(async {
+        let mut fleet = PlatformFleet::spawn(sizes(case.port)).await.unwrap();
+        for target in case.targets {
+            fleet.runners[*target].set_faults(case.faults.clone());
+        }
+        let records = fleet.play(mixed_requests(120), PAUSE).await;
+        assert_eq!(fleet.judge(&records), vec![], "logs in {}", fleet.folder().display());
+        let whole = referee::whole(&records);
+        let others: Vec<_> = records
+            .iter()
+            .filter(|r| r.outcome != CallerOutcome::Whole)
+            .map(|r| (&r.request.id, &r.outcome))
+            .collect();
+        assert!(whole >= case.whole, "{whole} whole; others {others:?}");
+        assert_eq!(fleet.stop().unwrap(), Vec::<String>::new());
+    });
+}
+
+struct StoreFault {
+    port: u16,
+    faults: StoreFaults,
+}
+
+#[parameterized(
+    silent = { StoreFault { port: 22_100, faults: StoreFaults { silent: true, ..StoreFaults::default() } } },
+    busy = { StoreFault { port: 22_110, faults: StoreFaults { busy: true, ..StoreFaults::default() } } },
+    answers_lost = { StoreFault { port: 22_120, faults: StoreFaults { lose_answers: true, ..StoreFaults::default() } } },
+)]
+fn known_state_serves_while_the_store_is_away(case: StoreFault) {
+    run(async {
+        let fleet = PlatformFleet::spawn(sizes(case.port)).await.unwrap();
+        fleet.store.set_faults(case.faults);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let records = fleet.play(mixed_requests(60), PAUSE).await;
+        assert_eq!(fleet.judge(&records), vec![]);
+        assert_eq!(referee::whole(&records), 60);
+        fleet.store.set_faults(StoreFaults::default());
+        fleet.store.compact("keyed.op");
+        fleet.configure(2, PLAIN);
+        tokio::time::sleep(Duration::from_millis(2500)).await;
+        let records = fleet.play(notes(10, "moved"), PAUSE).await;
+        let plain_runs: usize = fleet.runners[5..].iter().map(|runner| runner.runs().len()).sum();
+        assert!(plain_runs >= 30 + 10, "notes go to the service of the new configuration");
+        assert_eq!(records.len(), 10);
+    });
+}
+
+#[test]
+fn a_process_without_configuration_is_not_ready_and_says_come_back() {
+    run(async {
+        let mut fleet = PlatformFleet::spawn(sizes(22_130)).await.unwrap();
+        fleet.store.set_faults(StoreFaults { busy: true, ..StoreFaults::default() });
+        fleet.entries[0].signal("KILL").unwrap();
+        fleet.entries[0].wait(Duration::from_secs(2)).ok();
+        fleet.entries[0] = fleet.start_entry(0).unwrap();
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        assert!(!fleet.is_ready(0).await);
+        let record =
+            emulator::stand_in::caller::send(fleet.entry(0), notes(1, "early").remove(0)).await;
+        assert_eq!(record.outcome, CallerOutcome::Own { status: 503, retry_after: true });
+        fleet.store.set_faults(StoreFaults::default());
+        fleet.wait_until_ready(0).await.unwrap();
+    });
+}
+
+#[test]
+fn a_leaving_target_gets_no_work_after_two_seconds() {
+    run(async {
+        let fleet = PlatformFleet::spawn(sizes(22_140)).await.unwrap();
+        fleet.set_state(2, "draining");
+        let told = tokio::time::Instant::now();
+        let records = fleet.play(mixed_requests(240), PAUSE).await;
+        assert_eq!(fleet.judge(&records), vec![]);
+        assert_eq!(referee::whole(&records), 240);
+        let late: Vec<_> = fleet.runners[2]
+            .runs()
+            .into_iter()
+            .filter(|run| run.at > told + Duration::from_secs(2))
+            .collect();
+        assert_eq!(late, vec![]);
+    });
+}
+
+#[test]
+fn a_stop_signal_cuts_nothing_and_ends_in_time() {
+    run(async {
+        let mut fleet = PlatformFleet::spawn(sizes(22_150)).await.unwrap();
+        let entry = fleet.entry(0);
+        let calls: Vec<_> = notes(40, "stop")
+            .into_iter()
+            .enumerate()
+            .map(|(index, request)| {
+                tokio::spawn(async move {
+                    tokio::time::sleep(Duration::from_millis(40) * index as u32).await;
+                    emulator::stand_in::caller::send(entry, request).await
+                })
+            })
+            .collect();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.entries[0].signal("TERM").unwrap();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert!(!fleet.is_ready(0).await, "the balancer is told at once");
+        let mut records = Vec::new();
+        for call in calls {
+            records.push(call.await.unwrap());
+        }
+        assert_eq!(referee::whole(&records), 40);
+        assert!(fleet.entries[0].wait(Duration::from_secs(8)).unwrap().success());
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_ends_its_run() {
+    run(async {
+        let fleet = PlatformFleet::spawn(sizes(22_160)).await.unwrap();
+        let mut request = CallerRequest::new("gone", CallerKind::Note, 1);
+        request.leave_after = Some(Duration::from_millis(35));
+        let records = fleet.play(vec![request], PAUSE).await;
+        assert_eq!(records[0].outcome, CallerOutcome::Left);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let left: Vec<String> = fleet.runners.iter().flat_map(|runner| runner.left()).collect();
+        let ran: usize = fleet.runners.iter().map(|runner| runner.runs().len()).sum();
+        assert_eq!(left.len(), ran, "every begun run was ended");
+    });
+}
+
+#[test]
+fn a_request_that_crashes_targets_is_not_sent_for_ever() {
+    run(async {
+        let fleet = PlatformFleet::spawn(sizes(22_170)).await.unwrap();
+        let poison = bytes::Bytes::from_static(b"poison");
+        for runner in &fleet.runners {
+            runner.set_faults(RunnerFaults {
+                poison: Some(poison.clone()),
+                ..RunnerFaults::default()
+            });
+        }
+        let mut runs = Vec::new();
+        for number in 0..12 {
+            let mut request =
+                CallerRequest::new(format!("poison-{number}"), CallerKind::Dossier, 1);
+            request.body = poison.clone();
+            fleet.play(vec![request], Duration::from_millis(200)).await;
+            runs.push(fleet.runners.iter().map(|runner| runner.runs().len()).sum::<usize>());
+        }
+        assert!(runs[11] <= 4, "runs after each request: {runs:?}");
+    });
+}
+
+fn notes(count: usize, name: &str) -> Vec<CallerRequest> {
+    let note =
+        |index| CallerRequest::new(format!("{name}-{index}"), CallerKind::Note, index as u64);
+    (0..count).map(note).collect()
+}
+
+fn run(work: impl Future<Output = ()>) {
+    tokio::runtime::Runtime::new().unwrap().block_on(work);
+}
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -69,8 +69,9 @@
     pub time_left: Duration,
     /// Sizes, for requests to engines.
     pub prompt: Option<PromptShape>,
-    /// Hash of its content, which stays the same when a caller repeats it.
-    pub fingerprint: ContentFingerprint,
+    /// Hash of its content, which stays the same when a caller repeats it;
+    /// `None` where nothing tells it apart from others of its route.
+    pub fingerprint: Option<ContentFingerprint>,
 }
 
 /// What a call asks of a target.
@@ -139,6 +140,11 @@
         /// The request.
         flow: FlowId,
     },
+    /// The target broke its answer off after the answer had begun.
+    AnswerBroke {
+        /// The request.
+        flow: FlowId,
+    },
     /// The answer was delivered, broke off, or the caller left.
     FlowEnded {
         /// The request.
@@ -154,7 +160,7 @@
     PeerLoad(LoadReport),
     /// Another process told of crashed targets.
     Crashes(CrashReport),
-    /// The process stops: everything is finished and nothing new begun.
+    /// Time has passed.
     Tick,
 }
 
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -161,6 +161,7 @@
                 self.call_ended(now, flow, call, outcome, out);
             }
             DirectEvent::FirstOutput { flow } => self.first_output(now, flow),
+            DirectEvent::AnswerBroke { flow } => self.answer_broke(now, flow, out),
             DirectEvent::FlowEnded { flow, whole } => self.flow_ended(now, flow, whole, out),
             DirectEvent::Target(change) => self.fleet.apply(change),
             DirectEvent::Routes(routes) => self.adopt(routes),
@@ -396,10 +397,21 @@
     fn declined(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let Some(call) = self.close_call(now, id, "declined") else { return };
         let Some(flow) = self.flows.get_mut(&id) else { return };
-        if call.step == StepKind::Decode {
-            self.drop_cache(id, out);
-        } else {
-            flow.tried.push(call.target.id.clone());
+        let source = flow.cache.as_ref().map(|cache| cache.target.id.clone());
+        match source {
+            // The KV cache has lapsed, or there is no room for it: which one is not told.
+            Some(source) if call.step == StepKind::Decode => {
+                if let Some(state) = self.fleet.get_mut(&source) {
+                    state.fail();
+                }
+                self.drop_cache(id, out);
+            }
+            _ => {
+                flow.tried.push(call.target.id.clone());
+                if let Some(state) = self.fleet.get_mut(&call.target.id) {
+                    state.decline(now);
+                }
+            }
         }
         if self.spend_retry(now, id) {
             self.place(now, id, out);
@@ -511,7 +523,7 @@
     fn lost(&mut self, now: ClockTime, id: FlowId, closed: bool, out: &mut Vec<DirectAction>) {
         let Some(flow) = self.flows.get(&id) else { return };
         let Some(step) = flow.call.as_ref().map(|call| call.step) else { return };
-        if closed && flow.request.prompt.is_some() {
+        if closed && step != StepKind::Prefill {
             self.report_crash(now, id, out);
         }
         let again = step == StepKind::Prefill || self.may_run_again(now, id);
@@ -541,11 +553,12 @@
     }
 
     fn report_crash(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
-        let Some(flow) = self.flows.get(&id) else { return };
+        let fingerprint = self.flows.get(&id).and_then(|flow| flow.request.fingerprint);
+        let Some(fingerprint) = fingerprint else { return };
         self.own_crashes += 1;
         let report = CrashReport {
             reporter: self.settings.instance,
-            crashes: vec![(flow.request.fingerprint, self.own_crashes)],
+            crashes: vec![(fingerprint, self.own_crashes)],
         };
         self.crashes.apply(now, &report);
         out.push(DirectAction::ReportCrashes(report));
@@ -567,6 +580,15 @@
         }
     }
 
+    fn answer_broke(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+        let call = self.flows.get(&id).and_then(|flow| flow.call.as_ref());
+        let Some(target) = call.map(|call| call.target.id.clone()) else { return };
+        if let Some(state) = self.fleet.get_mut(&target) {
+            state.fail();
+        }
+        self.report_crash(now, id, out);
+    }
+
     fn flow_ended(&mut self, now: ClockTime, id: FlowId, whole: bool, out: &mut Vec<DirectAction>) {
         let answered = self.flows.get(&id).and_then(|flow| flow.call.as_ref()).cloned();
         let call = self.close_call(now, id, if whole { "whole" } else { "broken_off" });
--- a/src/direct/suspect.rs
+++ b/src/direct/suspect.rs
@@ -52,8 +52,9 @@
     }
 
     /// Tells whether a request has crashed so many targets that it is not sent again.
-    pub fn is_barred(&self, fingerprint: ContentFingerprint) -> bool {
-        self.entries.get(&fingerprint).is_some_and(|entry| entry.seen.len() >= MAX_CRASHES)
+    pub fn is_barred(&self, fingerprint: Option<ContentFingerprint>) -> bool {
+        let entry = fingerprint.and_then(|fingerprint| self.entries.get(&fingerprint));
+        entry.is_some_and(|entry| entry.seen.len() >= MAX_CRASHES)
     }
 
     /// Drops suspects whose last crash is long past.
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -34,6 +34,9 @@
 const MAX_SAMPLES: u32 = 10;
 /// Bounds of a learned reading rate, as parts of the starting one.
 const RATE_BOUNDS: (f32, f32) = (0.15, 3.0);
+/// First pause after a target declined, and the longest one.
+const FIRST_DECLINE_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_DECLINE_PAUSE: Duration = Duration::from_millis(800);
 /// First pause after a target could not be reached, and the longest one.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
@@ -100,6 +103,7 @@
     pub(super) run_seconds: f32,
     pub(super) paused_until: ClockTime,
     pause: Duration,
+    decline_pause: Duration,
     /// Share of the last calls that failed.
     pub(super) failing: f32,
     #[serde(skip)]
@@ -130,6 +134,7 @@
             run_seconds: 0.0,
             paused_until: ClockTime::ZERO,
             pause: FIRST_PAUSE,
+            decline_pause: FIRST_DECLINE_PAUSE,
             failing: 0.0,
             parts: HashMap::new(),
             kept_tokens: 0,
@@ -210,6 +215,7 @@
 
     pub(super) fn succeed(&mut self) {
         self.pause = FIRST_PAUSE;
+        self.decline_pause = FIRST_DECLINE_PAUSE;
         self.failing -= LEARN_SHARE * self.failing;
     }
 
@@ -217,6 +223,13 @@
         self.failing += LEARN_SHARE * (1.0 - self.failing);
     }
 
+    /// Leaves a target that declined alone for a short while. It looks idle by
+    /// its work in flight, so that it would be chosen again at once.
+    pub(super) fn decline(&mut self, now: ClockTime) {
+        self.paused_until = now + self.decline_pause;
+        self.decline_pause = (self.decline_pause * 2).min(LONGEST_DECLINE_PAUSE);
+    }
+
     /// Leaves the target alone for a while that doubles with each failure.
     pub(super) fn rest(&mut self, now: ClockTime) {
         self.fail();
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -103,8 +103,6 @@
 
 impl CheckedHead {
     /// Makes the core's request.
-    ///
-    /// The fingerprint covers what stays the same when a caller sends it again.
     pub fn request(&self, parts: &Parts, body: &Bytes) -> DirectRequest {
         DirectRequest {
             route: self.route.clone(),
@@ -203,11 +201,15 @@
     Ok(shape)
 }
 
-fn fingerprint(parts: &Parts, body: &Bytes) -> ContentFingerprint {
+/// Hashes what stays the same when a caller sends a request again: host, path
+/// and body. Requests without a body are told apart by nothing.
+fn fingerprint(parts: &Parts, body: &Bytes) -> Option<ContentFingerprint> {
+    if body.is_empty() {
+        return None;
+    }
     let mut hasher = SipHasher13::new();
     parts.uri.path().hash(&mut hasher);
     text(&parts.headers, &HOST).hash(&mut hasher);
-    text(&parts.headers, &PROMPT_PREFIX).hash(&mut hasher);
     body.hash(&mut hasher);
-    hasher.finish()
+    Some(hasher.finish())
 }
--- a/src/process/direct/gossip.rs
+++ b/src/process/direct/gossip.rs
@@ -3,13 +3,7 @@
 //! A lost datagram is replaced by the next one, so nothing is sent again.
 //! Entries find each other through the platform's store.
 
-use std::{
-    cell::RefCell,
-    collections::HashMap,
-    net::{IpAddr, SocketAddr},
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -68,7 +62,7 @@
     let peers: PeerAddresses = Rc::default();
     tokio::task::spawn_local(tell(shell.clone(), socket.clone(), peers.clone()));
     tokio::task::spawn_local(listen(shell.clone(), socket));
-    let follower = PeerFollower { own: address.ip(), peers };
+    let follower = PeerFollower { own: address, peers };
     let (store, key) = (settings.store, settings.vm.to_string());
     tokio::task::spawn_local(async move {
         announce(store, &key, address).await;
@@ -138,7 +132,7 @@
 }
 
 struct PeerFollower {
-    own: IpAddr,
+    own: SocketAddr,
     peers: PeerAddresses,
 }
 
@@ -149,7 +143,7 @@
             return;
         };
         match serde_json::from_slice::<PeerEntry>(&value) {
-            Ok(entry) if entry.address.ip() == self.own => {}
+            Ok(entry) if entry.address == self.own => {}
             Ok(entry) => {
                 self.peers.borrow_mut().insert(record.key, entry.address);
             }
--- /dev/null
+++ b/tests/support/direct.rs
@@ -0,0 +1,183 @@
+//! Drives a [`DirectMachine`] under a test clock.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use sapphirewell::{
+    direct::{
+        CallOutcome, CallStep, DirectAction, DirectEvent, DirectMachine, DirectRequest,
+        DirectSettings, DirectTarget, EngineTerms, PromptPart, PromptShape, RepeatRule,
+        RequestLimits, RouteTable, RouteTerms, ServiceTerms, TargetChange, TargetStage,
+        WeightedService,
+    },
+    ids::{ClockTime, TargetId},
+};
+
+/// The service of all targets.
+pub const SERVICE: &str = "service";
+
+/// Machine with a clock.
+pub struct DirectRig {
+    pub machine: DirectMachine,
+    now: ClockTime,
+    repeat: RepeatRule,
+    listed: u16,
+    addresses: Vec<(String, SocketAddr)>,
+}
+
+/// Call that the machine ordered.
+#[derive(Debug, Clone)]
+pub struct OrderedCall {
+    pub number: u32,
+    pub target: TargetId,
+    pub step: CallStep,
+    pub priority: u8,
+}
+
+/// What a step led to.
+pub struct StepResult(Vec<DirectAction>);
+
+impl StepResult {
+    pub fn actions(self) -> Vec<DirectAction> {
+        self.0
+    }
+
+    /// Returns the call among the actions.
+    pub fn call(self) -> OrderedCall {
+        let call = self.0.iter().find_map(|action| match action {
+            DirectAction::Call { call, target, step, priority, .. } => Some(OrderedCall {
+                number: *call,
+                target: target.id.clone(),
+                step: step.clone(),
+                priority: *priority,
+            }),
+            _ => None,
+        });
+        call.unwrap_or_else(|| panic!("no call among {:?}", self.0))
+    }
+}
+
+impl DirectRig {
+    pub fn new(repeat: RepeatRule) -> DirectRig {
+        let machine = DirectMachine::new(DirectSettings {
+            name: "entry".into(),
+            instance: 7,
+            seed: 7,
+            data_centre: "dc".into(),
+            retry_ratio: 0.2,
+            retry_slack: 56.0,
+            retry_window: Duration::from_secs(10),
+        });
+        let now = Duration::from_secs(1);
+        let mut rig = DirectRig { machine, now, repeat, listed: 0, addresses: Vec::new() };
+        rig.configure(1);
+        rig
+    }
+
+    pub fn configure(&mut self, version: u64) {
+        let engine = EngineTerms {
+            slots: 16,
+            memory_tokens: 400_000,
+            token_bytes: 163_840.0,
+            link_bits: 1.5e12,
+            cache_lifetime: Duration::from_secs(5),
+        };
+        let terms = ServiceTerms { max_connections: 180, engine: Some(engine) };
+        let table = RouteTable {
+            version,
+            routes: vec![self.route()],
+            services: [(SERVICE.into(), terms)].into(),
+            limits: RequestLimits {
+                head_bytes: 16_384,
+                body_bytes: 65_536,
+                head_time: Duration::from_secs(3),
+                idle_time: Duration::from_secs(15),
+            },
+        };
+        self.step(DirectEvent::Routes(Arc::new(table)));
+    }
+
+    fn route(&self) -> Arc<RouteTerms> {
+        Arc::new(RouteTerms {
+            name: "route".into(),
+            host: "host".into(),
+            prefix: "/a/".into(),
+            repeat: self.repeat,
+            streams: true,
+            timeout: Duration::from_secs(5),
+            objective: Duration::from_millis(500),
+            priority: 1,
+            max_attempts: 2,
+            services: [WeightedService { service: SERVICE.into(), weight: 1 }]
+                .into_iter()
+                .collect(),
+        })
+    }
+
+    pub fn target(&mut self, name: &str, stage: TargetStage) -> DirectTarget {
+        self.listed += 1;
+        let address = SocketAddr::from(([127, 0, 0, 1], 1000 + self.listed));
+        self.addresses.push((name.to_owned(), address));
+        DirectTarget {
+            id: name.into(),
+            born_ms: 1,
+            service: SERVICE.into(),
+            address,
+            data_centre: "dc".into(),
+            stage,
+            slots: 16,
+            leaving: false,
+            warming: Duration::ZERO,
+            sequence: 1,
+        }
+    }
+
+    pub fn list(&mut self, name: &str, stage: TargetStage) {
+        let target = self.target(name, stage);
+        self.step(DirectEvent::Target(TargetChange::Listed(target)));
+    }
+
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.addresses.iter().find(|(known, _)| known == name).unwrap().1
+    }
+
+    pub fn advance(&mut self, time: Duration) {
+        self.now += time;
+    }
+
+    pub fn step(&mut self, event: DirectEvent) -> Vec<DirectAction> {
+        let mut actions = Vec::new();
+        self.machine.step(self.now, event, &mut actions);
+        actions
+    }
+
+    pub fn after(&mut self, event: DirectEvent) -> StepResult {
+        StepResult(self.step(event))
+    }
+
+    pub fn end(&mut self, flow: u64, call: u32, outcome: CallOutcome) -> Vec<DirectAction> {
+        self.step(DirectEvent::CallEnded { flow, call, outcome })
+    }
+
+    pub fn submit(&mut self, flow: u64) -> StepResult {
+        self.submit_with(flow, Duration::from_secs(5))
+    }
+
+    pub fn submit_with(&mut self, flow: u64, time_left: Duration) -> StepResult {
+        self.send(flow, time_left, None)
+    }
+
+    /// Submits a request whose prompt shares all but 100 tokens with its subject's others.
+    pub fn submit_prompt(&mut self, flow: u64, subject: u64, tokens: u32) -> StepResult {
+        let shared = PromptPart { id: subject, tokens: tokens - 100 };
+        let own = PromptPart { id: 1_000_000 + flow, tokens: 100 };
+        let parts = [shared, own].into_iter().collect();
+        let prompt = PromptShape { tokens, max_output: 120, parts };
+        self.send(flow, Duration::from_secs(5), Some(prompt))
+    }
+
+    fn send(&mut self, flow: u64, time_left: Duration, prompt: Option<PromptShape>) -> StepResult {
+        let request =
+            DirectRequest { route: self.route(), time_left, prompt, fingerprint: Some(42) };
+        self.after(DirectEvent::Submit { flow, request: Box::new(request) })
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A side machine with one target, its log and its clock, for focused tests.
 #![allow(dead_code)]
 
+pub mod direct;
+
 use std::time::Duration;
 
 use sapphirewell::{
