Smaller reports between entries, fewer store calls, failures cost but do not wait

Change: reports hold what changed, a whole one every eighth; at most 120 datagrams a second; peers known by their own reports; long polls of 3 s, targets each 0.8 s; failing targets are dearer, not slower; callers that come back late may wait for their whole objective, after the others.

--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -152,6 +152,7 @@
         let write = best(rng, writers.map(|state| self.decode(state, query, prompt, source)));
         let Some(write) = write else { return whole };
         let split = Placement {
+            burden: read.burden + write.burden,
             seconds: read.seconds + write.seconds,
             own_seconds: read.own_seconds + write.own_seconds,
             ..read
@@ -196,7 +197,7 @@
         let disturbs = tokens > SHORT_READ_TOKENS && pause > PAUSE_LIMIT;
         let disturbance = if disturbs { PAUSE_BURDEN } else { 0.0 };
         let placed = placement(state, StepKind::Run, waiting, own);
-        let burden = lasting * DECODE_READ_BURDEN + disturbance;
+        let burden = placed.burden + lasting * DECODE_READ_BURDEN + disturbance;
         Placement { reading: tokens, burden, ..placed }
     }
 
@@ -211,7 +212,8 @@
         let tokens = uncached(state, prompt);
         let own = tokens as f32 / rate + self.fixed(state, query);
         let placed = placement(state, StepKind::Prefill, self.read_wait(state, query), own);
-        let burden = lasting_read(state, prompt, home) as f32 / rate * READ_BURDEN;
+        let lasting = lasting_read(state, prompt, home) as f32 / rate;
+        let burden = placed.burden + lasting * READ_BURDEN;
         Placement { reading: tokens, burden, ..placed }
     }
 
@@ -274,7 +276,7 @@
             Distance::Near => 0.0,
             Distance::Far => FAR_SECONDS,
         };
-        CALL_TIME.as_secs_f32() + far + state.failing * FAILING_SECONDS
+        CALL_TIME.as_secs_f32() + far
     }
 }
 
@@ -285,7 +287,7 @@
         reading: 0,
         seconds: waiting + own_seconds,
         own_seconds,
-        burden: 0.0,
+        burden: state.failing * FAILING_SECONDS,
     }
 }
 
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -53,6 +53,9 @@
     pub instance: u64,
     /// Number of the report within that process.
     pub sequence: u64,
+    /// Whether the counts are all that it has; otherwise those that changed
+    /// since its report before.
+    pub whole: bool,
     /// Targets where it has anything in flight, or that it has timed.
     pub counts: Vec<TargetCount>,
     /// Long shared parts that targets have read for it lately.
@@ -82,14 +85,20 @@
         if stale {
             return;
         }
-        let counts = report.counts.into_iter().map(|count| (count.target.clone(), count));
-        let load = PeerLoad {
+        let load = self.peers.entry(report.peer).or_insert_with(|| PeerLoad {
             instance: report.instance,
             sequence: report.sequence,
             received: now,
-            counts: counts.collect(),
-        };
-        self.peers.insert(report.peer, load);
+            counts: HashMap::new(),
+        });
+        if report.whole || load.instance != report.instance {
+            load.counts.clear();
+        }
+        load.instance = report.instance;
+        load.sequence = report.sequence;
+        load.received = now;
+        let counts = report.counts.into_iter().map(|count| (count.target.clone(), count));
+        load.counts.extend(counts);
     }
 
     /// Drops peers that went silent.
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -32,6 +32,9 @@
 const LEAST_ENTRIES: usize = 4;
 /// Part of its objective that a request may wait for others although it will be late.
 const LATE_WAIT_PART: f32 = 0.25;
+/// The same for a request that was late when it came: targets serve it after
+/// the others, so that its waiting takes nothing from them.
+const RETURN_WAIT_PART: f32 = 1.0;
 /// First rank of requests that are late already.
 const LATE_RANK: u8 = 5;
 /// How long a kept part is told to peers; three reports, so that a lost one does no harm.
@@ -80,6 +83,9 @@
     reports: u64,
     #[serde(skip)]
     kept: VecDeque<(ClockTime, KeptReport)>,
+    /// Counts of the report before.
+    #[serde(skip)]
+    told: HashMap<TargetId, TargetCount>,
     next_forget: ClockTime,
 }
 
@@ -101,6 +107,7 @@
             longest_waits: HashMap::new(),
             reports: 0,
             kept: VecDeque::new(),
+            told: HashMap::new(),
             next_forget: ClockTime::ZERO,
         }
     }
@@ -130,17 +137,28 @@
         self.flows.get(&flow).map(|flow| flow.whole_story(now))
     }
 
-    /// Makes the report of what this process has in flight, for its peers.
-    pub fn load_report(&mut self, now: ClockTime) -> LoadReport {
+    /// Makes the report of what this process has in flight, for its peers: all
+    /// of it, or what has changed since the report before.
+    pub fn load_report(&mut self, now: ClockTime, whole: bool) -> LoadReport {
         self.reports += 1;
         let known =
             self.fleet.iter().filter(|state| !state.in_flight.is_idle() || state.samples > 0);
-        let counts = known.map(|state| TargetCount {
-            target: state.target.id.clone(),
-            in_flight: state.in_flight,
-            read_rate: state.read_rate,
-            samples: state.samples,
-        });
+        let counts: HashMap<TargetId, TargetCount> = known
+            .map(|state| TargetCount {
+                target: state.target.id.clone(),
+                in_flight: state.in_flight,
+                read_rate: state.read_rate,
+                samples: state.samples,
+            })
+            .map(|count| (count.target.clone(), count))
+            .collect();
+        let told = std::mem::replace(&mut self.told, counts);
+        let idle = told.keys().filter(|id| !self.told.contains_key(*id));
+        let idle = idle.map(|id| TargetCount { target: id.clone(), ..TargetCount::default() });
+        let changed =
+            self.told.values().filter(|count| whole || told.get(&count.target) != Some(count));
+        let mut counts: Vec<TargetCount> = changed.cloned().chain(idle).collect();
+        counts.sort_by(|a, b| a.target.cmp(&b.target));
         while self.kept.front().is_some_and(|(told, _)| *told + KEPT_TIME < now) {
             self.kept.pop_front();
         }
@@ -148,7 +166,8 @@
             peer: self.settings.name.clone(),
             instance: self.settings.instance,
             sequence: self.reports,
-            counts: counts.collect(),
+            whole,
+            counts,
             kept: self.kept.iter().map(|(_, kept)| kept.clone()).collect(),
         }
     }
@@ -658,7 +677,8 @@
 fn allowed_wait(now: ClockTime, flow: &DirectFlow, placement: &Placement) -> Duration {
     let own = placement.expected().saturating_sub(placement.waiting());
     let left = flow.objective.saturating_sub(now).saturating_sub(own);
-    left.max(flow.request.route.objective.mul_f32(LATE_WAIT_PART))
+    let part = if flow.late { RETURN_WAIT_PART } else { LATE_WAIT_PART };
+    left.max(flow.request.route.objective.mul_f32(part))
 }
 
 /// Returns the priority at targets: what cannot be in time goes last.
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -16,13 +16,15 @@
 };
 
 /// How long the store may hold a read that finds nothing new. A silent
-/// connection is noticed after this and the call's own time limit.
-const READ_WAIT: Duration = Duration::from_millis(1200);
+/// connection is noticed after this and the call's own time limit, which has to
+/// be before a configuration would be late: its bound of 2 s begins 3 s after
+/// the connection went silent.
+const READ_WAIT: Duration = Duration::from_millis(3000);
 /// Pause between reads of the configuration; a bound of the settings allows 2 s.
 const CONFIGURATION_PACE: Duration = Duration::from_millis(250);
 /// Pause between reads of the targets, so that one read takes several records;
 /// leaving targets have to be known within 2 s.
-const TARGET_PACE: Duration = Duration::from_millis(500);
+const TARGET_PACE: Duration = Duration::from_millis(800);
 /// First pause after a failed call, and the longest one.
 const FAILURE_PAUSE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
@@ -30,7 +32,7 @@
 const RETURN_TIME: Duration = Duration::from_millis(2500);
 /// How long a lapsed target is still used where its entry may come back; with
 /// the pace of reading this stays under the 2 s for leaving targets.
-const LAPSE_TIME: Duration = Duration::from_millis(1000);
+const LAPSE_TIME: Duration = Duration::from_millis(800);
 
 /// Starts both followers.
 pub(super) fn spawn(settings: &PlatformSettings, shell: &Rc<DirectShell>) {
--- a/src/process/direct/gossip.rs
+++ b/src/process/direct/gossip.rs
@@ -25,8 +25,14 @@
 const PEER_TOPIC: &str = "keyed.entries";
 /// Interval of the reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
-/// Pause between reads of the peers' addresses.
-const PEER_PACE: Duration = Duration::from_secs(2);
+/// Datagrams that a process sends in a second at most; with many peers the
+/// interval of its reports grows.
+const DATAGRAMS_PER_SECOND: usize = 120;
+/// Pause between reads of the peers' addresses. A new peer is known by its own
+/// reports before that.
+const PEER_PACE: Duration = Duration::from_secs(8);
+/// Reports after which one is sent whole, so that a lost one does no lasting harm.
+const WHOLE_EVERY: u64 = 8;
 /// Pause before an address is written again after a failure.
 const WRITE_PAUSE: Duration = Duration::from_secs(1);
 /// How long a crash is told; thirty reports, so that a few lost ones do no harm.
@@ -61,7 +67,7 @@
     let socket = Rc::new(UdpSocket::bind(address).await.map_err(failed)?);
     let peers: PeerAddresses = Rc::default();
     tokio::task::spawn_local(tell(shell.clone(), socket.clone(), peers.clone()));
-    tokio::task::spawn_local(listen(shell.clone(), socket));
+    tokio::task::spawn_local(listen(shell.clone(), socket, peers.clone()));
     let follower = PeerFollower { own: address, peers };
     let (store, key) = (settings.store, settings.vm.to_string());
     tokio::task::spawn_local(async move {
@@ -84,16 +90,16 @@
 }
 
 async fn tell(shell: Rc<DirectShell>, socket: Rc<UdpSocket>, peers: PeerAddresses) {
-    let mut interval = tokio::time::interval(REPORT_INTERVAL);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        interval.tick().await;
+    for number in 0_u64.. {
         let addresses: Vec<SocketAddr> = peers.borrow().values().copied().collect();
+        let paced = Duration::from_secs(1) * addresses.len() as u32 / DATAGRAMS_PER_SECOND as u32;
+        tokio::time::sleep(REPORT_INTERVAL.max(paced)).await;
         if addresses.is_empty() {
             continue;
         }
         let crashes = shell.recent_crashes(shell.now().saturating_sub(CRASH_TIME));
-        let datagram = PeerDatagram { load: shell.load_report(), crashes };
+        let load = shell.load_report(number % WHOLE_EVERY == 0);
+        let datagram = PeerDatagram { load, crashes };
         let mut bytes = Vec::new();
         if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
             log::error!(error:% = error; "report not encoded");
@@ -108,11 +114,11 @@
     }
 }
 
-async fn listen(shell: Rc<DirectShell>, socket: Rc<UdpSocket>) {
+async fn listen(shell: Rc<DirectShell>, socket: Rc<UdpSocket>, peers: PeerAddresses) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
     loop {
-        let length = match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
             Err(error) => {
                 log::debug!(error:% = error; "report not received");
                 tokio::time::sleep(REPORT_INTERVAL).await;
@@ -121,6 +127,7 @@
         };
         match ciborium::from_reader::<PeerDatagram, _>(&buffer[..length]) {
             Ok(datagram) => {
+                peers.borrow_mut().insert(datagram.load.peer.to_string(), sender);
                 shell.step(DirectEvent::PeerLoad(datagram.load));
                 for report in datagram.crashes {
                     shell.step(DirectEvent::Crashes(report));
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -121,8 +121,8 @@
         self.machine.borrow().story(self.now(), flow)
     }
 
-    pub(super) fn load_report(&self) -> LoadReport {
-        self.machine.borrow_mut().load_report(self.now())
+    pub(super) fn load_report(&self, whole: bool) -> LoadReport {
+        self.machine.borrow_mut().load_report(self.now(), whole)
     }
 
     pub(super) fn in_flight(&self) -> usize {
