--- a/src/command.rs
+++ b/src/command.rs
@@ -7,6 +7,7 @@
 use crate::error::Error;
 
 mod change;
+mod explain;
 mod launch;
 mod query;
 
@@ -36,6 +37,7 @@
   claim list                  list unknown outcomes
   claim settle CUSTOMER KEY   record what an operator found out
   state ADDRESS               print the state of a process
+  explain REQUEST [FILE ...]  print what direct entries' logs tell of a request
   check FILE                  check a contract without publishing it
 
 `sapphirewell COMMAND --help` lists the flags of a command.
@@ -96,6 +98,7 @@
         ["side"] => launch::side(line),
         ["direct-entry"] => launch::direct_entry(line),
         ["check", file] => query::check(file, line),
+        ["explain", request, files @ ..] => explain::explain(request, files, line),
         ["state", address] => query::state(address, line),
         ["contract", rest @ ..] => change::contract(rest, line),
         ["vm", rest @ ..] => change::vm(rest, line),
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -132,6 +132,14 @@
         self.routes.is_some() && !self.fleet.is_empty()
     }
 
+    /// Returns how many connections this process may open to a target of a service:
+    /// its part of what the target accepts from all entries.
+    pub fn connection_limit(&self, service: &ServiceName) -> usize {
+        let terms = self.routes.as_ref().and_then(|routes| routes.services.get(service));
+        let accepted = terms.map_or(u32::MAX, |terms| terms.max_connections) as usize;
+        (accepted / self.most_entries).max(1)
+    }
+
     /// Returns what happened to a request so far.
     pub fn story(&self, now: ClockTime, flow: FlowId) -> Option<DirectStory> {
         self.flows.get(&flow).map(|flow| flow.whole_story(now))
--- a/src/process/direct/call.rs
+++ b/src/process/direct/call.rs
@@ -66,7 +66,7 @@
             return (CallOutcome::Unreachable, None);
         }
     };
-    match send(shell, order.target.address, request).await {
+    match send(shell, &order.target, request).await {
         Ok((response, lease)) => read(shell, content, order, response, lease).await,
         Err(outcome) => (outcome, None),
     }
@@ -77,9 +77,10 @@
 /// It goes over a second connection only where the first one returned it unsent.
 async fn send(
     shell: &DirectShell,
-    address: std::net::SocketAddr,
+    target: &DirectTarget,
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, ConnectionLease), CallOutcome> {
+    let address = target.address;
     let mut unsent = request;
     if let Some(mut lease) = shell.pools.take(address) {
         match lease.sender.try_send_request(unsent).await {
@@ -90,10 +91,11 @@
             },
         }
     }
-    let mut lease = shell.pools.connect(address).await.map_err(|error| {
-        log::debug!(address:% = address, error:% = error; "target not reached");
-        CallOutcome::Unreachable
-    })?;
+    let mut lease =
+        shell.pools.connect(address, shell.connection_limit(target)).await.map_err(|error| {
+            log::debug!(address:% = address, error:% = error; "target not reached");
+            CallOutcome::Unreachable
+        })?;
     match lease.sender.try_send_request(unsent).await {
         Ok(response) => Ok((response, lease)),
         Err(mut error) => match error.take_message() {
@@ -179,7 +181,7 @@
         }
     };
     let freeing = async {
-        let (response, lease) = send(&shell, target.address, request).await.ok()?;
+        let (response, lease) = send(&shell, &target, request).await.ok()?;
         let (parts, body) = response.into_parts();
         finish_note(&shell, &parts.headers, body, lease).await
     };
--- a/src/process/direct/pool.rs
+++ b/src/process/direct/pool.rs
@@ -1,13 +1,22 @@
 //! Connections to targets.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use tokio::{task::AbortHandle, time::Instant};
 
-use crate::{error::Result, process::dial};
+use crate::{
+    error::{Error, ErrorCode, Result},
+    process::dial,
+};
 
 /// Time to connect to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -22,6 +31,24 @@
 #[derive(Debug, Default)]
 pub(super) struct TargetPools {
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    open: RefCell<HashMap<SocketAddr, Rc<Cell<usize>>>>,
+}
+
+/// Counts one open connection until it is dropped.
+#[derive(Debug)]
+struct OpenCount(Rc<Cell<usize>>);
+
+impl OpenCount {
+    fn new(count: &Rc<Cell<usize>>) -> OpenCount {
+        count.set(count.get() + 1);
+        OpenCount(count.clone())
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
 }
 
 #[derive(Debug)]
@@ -36,7 +63,7 @@
 pub(super) struct ConnectionLease {
     pub(super) sender: SendRequest<Full<Bytes>>,
     abort: AbortHandle,
-    pub(super) fresh: bool,
+    _count: OpenCount,
     pub(super) address: SocketAddr,
 }
 
@@ -60,22 +87,31 @@
         None
     }
 
-    /// Opens a new connection.
+    /// Opens a new connection, where fewer than `limit` are open.
     ///
     /// # Errors
     /// Returns why the target could not be reached.
-    pub(super) async fn connect(&self, address: SocketAddr) -> Result<ConnectionLease> {
+    pub(super) async fn connect(
+        &self,
+        address: SocketAddr,
+        limit: usize,
+    ) -> Result<ConnectionLease> {
+        let count = self.open.borrow_mut().entry(address).or_default().clone();
+        if count.get() >= limit {
+            let place = format!("{address}: {limit} connections are open");
+            return Err(Error::new(ErrorCode::TargetUnavailable, place));
+        }
+        let counted = OpenCount::new(&count);
         let open = dial::connect(address, CONNECT_TIMEOUT).await?;
-        Ok(ConnectionLease { sender: open.sender, abort: open.abort, fresh: true, address })
+        Ok(ConnectionLease { sender: open.sender, abort: open.abort, _count: counted, address })
     }
 
     /// Keeps a connection whose answer is complete for the next call.
-    pub(super) fn give_back(&self, mut lease: ConnectionLease, idle_limit: Option<Duration>) {
+    pub(super) fn give_back(&self, lease: ConnectionLease, idle_limit: Option<Duration>) {
         let limit = idle_limit.unwrap_or(IDLE_TIME).min(IDLE_TIME).saturating_sub(IDLE_MARGIN);
         if limit.is_zero() || lease.sender.is_closed() {
             return;
         }
-        lease.fresh = false;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(lease.address).or_default();
         if connections.len() >= MAX_IDLE {
@@ -92,5 +128,6 @@
             connections.retain(|connection| connection.until > now);
         }
         idle.retain(|_, connections| !connections.is_empty());
+        self.open.borrow_mut().retain(|_, count| count.get() > 0 || Rc::strong_count(count) > 1);
     }
 }
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -15,8 +15,8 @@
 use super::{call, pool::TargetPools};
 use crate::{
     direct::{
-        CrashReport, DirectAction, DirectEvent, DirectMachine, DirectStory, FlowId, LoadReport,
-        RouteTable,
+        CrashReport, DirectAction, DirectEvent, DirectMachine, DirectStory, DirectTarget, FlowId,
+        LoadReport, RouteTable,
     },
     ids::ClockTime,
 };
@@ -117,6 +117,11 @@
         self.machine.borrow().routes().cloned()
     }
 
+    /// Returns how many connections this process may open to a target.
+    pub(super) fn connection_limit(&self, target: &DirectTarget) -> usize {
+        self.machine.borrow().connection_limit(&target.service)
+    }
+
     pub(super) fn story(&self, flow: FlowId) -> Option<DirectStory> {
         self.machine.borrow().story(self.now(), flow)
     }
