--- a/emulator/src/demo.rs
+++ b/emulator/src/demo.rs
@@ -8,17 +8,45 @@
 
 use bytes::Bytes;
 use hyper::Method;
+use serde::Serialize;
 
 use crate::{
     load::{self, LoadClient, LoadReport},
     processes::{self, ChildProcess},
+    stand_in::{
+        caller::{CallerOutcome, CallerRecord},
+        fleet::{PlatformFleet, PlatformSizes, mixed_requests},
+        referee,
+    },
     workload::Deployment,
 };
 
 const ENTRIES: usize = 2;
+/// Requests a second on the platform's stand-in.
+const PLATFORM_RATE: usize = 20;
 const START_LIMIT: Duration = Duration::from_secs(20);
 const STOP_LIMIT: Duration = Duration::from_secs(30);
 
+/// What the path on the platform's stand-in came to.
+#[derive(Debug, Clone, Serialize)]
+pub struct PlatformReport {
+    /// Requests sent.
+    pub offered: usize,
+    /// Answered whole and in time.
+    pub in_time: usize,
+    /// Answered whole.
+    pub whole: usize,
+    /// What callers and targets saw that must not be.
+    pub broken_promises: Vec<String>,
+}
+
+impl PlatformReport {
+    /// Tells whether no promise was broken and nearly all was in time.
+    pub fn is_clean(&self) -> bool {
+        self.broken_promises.is_empty() && self.in_time * 20 >= self.offered * 19
+    }
+}
+
 /// Settings of a fleet of processes.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
@@ -316,6 +344,30 @@
     }
 }
 
+/// Runs the path on the users' platform: direct entries, stand-in store and targets.
+///
+/// # Errors
+/// Returns the failure to start or stop a process.
+pub async fn run_platform(port: u16, seconds: u64) -> io::Result<PlatformReport> {
+    let sizes = PlatformSizes { port, entries: 2, prefill: 2, decode: 3, plain: 3 };
+    let mut fleet = PlatformFleet::spawn(sizes).await?;
+    eprintln!("demo: the platform's stand-in serves; logs in {}", fleet.folder().display());
+    let requests = mixed_requests(seconds as usize * PLATFORM_RATE);
+    let records = fleet.play(requests, Duration::from_secs(1) / PLATFORM_RATE as u32).await;
+    let in_time = |record: &&CallerRecord| {
+        record.outcome == CallerOutcome::Whole && record.took <= record.request.deadline
+    };
+    let mut broken: Vec<String> =
+        fleet.judge(&records).iter().map(|promise| format!("{promise:?}")).collect();
+    broken.extend(fleet.stop()?.iter().map(|name| format!("{name} did not end with status 0")));
+    Ok(PlatformReport {
+        offered: records.len(),
+        in_time: records.iter().filter(in_time).count(),
+        whole: referee::whole(&records),
+        broken_promises: broken,
+    })
+}
+
 /// Runs the demo for both deployments and returns the sum of their reports.
 ///
 /// # Errors
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -10,6 +10,9 @@
 };
 use gumdrop::Options;
 
+/// Distance of the platform's ports from the demo's first one.
+const PLATFORM_PORT_OFFSET: u16 = 900;
+
 #[derive(Debug, Options)]
 struct Arguments {
     #[options(help = "print this help")]
@@ -24,6 +27,8 @@
     Serve(ServeArguments),
     #[options(help = "run the whole system on this machine under a short load")]
     Demo(DemoArguments),
+    #[options(help = "run direct entries on the platform's stand-in under a short load")]
+    Platform(PlatformArguments),
     #[options(help = "measure the latency that the path adds to a direct call")]
     Path(PathArguments),
     #[options(help = "replay a seeded shift under a test clock")]
@@ -72,6 +77,16 @@
     repeats: u64,
 }
 
+#[derive(Debug, Options)]
+struct PlatformArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "first port of the entries", default = "17900")]
+    port: u16,
+    #[options(help = "length of the load in seconds", default = "10")]
+    seconds: u64,
+}
+
 #[derive(Debug, Options)]
 struct ShiftArguments {
     #[options(help = "print this help")]
@@ -109,6 +124,7 @@
     match arguments.command {
         Some(Command::Serve(arguments)) => runtime.block_on(serve_stand_ins(arguments)),
         Some(Command::Demo(arguments)) => runtime.block_on(run_demo(arguments)),
+        Some(Command::Platform(arguments)) => runtime.block_on(run_platform(arguments)),
         Some(Command::Path(arguments)) => runtime.block_on(measure_path(arguments)),
         Some(Command::Shift(arguments)) => sweep::run(&arguments.into()),
         Some(Command::Capacity(_)) => measure_capacity(),
@@ -142,15 +158,37 @@
 }
 
 async fn run_demo(arguments: DemoArguments) -> ExitCode {
-    let report = match demo::run(arguments.port, arguments.seconds, arguments.seed).await {
-        Ok(report) => report,
+    let platform_port = arguments.port + PLATFORM_PORT_OFFSET;
+    let demo = async {
+        let platform = demo::run_platform(platform_port, arguments.seconds).await?;
+        let product = demo::run(arguments.port, arguments.seconds, arguments.seed).await?;
+        Ok::<_, std::io::Error>((product, platform))
+    };
+    let (product, platform) = match demo.await {
+        Ok(reports) => reports,
         Err(error) => {
             eprintln!("emulator: {error}");
             return ExitCode::FAILURE;
         }
     };
-    println!("{}", serde_json::json!(report));
-    if report.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    let mut report = serde_json::json!(product);
+    report["platform"] = serde_json::json!(platform);
+    println!("{report}");
+    let clean = product.is_clean() && platform.is_clean();
+    if clean { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+async fn run_platform(arguments: PlatformArguments) -> ExitCode {
+    match demo::run_platform(arguments.port, arguments.seconds).await {
+        Ok(report) => {
+            println!("{}", serde_json::json!(report));
+            if report.is_clean() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+        Err(error) => {
+            eprintln!("emulator: {error}");
+            ExitCode::FAILURE
+        }
+    }
 }
 
 async fn measure_path(arguments: PathArguments) -> ExitCode {
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
@@ -178,6 +178,10 @@
 }
 
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallerFault> {
+    // A length that is announced is refused before the caller sends the rest.
+    if body.size_hint().lower() > limit as u64 {
+        return Err(CallerFault::BodyTooLarge);
+    }
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(CallerFault::BodyTooLarge),
