--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -133,8 +133,8 @@
         let home = home_key(prompt);
         let readers = usable.iter().filter(|state| state.target.stage == TargetStage::Prefill);
         let writers = usable.iter().filter(|state| state.target.stage == TargetStage::Decode);
-        let reader_home = home.and_then(|key| self.home_of(key, readers.clone()));
-        let writer_home = home.and_then(|key| self.home_of(key, writers.clone()));
+        let reader_home = home.and_then(|key| home_of(key, readers.clone()));
+        let writer_home = home.and_then(|key| home_of(key, writers.clone()));
         let whole = best(
             rng,
             writers.clone().map(|state| {
@@ -244,23 +244,6 @@
         state.joint_rate(self.peers.read_rate(&state.target.id))
     }
 
-    /// Returns the home of a key by rendezvous hashing, weighted with the
-    /// engines' speeds: it moves few keys when targets come and go, and is the
-    /// same at every entry.
-    fn home_of<'a, 'b: 'a>(
-        &self,
-        key: u64,
-        states: impl Iterator<Item = &'a &'b TargetState>,
-    ) -> Option<&'b TargetId> {
-        let weight = |state: &TargetState| {
-            let mut hasher = SipHasher13::new();
-            (key, &*state.target.id).hash(&mut hasher);
-            let drawn = (hasher.finish() >> 11) as f64 / (1_u64 << 53) as f64;
-            -state.rate_weight(self.rate(state)) / drawn.max(f64::MIN_POSITIVE).ln()
-        };
-        states.max_by(|a, b| weight(a).total_cmp(&weight(b))).map(|state| &state.target.id)
-    }
-
     fn slot_wait(&self, state: &TargetState) -> f32 {
         let running = state.in_flight.running + self.peers.at(&state.target.id).running;
         let slots = state.target.slots.max(1);
@@ -305,8 +288,8 @@
     prompt.tokens.saturating_sub(state.cached(prompt)).max(1)
 }
 
-/// Returns the reading that keeps a target from later requests. The shared
-/// parts do not count at their home: reading them there serves those.
+/// Returns the reading that keeps a target from later requests, in tokens. The
+/// shared parts do not count at their home: reading them there serves those.
 fn lasting_read(state: &TargetState, prompt: &PromptShape, home: bool) -> u32 {
     if home {
         prompt.tokens.saturating_sub(shared_tokens(prompt)).max(1)
@@ -331,6 +314,23 @@
     Some(hasher.finish())
 }
 
+/// Returns the home of a key by rendezvous hashing, which moves few keys when
+/// targets come and go, and is the same at every entry.
+///
+/// Faster engines get no more homes: all have the same memory, and with more
+/// subjects than fit in it an engine reads each of them anew.
+fn home_of<'a, 'b: 'a>(
+    key: u64,
+    states: impl Iterator<Item = &'a &'b TargetState>,
+) -> Option<&'b TargetId> {
+    let weight = |state: &&&TargetState| {
+        let mut hasher = SipHasher13::new();
+        (key, &*state.target.id).hash(&mut hasher);
+        hasher.finish()
+    };
+    states.max_by_key(weight).map(|state| &state.target.id)
+}
+
 /// Makes the call step of a placement.
 pub(super) fn call_step(
     step: StepKind,
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -89,6 +89,8 @@
     pub first_ms: Option<u64>,
     /// Reason for giving up.
     pub reason: Option<GiveUpReason>,
+    /// Longest part of the prompt that it shares with others, in hexadecimal.
+    pub subject: String,
     /// Expected time that it would wait for others, in milliseconds.
     pub waiting_ms: u64,
     /// Estimate of the time to the first output when it was placed, in milliseconds.
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -230,7 +230,9 @@
         self.budget(&service).count_request(now);
         let limit = now + route.timeout;
         let version = self.routes.as_ref().map_or(0, |routes| routes.version);
-        let story = DirectStory { route: route.name.clone(), version, ..DirectStory::default() };
+        let subject = request.prompt.as_ref().map_or_else(String::new, subject);
+        let story =
+            DirectStory { route: route.name.clone(), version, subject, ..DirectStory::default() };
         let age = self.age(&request);
         let flow = DirectFlow {
             late: age >= route.objective,
@@ -695,6 +697,13 @@
     if flow.late { rank + LATE_RANK } else { rank }
 }
 
+/// Names the longest shared part of a prompt.
+fn subject(prompt: &PromptShape) -> String {
+    let shared = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let longest = shared.iter().max_by_key(|part| part.tokens);
+    longest.map_or_else(String::new, |part| format!("{:x}", part.id))
+}
+
 /// Notes long shared parts, which peers are told of.
 fn note_kept(
     kept: &mut VecDeque<(ClockTime, KeptReport)>,
--- a/src/direct/route.rs
+++ b/src/direct/route.rs
@@ -68,8 +68,6 @@
     pub token_bytes: f64,
     /// Speed of an engine's link, in bits a second.
     pub link_bits: f64,
-    /// How long a KV cache waits to be taken.
-    pub cache_lifetime: Duration,
 }
 
 /// Terms of a service.
@@ -88,8 +86,6 @@
     pub head_bytes: usize,
     /// Largest body, in bytes.
     pub body_bytes: usize,
-    /// Longest time for a request head.
-    pub head_time: Duration,
     /// Longest idle time of a connection.
     pub idle_time: Duration,
 }
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -25,9 +25,6 @@
 pub(super) const CALL_TIME: Duration = Duration::from_millis(6);
 /// Shortest prompt whose reading time says something about the engine's speed, in tokens.
 const LEARN_TOKENS: u32 = 1024;
-/// Steps in which learned rates are compared, so that entries agree on homes:
-/// rates within a third of each other count as equal.
-const RATE_STEP: f32 = 1.35;
 /// Weight of a new timing in a learned figure.
 const LEARN_SHARE: f32 = 0.2;
 /// Timings after which a rate is a moving mean.
@@ -72,8 +69,6 @@
     pub slots: u32,
     /// Whether it is about to stop and gets no new work.
     pub leaving: bool,
-    /// Time for which it is still slow after its start.
-    pub warming: Duration,
     /// Number of the entry, which rises within one start.
     pub sequence: u64,
 }
@@ -199,12 +194,6 @@
         (self.read_rate * self.samples as f32 + peer_rate * peer_samples as f32) / samples
     }
 
-    /// Returns a reading rate in steps, as a weight for homes.
-    pub(super) fn rate_weight(&self, rate: f32) -> f64 {
-        let ratio = rate / start_rate(self.target.stage);
-        f64::from(RATE_STEP.powf(ratio.log(RATE_STEP).round()))
-    }
-
     /// Learns from the time that one run took.
     pub(super) fn learn_run(&mut self, took: Duration) {
         let seconds = took.as_secs_f32();
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -14,7 +14,7 @@
 use std::hash::{Hash, Hasher};
 
 use super::header::{
-    DEADLINE_MS, LAST_EVENT_ID, PROMPT_PREFIX, REQUEST_ID, TOKEN_COUNT, strip_connection, strip_own,
+    DEADLINE_MS, PROMPT_PREFIX, REQUEST_ID, TOKEN_COUNT, strip_connection, strip_own,
 };
 use crate::{
     direct::{
@@ -70,7 +70,6 @@
     pub route: Arc<RouteTerms>,
     time_left: Duration,
     prompt: Option<PromptShape>,
-    resumed: bool,
 }
 
 /// Checks the head of a request.
@@ -97,8 +96,7 @@
         .iter()
         .any(|s| table.services.get(&s.service).is_some_and(|terms| terms.engine.is_some()));
     let prompt = if on_engine { Some(prompt_shape(&parts.headers)?) } else { None };
-    let resumed = parts.headers.contains_key(&LAST_EVENT_ID);
-    Ok(CheckedHead { id: id.clone(), route: route.clone(), time_left, prompt, resumed })
+    Ok(CheckedHead { id: id.clone(), route: route.clone(), time_left, prompt })
 }
 
 impl CheckedHead {
@@ -111,11 +109,6 @@
             fingerprint: fingerprint(parts, body),
         }
     }
-
-    /// Tells whether the caller goes on from an event that it has received.
-    pub fn is_resumed(&self) -> bool {
-        self.resumed
-    }
 }
 
 /// Returns the headers of a request that go on to a target.
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -69,14 +69,12 @@
     kv_capacity_tokens: f64,
     token_kv_bytes: f64,
     link_mbps: f64,
-    handle_ttl_s: f64,
 }
 
 #[derive(Deserialize)]
 struct WireLimits {
     max_header_bytes: usize,
     max_body_bytes: usize,
-    header_timeout_ms: u64,
     idle_timeout_ms: u64,
 }
 
@@ -98,7 +96,6 @@
         limits: RequestLimits {
             head_bytes: config.limits.max_header_bytes,
             body_bytes: config.limits.max_body_bytes,
-            head_time: Duration::from_millis(config.limits.header_timeout_ms),
             idle_time: Duration::from_millis(config.limits.idle_timeout_ms),
         },
     })
@@ -137,7 +134,6 @@
         memory_tokens: engine.kv_capacity_tokens as u32,
         token_bytes: engine.token_kv_bytes,
         link_bits: engine.link_mbps * 1.0e6,
-        cache_lifetime: Duration::from_secs_f64(engine.handle_ttl_s.max(0.0)),
     });
     ServiceTerms { max_connections: service.max_connections, engine }
 }
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -1,6 +1,6 @@
 //! Entries with which targets register themselves in the platform's store.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
 use serde::Deserialize;
 
@@ -20,8 +20,6 @@
     slots: u32,
     state: WireState,
     stage: Option<WireStage>,
-    #[serde(default)]
-    cold_remaining_ms: f64,
     sequence: u64,
     #[serde(default)]
     born: u64,
@@ -62,7 +60,6 @@
         stage,
         slots: entry.slots,
         leaving: matches!(entry.state, WireState::Draining),
-        warming: Duration::from_secs_f64(entry.cold_remaining_ms.clamp(0.0, 1.0e9) / 1000.0),
         sequence: entry.sequence,
     })
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -34,8 +34,6 @@
     pub store: SocketAddr,
     /// How long a stopping process has until it is killed.
     pub stop_limit: Duration,
-    /// Time within which a leaving target gets no new work.
-    pub leave_limit: Duration,
     /// Calls beyond the first, as a share of the requests of a window.
     pub retry_ratio: f64,
     /// Calls beyond the first that are allowed besides.
@@ -61,7 +59,6 @@
         peer_port: reader.value("internal_ports", &first_port, 0),
         store: reader.parsed("platform.address", SocketAddr::from(([0, 0, 0, 0], 0))),
         stop_limit: Duration::from_secs_f64(reader.number("bounds.grace_s", 8.0)),
-        leave_limit: Duration::from_secs_f64(reader.number("bounds.drain_ms", 2000.0) / 1000.0),
         retry_ratio: reader.number("bounds.retry_budget_ratio", 0.2),
         retry_slack: reader.number("bounds.retry_slack", 20.0),
         retry_window: Duration::from_secs_f64(reader.number("bounds.budget_window_s", 10.0)),
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -68,6 +68,7 @@
             whole:% = self.whole,
             reason:% = reason,
             calls:% = story.calls.join("; "),
+            subject:% = story.subject,
             estimate_ms:% = story.estimate_ms,
             waiting_ms:% = story.waiting_ms,
             first_ms:? = story.first_ms,
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -79,7 +79,6 @@
             memory_tokens: 400_000,
             token_bytes: 163_840.0,
             link_bits: 1.5e12,
-            cache_lifetime: Duration::from_secs(5),
         };
         let terms = ServiceTerms { max_connections: 180, engine: Some(engine) };
         let table = RouteTable {
@@ -89,7 +88,6 @@
             limits: RequestLimits {
                 head_bytes: 16_384,
                 body_bytes: 65_536,
-                head_time: Duration::from_secs(3),
                 idle_time: Duration::from_secs(15),
             },
         };
@@ -126,7 +124,6 @@
             stage,
             slots: 16,
             leaving: false,
-            warming: Duration::ZERO,
             sequence: 1,
         }
     }
