First connections after a start wait for the configuration

Change: connections are accepted when configuration and targets are known, or after 0.4 s; the time to come back is spread; placement query built once.

--- a/emulator/src/stand_in/store.rs
+++ b/emulator/src/stand_in/store.rs
@@ -24,6 +24,8 @@
     pub busy: bool,
     /// Carries appends out and loses their answers.
     pub lose_answers: bool,
+    /// Delay of each answer.
+    pub delay: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -113,6 +115,7 @@
         if faults.silent {
             std::future::pending::<()>().await;
         }
+        tokio::time::sleep(faults.delay).await;
         if faults.busy {
             return Ok(status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
         }
--- a/emulator/tests/platform.rs
+++ b/emulator/tests/platform.rs
@@ -197,3 +197,34 @@
 fn run(work: impl Future<Output = ()>) {
     tokio::runtime::Runtime::new().unwrap().block_on(work);
 }
+
+#[test]
+fn a_restarted_process_serves_the_requests_that_come_first() {
+    run(async {
+        let mut fleet = PlatformFleet::spawn(sizes(22_180)).await.unwrap();
+        let delay = Duration::from_millis(60);
+        fleet.store.set_faults(StoreFaults { delay, ..StoreFaults::default() });
+        fleet.entries[0].signal("KILL").unwrap();
+        fleet.entries[0].wait(Duration::from_secs(2)).ok();
+        fleet.entries[0] = fleet.start_entry(0).unwrap();
+        let entry = fleet.entry(0);
+        let calls: Vec<_> = notes(20, "first")
+            .into_iter()
+            .map(|request| {
+                tokio::spawn(async move {
+                    loop {
+                        // Nothing listens until the process has bound its address.
+                        let record = emulator::stand_in::caller::send(entry, request.clone()).await;
+                        if record.outcome != CallerOutcome::Broken {
+                            return record.outcome;
+                        }
+                        tokio::time::sleep(Duration::from_millis(1)).await;
+                    }
+                })
+            })
+            .collect();
+        for call in calls {
+            assert_eq!(call.await.unwrap(), CallerOutcome::Whole);
+        }
+    });
+}
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -68,7 +68,6 @@
     pub(super) calls: CallNumber,
     /// Targets that may have run it.
     pub(super) runs: u32,
-    pub(super) prefills: u32,
     pub(super) tried: SmallVec<[TargetId; 4]>,
     pub(super) call: Option<OpenCall>,
     pub(super) cache: Option<HeldCache>,
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -244,7 +244,6 @@
             limit,
             calls: 0,
             runs: 0,
-            prefills: 0,
             tried: Default::default(),
             call: None,
             cache: None,
@@ -321,14 +320,7 @@
     fn choose(&mut self, now: ClockTime, id: FlowId) -> Option<Placement> {
         let flow = self.flows.get(&id)?;
         let view = PlacementView { fleet: &self.fleet, peers: &self.peers, now };
-        let query = PlacementQuery {
-            service: &flow.service,
-            engine: engine_terms(self.routes.as_ref(), &flow.service),
-            prompt: flow.request.prompt.as_ref(),
-            tried: &flow.tried,
-            data_centre: &self.settings.data_centre,
-            late: flow.late,
-        };
+        let query = query(flow, self.routes.as_ref(), &self.settings);
         view.choose(&mut self.rng, &query)
     }
 
@@ -336,14 +328,7 @@
         let Some(flow) = self.flows.get(&id) else { return };
         let source = flow.cache.as_ref().and_then(|cache| self.fleet.get(&cache.target.id));
         let view = PlacementView { fleet: &self.fleet, peers: &self.peers, now };
-        let query = PlacementQuery {
-            service: &flow.service,
-            engine: engine_terms(self.routes.as_ref(), &flow.service),
-            prompt: flow.request.prompt.as_ref(),
-            tried: &flow.tried,
-            data_centre: &self.settings.data_centre,
-            late: flow.late,
-        };
+        let query = query(flow, self.routes.as_ref(), &self.settings);
         let chosen = source.and_then(|source| view.choose_decode(&mut self.rng, &query, source));
         match chosen {
             Some(placement) => self.call(now, id, placement, out),
@@ -359,9 +344,8 @@
         let in_flight = state.in_flight + self.peers.at(&chosen.target);
         let ahead = in_flight.ahead(flow.late);
         state.in_flight.read_more(flow.late, chosen.reading);
-        match chosen.step {
-            StepKind::Prefill => flow.prefills += 1,
-            StepKind::Run | StepKind::Decode => state.in_flight.running += 1,
+        if chosen.step != StepKind::Prefill {
+            state.in_flight.running += 1;
         }
         let cache = match chosen.step {
             StepKind::Decode => flow.cache.as_ref().map(|c| (c.target.address, c.handle.clone())),
@@ -724,6 +708,21 @@
     engine_terms(routes, service).map_or(0, |terms| terms.memory_tokens)
 }
 
+fn query<'a>(
+    flow: &'a DirectFlow,
+    routes: Option<&'a Arc<RouteTable>>,
+    settings: &'a DirectSettings,
+) -> PlacementQuery<'a> {
+    PlacementQuery {
+        service: &flow.service,
+        engine: engine_terms(routes, &flow.service),
+        prompt: flow.request.prompt.as_ref(),
+        tried: &flow.tried,
+        data_centre: &settings.data_centre,
+        late: flow.late,
+    }
+}
+
 fn engine_terms<'a>(
     routes: Option<&'a Arc<RouteTable>>,
     service: &ServiceName,
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -119,9 +119,14 @@
     forwarded
 }
 
-/// Makes the answer to a request that is not placed.
-pub fn fault_response(fault: CallerFault, id: Option<&HeaderValue>) -> Response<Bytes> {
-    let retry_after = (fault == CallerFault::NotReady).then_some(Duration::from_millis(500));
+/// Makes the answer to a request that is not placed; one that may come back is
+/// told after which time.
+pub fn fault_response(
+    fault: CallerFault,
+    id: Option<&HeaderValue>,
+    wait: Duration,
+) -> Response<Bytes> {
+    let retry_after = (fault == CallerFault::NotReady).then_some(wait);
     let body = OwnAnswer { error: &fault.to_string(), not_run: true };
     own_response(fault.status(), id, retry_after, &body)
 }
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -38,6 +38,13 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Bytes of a request head before the configuration is known.
 const START_HEAD_BYTES: usize = 16 * 1024;
+/// Longest time for which the first connections wait after a start; callers
+/// give a connection one second.
+const START_WAIT: Duration = Duration::from_millis(400);
+/// Interval at which a starting process looks whether it can serve.
+const START_POLL: Duration = Duration::from_millis(10);
+/// Mean time after which callers come back to a process that knows no configuration.
+const RETURN_TIME: Duration = Duration::from_millis(400);
 /// Smallest buffer that the HTTP library accepts.
 const LEAST_BUFFER: usize = 8 * 1024;
 /// Idle time of a connection before the configuration is known.
@@ -79,7 +86,16 @@
 }
 
 /// Serves callers.
+///
+/// A process that has just started lets its first connections wait until it
+/// knows a configuration and targets: a store that answers gives both within
+/// some milliseconds, and refusals of all first requests would come back
+/// together.
 pub(super) async fn serve_callers(listener: TcpListener, shell: Rc<DirectShell>) {
+    let started = tokio::time::Instant::now();
+    while !shell.is_ready() && started.elapsed() < START_WAIT {
+        tokio::time::sleep(START_POLL).await;
+    }
     loop {
         let Some(stream) = accept(&listener).await else { continue };
         tokio::task::spawn_local(serve_connection(stream, shell.clone()));
@@ -174,7 +190,9 @@
     let text =
         id.map_or_else(String::new, |id| String::from_utf8_lossy(id.as_bytes()).into_owned());
     log::info!(request:% = text, status:% = fault.status().as_u16(), fault:% = fault; "request refused");
-    caller::fault_response(fault, id).map(AnswerBody::own)
+    // Spread, so that those who were refused together do not come back together.
+    let wait = RETURN_TIME.mul_f64(rand::random_range(0.5..1.5));
+    caller::fault_response(fault, id, wait).map(AnswerBody::own)
 }
 
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallerFault> {
