--- a/emulator/src/stand_in.rs
+++ b/emulator/src/stand_in.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod referee;
 pub mod runner;
+pub mod slots;
 pub mod store;
 
 use std::{convert::Infallible, net::SocketAddr, sync::Arc};
--- a/emulator/src/stand_in/fleet.rs
+++ b/emulator/src/stand_in/fleet.rs
@@ -219,6 +219,7 @@
                     kind,
                     slots: if kind == RunnerKind::Plain { 6 } else { 16 },
                     tokens_per_ms: 60,
+                    memory_tokens: 400_000,
                     event_gap: Duration::from_millis(15),
                     call_time: Duration::from_millis(20),
                 };
--- a/emulator/src/stand_in/runner.rs
+++ b/emulator/src/stand_in/runner.rs
@@ -1,7 +1,7 @@
 //! Model runners and plain services of the platform.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{HashMap, VecDeque},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -17,12 +17,14 @@
     Method, Request, Response, StatusCode, body::Frame, body::Incoming, header::HeaderMap,
 };
 use serde_json::json;
-use tokio::{
-    sync::Semaphore,
-    time::{Instant, sleep},
-};
+use tokio::time::{Instant, sleep};
 
-use super::{BrokenOff, StandInBody, store::StoreModel, whole};
+use super::{
+    BrokenOff, StandInBody,
+    slots::{PrioritySlots, TakenSlot},
+    store::StoreModel,
+    whole,
+};
 
 /// What a target of the stand-in is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,6 +48,8 @@
     pub tokens_per_ms: u64,
     /// Pause between two events of a stream.
     pub event_gap: Duration,
+    /// Memory for parts of prompts, in tokens.
+    pub memory_tokens: u64,
     /// Time of one call of a plain service.
     pub call_time: Duration,
 }
@@ -90,7 +94,7 @@
 #[derive(Debug, Default)]
 struct RunnerState {
     faults: RunnerFaults,
-    parts: HashSet<String>,
+    parts: VecDeque<(String, u64)>,
     runs: Vec<RunRecord>,
     prefills: u64,
     foreign_caches: u64,
@@ -108,7 +112,7 @@
     pub service: Arc<str>,
     profile: RunnerProfile,
     state: Arc<Mutex<RunnerState>>,
-    slots: Arc<Semaphore>,
+    slots: PrioritySlots,
     caches: CacheRegistry,
     sequence: Arc<AtomicU64>,
 }
@@ -146,7 +150,7 @@
             service: service.into(),
             profile,
             state: Arc::default(),
-            slots: Arc::new(Semaphore::new(profile.slots)),
+            slots: PrioritySlots::new(profile.slots),
             caches,
             sequence: Arc::default(),
         };
@@ -222,8 +226,9 @@
         let from_cache = parts.headers.contains_key("kv-source");
         let deadline = text(&parts.headers, "deadline-ms").and_then(|t| t.parse().ok());
         let deadline = Instant::now() + Duration::from_millis(deadline.unwrap_or(60_000));
-        let acquired = tokio::time::timeout_at(deadline, self.slots.clone().acquire_owned()).await;
-        let Ok(Ok(slot)) = acquired else { return Ok(self.declined(&parts.headers)) };
+        let priority = text(&parts.headers, "request-priority").and_then(|t| t.parse().ok());
+        let taken = tokio::time::timeout_at(deadline, self.slots.take(priority.unwrap_or(5))).await;
+        let Ok(slot) = taken else { return Ok(self.declined(&parts.headers)) };
         let read = if from_cache { 0 } else { self.read_prompt(&parts.headers, 2).await };
         let id = text(&parts.headers, "request-id").unwrap_or_default();
         let record = RunRecord { request: id.clone(), path, at: Instant::now(), read };
@@ -325,9 +330,18 @@
         {
             let mut state = locked(&self.state);
             for part in prefix.split(',').filter_map(|part| part.split_once(':')) {
-                if state.parts.insert(part.0.to_owned()) {
-                    unread += part.1.parse::<u64>().unwrap_or(0);
+                let tokens = part.1.parse::<u64>().unwrap_or(0);
+                let kept = state.parts.iter().position(|(id, _)| id == part.0);
+                if kept.and_then(|place| state.parts.remove(place)).is_none() {
+                    unread += tokens;
                 }
+                state.parts.push_back((part.0.to_owned(), tokens));
+            }
+            // The parts that were not used for longest yield.
+            while state.parts.iter().map(|(_, tokens)| tokens).sum::<u64>()
+                > self.profile.memory_tokens
+            {
+                state.parts.pop_front();
             }
         }
         sleep(Duration::from_millis(unread * slowness / self.profile.tokens_per_ms.max(1))).await;
@@ -339,7 +353,7 @@
         faults: &RunnerFaults,
         headers: &HeaderMap,
         id: &str,
-        slot: tokio::sync::OwnedSemaphorePermit,
+        slot: TakenSlot,
         running: RunGuard,
     ) -> Response<StandInBody> {
         let count = text(headers, "token-count").unwrap_or_default();
--- a/emulator/src/stand_in/store.rs
+++ b/emulator/src/stand_in/store.rs
@@ -24,6 +24,10 @@
     pub busy: bool,
     /// Carries appends out and loses their answers.
     pub lose_answers: bool,
+    /// Refuses every call but each second one, as a store that turns some callers away.
+    pub half_busy: bool,
+    /// Carries appends out after this time and answers nothing.
+    pub late: Option<Duration>,
     /// Delay of each answer.
     pub delay: Duration,
 }
@@ -107,16 +111,16 @@
         self,
         request: Request<Incoming>,
     ) -> Result<Response<StandInBody>, BrokenOff> {
-        let faults = {
+        let (faults, calls) = {
             let mut state = self.state();
             state.calls += 1;
-            state.faults
+            (state.faults, state.calls)
         };
         if faults.silent {
             std::future::pending::<()>().await;
         }
         tokio::time::sleep(faults.delay).await;
-        if faults.busy {
+        if faults.busy || (faults.half_busy && calls.is_multiple_of(2)) {
             return Ok(status(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
         }
         let query = query(request.uri().query().unwrap_or(""));
@@ -124,6 +128,13 @@
         match request.uri().path() {
             "/log-append" => {
                 let body = request.into_body().collect().await.map_err(|_| BrokenOff)?.to_bytes();
+                if let Some(late) = faults.late {
+                    tokio::spawn(async move {
+                        tokio::time::sleep(late).await;
+                        self.append_all(&topic, body);
+                    });
+                    return Err(BrokenOff);
+                }
                 let answer = self.append_all(&topic, body);
                 if faults.lose_answers { Err(BrokenOff) } else { Ok(answer) }
             }
--- a/emulator/tests/platform.rs
+++ b/emulator/tests/platform.rs
@@ -65,6 +65,8 @@
 #[parameterized(
     silent = { StoreFault { port: 22_100, faults: StoreFaults { silent: true, ..StoreFaults::default() } } },
     busy = { StoreFault { port: 22_110, faults: StoreFaults { busy: true, ..StoreFaults::default() } } },
+    turning_some_away = { StoreFault { port: 22_190, faults: StoreFaults { half_busy: true, ..StoreFaults::default() } } },
+    late = { StoreFault { port: 22_210, faults: StoreFaults { late: Some(Duration::from_secs(2)), ..StoreFaults::default() } } },
     answers_lost = { StoreFault { port: 22_120, faults: StoreFaults { lose_answers: true, ..StoreFaults::default() } } },
 )]
 fn known_state_serves_while_the_store_is_away(case: StoreFault) {
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -14,13 +14,16 @@
 use crate::ids::{ContentFingerprint, DataCentreId};
 
 mod budget;
+mod ending;
 mod estimate;
 mod flow;
 mod load;
 mod machine;
+mod report;
 mod route;
 mod suspect;
 mod target;
+mod waiting;
 
 pub use budget::RetryWindow;
 pub use flow::DirectStory;
--- /dev/null
+++ b/src/direct/ending.rs
@@ -0,0 +1,275 @@
+//! What follows when a call ends: another call, the answer, or a refusal.
+//!
+//! Work that may run once goes to another target only where the former one did
+//! not run it; everything else ends as unknown.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    CallNumber, CallOutcome, CrashReport, DirectAction, DirectMachine, FlowId, GiveUpReason,
+    RepeatRule,
+    flow::{HeldCache, OpenCall, StepKind},
+    machine::{LEAST_TIME, LIMIT_GRACE, memory_tokens},
+    report::note_kept,
+};
+use crate::ids::ClockTime;
+
+impl DirectMachine {
+    /// Takes what an ended call had in flight out of the counts.
+    fn close_call(&mut self, now: ClockTime, id: FlowId, ending: &str) -> Option<OpenCall> {
+        let flow = self.flows.get_mut(&id)?;
+        let call = flow.call.take()?;
+        flow.story.calls.push(call.describe(now, ending));
+        if let Some(state) = self.fleet.get_mut(&call.target.id) {
+            state.in_flight.read_done(flow.late, call.reading);
+            if call.step != StepKind::Prefill {
+                state.in_flight.running = state.in_flight.running.saturating_sub(1);
+            }
+        }
+        Some(call)
+    }
+
+    pub(super) fn call_ended(
+        &mut self,
+        now: ClockTime,
+        id: FlowId,
+        number: CallNumber,
+        outcome: CallOutcome,
+        out: &mut Vec<DirectAction>,
+    ) {
+        let open = self.flows.get(&id).and_then(|flow| flow.call.as_ref());
+        if open.is_none_or(|call| call.number != number) {
+            return;
+        }
+        match outcome {
+            CallOutcome::Declined => self.declined(now, id, out),
+            CallOutcome::WrongTarget => self.not_there(now, id, "wrong_target", true, out),
+            CallOutcome::Unreachable => self.not_there(now, id, "unreachable", false, out),
+            CallOutcome::Prefilled { handle } => self.prefilled(now, id, handle, out),
+            CallOutcome::Answered { success } => self.answered(now, id, success, out),
+            CallOutcome::Lost { closed } => self.lost(now, id, closed, out),
+        }
+    }
+
+    fn declined(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+        let Some(call) = self.close_call(now, id, "declined") else { return };
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let source = flow.cache.as_ref().map(|cache| cache.target.id.clone());
+        match source {
+            // The KV cache has lapsed, or there is no room for it: which one is not told.
+            Some(source) if call.step == StepKind::Decode => {
+                if let Some(state) = self.fleet.get_mut(&source) {
+                    state.fail();
+                }
+                self.drop_cache(id, out);
+            }
+            _ => {
+                flow.tried.push(call.target.id.clone());
+                if let Some(state) = self.fleet.get_mut(&call.target.id) {
+                    state.decline(now);
+                }
+            }
+        }
+        if self.spend_retry(now, id) {
+            self.place(now, id, out);
+        } else {
+            self.give_up(id, GiveUpReason::Declined, Duration::ZERO, out);
+        }
+    }
+
+    fn not_there(
+        &mut self,
+        now: ClockTime,
+        id: FlowId,
+        ending: &str,
+        arrived: bool,
+        out: &mut Vec<DirectAction>,
+    ) {
+        let Some(call) = self.close_call(now, id, ending) else { return };
+        if let Some(state) = self.fleet.get_mut(&call.target.id) {
+            state.rest(now);
+        }
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        flow.tried.push(call.target.id.clone());
+        if arrived && !self.spend_retry(now, id) {
+            return self.give_up(id, GiveUpReason::Declined, Duration::ZERO, out);
+        }
+        self.again(now, id, call.step, out);
+    }
+
+    /// Goes on after a call that did not run: from the KV cache, if one waits.
+    fn again(&mut self, now: ClockTime, id: FlowId, step: StepKind, out: &mut Vec<DirectAction>) {
+        match step {
+            StepKind::Decode => self.place_decode(now, id, out),
+            StepKind::Run | StepKind::Prefill => self.place(now, id, out),
+        }
+    }
+
+    fn prefilled(
+        &mut self,
+        now: ClockTime,
+        id: FlowId,
+        handle: Arc<str>,
+        out: &mut Vec<DirectAction>,
+    ) {
+        let Some(call) = self.close_call(now, id, "prefilled") else { return };
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        if let Some(state) = self.fleet.get_mut(&call.target.id) {
+            state.succeed();
+            state.learn_read(call.reading, call.ahead, now.saturating_sub(call.started));
+            if let Some(prompt) = &flow.request.prompt {
+                state.keep(now, prompt, memory_tokens(self.routes.as_ref(), &flow.service));
+                note_kept(&mut self.kept, now, &call.target.id, prompt);
+            }
+        }
+        flow.cache = Some(HeldCache { target: call.target, handle });
+        self.place_decode(now, id, out);
+    }
+
+    fn answered(&mut self, now: ClockTime, id: FlowId, success: bool, out: &mut Vec<DirectAction>) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let Some(call) = &mut flow.call else { return };
+        call.answered = true;
+        // Taken KV caches cannot be taken or freed again.
+        if call.step == StepKind::Decode && success {
+            flow.cache = None;
+        }
+        let target = call.target.id.clone();
+        if let Some(state) = self.fleet.get_mut(&target) {
+            if success { state.succeed() } else { state.fail() }
+        }
+        if !success && self.may_run_again(now, id) && self.spend_retry(now, id) {
+            let Some(call) = self.close_call(now, id, "failed") else { return };
+            self.run_again(now, id, call, out);
+            return;
+        }
+        let Some(flow) = self.flows.get(&id) else { return };
+        let time_left = (flow.limit + LIMIT_GRACE).saturating_sub(now);
+        out.push(DirectAction::Deliver { flow: id, time_left });
+    }
+
+    fn run_again(
+        &mut self,
+        now: ClockTime,
+        id: FlowId,
+        call: OpenCall,
+        out: &mut Vec<DirectAction>,
+    ) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        flow.runs += 1;
+        flow.may_have_run = true;
+        flow.tried.push(call.target.id.clone());
+        self.drop_cache(id, out);
+        self.place(now, id, out);
+    }
+
+    /// Tells whether a request may run once more after the call under way.
+    fn may_run_again(&self, now: ClockTime, id: FlowId) -> bool {
+        let Some(flow) = self.flows.get(&id) else { return false };
+        let route = &flow.request.route;
+        let repeatable = match route.repeat {
+            RepeatRule::Never => false,
+            RepeatRule::Always | RepeatRule::Resume => true,
+        };
+        repeatable
+            && flow.runs + 1 < route.max_attempts
+            && flow.time_left(now) >= LEAST_TIME
+            && !self.crashes.is_barred(flow.request.fingerprint)
+    }
+
+    fn lost(&mut self, now: ClockTime, id: FlowId, closed: bool, out: &mut Vec<DirectAction>) {
+        let Some(flow) = self.flows.get(&id) else { return };
+        let Some(step) = flow.call.as_ref().map(|call| call.step) else { return };
+        if closed && step != StepKind::Prefill {
+            self.report_crash(now, id, out);
+        }
+        let again = step == StepKind::Prefill || self.may_run_again(now, id);
+        let Some(call) = self.close_call(now, id, "lost") else { return };
+        if let Some(state) = self.fleet.get_mut(&call.target.id) {
+            if closed { state.rest(now) } else { state.fail() }
+        }
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        flow.may_have_run |= step != StepKind::Prefill;
+        if !again || !self.spend_retry(now, id) {
+            let reason = if step == StepKind::Prefill {
+                GiveUpReason::Declined
+            } else {
+                GiveUpReason::OutcomeUnknown
+            };
+            return self.give_up(id, reason, Duration::ZERO, out);
+        }
+        match step {
+            StepKind::Prefill => {
+                if let Some(flow) = self.flows.get_mut(&id) {
+                    flow.tried.push(call.target.id.clone());
+                }
+                self.place(now, id, out);
+            }
+            StepKind::Run | StepKind::Decode => self.run_again(now, id, call, out),
+        }
+    }
+
+    fn report_crash(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+        let fingerprint = self.flows.get(&id).and_then(|flow| flow.request.fingerprint);
+        let Some(fingerprint) = fingerprint else { return };
+        self.own_crashes += 1;
+        let report = CrashReport {
+            reporter: self.settings.instance,
+            crashes: vec![(fingerprint, self.own_crashes)],
+        };
+        self.crashes.apply(now, &report);
+        out.push(DirectAction::ReportCrashes(report));
+    }
+
+    pub(super) fn first_output(&mut self, now: ClockTime, id: FlowId) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        flow.story.first_ms = Some(now.saturating_sub(flow.arrived).as_millis() as u64);
+        let Some(call) = &mut flow.call else { return };
+        let Some(state) = self.fleet.get_mut(&call.target.id) else { return };
+        state.in_flight.read_done(flow.late, call.reading);
+        call.reading = 0;
+        if let Some(prompt) = &flow.request.prompt {
+            state.keep(now, prompt, memory_tokens(self.routes.as_ref(), &flow.service));
+            note_kept(&mut self.kept, now, &call.target.id, prompt);
+        }
+        if call.step == StepKind::Run {
+            state.learn_read(call.planned, call.ahead, now.saturating_sub(call.started));
+        }
+    }
+
+    pub(super) fn answer_broke(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+        let call = self.flows.get(&id).and_then(|flow| flow.call.as_ref());
+        let Some(target) = call.map(|call| call.target.id.clone()) else { return };
+        if let Some(state) = self.fleet.get_mut(&target) {
+            state.fail();
+        }
+        self.report_crash(now, id, out);
+    }
+
+    pub(super) fn flow_ended(
+        &mut self,
+        now: ClockTime,
+        id: FlowId,
+        whole: bool,
+        out: &mut Vec<DirectAction>,
+    ) {
+        let answered = self.flows.get(&id).and_then(|flow| flow.call.as_ref()).cloned();
+        let call = self.close_call(now, id, if whole { "whole" } else { "broken_off" });
+        if let (true, Some(call)) = (whole && answered.is_some(), &call)
+            && let Some(state) = self.fleet.get_mut(&call.target.id)
+        {
+            state.learn_run(now.saturating_sub(call.started));
+        }
+        self.drop_cache(id, out);
+        if let Some(flow) = self.flows.remove(&id) {
+            self.limits.remove(&(flow.limit + LIMIT_GRACE, id));
+        }
+    }
+
+    fn drop_cache(&mut self, id: FlowId, out: &mut Vec<DirectAction>) {
+        let Some(cache) = self.flows.get_mut(&id).and_then(|flow| flow.cache.take()) else {
+            return;
+        };
+        out.push(DirectAction::FreeCache { target: cache.target, handle: cache.handle });
+    }
+}
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 use strum::Display;
 
-use super::{CallNumber, DirectRequest, DirectTarget, GiveUpReason, ServiceName};
+use super::{CallNumber, DirectRequest, DirectTarget, GiveUpReason, PromptShape, ServiceName};
 use crate::ids::{ClockTime, TargetId};
 
 /// Step that a call carries out.
@@ -111,3 +111,10 @@
         self.deadline.min(self.limit).saturating_sub(now)
     }
 }
+
+/// Names the longest shared part of a prompt.
+pub(super) fn subject(prompt: &PromptShape) -> String {
+    let shared = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let longest = shared.iter().max_by_key(|part| part.tokens);
+    longest.map_or_else(String::new, |part| format!("{:x}", part.id))
+}
