Lapsed targets are dropped by time, not by the next read of the store

Cause: found by reading. After an outage a target whose entry is gone is used for 0.8 s more; it was dropped after the next read, and a read waits up to 3 s where no entry changes, or 4.5 s where the store has gone silent again. Change: the machine keeps the grace and drops the target in its tick; the follower only tells that the entry may come back. Test: a_lapsed_target_is_used_for_its_grace_only_and_comes_back_with_its_entry; the former code had no such event to test.

--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -146,7 +146,7 @@
             DirectEvent::FirstOutput { flow } => self.first_output(now, flow),
             DirectEvent::AnswerBroke { flow } => self.answer_broke(now, flow, out),
             DirectEvent::FlowEnded { flow, whole } => self.flow_ended(now, flow, whole, out),
-            DirectEvent::Target(change) => self.fleet.apply(change),
+            DirectEvent::Target(change) => self.fleet.apply(now, change),
             DirectEvent::Routes(routes) => self.adopt(routes),
             DirectEvent::PeerLoad(report) => self.peer_load(now, report),
             DirectEvent::Crashes(report) => self.crashes.apply(now, &report),
@@ -336,6 +336,7 @@
 
     fn tick(&mut self, now: ClockTime, out: &mut Vec<DirectAction>) {
         self.peers.expire(now);
+        self.fleet.drop_lapsed(now);
         if now >= self.next_forget {
             self.next_forget = now + FORGET_INTERVAL;
             self.crashes.expire(now);
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -80,6 +80,14 @@
     Listed(DirectTarget),
     /// A target is gone.
     Gone(TargetId),
+    /// A target's entry is gone, but may come back; after this time without it the
+    /// target is gone.
+    Lapsed {
+        /// The target.
+        id: TargetId,
+        /// The time.
+        grace: Duration,
+    },
     /// The whole list; targets outside it are gone.
     Whole(Vec<DirectTarget>),
 }
@@ -116,6 +124,7 @@
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct TargetFleet {
     targets: BTreeMap<TargetId, TargetState>,
+    lapsing: BTreeMap<TargetId, ClockTime>,
 }
 
 impl TargetState {
@@ -229,12 +238,18 @@
 
 impl TargetFleet {
     /// Applies a change of the list.
-    pub(super) fn apply(&mut self, change: TargetChange) {
+    pub(super) fn apply(&mut self, now: ClockTime, change: TargetChange) {
         match change {
             TargetChange::Listed(target) => self.list(target),
             TargetChange::Gone(id) => {
+                self.lapsing.remove(&id);
                 self.targets.remove(&id);
             }
+            TargetChange::Lapsed { id, grace } => {
+                if self.targets.contains_key(&id) {
+                    self.lapsing.entry(id).or_insert(now + grace);
+                }
+            }
             TargetChange::Whole(targets) => {
                 self.targets.retain(|id, _| targets.iter().any(|target| target.id == *id));
                 targets.into_iter().for_each(|target| self.list(target));
@@ -242,7 +257,18 @@
         }
     }
 
+    /// Drops targets whose entries did not come back.
+    pub(super) fn drop_lapsed(&mut self, now: ClockTime) {
+        let due = |at: &ClockTime| *at <= now;
+        let gone = self.lapsing.iter().filter(|(_, at)| due(at)).map(|(id, _)| id.clone());
+        for id in gone.collect::<Vec<TargetId>>() {
+            self.lapsing.remove(&id);
+            self.targets.remove(&id);
+        }
+    }
+
     fn list(&mut self, target: DirectTarget) {
+        self.lapsing.remove(&target.id);
         let Some(known) = self.targets.get_mut(&target.id) else {
             self.targets.insert(target.id.clone(), TargetState::new(target));
             return;
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -1,6 +1,6 @@
 //! Follows the platform's store: the configuration and the list of targets.
 
-use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+use std::{collections::HashSet, rc::Rc, sync::Arc, time::Duration};
 
 use tokio::time::Instant;
 
@@ -148,13 +148,12 @@
 struct TargetFollower {
     shell: Rc<DirectShell>,
     outage_end: Option<Instant>,
-    lapsed: HashMap<TargetId, Instant>,
-    known: HashMap<TargetId, ()>,
+    known: HashSet<TargetId>,
 }
 
 impl TargetFollower {
     fn new(shell: Rc<DirectShell>) -> TargetFollower {
-        TargetFollower { shell, outage_end: None, lapsed: HashMap::new(), known: HashMap::new() }
+        TargetFollower { shell, outage_end: None, known: HashSet::new() }
     }
 
     fn list(&mut self, record: KeyedRecord) {
@@ -167,8 +166,7 @@
     }
 
     fn listed(&mut self, target: DirectTarget) {
-        self.lapsed.remove(&target.id);
-        let fresh = self.known.insert(target.id.clone(), ()).is_none();
+        let fresh = self.known.insert(target.id.clone());
         if fresh || target.leaving {
             log::info!(
                 target_id:% = target.id, service:% = target.service, stage:% = target.stage,
@@ -184,21 +182,16 @@
     /// Entries lapse in an outage of the store although their targets live, and
     /// come back after it; until then such a target is used a little longer.
     fn lapse(&mut self, id: TargetId) {
-        let now = Instant::now();
-        let returning = self.outage_end.is_some_and(|end| now < end + RETURN_TIME);
-        if returning && self.known.contains_key(&id) {
-            self.lapsed.entry(id).or_insert(now + LAPSE_TIME);
-        } else {
-            self.drop_target(id);
+        if !self.known.remove(&id) {
+            return;
         }
-    }
-
-    fn drop_target(&mut self, id: TargetId) {
-        if self.known.remove(&id).is_some() {
-            log::info!(target_id:% = id; "target gone");
-        }
-        self.lapsed.remove(&id);
-        self.shell.step(DirectEvent::Target(TargetChange::Gone(id)));
+        let returning = self.outage_end.is_some_and(|end| Instant::now() < end + RETURN_TIME);
+        log::info!(target_id:% = id, may_return:% = returning; "target gone");
+        let change = match returning {
+            true => TargetChange::Lapsed { id, grace: LAPSE_TIME },
+            false => TargetChange::Gone(id),
+        };
+        self.shell.step(DirectEvent::Target(change));
     }
 }
 
@@ -207,7 +200,7 @@
         let present: Vec<TargetId> =
             records.iter().map(|record| record.key.as_str().into()).collect();
         let missing: Vec<TargetId> =
-            self.known.keys().filter(|id| !present.contains(id)).cloned().collect();
+            self.known.iter().filter(|id| !present.contains(id)).cloned().collect();
         missing.into_iter().for_each(|id| self.lapse(id));
         records.into_iter().for_each(|record| self.list(record));
     }
@@ -221,10 +214,6 @@
     }
 
     fn settle(&mut self) {
-        let now = Instant::now();
-        let due: Vec<TargetId> =
-            self.lapsed.iter().filter(|(_, at)| **at <= now).map(|(id, _)| id.clone()).collect();
-        due.into_iter().for_each(|id| self.drop_target(id));
         self.shell.pools.close_expired();
     }
 }
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -300,3 +300,26 @@
         "{actions:?}"
     );
 }
+
+#[test]
+fn a_lapsed_target_is_used_for_its_grace_only_and_comes_back_with_its_entry() {
+    let mut rig = DirectRig::new(RepeatRule::Never);
+    let target = rig.target("a", TargetStage::Plain);
+    let lapse = || TargetChange::Lapsed { id: "a".into(), grace: 800 * MS };
+    rig.step(DirectEvent::Target(TargetChange::Listed(target.clone())));
+    rig.step(DirectEvent::Target(lapse()));
+    rig.advance(700 * MS);
+    // Told again, it gets no more time.
+    rig.step(DirectEvent::Target(lapse()));
+    rig.step(DirectEvent::Tick);
+    assert!(rig.machine.fleet().serves(SERVICE));
+    rig.advance(100 * MS);
+    rig.step(DirectEvent::Tick);
+    assert!(!rig.machine.fleet().serves(SERVICE), "no read of the store is needed to drop it");
+    rig.step(DirectEvent::Target(TargetChange::Listed(target.clone())));
+    rig.step(DirectEvent::Target(lapse()));
+    rig.step(DirectEvent::Target(TargetChange::Listed(target)));
+    rig.advance(2000 * MS);
+    rig.step(DirectEvent::Tick);
+    assert!(rig.machine.fleet().serves(SERVICE));
+}
