--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -4,13 +4,17 @@
 //! puts them behind HTTP.
 
 pub mod capacity;
+pub mod cells;
 pub mod demo;
 pub mod eager;
 pub mod engine;
+pub mod event_queue;
 pub mod load;
 pub mod log;
 pub mod matrix;
 pub mod path;
+pub mod platform_matrix;
+pub mod platform_rig;
 pub mod processes;
 pub mod rig;
 pub mod scenario;
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -3,7 +3,7 @@
 use std::{process::ExitCode, time::Duration};
 
 use emulator::{
-    capacity, demo, matrix, path,
+    capacity, demo, matrix, path, platform_matrix,
     serve::{self, ServeSettings},
     sweep,
     workload::Deployment,
@@ -227,6 +227,8 @@
     seeds: String,
     #[options(help = "run all pairs of faults, too")]
     pairs: bool,
+    #[options(help = "run the platform's matrix instead of the product's own")]
+    platform: bool,
 }
 
 fn run_matrix(arguments: &MatrixArguments) -> ExitCode {
@@ -239,6 +241,9 @@
         return ExitCode::from(2);
     };
     let seeds: std::ops::Range<u64> = first..end;
+    if arguments.platform {
+        return run_platform_matrix(seeds, arguments.pairs);
+    }
     let mut cells = matrix::single_cells(seeds.clone());
     if arguments.pairs {
         cells.extend(matrix::pair_cells(seeds));
@@ -248,6 +253,16 @@
     if summary.failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+fn run_platform_matrix(seeds: std::ops::Range<u64>, pairs: bool) -> ExitCode {
+    let mut cells = platform_matrix::single_cells(seeds.clone());
+    if pairs {
+        cells.extend(platform_matrix::pair_cells(seeds));
+    }
+    let summary = platform_matrix::run_cells(&cells);
+    println!("{summary}");
+    if summary.failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 impl From<ShiftArguments> for sweep::SweepSettings {
     fn from(arguments: ShiftArguments) -> sweep::SweepSettings {
         sweep::SweepSettings {
--- a/emulator/src/matrix.rs
+++ b/emulator/src/matrix.rs
@@ -1,12 +1,6 @@
 //! The fault matrix: every fault at every step, all rules checked in each cell.
 
-use std::{
-    sync::{
-        Mutex, PoisonError,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::time::Duration;
 
 use sapphirewell::{
     contract::{CustomerContract, KindRoute, RequestKind},
@@ -18,6 +12,7 @@
 use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
 
 use crate::{
+    cells::run_on_all_cores,
     engine::EngineProfile,
     rig::{
         FaultSite, LinkDirection, NodeId, ProtocolStep, Rig, RigFault, RigSettings, RolePolicy,
@@ -285,20 +280,7 @@
 
 /// Runs cells on all cores; the order of the failed ones does not depend on timing.
 pub fn run_cells(cells: Vec<MatrixCell>) -> MatrixSummary {
-    let threads = std::thread::available_parallelism().map_or(1, |count| count.get());
-    let next = AtomicUsize::new(0);
-    let results = Mutex::new(Vec::new());
-    std::thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(|| {
-                while let Some(cell) = cells.get(next.fetch_add(1, Ordering::Relaxed)) {
-                    let result = run_cell(cell);
-                    results.lock().unwrap_or_else(PoisonError::into_inner).push(result);
-                }
-            });
-        }
-    });
-    let mut results = results.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let mut results = run_on_all_cores(&cells, run_cell);
     results.sort_by_key(|result| (result.cell.step, result.cell.faults.clone(), result.cell.seed));
     MatrixSummary {
         cells: results.len(),
--- /dev/null
+++ b/emulator/src/platform_matrix.rs
@@ -0,0 +1,201 @@
+//! The platform's fault matrix: every fault at every step, all rules checked in each cell.
+
+use std::time::Duration;
+
+use sapphirewell::{direct::TargetStage, ids::ClockTime};
+use strum::IntoEnumIterator;
+
+use crate::platform_rig::{
+    EdgeDefect, OfferedCall, PlatformBreach, PlatformFault, PlatformRig, PlatformSettings,
+    PlatformSite, PlatformStep, PlatformTrigger, RequestClass, TargetPlan,
+};
+
+/// Steps count from here on: the fleet is up and serves.
+const START: ClockTime = Duration::from_secs(5);
+/// Span in which requests come.
+const LOAD: (ClockTime, ClockTime) = (Duration::from_millis(1500), Duration::from_secs(24));
+/// From here on requests have to be served again.
+const RECOVERED: ClockTime = Duration::from_secs(20);
+const END: ClockTime = Duration::from_secs(32);
+const ENTRIES: usize = 3;
+
+/// One cell: one or two faults at a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlatformCell {
+    /// The faults.
+    pub faults: Vec<PlatformFault>,
+    /// The step.
+    pub step: PlatformStep,
+    /// The seed.
+    pub seed: u64,
+    /// A defect of the entries' edges, on purpose.
+    pub defect: Option<EdgeDefect>,
+}
+
+/// What a cell showed.
+#[derive(Debug, Clone)]
+pub struct PlatformCellResult {
+    /// The cell.
+    pub cell: PlatformCell,
+    /// Whether the step was reached, so that the fault happened.
+    pub reached: bool,
+    /// The breaches.
+    pub breaches: Vec<PlatformBreach>,
+}
+
+/// What many cells showed.
+#[derive(Debug, Clone, Default)]
+pub struct PlatformSummary {
+    /// Cells that ran.
+    pub cells: usize,
+    /// Cells whose step was reached.
+    pub reached: usize,
+    /// Cells with breaches.
+    pub failed: Vec<PlatformCellResult>,
+}
+
+/// Returns all cells of single faults.
+pub fn single_cells(seeds: impl Iterator<Item = u64> + Clone) -> Vec<PlatformCell> {
+    cells(seeds, |fault| vec![vec![fault]])
+}
+
+/// Returns all cells of two faults at once.
+pub fn pair_cells(seeds: impl Iterator<Item = u64> + Clone) -> Vec<PlatformCell> {
+    cells(seeds, |first| {
+        let others = PlatformFault::iter().filter(move |second| *second > first);
+        others.map(|second| vec![first, second]).collect()
+    })
+}
+
+fn cells(
+    seeds: impl Iterator<Item = u64> + Clone,
+    sets: impl Fn(PlatformFault) -> Vec<Vec<PlatformFault>>,
+) -> Vec<PlatformCell> {
+    let mut cells = Vec::new();
+    for step in PlatformStep::iter() {
+        for faults in PlatformFault::iter().flat_map(&sets) {
+            for seed in seeds.clone() {
+                cells.push(PlatformCell { faults: faults.clone(), step, seed, defect: None });
+            }
+        }
+    }
+    cells
+}
+
+/// Runs one cell.
+pub fn run_cell(cell: &PlatformCell) -> PlatformCellResult {
+    let mut rig = fleet(cell.seed, cell.defect);
+    let faults = cell.faults.clone();
+    rig.inject_at_step(PlatformTrigger { step: cell.step, after: START, faults });
+    rig.run_until(END);
+    PlatformCellResult {
+        reached: rig.has_reached(cell.step),
+        breaches: rig.breaches(RECOVERED),
+        cell: cell.clone(),
+    }
+}
+
+/// Runs cells on all cores; the order of the failed ones does not depend on timing.
+pub fn run_cells(cells: &[PlatformCell]) -> PlatformSummary {
+    let results = crate::cells::run_on_all_cores(cells, run_cell);
+    PlatformSummary {
+        cells: results.len(),
+        reached: results.iter().filter(|result| result.reached).count(),
+        failed: results.into_iter().filter(|result| !result.breaches.is_empty()).collect(),
+    }
+}
+
+/// Returns a small fleet with its requests, and with planned work in each step's reach.
+pub fn fleet(seed: u64, defect: Option<EdgeDefect>) -> PlatformRig {
+    let mut rig =
+        PlatformRig::new(PlatformSettings { seed, entries: ENTRIES, targets: targets(), defect });
+    rig.offer(requests(seed));
+    for (millis, fault, entry, target) in PLANNED {
+        rig.inject(Duration::from_millis(millis), fault, PlatformSite { entry, target });
+    }
+    rig
+}
+
+/// Planned work: time in milliseconds, what, the entry and the target.
+const PLANNED: [(u64, PlatformFault, usize, usize); 7] = [
+    (5500, PlatformFault::AddEntry, 0, 0),
+    (6000, PlatformFault::ChangeConfiguration, 0, 0),
+    (6500, PlatformFault::AddTarget, 0, 5),
+    (7000, PlatformFault::Burst, 0, 0),
+    (8000, PlatformFault::TargetLeaves, 0, 6),
+    (9000, PlatformFault::StopEntry, 2, 0),
+    (10_000, PlatformFault::TargetVanishes, 0, 4),
+];
+
+fn targets() -> Vec<TargetPlan> {
+    let plan = |name: &str, service: &str, stage, speed| TargetPlan {
+        name: name.to_owned(),
+        service: service.to_owned(),
+        stage,
+        speed,
+    };
+    vec![
+        plan("reader-0", "llm", TargetStage::Prefill, 1.0),
+        plan("reader-1", "llm", TargetStage::Prefill, 0.6),
+        plan("writer-0", "llm", TargetStage::Decode, 1.0),
+        plan("writer-1", "llm", TargetStage::Decode, 1.6),
+        plan("writer-2", "llm", TargetStage::Decode, 1.0),
+        plan("tickets-0", "tickets", TargetStage::Plain, 1.0),
+        plan("tickets-1", "tickets", TargetStage::Plain, 1.0),
+        plan("ledger-0", "ledger", TargetStage::Plain, 1.0),
+    ]
+}
+
+fn requests(seed: u64) -> Vec<OfferedCall> {
+    let classes = [
+        RequestClass::Note,
+        RequestClass::Ticket,
+        RequestClass::Lookup,
+        RequestClass::Note,
+        RequestClass::Dossier,
+        RequestClass::Ticket,
+    ];
+    let (first, last) = LOAD;
+    let mut calls = Vec::new();
+    let mut at = first + Duration::from_millis(seed * 7 % 40);
+    while at < last {
+        let number = calls.len();
+        calls.push(offered(at, classes[number % classes.len()], number as u64 % 6));
+        at += Duration::from_millis(45);
+    }
+    // A request that crashes engines is sent again and again.
+    let poison =
+        (0..8).map(|number| offered(POISON_START + POISON_PAUSE * number, RequestClass::Poison, 9));
+    calls.extend(poison);
+    calls
+}
+
+/// The request that crashes engines comes from here on, with this pause.
+const POISON_START: ClockTime = Duration::from_millis(5500);
+const POISON_PAUSE: Duration = Duration::from_millis(1500);
+
+fn offered(at: ClockTime, class: RequestClass, subject: u64) -> OfferedCall {
+    OfferedCall { at, class, subject, retries: 1, insists: false }
+}
+
+impl std::fmt::Display for PlatformSummary {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for result in &self.failed {
+            writeln!(f, "{}: {:?}", result.cell, result.breaches)?;
+        }
+        write!(
+            f,
+            "platform matrix: {} cells, {} reached their step, {} failed",
+            self.cells,
+            self.reached,
+            self.failed.len()
+        )
+    }
+}
+
+impl std::fmt::Display for PlatformCell {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let faults: Vec<String> = self.faults.iter().map(PlatformFault::to_string).collect();
+        write!(f, "{} at {} seed {}", faults.join(" and "), self.step, self.seed)
+    }
+}
--- /dev/null
+++ b/emulator/src/platform_rig.rs
@@ -0,0 +1,294 @@
+//! Drives the direct entries' machines under a test clock.
+//!
+//! The rig knows the platform's store, targets and callers as small models. It
+//! serves the platform's fault matrix and the measurements of
+//! [docs/CAPACITY.md](../../docs/CAPACITY.md).
+
+use std::{collections::BTreeSet, time::Duration};
+
+use rand::{SeedableRng, rngs::StdRng};
+use sapphirewell::{
+    direct::{CallNumber, CallOutcome, DirectEvent, FlowId, SuspectChange},
+    ids::ClockTime,
+};
+
+use crate::event_queue::EventQueue;
+
+mod caller;
+mod entry;
+mod fault;
+mod referee;
+mod step;
+mod store;
+mod target;
+
+pub use caller::{AttemptAnswer, CallerRecord, OfferedCall, RequestClass};
+pub use entry::{EdgeDefect, EntryId};
+pub use fault::{PlatformFault, PlatformSite};
+pub use referee::{PlatformBreach, PlatformRule};
+pub use step::{PlatformStep, PlatformTrigger};
+pub use store::{route_table, service_of};
+pub use target::{TargetIndex, TargetPlan};
+
+use caller::CallerBook;
+use entry::EntrySeat;
+use referee::PlatformReferee;
+use store::StoreModel;
+use target::{SimCall, TargetSeat};
+
+/// Delay between processes.
+const DELAY: Duration = Duration::from_micros(1500);
+/// Interval of the machines' ticks.
+const TICK: Duration = Duration::from_millis(40);
+/// Interval of the reports between entries.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What a rig is made of.
+#[derive(Debug, Clone)]
+pub struct PlatformSettings {
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Number of entries.
+    pub entries: usize,
+    /// Targets that are there at the start.
+    pub targets: Vec<TargetPlan>,
+    /// Defect of the entries' edges, on purpose.
+    pub defect: Option<EdgeDefect>,
+}
+
+/// The rig.
+pub struct PlatformRig {
+    pub(crate) settings: PlatformSettings,
+    pub(crate) now: ClockTime,
+    pub(crate) rng: StdRng,
+    queue: EventQueue<RigEvent>,
+    pub(crate) store: StoreModel,
+    pub(crate) entries: Vec<EntrySeat>,
+    pub(crate) targets: Vec<TargetSeat>,
+    pub(crate) callers: CallerBook,
+    pub(crate) referee: PlatformReferee,
+    trigger: Option<PlatformTrigger>,
+    reached: BTreeSet<PlatformStep>,
+    pub(crate) reports_lost_until: ClockTime,
+    pub(crate) next_run: u64,
+}
+
+/// What a target tells the entry that called it.
+#[derive(Debug, Clone)]
+pub(crate) enum TargetSignal {
+    /// The call ended, or its answer began.
+    Outcome(CallOutcome),
+    /// An event of the answer.
+    Output(u32),
+    /// The answer is complete.
+    End,
+    /// The answer broke off.
+    Break,
+}
+
+/// Something that happens in the rig.
+#[derive(Debug, Clone)]
+pub(crate) enum RigEvent {
+    Attempt {
+        attempt: usize,
+    },
+    CallerLeaves {
+        attempt: usize,
+    },
+    Tick {
+        entry: EntryId,
+        process: u64,
+    },
+    ReadTargets {
+        entry: EntryId,
+        process: u64,
+    },
+    ReadRoutes {
+        entry: EntryId,
+        process: u64,
+    },
+    ReadSuspects {
+        entry: EntryId,
+        process: u64,
+    },
+    KeepSuspect {
+        entry: EntryId,
+        process: u64,
+        change: SuspectChange,
+    },
+    Report {
+        entry: EntryId,
+        process: u64,
+    },
+    Machine {
+        entry: EntryId,
+        process: u64,
+        event: Box<DirectEvent>,
+    },
+    CutAnswer {
+        entry: EntryId,
+        process: u64,
+        flow: FlowId,
+    },
+    CallArrives {
+        call: Box<SimCall>,
+    },
+    CallCancelled {
+        entry: EntryId,
+        process: u64,
+        flow: FlowId,
+        number: CallNumber,
+        target: TargetIndex,
+    },
+    FromTarget {
+        call: Box<SimCall>,
+        signal: TargetSignal,
+    },
+    RunStep {
+        target: TargetIndex,
+        run: u64,
+    },
+    Fault {
+        fault: PlatformFault,
+        site: PlatformSite,
+        ends: bool,
+    },
+}
+
+impl PlatformRig {
+    /// Makes a rig whose targets are listed and whose entries start.
+    pub fn new(settings: PlatformSettings) -> PlatformRig {
+        let mut rig = PlatformRig {
+            now: ClockTime::ZERO,
+            rng: StdRng::seed_from_u64(settings.seed),
+            queue: EventQueue::default(),
+            store: StoreModel::default(),
+            entries: Vec::new(),
+            targets: Vec::new(),
+            callers: CallerBook::default(),
+            referee: PlatformReferee::default(),
+            trigger: None,
+            reached: BTreeSet::new(),
+            reports_lost_until: ClockTime::ZERO,
+            next_run: 0,
+            settings,
+        };
+        rig.store.write_routes(rig.now, route_table(1, false));
+        for plan in rig.settings.targets.clone() {
+            rig.add_target(plan);
+        }
+        for _ in 0..rig.settings.entries {
+            rig.add_entry();
+        }
+        rig
+    }
+
+    /// Adds requests that callers will send.
+    pub fn offer(&mut self, calls: Vec<OfferedCall>) {
+        for call in calls {
+            let at = call.at;
+            let attempt = self.callers.add(call);
+            self.schedule(at, RigEvent::Attempt { attempt });
+        }
+    }
+
+    /// Adds a fault at a time.
+    pub fn inject(&mut self, at: ClockTime, fault: PlatformFault, site: PlatformSite) {
+        self.schedule(at, RigEvent::Fault { fault, site, ends: false });
+    }
+
+    /// Adds faults that happen when a step is first reached after a time.
+    pub fn inject_at_step(&mut self, trigger: PlatformTrigger) {
+        self.trigger = Some(trigger);
+    }
+
+    /// Tells whether a step was reached at any time.
+    pub fn has_reached(&self, step: PlatformStep) -> bool {
+        self.reached.contains(&step)
+    }
+
+    /// Runs until a time.
+    pub fn run_until(&mut self, end: ClockTime) {
+        while let Some((at, event)) = self.queue.pop_until(end) {
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    /// Returns what became of each attempt.
+    pub fn attempts(&self) -> &[CallerRecord] {
+        self.callers.records()
+    }
+
+    pub(crate) fn schedule(&mut self, at: ClockTime, event: RigEvent) {
+        self.queue.push(at, event);
+    }
+
+    pub(crate) fn after(&mut self, delay: Duration, event: RigEvent) {
+        self.schedule(self.now + delay, event);
+    }
+
+    /// Notes that a step is reached, and injects the faults that wait for it.
+    pub(crate) fn reach(&mut self, step: PlatformStep, site: PlatformSite) {
+        self.reached.insert(step);
+        let waits = self.trigger.as_ref().is_some_and(|t| t.step == step && self.now >= t.after);
+        if !waits {
+            return;
+        }
+        let Some(trigger) = self.trigger.take() else { return };
+        for fault in trigger.faults {
+            self.after(Duration::ZERO, RigEvent::Fault { fault, site, ends: false });
+        }
+    }
+
+    fn handle(&mut self, event: RigEvent) {
+        if let Some(thaw) = self.thaw_of(&event) {
+            return self.schedule(thaw, event);
+        }
+        match event {
+            RigEvent::Attempt { attempt } => self.attempt_arrives(attempt),
+            RigEvent::CallerLeaves { attempt } => self.caller_leaves(attempt),
+            RigEvent::Tick { entry, process } => self.tick(entry, process),
+            RigEvent::ReadTargets { entry, process } => self.read_targets(entry, process),
+            RigEvent::ReadRoutes { entry, process } => self.read_routes(entry, process),
+            RigEvent::ReadSuspects { entry, process } => self.read_suspects(entry, process),
+            RigEvent::KeepSuspect { entry, process, change } => {
+                self.keep_suspect(entry, process, change);
+            }
+            RigEvent::Report { entry, process } => self.report(entry, process),
+            RigEvent::Machine { entry, process, event } => {
+                if self.is_process(entry, process) {
+                    self.step_machine(entry, *event);
+                }
+            }
+            RigEvent::CutAnswer { entry, process, flow } => self.cut_answer(entry, process, flow),
+            RigEvent::CallArrives { call } => self.call_arrives(*call),
+            RigEvent::CallCancelled { entry, process, flow, number, target } => {
+                self.call_cancelled(target, (entry, process, flow, number));
+            }
+            RigEvent::FromTarget { call, signal } => self.target_signal(*call, signal),
+            RigEvent::RunStep { target, run } => self.run_step(target, run),
+            RigEvent::Fault { fault, site, ends } => self.apply_fault(fault, site, ends),
+        }
+    }
+
+    /// Returns when a frozen entry handles an event that concerns it.
+    fn thaw_of(&self, event: &RigEvent) -> Option<ClockTime> {
+        let entry = match event {
+            RigEvent::Tick { entry, .. }
+            | RigEvent::ReadTargets { entry, .. }
+            | RigEvent::ReadRoutes { entry, .. }
+            | RigEvent::ReadSuspects { entry, .. }
+            | RigEvent::KeepSuspect { entry, .. }
+            | RigEvent::Report { entry, .. }
+            | RigEvent::Machine { entry, .. }
+            | RigEvent::CutAnswer { entry, .. } => *entry,
+            RigEvent::FromTarget { call, .. } => call.entry,
+            RigEvent::Attempt { attempt } => self.callers.record(*attempt).entry?,
+            _ => return None,
+        };
+        let until = self.entries.get(entry)?.frozen_until;
+        (until > self.now).then_some(until)
+    }
+}
--- /dev/null
+++ b/emulator/src/platform_rig/caller.rs
@@ -0,0 +1,253 @@
+//! Callers of the platform, and what became of each of their attempts.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use sapphirewell::{
+    direct::{DirectRequest, GiveUp, PromptPart, PromptShape},
+    ids::ClockTime,
+};
+use strum::Display;
+
+use super::{EntryId, PlatformRig, PlatformSite, PlatformStep, RigEvent};
+
+/// Kind of request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum RequestClass {
+    /// Long prompt, a stream that may be resumed.
+    Dossier,
+    /// Short prompt, a stream that may run once.
+    Note,
+    /// A note that crashes each engine that begins to run it.
+    Poison,
+    /// Call of a plain service that may run once.
+    Ticket,
+    /// Call of a plain service that may be repeated.
+    Lookup,
+}
+
+impl RequestClass {
+    /// Tells whether the answer is a stream.
+    pub fn is_stream(self) -> bool {
+        matches!(self, RequestClass::Dossier | RequestClass::Note | RequestClass::Poison)
+    }
+
+    /// Returns how long the caller waits.
+    pub fn deadline(self) -> Duration {
+        Duration::from_millis(match self {
+            RequestClass::Dossier => 5000,
+            RequestClass::Note | RequestClass::Poison => 2500,
+            RequestClass::Ticket | RequestClass::Lookup => 1500,
+        })
+    }
+
+    /// Returns the events of an answer.
+    pub(crate) fn events(self) -> u32 {
+        match self {
+            RequestClass::Dossier => 10,
+            RequestClass::Note | RequestClass::Poison => 4,
+            RequestClass::Ticket | RequestClass::Lookup => 1,
+        }
+    }
+}
+
+/// Request that a caller will send.
+#[derive(Debug, Clone)]
+pub struct OfferedCall {
+    /// When.
+    pub at: ClockTime,
+    /// Its kind.
+    pub class: RequestClass,
+    /// Its subject: requests of one subject share the long part of their prompts.
+    pub subject: u64,
+    /// Attempts that the caller makes beside the first.
+    pub retries: u32,
+    /// Whether the caller asks again at once, whatever it was told.
+    pub insists: bool,
+}
+
+/// How an attempt ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum AttemptAnswer {
+    /// Nothing yet.
+    Open,
+    /// The target's whole answer.
+    Whole,
+    /// The target's answer, or the connection, broke off.
+    Broken,
+    /// An answer of the system's own.
+    Own(GiveUp),
+    /// The caller left.
+    Left,
+}
+
+/// One attempt of a caller.
+#[derive(Debug, Clone)]
+pub struct CallerRecord {
+    /// The request.
+    pub call: OfferedCall,
+    /// When the attempt was sent.
+    pub sent: ClockTime,
+    /// When the caller stops waiting.
+    pub deadline: ClockTime,
+    /// The entry and process that took it.
+    pub entry: Option<EntryId>,
+    pub(crate) process: u64,
+    /// How it ended, and when.
+    pub answer: AttemptAnswer,
+    /// When it ended.
+    pub ended: ClockTime,
+    /// When its first event reached the caller.
+    pub first: Option<ClockTime>,
+    pub(crate) events: u32,
+}
+
+/// All attempts.
+#[derive(Debug, Default)]
+pub(crate) struct CallerBook {
+    records: Vec<CallerRecord>,
+}
+
+impl CallerBook {
+    pub(super) fn add(&mut self, call: OfferedCall) -> usize {
+        let (sent, deadline) = (call.at, call.at + call.class.deadline());
+        self.records.push(CallerRecord {
+            call,
+            sent,
+            deadline,
+            entry: None,
+            process: 0,
+            answer: AttemptAnswer::Open,
+            ended: ClockTime::ZERO,
+            first: None,
+            events: 0,
+        });
+        self.records.len() - 1
+    }
+
+    pub(super) fn records(&self) -> &[CallerRecord] {
+        &self.records
+    }
+
+    pub(super) fn record(&self, attempt: usize) -> &CallerRecord {
+        &self.records[attempt]
+    }
+
+    pub(super) fn record_mut(&mut self, attempt: usize) -> &mut CallerRecord {
+        &mut self.records[attempt]
+    }
+}
+
+/// Prompt tokens that dossiers of one subject share, and those of their own.
+const SHARED_TOKENS: u32 = 13_300;
+const OWN_TOKENS: u32 = 3720;
+const NOTE_TOKENS: u32 = 383;
+
+impl PlatformRig {
+    /// Sends an attempt to an entry that takes connections.
+    pub(super) fn attempt_arrives(&mut self, attempt: usize) {
+        if self.callers.record(attempt).entry.is_none() {
+            let open: Vec<EntryId> = (0..self.entries.len())
+                .filter(|entry| self.entries[*entry].alive && !self.entries[*entry].stopping)
+                .collect();
+            if open.is_empty() {
+                // The balancer finds no entry; the caller tries again.
+                return self.after(Duration::from_millis(200), RigEvent::Attempt { attempt });
+            }
+            let entry = open[self.rng.random_range(0..open.len())];
+            let process = self.entries[entry].process;
+            let record = self.callers.record_mut(attempt);
+            record.entry = Some(entry);
+            record.process = process;
+            if self.entries[entry].frozen_until > self.now {
+                return self.after(Duration::ZERO, RigEvent::Attempt { attempt });
+            }
+        }
+        let Some(entry) = self.callers.record(attempt).entry else { return };
+        let process = self.callers.record(attempt).process;
+        if !self.is_process(entry, process) {
+            return self.end_attempt(attempt, AttemptAnswer::Broken);
+        }
+        self.submit(entry, attempt);
+        self.reach(PlatformStep::RequestRead, PlatformSite { entry, target: 0 });
+    }
+
+    /// Makes the core's request of an attempt.
+    pub(super) fn core_request(&self, attempt: usize) -> Option<DirectRequest> {
+        let record = self.callers.record(attempt);
+        let entry = record.entry?;
+        let routes = self.entries[entry].machine.routes()?.clone();
+        let class = record.call.class;
+        let route = routes.find("host", &format!("/{class}/x"))?.clone();
+        let subject = record.call.subject;
+        let shared = match class {
+            RequestClass::Dossier => Some((SHARED_TOKENS, OWN_TOKENS)),
+            RequestClass::Note | RequestClass::Poison => Some((0, NOTE_TOKENS)),
+            RequestClass::Ticket | RequestClass::Lookup => None,
+        };
+        let prompt = shared.map(|(shared, own)| PromptShape {
+            tokens: shared + own,
+            max_output: 12 * class.events(),
+            parts: [
+                PromptPart { id: subject, tokens: shared },
+                PromptPart { id: 1_000_000 + attempt as u64, tokens: own },
+            ]
+            .into_iter()
+            .collect(),
+        });
+        let fingerprint = match class {
+            RequestClass::Poison => Some(u64::MAX),
+            RequestClass::Lookup => None,
+            _ => Some(attempt as u64),
+        };
+        let time_left = record.deadline.saturating_sub(self.now);
+        Some(DirectRequest { route, time_left, prompt, fingerprint })
+    }
+
+    /// Gives an attempt its end; the caller may send another.
+    pub(super) fn end_attempt(&mut self, attempt: usize, answer: AttemptAnswer) {
+        let now = self.now;
+        let record = self.callers.record_mut(attempt);
+        if record.answer != AttemptAnswer::Open {
+            return;
+        }
+        record.answer = answer;
+        record.ended = now;
+        let call = record.call.clone();
+        let left = record.deadline.saturating_sub(now);
+        let pause = match answer {
+            AttemptAnswer::Own(own) if own.not_run => {
+                Some(if call.insists { Duration::ZERO } else { own.retry_after.min(left / 3) })
+            }
+            AttemptAnswer::Broken | AttemptAnswer::Own(_)
+                if call.class == RequestClass::Lookup || call.class == RequestClass::Dossier =>
+            {
+                Some(Duration::from_millis(20))
+            }
+            _ => None,
+        };
+        let Some(pause) = pause.filter(|pause| call.retries > 0 && *pause < left) else { return };
+        let again = OfferedCall { at: now + pause, retries: call.retries - 1, ..call };
+        let deadline = now + left;
+        let next = self.callers.add(again);
+        self.callers.record_mut(next).deadline = deadline;
+        self.after(pause, RigEvent::Attempt { attempt: next });
+        self.reach(PlatformStep::CallerReturns, PlatformSite { entry: 0, target: 0 });
+    }
+
+    /// The caller closes its connection.
+    pub(super) fn caller_leaves(&mut self, attempt: usize) {
+        let record = self.callers.record(attempt);
+        let (entry, process) = (record.entry, record.process);
+        if record.answer != AttemptAnswer::Open {
+            return;
+        }
+        self.end_attempt(attempt, AttemptAnswer::Left);
+        if let Some(entry) = entry
+            && self.is_process(entry, process)
+        {
+            self.drop_attempt(entry, attempt);
+        }
+    }
+}
--- /dev/null
+++ b/emulator/src/platform_rig/fault.rs
@@ -0,0 +1,377 @@
+//! Faults of the platform, applied to the processes that a step concerns.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use sapphirewell::direct::TargetStage;
+use strum::{Display, EnumIter, EnumString};
+
+use super::{
+    EntryId, PlatformRig, PlatformRule, PlatformStep, RigEvent, TargetIndex, TargetPlan,
+    caller::{AttemptAnswer, OfferedCall, RequestClass},
+    target::SeatState,
+};
+
+/// A kind of trouble.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum PlatformFault {
+    /// The entry's process is killed and starts again.
+    KillEntry,
+    /// All entries lose power at once and come back.
+    AllLosePower,
+    /// The entry stands still for a while.
+    FreezeEntry,
+    /// The entry is told to stop, and starts again.
+    StopEntry,
+    /// An entry is added.
+    AddEntry,
+    /// The entry and the target cannot reach each other.
+    CutFromTarget,
+    /// The entry alone cannot reach the store.
+    CutFromStore,
+    /// Reports between entries are lost.
+    ReportsLost,
+    /// The target's process ends and starts under a new name.
+    CrashTarget,
+    /// The same under its old name.
+    RebornTarget,
+    /// The target's VM loses power for a while.
+    DarkTarget,
+    /// The target is gone for good, and another service gets its address.
+    AddressReused,
+    /// The target turns slow.
+    SlowTarget,
+    /// The target fails half of what it gets.
+    GreyTarget,
+    /// All connections of the target are reset.
+    ResetConnections,
+    /// The target runs calls whose answers are lost.
+    AnswersLost,
+    /// The target breaks answers off.
+    AnswersBroken,
+    /// KV caches lapse at once.
+    CachesLapse,
+    /// The target announces that it leaves, and leaves.
+    TargetLeaves,
+    /// The target's entry goes without notice, and it leaves.
+    TargetVanishes,
+    /// A target is added.
+    AddTarget,
+    /// The store answers nobody.
+    StoreDown,
+    /// The store is down, and the targets' entries lapse meanwhile.
+    StoreDownEntriesLapse,
+    /// The store is slow.
+    StoreSlow,
+    /// The store forgets its history.
+    StoreForgets,
+    /// The operator changes the configuration.
+    ChangeConfiguration,
+    /// The operator changes it several times.
+    ConfigurationStorm,
+    /// Many callers come at once.
+    Burst,
+    /// Callers ask again at once and often.
+    CallersInsist,
+    /// Callers leave.
+    CallersLeave,
+}
+
+/// Processes that a step concerns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlatformSite {
+    /// The entry.
+    pub entry: EntryId,
+    /// The target.
+    pub target: TargetIndex,
+}
+
+/// Length of an outage.
+const OUTAGE: Duration = Duration::from_secs(3);
+/// Time after which a silent target's entry lapses: three heartbeats.
+const LAPSE: Duration = Duration::from_millis(3600);
+/// Time from a target's notice to its end; a sheet's `drain_ms` and a little more.
+const LEAVE: Duration = Duration::from_millis(2500);
+/// Time in which a stopping entry still gets new connections.
+const BALANCER: Duration = Duration::from_secs(2);
+/// Time after which a stopping entry ends.
+const STOP_LIMIT: Duration = Duration::from_millis(7300);
+/// Time after which an address may be used again.
+const REUSE: Duration = Duration::from_secs(2);
+
+impl PlatformRig {
+    /// Applies a fault, or its end.
+    pub(super) fn apply_fault(&mut self, fault: PlatformFault, site: PlatformSite, ends: bool) {
+        if ends {
+            return self.end_fault(fault, site);
+        }
+        let now = self.now;
+        let until = now + OUTAGE;
+        let PlatformSite { entry, target } = site;
+        let mut lasts = |rig: &mut PlatformRig, time| {
+            rig.after(time, RigEvent::Fault { fault, site, ends: true });
+        };
+        match fault {
+            PlatformFault::KillEntry => {
+                self.end_entry(entry, false);
+                self.entries[entry].disturb(now, until);
+                lasts(self, OUTAGE);
+            }
+            PlatformFault::AllLosePower => {
+                for entry in 0..self.entries.len() {
+                    self.end_entry(entry, true);
+                    self.entries[entry].disturb(now, until);
+                }
+                lasts(self, OUTAGE);
+            }
+            PlatformFault::FreezeEntry => {
+                self.entries[entry].frozen_until = until;
+                self.entries[entry].disturb(now, until);
+            }
+            PlatformFault::StopEntry => self.begin_drain(entry, &mut lasts),
+            PlatformFault::AddEntry => drop(self.add_entry()),
+            PlatformFault::CutFromTarget => {
+                self.entries[entry].target_cut = Some((target, until));
+                self.entries[entry].disturb(now, until);
+            }
+            PlatformFault::CutFromStore => {
+                self.entries[entry].store_cut_until = until;
+                self.entries[entry].disturb(now, until);
+            }
+            PlatformFault::ReportsLost => {
+                self.reports_lost_until = until;
+                for entry in &mut self.entries {
+                    entry.disturb(now, until);
+                }
+            }
+            PlatformFault::CrashTarget | PlatformFault::RebornTarget => {
+                self.crash_target(target, SeatState::Crashed);
+                lasts(self, OUTAGE);
+            }
+            PlatformFault::DarkTarget => {
+                self.crash_target(target, SeatState::Dark);
+                lasts(self, LAPSE);
+            }
+            PlatformFault::AddressReused => {
+                self.crash_target(target, SeatState::Gone);
+                lasts(self, REUSE);
+            }
+            PlatformFault::SlowTarget => self.targets[target].slow_until = until,
+            PlatformFault::GreyTarget => self.targets[target].grey_until = until,
+            PlatformFault::ResetConnections => self.reset_connections(target),
+            PlatformFault::AnswersLost => self.targets[target].loses_answers_until = until,
+            PlatformFault::AnswersBroken => self.targets[target].breaks_answers_until = until,
+            PlatformFault::CachesLapse => {
+                for seat in &mut self.targets {
+                    seat.short_handles_until = until;
+                }
+            }
+            PlatformFault::TargetLeaves => self.announce_leaving(target, &mut lasts),
+            PlatformFault::TargetVanishes => {
+                self.remove_entry(target);
+                lasts(self, LEAVE);
+            }
+            PlatformFault::AddTarget => self.add_another(target),
+            PlatformFault::StoreDown => self.disrupt_store(until, true),
+            PlatformFault::StoreDownEntriesLapse => {
+                self.disrupt_store(until, true);
+                self.lapse_all();
+                lasts(self, OUTAGE + Duration::from_secs(2));
+            }
+            PlatformFault::StoreSlow => self.disrupt_store(until, false),
+            PlatformFault::StoreForgets => {
+                self.store.forget_history();
+                self.store.disturb(now);
+            }
+            PlatformFault::ChangeConfiguration => self.change_routes(),
+            PlatformFault::ConfigurationStorm => {
+                self.change_routes();
+                for number in 1..6 {
+                    let fault = PlatformFault::ChangeConfiguration;
+                    let pause = Duration::from_millis(330) * number;
+                    self.after(pause, RigEvent::Fault { fault, site, ends: false });
+                }
+            }
+            PlatformFault::Burst => self.burst(false),
+            PlatformFault::CallersInsist => self.burst(true),
+            PlatformFault::CallersLeave => self.let_callers_leave(),
+        }
+    }
+
+    fn end_fault(&mut self, fault: PlatformFault, site: PlatformSite) {
+        let PlatformSite { entry, target } = site;
+        match fault {
+            PlatformFault::KillEntry => self.start_entry(entry),
+            PlatformFault::StopEntry => self.finish_drain(entry),
+            PlatformFault::AllLosePower => {
+                for entry in 0..self.entries.len() {
+                    self.start_entry(entry);
+                }
+            }
+            PlatformFault::CrashTarget | PlatformFault::DarkTarget => {
+                self.restart_target(target, true);
+            }
+            PlatformFault::RebornTarget => self.restart_target(target, false),
+            PlatformFault::AddressReused => self.reuse_address(target),
+            PlatformFault::TargetLeaves | PlatformFault::TargetVanishes => {
+                self.crash_target(target, SeatState::Gone);
+                let id = self.targets[target].listed.id.clone();
+                self.store.write_target(id, None);
+            }
+            PlatformFault::StoreDownEntriesLapse => self.relist_all(),
+            _ => {}
+        }
+    }
+
+    fn begin_drain(&mut self, entry: EntryId, lasts: &mut impl FnMut(&mut PlatformRig, Duration)) {
+        if self.entries[entry].draining || !self.entries[entry].alive {
+            return;
+        }
+        self.entries[entry].draining = true;
+        let now = self.now;
+        self.entries[entry].disturb(now, now + STOP_LIMIT);
+        self.reach(PlatformStep::DrainBegun, PlatformSite { entry, target: 0 });
+        // The balancer notices only some time after the signal.
+        let notices = RigEvent::Fault {
+            fault: PlatformFault::StopEntry,
+            site: PlatformSite { entry, target: TargetIndex::MAX },
+            ends: true,
+        };
+        self.after(BALANCER, notices);
+        lasts(self, STOP_LIMIT);
+    }
+
+    fn finish_drain(&mut self, entry: EntryId) {
+        if !self.entries[entry].draining {
+            return;
+        }
+        if !self.entries[entry].stopping {
+            self.entries[entry].stopping = true;
+            return;
+        }
+        let open = self.open_flows(entry);
+        if open > 0 {
+            let seen = format!("entry {entry} stopped with {open} requests open");
+            self.referee.breach(PlatformRule::StopCutsNothing, seen);
+        }
+        self.end_entry(entry, false);
+        self.start_entry(entry);
+    }
+
+    fn disrupt_store(&mut self, until: Duration, down: bool) {
+        if down {
+            self.store.down_until = until;
+        } else {
+            self.store.slow_until = until;
+        }
+        self.store.disturb(until);
+    }
+
+    /// Removes the entries of targets that the store has not heard.
+    fn lapse_all(&mut self) {
+        for seat in &self.targets {
+            if seat.state == SeatState::Serving {
+                self.store.write_target(seat.listed.id.clone(), None);
+            }
+        }
+        self.reach(PlatformStep::TargetLapsed, PlatformSite { entry: 0, target: 0 });
+    }
+
+    fn relist_all(&mut self) {
+        for seat in &mut self.targets {
+            if seat.state == SeatState::Serving && seat.leaving.is_none() {
+                seat.listed.sequence += 1;
+                self.store.write_target(seat.listed.id.clone(), Some(seat.listed.clone()));
+            }
+        }
+    }
+
+    fn announce_leaving(
+        &mut self,
+        target: TargetIndex,
+        lasts: &mut impl FnMut(&mut PlatformRig, Duration),
+    ) {
+        let now = self.now;
+        let seat = &mut self.targets[target];
+        if seat.state != SeatState::Serving || seat.leaving.is_some() {
+            return;
+        }
+        seat.leaving = Some(now);
+        seat.listed.leaving = true;
+        seat.listed.sequence += 1;
+        let listed = seat.listed.clone();
+        self.store.write_target(listed.id.clone(), Some(listed));
+        self.reach(PlatformStep::TargetLeaving, PlatformSite { entry: 0, target });
+        lasts(self, LEAVE);
+    }
+
+    fn remove_entry(&mut self, target: TargetIndex) {
+        let now = self.now;
+        let seat = &mut self.targets[target];
+        seat.leaving.get_or_insert(now);
+        let id = seat.listed.id.clone();
+        self.store.write_target(id, None);
+        self.reach(PlatformStep::TargetLapsed, PlatformSite { entry: 0, target });
+    }
+
+    /// Starts a target of another service at the address of one that is gone.
+    fn reuse_address(&mut self, target: TargetIndex) {
+        let seat = &self.targets[target];
+        let address = seat.listed.address;
+        let service = if seat.plan.service == "tickets" { "ledger" } else { "tickets" };
+        let plan = TargetPlan {
+            name: format!("reuse-{}", self.targets.len()),
+            service: service.to_owned(),
+            stage: TargetStage::Plain,
+            speed: 1.0,
+        };
+        self.add_target_at(plan, address);
+        // The old entry lapses only later.
+        let site = PlatformSite { entry: 0, target };
+        let fault = PlatformFault::TargetVanishes;
+        self.after(LAPSE - REUSE, RigEvent::Fault { fault, site, ends: true });
+    }
+
+    fn add_another(&mut self, target: TargetIndex) {
+        let mut plan = self.targets[target].plan.clone();
+        plan.name = format!("more-{}", self.targets.len());
+        self.add_target(plan);
+    }
+
+    fn burst(&mut self, insists: bool) {
+        let count = if insists { 30 } else { 150 };
+        let classes =
+            [RequestClass::Note, RequestClass::Ticket, RequestClass::Dossier, RequestClass::Lookup];
+        let now = self.now;
+        let calls = (0..count).map(|number: u32| OfferedCall {
+            at: now + Duration::from_millis(10) * number,
+            class: classes[number as usize % classes.len()],
+            subject: u64::from(number % 7),
+            retries: if insists { 8 } else { 1 },
+            insists,
+        });
+        let calls = calls.collect();
+        self.offer(calls);
+    }
+
+    fn let_callers_leave(&mut self) {
+        let open = self.attempts().iter().enumerate();
+        let open = open.filter(|(_, record)| record.answer == AttemptAnswer::Open);
+        let sent: Vec<usize> = open.map(|(attempt, _)| attempt).collect();
+        for attempt in sent {
+            let pause = Duration::from_millis(self.rng.random_range(0..400));
+            if self.attempts()[attempt].sent <= self.now {
+                self.after(pause, RigEvent::CallerLeaves { attempt });
+            }
+        }
+    }
+
+    /// Ends a target under a request that crashes it; it comes back later.
+    pub(super) fn crash_for(&mut self, target: TargetIndex) {
+        self.crash_target(target, SeatState::Crashed);
+        let site = PlatformSite { entry: 0, target };
+        let fault = PlatformFault::CrashTarget;
+        self.after(OUTAGE, RigEvent::Fault { fault, site, ends: true });
+    }
+}
--- /dev/null
+++ b/emulator/src/platform_rig/referee.rs
@@ -0,0 +1,293 @@
+//! Watches the platform's rules.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sapphirewell::{
+    direct::{CallStep, ServiceName},
+    ids::ClockTime,
+};
+use strum::{Display, EnumIter};
+
+use super::{
+    EntryId, PlatformRig, TargetIndex,
+    caller::{AttemptAnswer, CallerRecord, RequestClass},
+    entry::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW},
+    store::service_of,
+    target::{SeatState, SimCall},
+};
+
+/// Time that has to pass without a disturbance before bounds in time hold.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Time after which a leaving target gets nothing new.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+/// Time after which a configuration is in force.
+const APPLY_LIMIT: Duration = Duration::from_secs(2);
+/// Time by which a call may outlast what it was allowed, and work its caller.
+const SLACK: Duration = Duration::from_millis(500);
+/// Requests after the last crash of one that crashed three targets.
+const MAX_CRASHES: usize = 3;
+
+/// One of the rules.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter)]
+#[strum(serialize_all = "snake_case")]
+pub enum PlatformRule {
+    /// A request that may run once runs at most once.
+    RunsOnce,
+    /// A refusal that says "not run" is true.
+    TrueNotRun,
+    /// A request is run only by a service to which a configuration sends it.
+    AllowedService,
+    /// A leaving target gets nothing new after the limit.
+    LeavingTarget,
+    /// A request runs on no more targets than its route allows.
+    Attempts,
+    /// Calls beyond the first stay inside the shared budget.
+    RetryBudget,
+    /// A request that crashed three targets is not sent again.
+    BoundedCrashes,
+    /// Work ends soon after its caller has left or was answered.
+    StopsWithCaller,
+    /// A target gets no more time than the caller has left.
+    TimeLeft,
+    /// Every request gets its final answer in its route's time.
+    Ends,
+    /// A configuration is in force within the limit.
+    InForce,
+    /// A process never goes back to an older configuration.
+    NeverReverts,
+    /// A caller gets the whole answer, in order, or sees that it broke off.
+    WholeOwnAnswer,
+    /// A planned stop cuts no request.
+    StopCutsNothing,
+    /// After the last fault requests are served again.
+    Recovers,
+}
+
+/// A breach of a rule.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlatformBreach {
+    /// The rule.
+    pub rule: PlatformRule,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// What the referee keeps.
+#[derive(Debug, Default)]
+pub(crate) struct PlatformReferee {
+    runs: BTreeMap<usize, Vec<(TargetIndex, u64)>>,
+    not_run: Vec<usize>,
+    /// Arrivals beyond the first of each request, by service.
+    extra: BTreeMap<String, Vec<ClockTime>>,
+    offered: BTreeMap<String, Vec<ClockTime>>,
+    arrived: BTreeMap<usize, (bool, bool)>,
+    crashes: Vec<ClockTime>,
+    after_crashes: usize,
+    breaches: Vec<PlatformBreach>,
+}
+
+impl PlatformReferee {
+    pub(super) fn breach(&mut self, rule: PlatformRule, seen: String) {
+        self.breaches.push(PlatformBreach { rule, seen });
+    }
+
+    pub(super) fn offered(&mut self, now: ClockTime, service: &ServiceName) {
+        self.offered.entry(service.to_string()).or_default().push(now);
+    }
+
+    pub(super) fn promised_not_run(&mut self, attempt: usize) {
+        self.not_run.push(attempt);
+        self.check_promise(attempt);
+    }
+
+    fn check_promise(&mut self, attempt: usize) {
+        if self.not_run.contains(&attempt) && self.runs.contains_key(&attempt) {
+            self.breach(PlatformRule::TrueNotRun, format!("attempt {attempt}"));
+        }
+    }
+
+    /// Returns the largest excess over the shared budget in any window.
+    fn budget_breach(&self) -> Option<String> {
+        for (service, extra) in &self.extra {
+            let empty = Vec::new();
+            let offered = self.offered.get(service).unwrap_or(&empty);
+            let within = |times: &[ClockTime], end: ClockTime| {
+                let start = end.saturating_sub(RETRY_WINDOW);
+                times.iter().filter(|at| **at > start && **at <= end).count() as f64
+            };
+            for end in extra {
+                let before = within(offered, end.saturating_sub(RETRY_WINDOW));
+                let requests = within(offered, *end).max(before);
+                let allowed = RETRY_RATIO * requests + RETRY_SLACK;
+                let used = within(extra, *end);
+                if used > allowed {
+                    return Some(format!(
+                        "{service}: {used} calls beyond the first, {allowed} allowed"
+                    ));
+                }
+            }
+        }
+        None
+    }
+}
+
+impl PlatformRig {
+    fn is_in_touch(&self, entry: EntryId) -> bool {
+        let start = self.now.saturating_sub(STABLE_WINDOW);
+        !self.entries[entry].is_disturbed(start, self.now)
+            && self.store.disturbed_until + STABLE_WINDOW <= self.now
+    }
+
+    /// Checks a call as its entry sends it.
+    pub(super) fn referee_call(&mut self, call: &SimCall, target: TargetIndex) {
+        let record = self.callers.record(call.attempt);
+        if call.deadline > record.deadline + SLACK {
+            let seen = format!("attempt {} ends {:?}", call.attempt, record.deadline);
+            self.referee.breach(PlatformRule::TimeLeft, seen);
+        }
+        let seat = &self.targets[target];
+        let meant = seat.listed.id == call.target.id;
+        let late = seat.leaving.is_some_and(|at| self.now > at + DRAIN_LIMIT);
+        if meant && late && self.is_in_touch(call.entry) {
+            let seen = format!("{} got a call from entry {}", seat.listed.id, call.entry);
+            self.referee.breach(PlatformRule::LeavingTarget, seen);
+        }
+    }
+
+    /// Counts a call that reached the target that it was meant for.
+    pub(super) fn referee_arrival(&mut self, call: &SimCall, target: TargetIndex) {
+        let now = self.now;
+        let class = self.callers.record(call.attempt).call.class;
+        let service = self.targets[target].plan.service.clone();
+        let reads = call.step == CallStep::Prefill;
+        let (read, run) = self.referee.arrived.entry(call.attempt).or_default();
+        let first = !std::mem::replace(if reads { read } else { run }, true);
+        if !first {
+            self.referee.extra.entry(service).or_default().push(now);
+        }
+        let crashes = &self.referee.crashes;
+        let barred = crashes.get(MAX_CRASHES - 1).is_some_and(|at| now > *at + STABLE_WINDOW);
+        if class == RequestClass::Poison && barred && self.is_in_touch(call.entry) {
+            self.referee.after_crashes += 1;
+        }
+        if self.referee.after_crashes > MAX_CRASHES {
+            self.referee.after_crashes = 0;
+            let seen = format!("attempt {}", call.attempt);
+            self.referee.breach(PlatformRule::BoundedCrashes, seen);
+        }
+    }
+
+    /// Checks a run as its target begins it.
+    pub(super) fn referee_run(&mut self, call: &SimCall, target: TargetIndex) {
+        let now = self.now;
+        let class = self.callers.record(call.attempt).call.class;
+        if class == RequestClass::Poison {
+            self.referee.crashes.push(now);
+        }
+        let service = self.targets[target].plan.service.as_str();
+        let allowed = self.store.routes.iter().any(|(_, table)| {
+            let route = table.find("host", &format!("/{class}/x"));
+            route.is_some_and(|route| route.services.iter().any(|s| &*s.service == service))
+        });
+        if !allowed {
+            let seen = format!("{class} run by {service}, not {}", service_of(class, false));
+            self.referee.breach(PlatformRule::AllowedService, seen);
+        }
+        let runs = self.referee.runs.entry(call.attempt).or_default();
+        runs.push((target, self.targets[target].starts));
+        let count = runs.len();
+        let once = !matches!(class, RequestClass::Dossier | RequestClass::Lookup);
+        if once && count > 1 {
+            let seen = format!("attempt {} of {class} ran {count} times", call.attempt);
+            self.referee.breach(PlatformRule::RunsOnce, seen);
+        }
+        if !once && count > 2 {
+            let seen = format!("attempt {} of {class} ran on {count} targets", call.attempt);
+            self.referee.breach(PlatformRule::Attempts, seen);
+        }
+        self.referee.check_promise(call.attempt);
+    }
+
+    /// Checks work that goes on at a target.
+    pub(super) fn referee_work(&mut self, call: &SimCall, target: TargetIndex) {
+        let record = self.callers.record(call.attempt);
+        let over = record.answer != AttemptAnswer::Open && self.now > record.ended + SLACK;
+        let undisturbed = !self.entries[call.entry]
+            .is_disturbed(record.ended.saturating_sub(STABLE_WINDOW), self.now);
+        let lost = self.targets[target].loses_answers_until > record.sent;
+        if over && undisturbed && !lost {
+            let seen = format!("attempt {} ended at {:?}", call.attempt, record.ended);
+            self.referee.breach(PlatformRule::StopsWithCaller, seen);
+        }
+    }
+
+    /// Checks the configuration with which an entry takes a request.
+    pub(super) fn check_configuration(&mut self, entry: EntryId) {
+        let known = self.entries[entry].machine.routes().map_or(0, |routes| routes.version);
+        let shown = self.entries[entry].shown_version;
+        if known < shown {
+            let seen = format!("entry {entry} went from {shown} back to {known}");
+            self.referee.breach(PlatformRule::NeverReverts, seen);
+        }
+        self.entries[entry].shown_version = known.max(shown);
+        let due = |(at, _): &&(ClockTime, _)| *at + APPLY_LIMIT < self.now;
+        let newest = self.store.routes.iter().filter(due).map(|(_, table)| table.version).max();
+        if newest.is_some_and(|newest| known < newest) && self.is_in_touch(entry) {
+            let seen = format!("entry {entry} has {known}, {newest:?} was written");
+            self.referee.breach(PlatformRule::InForce, seen);
+        }
+    }
+
+    pub(super) fn check_whole(&mut self, attempt: usize) {
+        let record = self.callers.record(attempt);
+        if record.events != record.call.class.events() {
+            let seen = format!("attempt {attempt} got {} events", record.events);
+            self.referee.breach(PlatformRule::WholeOwnAnswer, seen);
+        }
+    }
+
+    /// Returns the breaches, those included that show only at the end.
+    pub fn breaches(&self, served_from: ClockTime) -> Vec<PlatformBreach> {
+        let mut breaches = self.referee.breaches.clone();
+        let mut add = |rule, seen| breaches.push(PlatformBreach { rule, seen });
+        if let Some(seen) = self.referee.budget_breach() {
+            add(PlatformRule::RetryBudget, seen);
+        }
+        for (attempt, record) in self.attempts().iter().enumerate() {
+            if self.overstays(record) {
+                let seen = format!("attempt {attempt} {:?}", record.answer);
+                add(PlatformRule::Ends, seen);
+            }
+        }
+        let late = |record: &&CallerRecord| {
+            record.sent >= served_from
+                && record.sent + SLACK * 10 < self.now
+                && record.call.class != RequestClass::Poison
+        };
+        let sent = self.attempts().iter().filter(late).count();
+        let served = self.attempts().iter().filter(late);
+        let served = served.filter(|record| record.answer == AttemptAnswer::Whole).count();
+        if sent > 0 && served * 4 < sent * 3 {
+            add(PlatformRule::Recovers, format!("{served} of {sent} served at the end"));
+        }
+        breaches
+    }
+
+    fn overstays(&self, record: &CallerRecord) -> bool {
+        let Some(entry) = record.entry else { return false };
+        let timeout = match record.call.class {
+            RequestClass::Dossier => Duration::from_secs(5),
+            RequestClass::Note | RequestClass::Poison => Duration::from_millis(2500),
+            RequestClass::Ticket | RequestClass::Lookup => Duration::from_millis(800),
+        };
+        let limit = record.sent + timeout + SLACK;
+        let open = record.answer == AttemptAnswer::Open;
+        let late = if open { self.now > limit } else { record.ended > limit };
+        late && !self.entries[entry].is_disturbed(record.sent, limit)
+    }
+
+    /// Returns the number of targets that serve.
+    pub fn serving_targets(&self) -> usize {
+        self.targets.iter().filter(|seat| seat.state == SeatState::Serving).count()
+    }
+}
--- /dev/null
+++ b/emulator/src/platform_rig/step.rs
@@ -0,0 +1,67 @@
+//! Steps of a request and of the fleet, at which the matrix injects its faults.
+
+use sapphirewell::ids::ClockTime;
+use strum::{Display, EnumIter, EnumString};
+
+use super::PlatformFault;
+
+/// A step on the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum PlatformStep {
+    /// An entry has read a whole request.
+    RequestRead,
+    /// An entry sends a call.
+    CallSent,
+    /// An entry sends a second call for a request.
+    SecondCallSent,
+    /// A call reaches a target.
+    CallArrived,
+    /// A target begins to run a request that may run once.
+    OnceRunBegun,
+    /// A target begins to run a request that may be repeated.
+    RepeatableRunBegun,
+    /// An engine has read a prompt whose KV cache now waits.
+    PromptRead,
+    /// Another engine takes that KV cache.
+    CacheTaken,
+    /// The first event of an answer leaves a target.
+    FirstOutput,
+    /// An event in the middle of an answer leaves a target.
+    MiddleOutput,
+    /// An answer is complete at its target.
+    AnswerDone,
+    /// A target declines a call.
+    CallDeclined,
+    /// An entry refuses a request.
+    RequestRefused,
+    /// A caller sends a refused request again.
+    CallerReturns,
+    /// A target's connection broke while it ran a request.
+    CrashSeen,
+    /// The store has taken a target's leaving.
+    TargetLeaving,
+    /// A target's entry has lapsed.
+    TargetLapsed,
+    /// A target is listed under a name that the store had not before.
+    TargetListed,
+    /// The store has taken a configuration.
+    ConfigurationWritten,
+    /// An entry has read a configuration.
+    ConfigurationRead,
+    /// An entry starts.
+    EntryStarted,
+    /// An entry is told to stop.
+    DrainBegun,
+}
+
+/// Faults that wait for a step.
+#[derive(Debug, Clone)]
+pub struct PlatformTrigger {
+    /// The step.
+    pub step: PlatformStep,
+    /// The step counts from this time on.
+    pub after: ClockTime,
+    /// The faults.
+    pub faults: Vec<PlatformFault>,
+}
--- /dev/null
+++ b/emulator/src/platform_rig/store.rs
@@ -0,0 +1,300 @@
+//! The platform's store, and how entries follow it.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use rand::RngExt;
+use sapphirewell::{
+    direct::{
+        DirectEvent, DirectTarget, EngineTerms, RepeatRule, RequestLimits, RouteTable, RouteTerms,
+        ServiceTerms, SuspectChange, SuspectReport, TargetChange, WeightedService,
+    },
+    ids::{ClockTime, TargetId},
+};
+
+use super::{
+    DELAY, EdgeDefect, EntryId, PlatformRig, PlatformSite, PlatformStep, RigEvent,
+    caller::RequestClass,
+};
+
+/// Pace of reading, as the entries' followers have it.
+const TARGET_PACE: Duration = Duration::from_millis(800);
+const ROUTE_PACE: Duration = Duration::from_millis(250);
+/// Interval at which a read that the store holds looks for records.
+const HELD_READ: Duration = Duration::from_millis(20);
+/// Time of an answer, ordinary and slow.
+const ANSWER: Duration = Duration::from_millis(4);
+const SLOW_ANSWER: Duration = Duration::from_millis(350);
+/// Pause after a failed read.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Time that a read without an answer takes.
+const READ_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Record of a target: its entry, or `None` where it was removed.
+#[derive(Debug, Clone)]
+struct TargetRecord {
+    offset: u64,
+    id: TargetId,
+    entry: Option<DirectTarget>,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub(crate) struct StoreModel {
+    records: Vec<TargetRecord>,
+    newest: BTreeMap<TargetId, DirectTarget>,
+    next: u64,
+    /// Oldest record that it still has.
+    first: u64,
+    /// Requests that crash targets.
+    pub(crate) suspects: BTreeMap<u64, SuspectReport>,
+    /// Configurations with the times at which they were taken.
+    pub(crate) routes: Vec<(ClockTime, Arc<RouteTable>)>,
+    pub(crate) down_until: ClockTime,
+    pub(crate) slow_until: ClockTime,
+    /// End of the last disruption.
+    pub(crate) disturbed_until: ClockTime,
+}
+
+impl StoreModel {
+    pub(crate) fn write_routes(&mut self, now: ClockTime, table: RouteTable) {
+        self.routes.push((now, Arc::new(table)));
+    }
+
+    pub(crate) fn write_target(&mut self, id: TargetId, entry: Option<DirectTarget>) {
+        match &entry {
+            Some(entry) => self.newest.insert(id.clone(), entry.clone()),
+            None => self.newest.remove(&id),
+        };
+        self.records.push(TargetRecord { offset: self.next, id, entry });
+        self.next += 1;
+    }
+
+    /// Notes a disruption that lasts until a time.
+    pub(crate) fn disturb(&mut self, until: ClockTime) {
+        self.disturbed_until = self.disturbed_until.max(until);
+    }
+
+    pub(crate) fn forget_history(&mut self) {
+        self.records.clear();
+        self.first = self.next;
+    }
+
+    /// Returns the changes since an offset, or the whole list.
+    fn changes(&self, from: Option<u64>) -> (Vec<TargetChange>, bool) {
+        match from.filter(|from| *from >= self.first) {
+            None => {
+                let present = self.newest.keys().cloned().collect();
+                let targets = self.newest.values().cloned().collect();
+                (vec![TargetChange::Whole { present, targets }], true)
+            }
+            Some(from) => {
+                let fresh = self.records.iter().filter(|record| record.offset >= from);
+                let change = |record: &TargetRecord| match &record.entry {
+                    Some(entry) => TargetChange::Listed(entry.clone()),
+                    None => TargetChange::Gone(record.id.clone()),
+                };
+                (fresh.map(change).collect(), false)
+            }
+        }
+    }
+}
+
+impl PlatformRig {
+    fn store_fails(&self, entry: EntryId) -> bool {
+        self.store.down_until > self.now || self.entries[entry].store_cut_until > self.now
+    }
+
+    fn answer_time(&self) -> Duration {
+        if self.store.slow_until > self.now { SLOW_ANSWER } else { ANSWER }
+    }
+
+    pub(super) fn read_targets(&mut self, entry: EntryId, process: u64) {
+        if !self.is_process(entry, process) {
+            return;
+        }
+        let again = RigEvent::ReadTargets { entry, process };
+        if self.store_fails(entry) {
+            self.after(READ_TIMEOUT, self.machine_event(entry, unread()));
+            return self.after(READ_TIMEOUT + FAILURE_PAUSE, again);
+        }
+        let (changes, _) = self.store.changes(self.entries[entry].next_record);
+        self.entries[entry].next_record = Some(self.store.next);
+        if changes.is_empty() {
+            return self.after(HELD_READ, again);
+        }
+        let answer = self.answer_time();
+        for change in changes {
+            let ignored = self.settings.defect == Some(EdgeDefect::LeavingIgnored)
+                && matches!(&change, TargetChange::Listed(target) if target.leaving);
+            if !ignored {
+                self.after(answer, self.machine_event(entry, DirectEvent::Target(change)));
+            }
+        }
+        self.after(answer + TARGET_PACE, again);
+    }
+
+    pub(super) fn read_routes(&mut self, entry: EntryId, process: u64) {
+        if !self.is_process(entry, process) {
+            return;
+        }
+        let again = RigEvent::ReadRoutes { entry, process };
+        if self.store_fails(entry) {
+            return self.after(READ_TIMEOUT + FAILURE_PAUSE, again);
+        }
+        let newest = self.store.routes.last().map(|(_, routes)| routes.clone());
+        let Some(newest) = newest else { return self.after(HELD_READ, again) };
+        let known = self.entries[entry].machine.routes().map(|routes| routes.version);
+        let stuck = self.settings.defect == Some(EdgeDefect::ConfigurationReadOnce);
+        if known == Some(newest.version) || (stuck && known.is_some()) {
+            return self.after(HELD_READ, again);
+        }
+        let answer = self.answer_time();
+        self.after(answer, self.machine_event(entry, DirectEvent::Routes(newest)));
+        self.reach(PlatformStep::ConfigurationRead, PlatformSite { entry, target: 0 });
+        self.after(answer + ROUTE_PACE, again);
+    }
+
+    /// Reads once which requests crash targets.
+    pub(super) fn read_suspects(&mut self, entry: EntryId, process: u64) {
+        if !self.is_process(entry, process) {
+            return;
+        }
+        if self.store_fails(entry) {
+            let again = RigEvent::ReadSuspects { entry, process };
+            return self.after(READ_TIMEOUT + FAILURE_PAUSE, again);
+        }
+        let fresh =
+            |report: &SuspectReport| SuspectReport { age: Duration::ZERO, ..report.clone() };
+        let reports = self.store.suspects.values().map(fresh).collect();
+        self.after(self.answer_time(), self.machine_event(entry, DirectEvent::Suspects(reports)));
+    }
+
+    /// Writes what an entry keeps in the store; a failed call is made again.
+    pub(super) fn keep_suspect(&mut self, entry: EntryId, process: u64, change: SuspectChange) {
+        if !self.is_process(entry, process) {
+            return;
+        }
+        if self.store_fails(entry) {
+            let again = RigEvent::KeepSuspect { entry, process, change };
+            return self.after(READ_TIMEOUT + FAILURE_PAUSE, again);
+        }
+        match change {
+            SuspectChange::Seen(report) => {
+                self.store.suspects.insert(report.fingerprint, report);
+            }
+            SuspectChange::Forgotten(report) => {
+                self.store.suspects.remove(&report.fingerprint);
+            }
+        }
+    }
+
+    fn machine_event(&self, entry: EntryId, event: DirectEvent) -> RigEvent {
+        let process = self.entries[entry].process;
+        RigEvent::Machine { entry, process, event: Box::new(event) }
+    }
+
+    /// Writes the next configuration; `moved` sends lookups to the other service.
+    pub(super) fn change_routes(&mut self) {
+        let number = self.store.routes.len() as u64;
+        let version = 1 + 3 * number + self.rng.random_range(0..2);
+        let table = route_table(version, !number.is_multiple_of(2));
+        self.store.write_routes(self.now, table);
+        self.reach(PlatformStep::ConfigurationWritten, PlatformSite { entry: 0, target: 0 });
+    }
+
+    /// Makes the report of one entry and sends it to all others.
+    pub(super) fn report(&mut self, entry: EntryId, process: u64) {
+        if !self.is_process(entry, process) {
+            return;
+        }
+        self.after(super::REPORT_INTERVAL, RigEvent::Report { entry, process });
+        let now = self.now;
+        let number = self.entries[entry].count_report();
+        let mut load = self.entries[entry].machine.load_report(now, number.is_multiple_of(8));
+        let mut crashes = self.entries[entry].recent_crashes(now);
+        if self.settings.defect == Some(EdgeDefect::CrashesUntold) {
+            load.suspects.clear();
+            crashes.clear();
+        }
+        for peer in 0..self.entries.len() {
+            let lost = self.reports_lost_until > now || self.rng.random_ratio(1, 50);
+            if peer == entry || lost || !self.entries[peer].alive {
+                continue;
+            }
+            self.after(DELAY, self.machine_event(peer, DirectEvent::PeerLoad(load.clone())));
+            for report in &crashes {
+                self.after(DELAY, self.machine_event(peer, DirectEvent::Crashes(report.clone())));
+            }
+        }
+    }
+}
+
+fn unread() -> DirectEvent {
+    DirectEvent::Target(TargetChange::Unread)
+}
+
+/// Returns the service that a class uses in a version of the configuration.
+pub fn service_of(class: RequestClass, moved: bool) -> &'static str {
+    match class {
+        RequestClass::Dossier | RequestClass::Note | RequestClass::Poison => "llm",
+        RequestClass::Ticket => "tickets",
+        RequestClass::Lookup if moved => "ledger",
+        RequestClass::Lookup => "tickets",
+    }
+}
+
+/// Returns a configuration; in a moved one lookups go to the other service.
+pub fn route_table(version: u64, moved: bool) -> RouteTable {
+    let classes = [
+        RequestClass::Dossier,
+        RequestClass::Note,
+        RequestClass::Poison,
+        RequestClass::Ticket,
+        RequestClass::Lookup,
+    ];
+    let engine = EngineTerms {
+        slots: 16,
+        memory_tokens: 400_000,
+        token_bytes: 163_840.0,
+        link_bits: 1.5e12,
+    };
+    let plain = ServiceTerms { max_connections: 100, engine: None };
+    let llm = ServiceTerms { max_connections: 180, engine: Some(engine) };
+    RouteTable {
+        version,
+        routes: classes.iter().map(|class| Arc::new(route(*class, moved))).collect(),
+        services: [
+            ("llm".into(), llm),
+            ("tickets".into(), plain.clone()),
+            ("ledger".into(), plain),
+        ]
+        .into(),
+        limits: RequestLimits {
+            head_bytes: 16_384,
+            body_bytes: 65_536,
+            idle_time: Duration::from_secs(15),
+        },
+    }
+}
+
+fn route(class: RequestClass, moved: bool) -> RouteTerms {
+    let (repeat, timeout, objective, max_attempts) = match class {
+        RequestClass::Dossier => (RepeatRule::Resume, 5000, 500, 2),
+        RequestClass::Note | RequestClass::Poison => (RepeatRule::Never, 2500, 250, 1),
+        RequestClass::Ticket => (RepeatRule::Never, 800, 150, 1),
+        RequestClass::Lookup => (RepeatRule::Always, 800, 150, 2),
+    };
+    let service = WeightedService { service: service_of(class, moved).into(), weight: 1 };
+    RouteTerms {
+        name: class.to_string().into(),
+        host: "host".into(),
+        prefix: format!("/{class}/").into(),
+        repeat,
+        streams: class.is_stream(),
+        timeout: Duration::from_millis(timeout),
+        objective: Duration::from_millis(objective),
+        priority: u8::from(class == RequestClass::Dossier),
+        max_attempts,
+        services: [service].into_iter().collect(),
+    }
+}
--- a/emulator/src/rig.rs
+++ b/emulator/src/rig.rs
@@ -4,12 +4,7 @@
 //! delay for each kind of message. It serves the load tool and the fault
 //! matrix alike.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use rand::{SeedableRng, rngs::StdRng};
 use sapphirewell::{
@@ -22,6 +17,7 @@
 
 use crate::{
     engine::{EngineModel, EngineProfile},
+    event_queue::EventQueue,
     log::LogModel,
     service::ServiceModel,
     workload::OfferedRequest,
@@ -103,8 +99,7 @@
     pub(crate) settings: RigSettings,
     pub(crate) now: ClockTime,
     pub(crate) rng: StdRng,
-    queue: BinaryHeap<Reverse<Scheduled>>,
-    scheduled: u64,
+    queue: EventQueue<RigEvent>,
     pub(crate) log: LogModel,
     /// Folds each record as it is appended, to know what the log has decided.
     pub(crate) oracle: FleetFold,
@@ -120,12 +115,6 @@
     pub(crate) reached: std::collections::BTreeSet<ProtocolStep>,
 }
 
-struct Scheduled {
-    at: ClockTime,
-    order: u64,
-    event: RigEvent,
-}
-
 /// Something that happens in the rig.
 #[derive(Debug, Clone)]
 pub(crate) enum RigEvent {
@@ -151,26 +140,6 @@
     FromEntry { entry: usize, epoch: u64, frame: Box<sapphirewell::frame::EntryFrame> },
 }
 
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Scheduled) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Scheduled) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Scheduled) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 impl Rig {
     /// Makes a rig with its processes starting and its contracts published.
     pub fn new(settings: RigSettings) -> Rig {
@@ -186,8 +155,7 @@
         let mut rig = Rig {
             now: ClockTime::ZERO,
             rng: StdRng::seed_from_u64(settings.seed),
-            queue: BinaryHeap::new(),
-            scheduled: 0,
+            queue: EventQueue::default(),
             log: LogModel::new(settings.retention),
             oracle: FleetFold::default(),
             platform: PlatformFaults::default(),
@@ -233,13 +201,9 @@
 
     /// Runs until a time.
     pub fn run_until(&mut self, end: ClockTime) {
-        while let Some(Reverse(next)) = self.queue.peek() {
-            if next.at > end {
-                break;
-            }
-            let Some(Reverse(next)) = self.queue.pop() else { break };
-            self.now = next.at;
-            self.handle(next.event);
+        while let Some((at, event)) = self.queue.pop_until(end) {
+            self.now = at;
+            self.handle(event);
         }
         self.now = end;
     }
@@ -285,8 +249,7 @@
     }
 
     pub(crate) fn schedule(&mut self, at: ClockTime, event: RigEvent) {
-        self.scheduled += 1;
-        self.queue.push(Reverse(Scheduled { at, order: self.scheduled, event }));
+        self.queue.push(at, event);
     }
 
     pub(crate) fn after(&mut self, delay: Duration, event: RigEvent) {
--- a/emulator/tests/platform.rs
+++ b/emulator/tests/platform.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use emulator::stand_in::{
     caller::{CallerKind, CallerOutcome, CallerRequest},
     fleet::{PLAIN, PlatformFleet, PlatformSizes, mixed_requests},
@@ -190,6 +191,47 @@
     });
 }
 
+/// Found by the platform's fault matrix: `all_lose_power and address_reused at
+/// call_declined`, seed 1.
+#[test]
+fn a_crashing_request_stays_barred_after_all_entries_were_killed() {
+    run(async {
+        let mut fleet = PlatformFleet::spawn(sizes(22_240)).await.unwrap();
+        let poison = Bytes::from_static(b"crash");
+        for runner in &fleet.runners {
+            runner.set_faults(RunnerFaults {
+                poison: Some(poison.clone()),
+                ..RunnerFaults::default()
+            });
+        }
+        let attempt = |index: u64| {
+            let mut request = CallerRequest::new(format!("poison-{index}"), CallerKind::Note, 0);
+            request.body = poison.clone();
+            vec![request]
+        };
+        for index in 0..6 {
+            fleet.play(attempt(index), Duration::from_millis(200)).await;
+        }
+        let runs = |fleet: &PlatformFleet| -> usize {
+            fleet.runners.iter().map(|runner| runner.runs().len()).sum()
+        };
+        let before = runs(&fleet);
+        for index in 0..2 {
+            fleet.entries[index].signal("KILL").unwrap();
+            fleet.entries[index].wait(Duration::from_secs(2)).ok();
+            fleet.entries[index] = fleet.start_entry(index).unwrap();
+        }
+        for index in 0..2 {
+            fleet.wait_until_ready(index).await.unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        for index in 6..10 {
+            fleet.play(attempt(index), Duration::from_millis(100)).await;
+        }
+        assert_eq!(runs(&fleet), before);
+    });
+}
+
 fn notes(count: usize, name: &str) -> Vec<CallerRequest> {
     let note =
         |index| CallerRequest::new(format!("{name}-{index}"), CallerKind::Note, index as u64);
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -33,7 +33,7 @@
     EngineTerms, ModelName, RepeatRule, RequestLimits, RouteTable, RouteTerms, ServiceName,
     ServiceTerms, WeightedService,
 };
-pub use suspect::{CrashReport, CrashTable};
+pub use suspect::{CrashReport, CrashTable, SuspectChange, SuspectReport};
 pub use target::{DirectTarget, TargetChange, TargetFleet, TargetStage};
 
 /// Number of a request within one process.
@@ -163,6 +163,8 @@
     PeerLoad(LoadReport),
     /// Another process told of crashed targets.
     Crashes(CrashReport),
+    /// Requests that crashed targets, as the store keeps them.
+    Suspects(Vec<SuspectReport>),
     /// Time has passed.
     Tick,
 }
@@ -238,6 +240,9 @@
     },
     /// Tell other processes that targets crashed under these requests.
     ReportCrashes(CrashReport),
+    /// Keep in the store, or remove from it, that a request crashes targets, for
+    /// entries that start when none is left that knows.
+    KeepSuspect(SuspectChange),
 }
 
 /// Where a target stands, seen from this process.
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{PeerName, PromptPart};
+use super::{PeerName, PromptPart, SuspectReport};
 use crate::ids::{ClockTime, TargetId};
 
 /// Age at which a peer's report no longer counts; ten missed reports.
@@ -60,6 +60,8 @@
     pub counts: Vec<TargetCount>,
     /// Long shared parts that targets have read for it lately.
     pub kept: Vec<KeptReport>,
+    /// Requests that crashed targets; in whole reports, for entries that started since.
+    pub suspects: Vec<SuspectReport>,
 }
 
 #[derive(Debug, Clone, Serialize)]
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -150,6 +150,9 @@
             DirectEvent::Routes(routes) => self.adopt(routes),
             DirectEvent::PeerLoad(report) => self.peer_load(now, report),
             DirectEvent::Crashes(report) => self.crashes.apply(now, &report),
+            DirectEvent::Suspects(reports) => {
+                reports.iter().for_each(|report| self.crashes.apply_suspect(now, report));
+            }
             DirectEvent::Tick => self.tick(now, out),
         }
     }
@@ -270,6 +273,9 @@
 
     pub(super) fn place_decode(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let Some(flow) = self.flows.get(&id) else { return };
+        if flow.time_left(now) < LEAST_TIME {
+            return self.give_up(id, GiveUpReason::TimedOut, Duration::ZERO, out);
+        }
         let source = flow.cache.as_ref().and_then(|cache| self.fleet.get(&cache.target.id));
         let view = PlacementView { fleet: &self.fleet, peers: &self.peers, now };
         let query = query(flow, self.routes.as_ref(), &self.settings);
@@ -341,6 +347,8 @@
             self.next_forget = now + FORGET_INTERVAL;
             self.crashes.expire(now);
         }
+        let changes = self.crashes.take_changes(self.settings.instance);
+        out.extend(changes.into_iter().map(DirectAction::KeepSuspect));
         while let Some((limit, id)) = self.limits.first().copied() {
             if limit > now {
                 return;
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -48,6 +48,7 @@
             whole,
             counts,
             kept: self.kept.iter().map(|(_, kept)| kept.clone()).collect(),
+            suspects: if whole { self.crashes.suspects(now) } else { Vec::new() },
         }
     }
 
@@ -58,6 +59,9 @@
                 let memory = memory_tokens(self.routes.as_ref(), &state.target.service);
                 state.keep_part(now, kept.part, memory);
             }
+            for suspect in &report.suspects {
+                self.crashes.apply_suspect(now, suspect);
+            }
             self.peers.apply(now, report);
             self.most_entries = self.most_entries.max(self.peers.len() + 1);
         }
--- a/src/direct/suspect.rs
+++ b/src/direct/suspect.rs
@@ -1,7 +1,7 @@
 //! Requests that were running at a target when its connection broke.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -11,8 +11,13 @@
 
 /// Crashes after which a request is not sent again.
 const MAX_CRASHES: usize = 3;
+/// Crashes from which on a request is kept in the store. One alone is mostly a
+/// target that went down under innocent requests.
+const KEPT_CRASHES: usize = 2;
 /// Time after its last crash at which a suspect is forgotten.
 const CRASH_LIFETIME: Duration = Duration::from_secs(60);
+/// Suspects that a report names at most, so that it fits a datagram.
+const MAX_REPORTED: usize = 32;
 /// Largest number of suspects; the oldest go first.
 const MAX_SUSPECTS: usize = 4096;
 
@@ -25,15 +30,53 @@
     pub crashes: Vec<(ContentFingerprint, u64)>,
 }
 
+/// What an entry knows of one request that crashed targets.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SuspectReport {
+    /// The request.
+    pub fingerprint: ContentFingerprint,
+    /// Processes that saw its crashes, with their numbers of them.
+    pub seen: Vec<(u64, u64)>,
+    /// Time since the last one.
+    pub age: Duration,
+}
+
+impl SuspectReport {
+    fn is_seen_by(&self, process: u64) -> bool {
+        self.seen.iter().any(|(reporter, _)| *reporter == process)
+    }
+}
+
+impl SuspectChange {
+    /// Returns the request with its crashes.
+    pub fn report(&self) -> &SuspectReport {
+        match self {
+            SuspectChange::Seen(report) | SuspectChange::Forgotten(report) => report,
+        }
+    }
+}
+
 /// Crashes by request content.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct CrashTable {
     entries: HashMap<ContentFingerprint, CrashEntry>,
+    /// Requests that crashed again or were forgotten since [`CrashTable::take_changes`].
+    #[serde(skip)]
+    changes: Vec<SuspectChange>,
+}
+
+/// Request that has crashed targets, or did so long ago.
+#[derive(Debug, Clone, PartialEq)]
+pub enum SuspectChange {
+    /// It has crashed another target.
+    Seen(SuspectReport),
+    /// Its last crash is long past.
+    Forgotten(SuspectReport),
 }
 
 #[derive(Debug, Clone, Serialize)]
 struct CrashEntry {
-    seen: HashSet<(u64, u64)>,
+    seen: BTreeSet<(u64, u64)>,
     last: ClockTime,
 }
 
@@ -41,10 +84,38 @@
     /// Counts the crashes of a report; one that is told twice counts once.
     pub fn apply(&mut self, now: ClockTime, report: &CrashReport) {
         for (fingerprint, number) in &report.crashes {
-            let fresh = || CrashEntry { seen: HashSet::new(), last: now };
-            let entry = self.entries.entry(*fingerprint).or_insert_with(fresh);
-            entry.last = now;
-            entry.seen.insert((report.reporter, *number));
+            self.count(now, *fingerprint, (report.reporter, *number));
+        }
+    }
+
+    /// Takes over what another entry knows, whoever saw it.
+    ///
+    /// Crashes keep their age on the way, so that entries which tell them to
+    /// each other forget them in the end.
+    pub fn apply_suspect(&mut self, now: ClockTime, report: &SuspectReport) {
+        let last = now.saturating_sub(report.age);
+        for crash in &report.seen {
+            self.count(last, report.fingerprint, *crash);
+        }
+    }
+
+    /// Returns the newest suspects, for entries that start later.
+    pub fn suspects(&self, now: ClockTime) -> Vec<SuspectReport> {
+        let mut reports: Vec<SuspectReport> = self.entries.iter().map(report(now)).collect();
+        reports.sort_by_key(|report| (report.age, report.fingerprint));
+        reports.truncate(MAX_REPORTED);
+        reports
+    }
+
+    fn count(&mut self, at: ClockTime, fingerprint: ContentFingerprint, crash: (u64, u64)) {
+        let fresh = || CrashEntry { seen: BTreeSet::new(), last: at };
+        let entry = self.entries.entry(fingerprint).or_insert_with(fresh);
+        if entry.seen.insert(crash) {
+            entry.last = entry.last.max(at);
+            if entry.seen.len() >= KEPT_CRASHES {
+                let seen = report(at)((&fingerprint, entry));
+                self.changes.push(SuspectChange::Seen(seen));
+            }
         }
         if self.entries.len() > MAX_SUSPECTS {
             self.drop_oldest();
@@ -59,7 +130,18 @@
 
     /// Drops suspects whose last crash is long past.
     pub fn expire(&mut self, now: ClockTime) {
-        self.entries.retain(|_, entry| now <= entry.last + CRASH_LIFETIME);
+        let past = |entry: &CrashEntry| now > entry.last + CRASH_LIFETIME;
+        let forgotten = self.entries.iter().filter(|(_, entry)| past(entry)).map(report(now));
+        self.changes.extend(forgotten.map(SuspectChange::Forgotten));
+        self.entries.retain(|_, entry| !past(entry));
+    }
+
+    /// Returns what crashed again or was forgotten, where one process saw a crash itself.
+    ///
+    /// Only such a process keeps it in the store, so that not all entries write.
+    pub fn take_changes(&mut self, process: u64) -> Vec<SuspectChange> {
+        let changes = std::mem::take(&mut self.changes);
+        changes.into_iter().filter(|change| change.report().is_seen_by(process)).collect()
     }
 
     fn drop_oldest(&mut self) {
@@ -69,3 +151,11 @@
         }
     }
 }
+
+fn report(now: ClockTime) -> impl Fn((&ContentFingerprint, &CrashEntry)) -> SuspectReport {
+    move |(fingerprint, entry)| SuspectReport {
+        fingerprint: *fingerprint,
+        seen: entry.seen.iter().copied().collect(),
+        age: now.saturating_sub(entry.last),
+    }
+}
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -38,6 +38,13 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 
+/// Time after an outage of the store in which entries that lapsed meanwhile come
+/// back: about two seconds by a platform page.
+const RETURN_TIME: Duration = Duration::from_millis(2500);
+/// How long a lapsed target is still used where its entry may come back; with
+/// the pace of reading this stays under the 2 s for leaving targets.
+const LAPSE_TIME: Duration = Duration::from_millis(800);
+
 /// Part that an engine plays.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -78,18 +85,17 @@
 pub enum TargetChange {
     /// A target is there, or its entry changed.
     Listed(DirectTarget),
-    /// A target is gone.
+    /// A target's entry is gone.
     Gone(TargetId),
-    /// A target's entry is gone, but may come back; after this time without it the
-    /// target is gone.
-    Lapsed {
-        /// The target.
-        id: TargetId,
-        /// The time.
-        grace: Duration,
+    /// The whole list; targets that are not present are gone.
+    Whole {
+        /// Names of all entries, those that cannot be read included.
+        present: Vec<TargetId>,
+        /// The entries.
+        targets: Vec<DirectTarget>,
     },
-    /// The whole list; targets outside it are gone.
-    Whole(Vec<DirectTarget>),
+    /// The list could not be read.
+    Unread,
 }
 
 /// Belief about one target.
@@ -125,6 +131,8 @@
 pub struct TargetFleet {
     targets: BTreeMap<TargetId, TargetState>,
     lapsing: BTreeMap<TargetId, ClockTime>,
+    /// When the list could last not be read.
+    unread: Option<ClockTime>,
 }
 
 impl TargetState {
@@ -241,19 +249,32 @@
     pub(super) fn apply(&mut self, now: ClockTime, change: TargetChange) {
         match change {
             TargetChange::Listed(target) => self.list(target),
-            TargetChange::Gone(id) => {
-                self.lapsing.remove(&id);
-                self.targets.remove(&id);
-            }
-            TargetChange::Lapsed { id, grace } => {
-                if self.targets.contains_key(&id) {
-                    self.lapsing.entry(id).or_insert(now + grace);
+            TargetChange::Gone(id) => self.lapse(now, id),
+            TargetChange::Whole { present, targets } => {
+                let missing = self.targets.keys().filter(|id| !present.contains(id)).cloned();
+                for id in missing.collect::<Vec<TargetId>>() {
+                    self.lapse(now, id);
                 }
-            }
-            TargetChange::Whole(targets) => {
-                self.targets.retain(|id, _| targets.iter().any(|target| target.id == *id));
                 targets.into_iter().for_each(|target| self.list(target));
             }
+            TargetChange::Unread => self.unread = Some(now),
+        }
+    }
+
+    /// Drops a target whose entry is gone.
+    ///
+    /// Entries lapse in an outage of the store although their targets live, and
+    /// come back after it; until then such a target is used a little longer.
+    fn lapse(&mut self, now: ClockTime, id: TargetId) {
+        if !self.targets.contains_key(&id) {
+            return;
+        }
+        let may_return = self.unread.is_some_and(|unread| now < unread + RETURN_TIME);
+        if may_return {
+            self.lapsing.entry(id).or_insert(now + LAPSE_TIME);
+        } else {
+            self.lapsing.remove(&id);
+            self.targets.remove(&id);
         }
     }
 
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -25,6 +25,7 @@
 mod pool;
 mod serve;
 mod shell;
+mod suspects;
 
 use shell::DirectShell;
 
@@ -61,13 +62,14 @@
         retry_slack: settings.retry_slack,
         retry_window: settings.retry_window,
     });
-    let shell = Rc::new(DirectShell::new(machine));
+    let shell = Rc::new(DirectShell::new(machine, settings.store));
     let callers = serve::bind(settings.callers).await?;
     let readiness = serve::bind(settings.readiness).await?;
     tokio::task::spawn_local(serve::serve_readiness(readiness, shell.clone()));
     tokio::task::spawn_local(serve::serve_callers(callers, shell.clone()));
     tokio::task::spawn_local(tick(shell.clone()));
     follow::spawn(&settings, &shell);
+    tokio::task::spawn_local(suspects::read(settings.store, shell.clone()));
     gossip::spawn(&settings, instance, &shell).await?;
     log::info!(vm:% = settings.vm, instance:% = instance, callers:% = settings.callers; "started");
     signals.wait(&settings).await;
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -2,8 +2,6 @@
 
 use std::{collections::HashSet, rc::Rc, sync::Arc, time::Duration};
 
-use tokio::time::Instant;
-
 use super::shell::DirectShell;
 use crate::{
     direct::{DirectEvent, DirectTarget, TargetChange},
@@ -28,12 +26,6 @@
 /// First pause after a failed call, and the longest one.
 const FAILURE_PAUSE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
-/// Time after an outage in which entries that lapsed meanwhile come back.
-const RETURN_TIME: Duration = Duration::from_millis(2500);
-/// How long a lapsed target is still used where its entry may come back; with
-/// the pace of reading this stays under the 2 s for leaving targets.
-const LAPSE_TIME: Duration = Duration::from_millis(800);
-
 /// Starts both followers.
 pub(super) fn spawn(settings: &PlatformSettings, shell: &Rc<DirectShell>) {
     let store = settings.store;
@@ -147,26 +139,28 @@
 
 struct TargetFollower {
     shell: Rc<DirectShell>,
-    outage_end: Option<Instant>,
-    known: HashSet<TargetId>,
+    /// Targets that were logged as listed.
+    listed: HashSet<TargetId>,
 }
 
 impl TargetFollower {
     fn new(shell: Rc<DirectShell>) -> TargetFollower {
-        TargetFollower { shell, outage_end: None, known: HashSet::new() }
+        TargetFollower { shell, listed: HashSet::new() }
     }
 
-    fn list(&mut self, record: KeyedRecord) {
-        let id: TargetId = record.key.as_str().into();
-        let Some(value) = record.value else { return self.lapse(id) };
-        match discovery::decode(&id, &value) {
-            Ok(target) => self.listed(target),
-            Err(error) => log::info!(error:% = error; "entry ignored"),
+    fn decode(record: &KeyedRecord) -> Option<DirectTarget> {
+        let value = record.value.as_ref()?;
+        match discovery::decode(&record.key, value) {
+            Ok(target) => Some(target),
+            Err(error) => {
+                log::info!(error:% = error; "entry ignored");
+                None
+            }
         }
     }
 
-    fn listed(&mut self, target: DirectTarget) {
-        let fresh = self.known.insert(target.id.clone());
+    fn note_listed(&mut self, target: &DirectTarget) {
+        let fresh = self.listed.insert(target.id.clone());
         if fresh || target.leaving {
             log::info!(
                 target_id:% = target.id, service:% = target.service, stage:% = target.stage,
@@ -174,23 +168,15 @@
                 "target listed"
             );
         }
-        self.shell.step(DirectEvent::Target(TargetChange::Listed(target)));
     }
 
-    /// Drops a target whose entry is gone.
-    ///
-    /// Entries lapse in an outage of the store although their targets live, and
-    /// come back after it; until then such a target is used a little longer.
-    fn lapse(&mut self, id: TargetId) {
-        if !self.known.remove(&id) {
-            return;
+    fn note_gone(&mut self, id: &TargetId) {
+        if self.listed.remove(id) {
+            log::info!(target_id:% = id; "target's entry gone");
         }
-        let returning = self.outage_end.is_some_and(|end| Instant::now() < end + RETURN_TIME);
-        log::info!(target_id:% = id, may_return:% = returning; "target gone");
-        let change = match returning {
-            true => TargetChange::Lapsed { id, grace: LAPSE_TIME },
-            false => TargetChange::Gone(id),
-        };
+    }
+
+    fn apply(&self, change: TargetChange) {
         self.shell.step(DirectEvent::Target(change));
     }
 }
@@ -199,18 +185,28 @@
     fn whole(&mut self, records: Vec<KeyedRecord>) {
         let present: Vec<TargetId> =
             records.iter().map(|record| record.key.as_str().into()).collect();
-        let missing: Vec<TargetId> =
-            self.known.iter().filter(|id| !present.contains(id)).cloned().collect();
-        missing.into_iter().for_each(|id| self.lapse(id));
-        records.into_iter().for_each(|record| self.list(record));
+        let targets: Vec<DirectTarget> = records.iter().filter_map(Self::decode).collect();
+        let missing = self.listed.iter().filter(|id| !present.contains(id)).cloned();
+        missing.collect::<Vec<TargetId>>().iter().for_each(|id| self.note_gone(id));
+        targets.iter().for_each(|target| self.note_listed(target));
+        self.apply(TargetChange::Whole { present, targets });
     }
 
     fn changes(&mut self, records: Vec<KeyedRecord>) {
-        records.into_iter().for_each(|record| self.list(record));
+        for record in &records {
+            if record.value.is_none() {
+                let id: TargetId = record.key.as_str().into();
+                self.note_gone(&id);
+                self.apply(TargetChange::Gone(id));
+            } else if let Some(target) = Self::decode(record) {
+                self.note_listed(&target);
+                self.apply(TargetChange::Listed(target));
+            }
+        }
     }
 
     fn unavailable(&mut self) {
-        self.outage_end = Some(Instant::now());
+        self.apply(TargetChange::Unread);
     }
 
     fn settle(&mut self) {
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -244,7 +244,11 @@
                 guard.set_status(response.status().as_u16());
                 return response.map(AnswerBody::own);
             }
-            Some(DirectAction::FreeCache { .. } | DirectAction::ReportCrashes(_)) => {
+            Some(
+                DirectAction::FreeCache { .. }
+                | DirectAction::ReportCrashes(_)
+                | DirectAction::KeepSuspect(_),
+            ) => {
                 next = mailbox.recv().await;
             }
             None => return lost_flow(guard.flow, head),
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
 };
@@ -12,7 +13,7 @@
     time::Instant,
 };
 
-use super::{call, pool::TargetPools};
+use super::{call, pool::TargetPools, suspects};
 use crate::{
     direct::{
         CrashReport, DirectAction, DirectEvent, DirectMachine, DirectStory, DirectTarget, FlowId,
@@ -39,18 +40,20 @@
     pub(super) pools: TargetPools,
     pub(super) phase: watch::Sender<ConnectionPhase>,
     crashes: RefCell<Vec<(ClockTime, CrashReport)>>,
+    store: SocketAddr,
     started: Instant,
     next_flow: Cell<FlowId>,
 }
 
 impl DirectShell {
-    pub(super) fn new(machine: DirectMachine) -> DirectShell {
+    pub(super) fn new(machine: DirectMachine, store: SocketAddr) -> DirectShell {
         DirectShell {
             machine: RefCell::new(machine),
             mailboxes: RefCell::default(),
             pools: TargetPools::default(),
             phase: watch::Sender::new(ConnectionPhase::Open),
             crashes: RefCell::default(),
+            store,
             started: Instant::now(),
             next_flow: Cell::new(0),
         }
@@ -103,6 +106,9 @@
             DirectAction::ReportCrashes(report) => {
                 self.crashes.borrow_mut().push((self.now(), report));
             }
+            DirectAction::KeepSuspect(change) => {
+                tokio::task::spawn_local(suspects::keep(self.store, change));
+            }
         }
     }
 
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -305,8 +305,9 @@
 fn a_lapsed_target_is_used_for_its_grace_only_and_comes_back_with_its_entry() {
     let mut rig = DirectRig::new(RepeatRule::Never);
     let target = rig.target("a", TargetStage::Plain);
-    let lapse = || TargetChange::Lapsed { id: "a".into(), grace: 800 * MS };
+    let lapse = || TargetChange::Gone("a".into());
     rig.step(DirectEvent::Target(TargetChange::Listed(target.clone())));
+    rig.step(DirectEvent::Target(TargetChange::Unread));
     rig.step(DirectEvent::Target(lapse()));
     rig.advance(700 * MS);
     // Told again, it gets no more time.
@@ -323,3 +324,42 @@
     rig.step(DirectEvent::Tick);
     assert!(rig.machine.fleet().serves(SERVICE));
 }
+
+#[test]
+fn a_target_that_goes_while_the_store_answers_is_gone_at_once() {
+    let mut rig = DirectRig::new(RepeatRule::Never);
+    rig.list("a", TargetStage::Plain);
+    rig.step(DirectEvent::Target(TargetChange::Unread));
+    rig.advance(2600 * MS);
+    rig.step(DirectEvent::Target(TargetChange::Gone("a".into())));
+    assert!(!rig.machine.fleet().serves(SERVICE));
+}
+
+#[test]
+fn a_whole_list_drops_what_it_lacks_and_keeps_what_cannot_be_read() {
+    let mut rig = DirectRig::new(RepeatRule::Never);
+    rig.list("a", TargetStage::Plain);
+    rig.list("b", TargetStage::Plain);
+    let present = vec!["a".into()];
+    rig.step(DirectEvent::Target(TargetChange::Whole { present, targets: Vec::new() }));
+    assert!(rig.machine.fleet().serves(SERVICE));
+    assert_eq!(rig.machine.fleet().len(), 1);
+}
+
+/// Found by the platform's fault matrix: `freeze_entry at call_arrived`, seed 1.
+#[test]
+fn a_kv_cache_is_not_taken_when_the_caller_no_longer_waits() {
+    let mut rig = DirectRig::new(RepeatRule::Resume);
+    rig.list("reader", TargetStage::Prefill);
+    rig.list("writer", TargetStage::Decode);
+    let call = rig.submit_prompt(1, 7, 17_000).call();
+    assert_eq!(call.step, CallStep::Prefill);
+    rig.advance(5001 * MS);
+    let outcome = CallOutcome::Prefilled { handle: "handle".into() };
+    let actions = rig.end(1, call.number, outcome);
+    assert!(
+        matches!(&actions[..], [DirectAction::GiveUp { answer, .. }]
+            if answer.reason == GiveUpReason::TimedOut && answer.not_run),
+        "{actions:?}"
+    );
+}
--- a/tests/load_reports.rs
+++ b/tests/load_reports.rs
@@ -6,8 +6,8 @@
 
 use sapphirewell::{
     direct::{
-        CallOutcome, DirectEvent, InFlight, LoadReport, PeerTable, RepeatRule, TargetCount,
-        TargetStage,
+        CallOutcome, DirectAction, DirectEvent, GiveUpReason, InFlight, LoadReport, PeerTable,
+        RepeatRule, SuspectChange, TargetCount, TargetStage,
     },
     ids::TargetId,
 };
@@ -22,7 +22,15 @@
         ..TargetCount::default()
     });
     let counts = counts.collect();
-    LoadReport { peer: "p".into(), instance, sequence, whole, counts, kept: vec![] }
+    LoadReport {
+        peer: "p".into(),
+        instance,
+        sequence,
+        whole,
+        counts,
+        kept: vec![],
+        suspects: vec![],
+    }
 }
 
 struct ReportSeries {
@@ -107,3 +115,77 @@
         assert_eq!(&*rig.submit(flow).call().target, "b");
     }
 }
+
+fn crashed(rig: &mut DirectRig, flow: u64) {
+    let call = rig.submit(flow).call();
+    rig.end(flow, call.number, CallOutcome::Lost { closed: true });
+}
+
+/// Found by the platform's fault matrix: `stop_entry at second_call_sent`, seed 1.
+#[test]
+fn an_entry_that_starts_later_learns_which_requests_crash_targets() {
+    let mut old = DirectRig::new(RepeatRule::Never);
+    for name in ["a", "b", "c", "d"] {
+        old.list(name, TargetStage::Plain);
+    }
+    (1..=3).for_each(|flow| crashed(&mut old, flow));
+    let report = LoadReport { peer: "old".into(), ..old.machine.load_report(NOW, true) };
+    let mut new = DirectRig::new(RepeatRule::Never);
+    new.list("a", TargetStage::Plain);
+    new.step(DirectEvent::PeerLoad(report));
+    let refused = new.submit(1).actions();
+    let reason = refused.iter().find_map(|action| match action {
+        DirectAction::GiveUp { answer, .. } => Some(answer.reason),
+        _ => None,
+    });
+    assert_eq!(reason, Some(GiveUpReason::CrashesTargets));
+}
+
+#[test]
+fn crashes_are_forgotten_although_entries_tell_them_to_each_other() {
+    let mut old = DirectRig::new(RepeatRule::Never);
+    let mut new = DirectRig::new(RepeatRule::Never);
+    for rig in [&mut old, &mut new] {
+        rig.list("a", TargetStage::Plain);
+    }
+    (1..=3).for_each(|flow| crashed(&mut old, flow));
+    for _ in 0..20 {
+        for (from, to) in [(&old, "old"), (&new, "new")].map(|(rig, name)| (rig.now(), name)) {
+            let report = match to {
+                "old" => old.machine.load_report(from, true),
+                _ => new.machine.load_report(from, true),
+            };
+            let report = LoadReport { peer: to.into(), ..report };
+            old.step(DirectEvent::PeerLoad(report.clone()));
+            new.step(DirectEvent::PeerLoad(report));
+        }
+        for rig in [&mut old, &mut new] {
+            rig.advance(Duration::from_secs(5));
+            rig.step(DirectEvent::Tick);
+        }
+    }
+    assert!(new.submit(1).actions().iter().any(|a| matches!(a, DirectAction::Call { .. })));
+}
+
+#[test]
+fn a_request_that_crashes_again_is_kept_in_the_store_until_it_is_forgotten() {
+    let mut rig = DirectRig::new(RepeatRule::Never);
+    for name in ["a", "b"] {
+        rig.list(name, TargetStage::Plain);
+    }
+    crashed(&mut rig, 1);
+    let kept = |actions: Vec<DirectAction>| -> Vec<SuspectChange> {
+        let changes = actions.into_iter().filter_map(|action| match action {
+            DirectAction::KeepSuspect(change) => Some(change),
+            _ => None,
+        });
+        changes.collect()
+    };
+    assert_eq!(kept(rig.step(DirectEvent::Tick)), [], "one crash may be the target's own");
+    crashed(&mut rig, 2);
+    let seen = kept(rig.step(DirectEvent::Tick));
+    assert!(matches!(&seen[..], [SuspectChange::Seen(report)] if report.seen.len() == 2));
+    rig.advance(Duration::from_secs(61));
+    let forgotten = kept(rig.step(DirectEvent::Tick));
+    assert!(matches!(&forgotten[..], [SuspectChange::Forgotten(_)]), "{forgotten:?}");
+}
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -137,6 +137,10 @@
         self.addresses.iter().find(|(known, _)| known == name).unwrap().1
     }
 
+    pub fn now(&self) -> ClockTime {
+        self.now
+    }
+
     pub fn advance(&mut self, time: Duration) {
         self.now += time;
     }
