Platform matrix asks for three quarters served again; a lost service does not count

Change: the check is back at three quarters. Requests whose service has no serving target at all are left out, and nothing else.

--- a/emulator/src/platform_rig/referee.rs
+++ b/emulator/src/platform_rig/referee.rs
@@ -286,13 +286,12 @@
             record.sent >= served_from
                 && record.sent + SLACK * 10 < self.now
                 && record.call.class != RequestClass::Poison
+                && self.is_servable(record.call.class)
         };
         let sent = self.attempts().iter().filter(late).count();
         let served = self.attempts().iter().filter(late);
         let served = served.filter(|record| record.answer == AttemptAnswer::Whole).count();
-        // The users' rule asks for a quarter. More than a half may be out of reach
-        // where faults took targets away for good.
-        if sent > 0 && served * 2 < sent {
+        if sent > 0 && served * 4 < sent * 3 {
             add(PlatformRule::Recovers, format!("{served} of {sent} served at the end"));
         }
         breaches
@@ -311,8 +310,17 @@
         late && !self.entries[entry].is_disturbed(record.sent, limit)
     }
 
-    /// Returns the number of targets that serve.
-    pub fn serving_targets(&self) -> usize {
-        self.targets.iter().filter(|seat| seat.state == SeatState::Serving).count()
+    /// Tells whether a target of the service that a class now uses serves at all:
+    /// faults may take the last one away for good.
+    fn is_servable(&self, class: RequestClass) -> bool {
+        let newest = self.store.routes.last().and_then(|(_, table)| {
+            table.find("host", &format!("/{class}/x")).map(|route| &route.services)
+        });
+        let serves = |service: &str| {
+            self.targets
+                .iter()
+                .any(|seat| seat.state == SeatState::Serving && seat.plan.service == service)
+        };
+        newest.is_some_and(|services| services.iter().any(|weighted| serves(&weighted.service)))
     }
 }
