Warnings, not ordinary lines, have room in reserve in the log buffer

Cause: levels of the logging library rise with severity; the comparison took info lines for warnings, so that under a slow reader warnings were dropped first. Ruled out: the buffer itself, whose tests pass a flag and held. Change: the comparison turned round, in a function of its own with a table. The test failed before (info has reserve: true) and passes after.

--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -9,7 +9,11 @@
     },
 };
 
-use logforth::{Append, Diagnostic, Layout, append, layout::JsonLayout, record::Record};
+use logforth::{
+    Append, Diagnostic, Layout, append,
+    layout::JsonLayout,
+    record::{Level as RecordLevel, Record},
+};
 
 use super::lock;
 
@@ -39,6 +43,11 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Tells whether lines of a level may use the room in reserve.
+pub fn has_reserve(level: RecordLevel) -> bool {
+    level >= RecordLevel::Warn
+}
+
 /// Lines on their way to standard output.
 #[derive(Debug, Default)]
 pub struct LineBuffer {
@@ -125,7 +134,7 @@
         let mut line = self.layout.format(record, diagnostics)?;
         line.push(b'\n');
         let mut buffer = lock(&self.buffer);
-        buffer.push(&line, record.level() <= logforth::record::Level::Warn);
+        buffer.push(&line, has_reserve(record.level()));
         buffer.write_to(&mut RawStdout);
         Ok(())
     }
--- a/tests/log_lines.rs
+++ b/tests/log_lines.rs
@@ -60,3 +60,15 @@
     let told = format!("\"dropped\":{}", 100_000 - kept);
     assert!(text.contains(&told), "{told} is not told");
 }
+
+/// Found in reading: the comparison was the wrong way round, so that the lines of
+/// ordinary requests took the warnings' room.
+#[test]
+fn only_warnings_and_errors_have_room_in_reserve() {
+    use logforth::record::Level;
+    let cases =
+        [(Level::Debug, false), (Level::Info, false), (Level::Warn, true), (Level::Error, true)];
+    for (level, reserve) in cases {
+        assert_eq!(sapphirewell::process::logging::has_reserve(level), reserve, "{level}");
+    }
+}
