Copied records keep the age of the peer's last read

Cause: the age that a copy bore was the time since a record last changed, and a process with copied records told its own uptime as their age, so that metrics and logs showed old state as fresh. Suspects in a copy were those of the peer's own start; the peers' whole reports name the present ones anyway. Ruled out: the store's followers, which note each read. Change: a copy bears the ages of the last reads, and the copying process goes on from them. Suspects are no longer copied.

--- a/emulator/tests/platform_state.rs
+++ b/emulator/tests/platform_state.rs
@@ -13,6 +13,9 @@
     net::TcpStream,
 };
 
+/// Time for which the store is away before the process starts; a read may be held
+/// for 1.5 s of it.
+const AWAY: Duration = Duration::from_secs(4);
 const PAUSE: Duration = Duration::from_millis(10);
 
 fn sizes(port: u16) -> PlatformSizes {
@@ -32,6 +35,11 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+fn metric(text: &str, name: &str) -> f64 {
+    let line = text.lines().find(|line| line.starts_with(&format!("sapphirewell_{name} ")));
+    line.unwrap_or_else(|| panic!("{name} in {text}")).rsplit(' ').next().unwrap().parse().unwrap()
+}
+
 #[test]
 fn a_process_that_starts_while_the_store_is_away_copies_from_a_peer() {
     run(async {
@@ -39,6 +47,7 @@
         fleet.configure(5, ENGINES);
         tokio::time::sleep(Duration::from_millis(600)).await;
         fleet.store.set_faults(StoreFaults { busy: true, ..StoreFaults::default() });
+        tokio::time::sleep(AWAY).await;
         fleet.entries[0].signal("KILL").unwrap();
         fleet.entries[0].wait(Duration::from_secs(2)).ok();
         fleet.entries[0] = fleet.start_entry(0).unwrap();
@@ -46,6 +55,8 @@
         assert!(fleet.is_ready(0).await, "logs in {}", fleet.folder().display());
         let state = get(fleet.inspection(0), "/state").await;
         assert!(state.contains("\"version\": 5"), "{state:.600}");
+        let age = metric(&get(fleet.inspection(0), "/metrics").await, "configuration_age_seconds");
+        assert!(age >= AWAY.as_secs_f64(), "a copy is as old as the peer's last read: {age} s");
         let note = |n| CallerRequest::new(format!("copied-{n}"), CallerKind::Note, n);
         for n in 0..10 {
             let record = emulator::stand_in::caller::send(fleet.entry(0), note(n)).await;
--- a/src/process/direct/copy.rs
+++ b/src/process/direct/copy.rs
@@ -2,7 +2,8 @@
 //!
 //! Peers are found through the settings, which name a few VMs of the first
 //! start; they may be stale or down. The store goes before a copy: what it
-//! answers later replaces what was copied.
+//! answers later replaces what was copied. Requests that crash targets are not
+//! copied, since the peers' own reports name them.
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
@@ -13,9 +14,8 @@
 
 use super::{inspect::RECORDS_PATH, shell::DirectShell};
 use crate::{
-    direct::{DirectEvent, SuspectReport, TargetChange},
+    direct::{DirectEvent, TargetChange},
     error::{Error, ErrorCode, Result},
-    ids::ClockTime,
     platform::{configuration, discovery},
     process::dial,
 };
@@ -34,8 +34,6 @@
 pub(super) struct KnownRecords {
     configuration: Option<Bytes>,
     targets: HashMap<String, Bytes>,
-    suspects: Vec<SuspectReport>,
-    read: ClockTime,
 }
 
 /// Records on the way to a starting peer.
@@ -43,43 +41,41 @@
 struct RecordCopy {
     configuration: Option<Vec<u8>>,
     targets: Vec<(String, Vec<u8>)>,
-    suspects: Vec<SuspectReport>,
-    /// Time since the store was last read.
-    age: Duration,
+    ages: RecordAges,
+}
+
+/// Times since the store was last read.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(super) struct RecordAges {
+    pub(super) configuration: Duration,
+    pub(super) targets: Duration,
 }
 
 impl KnownRecords {
-    pub(super) fn set_configuration(&mut self, now: ClockTime, value: Bytes) {
+    pub(super) fn set_configuration(&mut self, value: Bytes) {
         self.configuration = Some(value);
-        self.read = now;
     }
 
-    pub(super) fn set_target(&mut self, now: ClockTime, id: &str, value: Option<Bytes>) {
+    pub(super) fn set_target(&mut self, id: &str, value: Option<Bytes>) {
         match value {
             Some(value) => self.targets.insert(id.to_owned(), value),
             None => self.targets.remove(id),
         };
-        self.read = now;
     }
 
     pub(super) fn retain_targets(&mut self, keep: impl Fn(&str) -> bool) {
         self.targets.retain(|id, _| keep(id));
     }
 
-    pub(super) fn set_suspects(&mut self, suspects: Vec<SuspectReport>) {
-        self.suspects = suspects;
-    }
-
     /// Encodes the records for a peer.
     pub(super) fn encode(
         &self,
-        now: ClockTime,
+        ages: RecordAges,
     ) -> std::result::Result<Vec<u8>, ciborium::ser::Error<std::io::Error>> {
         let copy = RecordCopy {
             configuration: self.configuration.as_ref().map(|value| value.to_vec()),
             targets: self.targets.iter().map(|(id, value)| (id.clone(), value.to_vec())).collect(),
-            suspects: self.suspects.clone(),
-            age: now.saturating_sub(self.read),
+            ages,
         };
         let mut bytes = Vec::new();
         ciborium::into_writer(&copy, &mut bytes).map(|()| bytes)
@@ -130,13 +126,17 @@
     if shell.knows_enough() {
         return;
     }
-    let (targets, age) = (copy.targets.len(), copy.age.as_millis());
-    log::info!(peer:% = peer, targets:% = targets, age_ms:% = age; "records copied");
-    let now = shell.now();
+    log::info!(
+        peer:% = peer, targets:% = copy.targets.len(),
+        configuration_age_ms:% = copy.ages.configuration.as_millis(),
+        targets_age_ms:% = copy.ages.targets.as_millis();
+        "records copied"
+    );
+    shell.note_copy(copy.ages);
     if let Some(value) = copy.configuration {
         match configuration::decode(&value) {
             Ok(routes) => {
-                shell.records.borrow_mut().set_configuration(now, value.into());
+                shell.records.borrow_mut().set_configuration(value.into());
                 shell.step(DirectEvent::Routes(Arc::new(routes)));
             }
             Err(error) => log::warn!(error:% = error; "copied configuration ignored"),
@@ -145,11 +145,10 @@
     for (id, value) in copy.targets {
         match discovery::decode(&id, &value) {
             Ok(target) => {
-                shell.records.borrow_mut().set_target(now, &id, Some(value.into()));
+                shell.records.borrow_mut().set_target(&id, Some(value.into()));
                 shell.step(DirectEvent::Target(TargetChange::Listed(target)));
             }
             Err(error) => log::info!(error:% = error; "copied entry ignored"),
         }
     }
-    shell.step(DirectEvent::Suspects(copy.suspects));
 }
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -144,8 +144,7 @@
             match configuration::decode(&value) {
                 Ok(routes) => {
                     log::info!(version:% = routes.version; "configuration read");
-                    let now = self.shell.now();
-                    self.shell.records.borrow_mut().set_configuration(now, value);
+                    self.shell.records.borrow_mut().set_configuration(value);
                     self.shell.step(DirectEvent::Routes(Arc::new(routes)));
                     return;
                 }
@@ -174,9 +173,8 @@
         let value = record.value.as_ref()?;
         match discovery::decode(&record.key, value) {
             Ok(target) => {
-                let now = self.shell.now();
                 let mut records = self.shell.records.borrow_mut();
-                records.set_target(now, &record.key, Some(value.clone()));
+                records.set_target(&record.key, Some(value.clone()));
                 Some(target)
             }
             Err(error) => {
@@ -227,8 +225,7 @@
             if record.value.is_none() {
                 let id: TargetId = record.key.as_str().into();
                 self.note_gone(&id);
-                let now = self.shell.now();
-                self.shell.records.borrow_mut().set_target(now, &id, None);
+                self.shell.records.borrow_mut().set_target(&id, None);
                 self.apply(TargetChange::Gone(id));
             } else if let Some(target) = self.decode(record) {
                 self.note_listed(&target);
--- a/src/process/direct/inspect.rs
+++ b/src/process/direct/inspect.rs
@@ -46,7 +46,9 @@
     match path {
         METRICS_PATH => text("text/plain; version=0.0.4", shell.metrics_text().into()),
         STATE_PATH => encoded("application/json", shell.state_json()),
-        RECORDS_PATH => encoded("application/cbor", shell.records.borrow().encode(shell.now())),
+        RECORDS_PATH => {
+            encoded("application/cbor", shell.records.borrow().encode(shell.record_ages()))
+        }
         _ => status(StatusCode::NOT_FOUND),
     }
 }
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -16,7 +16,7 @@
 
 use super::{
     call,
-    copy::KnownRecords,
+    copy::{KnownRecords, RecordAges},
     metrics::{DirectMetrics, StateFigures, StoreLabels},
     orders,
     pool::TargetPools,
@@ -55,8 +55,9 @@
     crashes: RefCell<Vec<(ClockTime, CrashReport)>>,
     pub(super) records: RefCell<KnownRecords>,
     pub(super) metrics: DirectMetrics,
-    /// When each topic of the store was last read.
-    reads: RefCell<HashMap<&'static str, ClockTime>>,
+    /// When each topic of the store was last read, by this process or by the peer
+    /// from which its records were copied.
+    reads: RefCell<HashMap<&'static str, Instant>>,
     pub(super) store: SocketAddr,
     name: PeerName,
     started: Instant,
@@ -182,27 +183,40 @@
     /// Notes how a read of the store ended.
     pub(super) fn note_store_call(&self, topic: &'static str, end: &'static str, took: Duration) {
         if end == STORE_READ {
-            self.reads.borrow_mut().insert(topic, self.now());
+            self.reads.borrow_mut().insert(topic, Instant::now());
         }
         self.metrics.store_calls.get_or_create(&StoreLabels { topic, end }).inc();
         self.metrics.store_seconds.observe(took.as_secs_f64());
     }
 
+    /// Notes the ages of copied records, as if this process had read them then.
+    pub(super) fn note_copy(&self, ages: RecordAges) {
+        let copied = [(configuration::TOPIC, ages.configuration), (discovery::TOPIC, ages.targets)];
+        for (topic, age) in copied {
+            // An age beyond the clock's beginning cannot be told apart from it.
+            let read = Instant::now().checked_sub(age).unwrap_or(self.started);
+            self.reads.borrow_mut().entry(topic).or_insert(read);
+        }
+    }
+
+    /// Returns the ages of the store's records; those never read are as old as the process.
+    pub(super) fn record_ages(&self) -> RecordAges {
+        let reads = self.reads.borrow();
+        let age = |topic| reads.get(topic).unwrap_or(&self.started).elapsed();
+        RecordAges { configuration: age(configuration::TOPIC), targets: age(discovery::TOPIC) }
+    }
+
     /// Returns the metrics as text.
     pub(super) fn metrics_text(&self) -> String {
         let machine = self.machine.borrow();
-        let now = self.now();
-        let age = |topic| {
-            let read = self.reads.borrow().get(topic).copied().unwrap_or(ClockTime::ZERO);
-            now.saturating_sub(read)
-        };
+        let ages = self.record_ages();
         self.metrics.text(StateFigures {
             in_flight: machine.in_flight(),
             targets: machine.fleet().len(),
             peers: machine.peer_count(),
             version: machine.routes().map_or(0, |routes| routes.version),
-            configuration_age: age(configuration::TOPIC),
-            targets_age: age(discovery::TOPIC),
+            configuration_age: ages.configuration,
+            targets_age: ages.targets,
             log_lines_dropped: logging::dropped_lines(),
         })
     }
--- a/src/process/direct/suspects.rs
+++ b/src/process/direct/suspects.rs
@@ -57,7 +57,6 @@
     };
     let reports: Vec<SuspectReport> = page.records.iter().filter_map(decode).collect();
     if !reports.is_empty() {
-        shell.records.borrow_mut().set_suspects(reports.clone());
         shell.step(DirectEvent::Suspects(reports));
     }
 }
