Planner and placement ask one view for waits, work and rates

Cause: the planner summed what all entries have in flight at an engine, and its rate, in lines of its own beside those of the placement. Change: both use PlacementView. The planner's wait bounds say where they come from.

--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -8,7 +8,7 @@
 use std::hash::{Hash, Hasher};
 
 use super::{
-    CallStep, Distance, EngineTerms, PeerTable, PromptShape, ServiceName,
+    CallStep, Distance, EngineTerms, InFlight, PeerTable, PromptShape, ServiceName,
     flow::StepKind,
     target::{CALL_TIME, TargetFleet, TargetStage, TargetState},
 };
@@ -190,7 +190,7 @@
     ) -> Placement {
         let rate = self.rate(state);
         let tokens = uncached(state, prompt);
-        let waiting = self.read_wait(state, query) + self.slot_wait(state);
+        let waiting = self.read_wait(state, query.late) + self.slot_wait(state);
         let own = tokens as f32 / rate + self.fixed(state, query);
         let lasting = lasting_read(state, prompt, home) as f32 / rate;
         let pause = EVENT_TOKENS * DECODE_CHUNK_TOKENS / rate;
@@ -211,7 +211,7 @@
         let rate = self.rate(state);
         let tokens = uncached(state, prompt);
         let own = tokens as f32 / rate + self.fixed(state, query);
-        let placed = placement(state, StepKind::Prefill, self.read_wait(state, query), own);
+        let placed = placement(state, StepKind::Prefill, self.read_wait(state, query.late), own);
         let lasting = lasting_read(state, prompt, home) as f32 / rate;
         let burden = placed.burden + lasting * READ_BURDEN;
         Placement { reading: tokens, burden, ..placed }
@@ -235,17 +235,23 @@
         placement(state, StepKind::Decode, self.slot_wait(state), own)
     }
 
-    fn read_wait(&self, state: &TargetState, query: &PlacementQuery<'_>) -> f32 {
-        let in_flight = state.in_flight + self.peers.at(&state.target.id);
-        in_flight.ahead(query.late) as f32 / self.rate(state)
+    /// Returns the time that a prompt waits for those before it, in seconds.
+    pub(super) fn read_wait(&self, state: &TargetState, late: bool) -> f32 {
+        self.in_flight(state).ahead(late) as f32 / self.rate(state)
     }
 
-    fn rate(&self, state: &TargetState) -> f32 {
+    /// Returns what all entries have in flight at a target.
+    pub(super) fn in_flight(&self, state: &TargetState) -> InFlight {
+        state.in_flight + self.peers.at(&state.target.id)
+    }
+
+    /// Returns the prompt tokens that a target reads in a second, by all entries' timings.
+    pub(super) fn rate(&self, state: &TargetState) -> f32 {
         state.joint_rate(self.peers.read_rate(&state.target.id))
     }
 
     fn slot_wait(&self, state: &TargetState) -> f32 {
-        let running = state.in_flight.running + self.peers.at(&state.target.id).running;
+        let running = self.in_flight(state).running;
         let slots = state.target.slots.max(1);
         let run = if state.run_seconds > 0.0 { state.run_seconds } else { START_RUN_SECONDS };
         // A fuller batch is slower, so that part of a run counts even where a slot is free.
--- a/src/direct/stage_plan.rs
+++ b/src/direct/stage_plan.rs
@@ -8,7 +8,10 @@
 
 use serde::Serialize;
 
-use super::{DirectMachine, DirectTarget, FenceNumber, TargetStage, target::TargetState};
+use super::{
+    DirectMachine, DirectTarget, FenceNumber, TargetStage, estimate::PlacementView,
+    target::TargetState,
+};
 use crate::ids::{ClockTime, TargetId};
 
 /// Interval at which the load is looked at.
@@ -19,7 +22,8 @@
 /// Looks before the first plan.
 const LEAST_LOOKS: u32 = 5;
 /// Mean wait at the engines that read from which on they need another, and under
-/// which they could spare one, in seconds.
+/// which they could spare one, in seconds. On a site's days it was 0.2 to 0.9 s while
+/// half of the slots were free; see docs/BENCH.md.
 const LONG_WAIT: f32 = 0.15;
 const SHORT_WAIT: f32 = 0.02;
 /// Share of slots in use, after one engine less generates, up to which one may go.
@@ -36,7 +40,6 @@
 /// Time in which an order's outcome shows in the list of targets: the engine's
 /// switch, its heartbeat and the pace of reading.
 const ORDER_TIME: Duration = Duration::from_secs(9);
-
 /// Time for which an engine that refused an order is left alone.
 const REFUSAL_TIME: Duration = Duration::from_secs(5);
 
@@ -152,7 +155,7 @@
         let engines: Vec<&TargetState> = self.engines().collect();
         let (readers, writers): (Vec<&TargetState>, Vec<&TargetState>) =
             engines.into_iter().partition(|state| state.target.stage == TargetStage::Prefill);
-        let look = self.look(&readers, &writers);
+        let look = self.look(now, &readers, &writers);
         let (mut reading, mut writing) = (readers.len(), writers.len());
         self.planner.note(look);
         self.close_orders(now);
@@ -169,7 +172,7 @@
             }
         }
         let stage = self.planner.wanted(reading, writing)?;
-        let target = self.slowest_or_fastest(stage)?;
+        let target = self.slowest_or_fastest(now, stage)?;
         self.planner.next_order = now + ORDER_PAUSE;
         let until = now + ORDER_TIME;
         self.planner.open.push(OpenOrder { target: target.id.clone(), stage, until });
@@ -187,18 +190,18 @@
             .filter(|state| state.target.stage != TargetStage::Plain && !state.target.leaving)
     }
 
-    fn look(&self, readers: &[&TargetState], writers: &[&TargetState]) -> StageLoad {
-        let wait = |state: &&TargetState| {
-            let in_flight = state.in_flight + self.peers.at(&state.target.id);
-            let rate = state.joint_rate(self.peers.read_rate(&state.target.id));
-            in_flight.ahead(true) as f32 / rate
-        };
-        let running = |state: &&TargetState| {
-            (state.in_flight + self.peers.at(&state.target.id)).running.min(state.target.slots)
-        };
+    fn look(
+        &self,
+        now: ClockTime,
+        readers: &[&TargetState],
+        writers: &[&TargetState],
+    ) -> StageLoad {
+        let view = PlacementView { fleet: &self.fleet, peers: &self.peers, now };
+        let waits: f32 = readers.iter().map(|state| view.read_wait(state, true)).sum();
+        let running = |state: &&TargetState| view.in_flight(state).running.min(state.target.slots);
         let slots: u32 = writers.iter().map(|state| state.target.slots).sum();
         StageLoad {
-            wait: readers.iter().map(wait).sum::<f32>() / (readers.len() as f32).max(1.0),
+            wait: waits / (readers.len() as f32).max(1.0),
             slots: writers.iter().map(running).sum::<u32>() as f32 / (slots as f32).max(1.0),
         }
     }
@@ -215,8 +218,9 @@
 
     /// Chooses the engine that changes its part: a slow one to read, since the
     /// speed of generating is what callers see; a fast one to generate.
-    fn slowest_or_fastest(&self, stage: TargetStage) -> Option<Arc<DirectTarget>> {
-        let rate = |state: &&TargetState| state.joint_rate(self.peers.read_rate(&state.target.id));
+    fn slowest_or_fastest(&self, now: ClockTime, stage: TargetStage) -> Option<Arc<DirectTarget>> {
+        let view = PlacementView { fleet: &self.fleet, peers: &self.peers, now };
+        let rate = |state: &&TargetState| view.rate(state);
         let mut moving = self.planner.moving();
         moving.extend(self.planner.refused.iter().map(|(id, _)| id.clone()));
         let able = self
