Settings resolved in one place; values that are no text and lost encodings are named

Cause: an environment variable that is no text was taken as unset, and three commands resolved their settings in copies of the same lines. The end of a stream whose answer cannot be encoded went out empty, as a whole one. Ruled out as swallowed: the missing bearer token (refused), an operator session without a peer (the log is read), engines without timings (typical ones); each has its reason beside it now. Change: CommandLine::settings; such an end is logged and sent as outcome_unknown.

--- a/src/api.rs
+++ b/src/api.rs
@@ -301,14 +301,19 @@
 }
 
 fn end_event(answer: &FinalAnswer) -> Event {
-    match answer {
-        FinalAnswer::Refused(refusal) => {
-            let body = serde_json::to_string(&error_body(refusal)).unwrap_or_default();
-            Event::message(body).event_type("error")
-        }
+    let (kind, body) = match answer {
+        FinalAnswer::Refused(refusal) => ("error", serde_json::to_string(&error_body(refusal))),
         FinalAnswer::Completed { .. } | FinalAnswer::Answered(_) => {
-            let body = serde_json::to_string(answer).unwrap_or_default();
-            Event::message(body).event_type("end")
+            ("end", serde_json::to_string(answer))
+        }
+    };
+    match body {
+        Ok(body) => Event::message(body).event_type(kind),
+        Err(error) => {
+            // An empty end would look like a whole answer.
+            log::error!(error:% = error; "end of an answer not encoded");
+            let unknown = r#"{"reason":"outcome_unknown","not_run":false,"retry_after_ms":0}"#;
+            Event::message(unknown).event_type("error")
         }
     }
 }
--- a/src/api/administration.rs
+++ b/src/api/administration.rs
@@ -69,6 +69,7 @@
 
 fn authorize(request: &Request, shell: &EntryShell) -> Result<()> {
     let given = request.headers().get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+    // A request without a token is refused like one with a wrong one.
     let token = given.and_then(|value| value.strip_prefix("Bearer ")).unwrap_or_default();
     if shell.admin_token.is_empty() || !same_bytes(token.as_bytes(), shell.admin_token.as_bytes()) {
         return Err(Error::new(ErrorCode::Unauthorized, "authorization header"));
--- a/src/command.rs
+++ b/src/command.rs
@@ -4,7 +4,10 @@
 
 use gumdrop::{Options, ParsingStyle};
 
-use crate::error::Error;
+use crate::{
+    error::Error,
+    setting::{self, Setting, SettingValues},
+};
 
 mod change;
 mod explain;
@@ -69,7 +72,26 @@
         self.values.iter().rev().find(|(name, _)| name == flag).map(|(_, value)| value.clone())
     }
 
-    pub(crate) fn unknown_flags(&self, table: &[crate::setting::Setting]) -> Vec<Error> {
+    /// Resolves a table of settings from flags and environment variables.
+    ///
+    /// # Errors
+    /// Returns every unknown flag and every wrong or missing setting.
+    pub(crate) fn settings(&self, table: &[Setting]) -> Result<SettingValues, Vec<Error>> {
+        let mut errors = self.unknown_flags(table);
+        // What is no text becomes text that no check accepts, so that it is named.
+        let variable =
+            |name: &str| std::env::var_os(name).map(|value| value.to_string_lossy().into_owned());
+        match setting::resolve(table, |flag| self.value(flag), variable) {
+            Ok(values) if errors.is_empty() => Ok(values),
+            Ok(_) => Err(errors),
+            Err(wrong) => {
+                errors.extend(wrong);
+                Err(errors)
+            }
+        }
+    }
+
+    fn unknown_flags(&self, table: &[Setting]) -> Vec<Error> {
         let known = |name: &str| table.iter().any(|setting| setting.flag == name);
         self.values
             .iter()
--- a/src/command/change.rs
+++ b/src/command/change.rs
@@ -145,18 +145,9 @@
         print!("{}", setting::help(OPERATOR_SETTINGS));
         return ExitCode::SUCCESS;
     }
-    let mut errors = line.unknown_flags(OPERATOR_SETTINGS);
-    let values = match setting::resolve(
-        OPERATOR_SETTINGS,
-        |flag| line.value(flag),
-        |name| std::env::var(name).ok(),
-    ) {
-        Ok(values) if errors.is_empty() => values,
-        Ok(_) => return fail(&errors),
-        Err(wrong) => {
-            errors.extend(wrong);
-            return fail(&errors);
-        }
+    let values = match line.settings(OPERATOR_SETTINGS) {
+        Ok(values) => values,
+        Err(errors) => return fail(&errors),
     };
     let result = query::block_on(async {
         let mut session = OperatorSession::open(values).await?;
@@ -169,6 +160,7 @@
     async fn open(values: SettingValues) -> Result<OperatorSession> {
         let log = HttpPlatform::open(values.text("log-url"), "");
         let peers = PeerClient::open(values.addresses("peers"));
+        // Without a peer that answers, the whole log is read.
         let mut fold = peers.fold().await.unwrap_or_default();
         operator::read_all(&log, &mut fold).await?;
         Ok(OperatorSession { values, log, fold })
--- a/src/command/launch.rs
+++ b/src/command/launch.rs
@@ -213,16 +213,10 @@
         print!("{}", setting::help(table));
         return ExitCode::SUCCESS;
     }
-    let mut errors = line.unknown_flags(table);
-    let values =
-        match setting::resolve(table, |flag| line.value(flag), |name| std::env::var(name).ok()) {
-            Ok(values) if errors.is_empty() => values,
-            Ok(_) => return fail(&errors),
-            Err(wrong) => {
-                errors.extend(wrong);
-                return fail(&errors);
-            }
-        };
+    let values = match line.settings(table) {
+        Ok(values) => values,
+        Err(errors) => return fail(&errors),
+    };
     logging::start(values.text("log-level"));
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
@@ -244,18 +238,11 @@
         print!("{}", setting::help(DIRECT_SETTINGS));
         return ExitCode::SUCCESS;
     }
-    let mut errors = line.unknown_flags(DIRECT_SETTINGS);
-    let variable = |name: &str| std::env::var(name).ok();
-    let values = setting::resolve(DIRECT_SETTINGS, |flag| line.value(flag), variable);
-    let values = values.unwrap_or_else(|wrong| {
-        errors.extend(wrong);
-        SettingValues::default()
-    });
-    let settings = match platform::settings::load() {
-        Ok(settings) if errors.is_empty() => settings,
-        Ok(_) => return fail(&errors),
-        Err(wrong) => {
-            errors.extend(wrong);
+    let (values, settings) = match (line.settings(DIRECT_SETTINGS), platform::settings::load()) {
+        (Ok(values), Ok(settings)) => (values, settings),
+        (values, settings) => {
+            let mut errors = values.err().unwrap_or_default();
+            errors.extend(settings.err().unwrap_or_default());
             return fail(&errors);
         }
     };
--- a/src/planner.rs
+++ b/src/planner.rs
@@ -198,6 +198,7 @@
         let typical = self.typical_reading();
         let plan = |belief: &&TargetBelief| {
             let target = belief.load.target.clone();
+            // An engine that was not timed yet counts as a typical one.
             let speed = self.speeds.get(&target).copied().unwrap_or_default();
             let reading = speed.reading.or(speed.generating.map(|g| g / ratio)).unwrap_or(typical);
             let generating = speed.generating.unwrap_or(reading * ratio);
