--- a/emulator/src/stand_in.rs
+++ b/emulator/src/stand_in.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod orders;
 pub mod referee;
 pub mod runner;
 pub mod slots;
--- a/emulator/src/stand_in/referee.rs
+++ b/emulator/src/stand_in/referee.rs
@@ -4,7 +4,8 @@
 
 use super::{
     caller::{CallerKind, CallerOutcome, CallerRecord},
-    runner::{OrderRecord, RunnerModel},
+    orders::OrderRecord,
+    runner::RunnerModel,
 };
 
 /// Promise that was broken.
--- a/emulator/src/stand_in/runner.rs
+++ b/emulator/src/stand_in/runner.rs
@@ -16,12 +16,12 @@
 use hyper::{
     Method, Request, Response, StatusCode, body::Frame, body::Incoming, header::HeaderMap,
 };
-use serde::Deserialize;
 use serde_json::json;
 use tokio::time::{Instant, sleep};
 
 use super::{
     BrokenOff, StandInBody,
+    orders::{OrderBook, OrderRecord, stage_name},
     slots::{PrioritySlots, TakenSlot},
     store::StoreModel,
     whole,
@@ -100,9 +100,7 @@
     prefills: u64,
     foreign_caches: u64,
     left: Vec<String>,
-    orders: Vec<OrderRecord>,
-    /// Part that an order gave it.
-    kind: Option<RunnerKind>,
+    orders: OrderBook,
 }
 
 /// Target of the stand-in.
@@ -122,27 +120,6 @@
     sequence: Arc<AtomicU64>,
 }
 
-/// Order that a target took.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-pub struct OrderRecord {
-    /// The new part.
-    pub stage: String,
-    /// Who ordered.
-    pub holder: String,
-    /// Its fencing number.
-    pub fence: u64,
-    /// Number of orders before it.
-    pub expected: u64,
-}
-
-fn stage_name(kind: RunnerKind) -> Option<&'static str> {
-    match kind {
-        RunnerKind::Prefill => Some("prefill"),
-        RunnerKind::Decode => Some("decode"),
-        RunnerKind::Plain => None,
-    }
-}
-
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -201,44 +178,26 @@
 
     /// Returns the part that it plays now.
     pub fn kind(&self) -> RunnerKind {
-        locked(&self.state).kind.unwrap_or(self.profile.kind)
+        locked(&self.state).orders.kind(self.profile.kind)
     }
 
     /// Gives it back the part with which it started, as an operator might.
     pub fn set_kind_back(&self) {
-        locked(&self.state).kind = None;
+        locked(&self.state).orders.set_kind_back();
     }
 
     /// Returns the orders that it took.
     pub fn orders(&self) -> Vec<OrderRecord> {
-        locked(&self.state).orders.clone()
+        locked(&self.state).orders.taken().to_vec()
     }
 
     fn report(&self, headers: &HeaderMap) -> Response<StandInBody> {
-        let stage = stage_name(self.kind());
-        let orders = locked(&self.state).orders.len();
-        let report = json!({ "stage": stage, "busy": false, "sequence": orders });
-        self.answer(StatusCode::OK, headers, report.to_string())
+        let report = locked(&self.state).orders.report(self.profile.kind);
+        self.answer(StatusCode::OK, headers, report)
     }
 
-    /// Carries an order out at once, where it names the number of those before it.
     fn take_order(&self, headers: &HeaderMap, body: &Bytes) -> Response<StandInBody> {
-        let Ok(order) = serde_json::from_slice::<OrderRecord>(body) else {
-            return self.answer(StatusCode::BAD_REQUEST, headers, "");
-        };
-        let status = {
-            let mut state = locked(&self.state);
-            if state.orders.len() as u64 != order.expected {
-                StatusCode::CONFLICT
-            } else {
-                state.kind = match order.stage.as_str() {
-                    "prefill" => Some(RunnerKind::Prefill),
-                    _ => Some(RunnerKind::Decode),
-                };
-                state.orders.push(order);
-                StatusCode::ACCEPTED
-            }
-        };
+        let status = locked(&self.state).orders.take(body);
         self.answer(status, headers, "")
     }
 
--- a/emulator/tests/platform_orders.rs
+++ b/emulator/tests/platform_orders.rs
@@ -5,7 +5,7 @@
 use emulator::stand_in::{
     caller::{CallerKind, CallerRequest},
     fleet::{PlatformFleet, PlatformSizes},
-    runner::OrderRecord,
+    orders::OrderRecord,
 };
 
 const SIZES: PlatformSizes =
