Log and count how targets' responses state their end

The line of an ended request gains framing, body_bytes and inside_event, and the counter of ended requests the label framing. No decision changes.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod direct;
 pub mod entry;
 pub mod error;
+pub mod event_stream;
 pub mod fanout;
 pub mod fold;
 pub mod frame;
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -5,10 +5,12 @@
 use bytes::Bytes;
 use hyper::{
     Method, Request, StatusCode, Uri,
-    header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue},
+    body::Body,
+    header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING},
     http::{request::Parts, response},
 };
 use serde::{Deserialize, Serialize};
+use strum::IntoStaticStr;
 
 use super::{
     discovery::WireStage,
@@ -37,6 +39,31 @@
     Invalid,
 }
 
+/// How a response states where its body ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum BodyFraming {
+    /// By its length, which may be 0.
+    Length,
+    /// By a last chunk.
+    Chunked,
+    /// By the end of the connection, which also ends a response that breaks off.
+    Connection,
+}
+
+impl BodyFraming {
+    /// Returns the framing of the response with these headers and this body.
+    pub fn of(headers: &HeaderMap, body: &impl Body) -> BodyFraming {
+        if body.size_hint().exact().is_some() {
+            BodyFraming::Length
+        } else if headers.contains_key(TRANSFER_ENCODING) {
+            BodyFraming::Chunked
+        } else {
+            BodyFraming::Connection
+        }
+    }
+}
+
 /// Builds the head of a call to a target from the caller's request.
 ///
 /// # Errors
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -18,7 +18,8 @@
 use super::{metrics::EndLabels, pool::ConnectionLease, shell::DirectDriver};
 use crate::{
     direct::{DirectEvent, FlowId, RequestTrace},
-    platform::runner,
+    event_stream::EventBoundary,
+    platform::runner::{self, BodyFraming},
 };
 
 /// Error that ends a response body early; the caller's connection is closed with it.
@@ -46,11 +47,28 @@
     status: u16,
     /// Longest time between two frames of the response.
     longest_pause: Duration,
+    framing: Option<BodyFraming>,
+    body_bytes: u64,
+    boundary: EventBoundary,
 }
 
 impl FlowGuard {
     pub(super) fn new(driver: Rc<DirectDriver>, flow: FlowId, id: String) -> FlowGuard {
-        FlowGuard { driver, flow, id, complete: false, status: 0, longest_pause: Duration::ZERO }
+        FlowGuard {
+            driver,
+            flow,
+            id,
+            complete: false,
+            status: 0,
+            longest_pause: Duration::ZERO,
+            framing: None,
+            body_bytes: 0,
+            boundary: EventBoundary::default(),
+        }
+    }
+
+    pub(super) fn set_framing(&mut self, framing: BodyFraming) {
+        self.framing = Some(framing);
     }
 
     pub(super) fn set_status(&mut self, status: u16) {
@@ -65,7 +83,8 @@
             ("", false) => "broken",
             (reason, _) => reason,
         };
-        let labels = EndLabels { status: self.status, end: end.to_owned() };
+        let framing = self.framing.map_or("none", <&str>::from);
+        let labels = EndLabels { status: self.status, end: end.to_owned(), framing };
         metrics.ends.get_or_create(&labels).inc();
         metrics.calls.inc_by(trace.calls.len() as u64);
         metrics.waiting_seconds.observe(trace.waiting_ms as f64 / 1000.0);
@@ -94,7 +113,10 @@
             estimate_ms:% = trace.estimate_ms,
             waiting_ms:% = trace.waiting_ms,
             first_ms:? = trace.first_ms,
-            pause_ms:% = self.longest_pause.as_millis();
+            pause_ms:% = self.longest_pause.as_millis(),
+            framing:% = self.framing.map_or("none", <&str>::from),
+            body_bytes:% = self.body_bytes,
+            inside_event:% = self.boundary.is_inside_event();
             "request ended"
         );
     }
@@ -137,6 +159,10 @@
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match Pin::new(&mut self.upstream).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
+                if let Some(data) = frame.data_ref() {
+                    self.guard.body_bytes += data.len() as u64;
+                    self.guard.boundary.advance(data);
+                }
                 self.record_output();
                 if self.upstream.is_end_stream() {
                     self.finish();
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -16,6 +16,8 @@
     /// Reason of a failure that this system reported, `whole` for a complete response of a
     /// target, or `broken` for any other end.
     pub(super) end: String,
+    /// How the target's response states where its body ends, or `none` without a response.
+    pub(super) framing: &'static str,
 }
 
 /// Labels of a store read.
@@ -106,7 +108,11 @@
 
     fn register(&mut self) {
         let registry = &mut self.registry;
-        registry.register("ends", "Requests by status and reason", self.ends.clone());
+        registry.register(
+            "ends",
+            "Requests by status, reason and framing of the target's response",
+            self.ends.clone(),
+        );
         registry.register(
             "waiting_seconds",
             "Expected wait for others when a request was placed",
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -27,7 +27,7 @@
     error::{Error, ErrorCode, Result},
     platform::{
         caller::{self, RequestRejection, ValidatedHead},
-        runner,
+        runner::{self, BodyFraming},
     },
     process::dial,
 };
@@ -281,6 +281,7 @@
 ) -> Response<ResponseBody> {
     let (parts, upstream) = pending.response.into_parts();
     guard.set_status(parts.status.as_u16());
+    guard.set_framing(BodyFraming::of(&parts.headers, &upstream));
     let (reusable, keep_alive) = TargetBody::connection_reuse(&parts.headers);
     let body = TargetBody {
         upstream,
