Failing test: an answer that ends inside an event reaches its caller as complete

The stand-in platform learns answers with neither a length nor chunks, and breaks any answer off after a chosen byte by closing or resetting its connection. Its callers count whole events only, compare plain answers in full and can take a stream up.

--- a/emulator/src/stand_in.rs
+++ b/emulator/src/stand_in.rs
@@ -12,12 +12,15 @@
 pub mod slots;
 pub mod store;
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc};
+use std::{
+    convert::Infallible, error::Error, net::SocketAddr, os::fd::AsFd, sync::Arc, time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::{net::TcpListener, task::JoinHandle};
 
 /// Response body of a stand-in; an error in it aborts the connection.
@@ -25,8 +28,14 @@
 
 /// Error with which a stand-in aborts a connection to inject a fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, snafu::Snafu)]
-#[snafu(display("connection broken off on purpose"))]
-pub struct BrokenOff;
+pub enum BrokenOff {
+    /// The connection is closed, as when a process exits.
+    #[snafu(display("connection closed on purpose"))]
+    Closed,
+    /// The connection is reset.
+    #[snafu(display("connection reset on purpose"))]
+    Reset,
+}
 
 /// Returns a complete body that holds `bytes`.
 pub fn whole(bytes: impl Into<Bytes>) -> StandInBody {
@@ -53,10 +62,20 @@
             let handler = handler.clone();
             tokio::spawn(async move {
                 let service = service_fn(move |request| handler(request));
-                // An error only means that the caller disconnected or a fault aborted the connection.
-                drop(http1::Builder::new().serve_connection(TokioIo::new(stream), service).await);
+                let Ok(handle) = stream.as_fd().try_clone_to_owned() else { return };
+                let served =
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                // Other errors only mean that the caller disconnected or a fault closed the connection.
+                if served.is_err_and(|error| is_reset(&error)) {
+                    SockRef::from(&handle).set_linger(Some(Duration::ZERO)).ok();
+                }
             });
         }
     });
     Ok((address, task))
 }
+
+fn is_reset(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|source| source.downcast_ref::<BrokenOff>());
+    cause == Some(&BrokenOff::Reset)
+}
--- a/emulator/src/stand_in/caller.rs
+++ b/emulator/src/stand_in/caller.rs
@@ -42,6 +42,17 @@
     pub deadline: Duration,
     /// Time after sending at which the caller disconnects; `None` waits for the end.
     pub leave_after: Option<Duration>,
+    /// Stream that the request takes up; `None` for a new request.
+    pub resumed: Option<ResumedStream>,
+}
+
+/// Point at which a caller takes a stream up again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// Id of the request that brought the stream's first event.
+    pub first_request: String,
+    /// Id of the last event that the caller has.
+    pub last_event: u64,
 }
 
 /// Outcome of a request as its caller saw it.
@@ -92,7 +103,7 @@
         };
         let id = id.into();
         let body = Bytes::from(format!("body of {id}"));
-        CallerRequest { id, kind, subject, body, deadline, leave_after: None }
+        CallerRequest { id, kind, subject, body, deadline, leave_after: None, resumed: None }
     }
 
     fn path(&self) -> &'static str {
@@ -158,6 +169,11 @@
         // Internal headers: the system must not accept them from a caller.
         .header("kv-source", "127.0.0.1:1/forged")
         .header("serving-stage", "prefill");
+    if let Some(resumed) = &request.resumed {
+        builder = builder
+            .header("last-event-id", resumed.last_event)
+            .header("resumes", &resumed.first_request);
+    }
     if let Some(prefix) = request.prefix() {
         let tokens = if request.kind == CallerKind::Dossier { 7000 } else { 290 };
         builder = builder
@@ -209,18 +225,25 @@
     }
     let text = String::from_utf8_lossy(bytes);
     let streams = matches!(request.kind, CallerKind::Dossier | CallerKind::Note);
-    if streams && events != (1..=EVENTS).collect::<Vec<u64>>() {
+    let first = request.resumed.as_ref().map_or(1, |resumed| resumed.last_event + 1);
+    if streams && events != (first..=EVENTS).collect::<Vec<u64>>() {
         return CallerOutcome::Wrong(format!("events {events:?}"));
     }
-    match text.contains(&request.id) {
+    let whole = match streams {
+        true => text.contains(&request.id),
+        false => text == format!("answer to {}", request.id),
+    };
+    match whole {
         true => CallerOutcome::Whole,
-        false => CallerOutcome::Wrong("body of another request".to_owned()),
+        false => CallerOutcome::Wrong(format!("body {text:?}")),
     }
 }
 
+/// Returns the ids of the whole events, which end with an empty line.
 fn event_ids(bytes: &[u8]) -> Vec<u64> {
     let text = String::from_utf8_lossy(bytes);
-    text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
+    let whole = text.rfind("\n\n").map_or("", |end| &text[..end]);
+    whole.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
 }
 
 /// Aborts the connection task on drop, which closes the connection.
--- a/emulator/src/stand_in/runner.rs
+++ b/emulator/src/stand_in/runner.rs
@@ -12,9 +12,12 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyExt, BodyStream, StreamBody};
 use hyper::{
-    Method, Request, Response, StatusCode, body::Frame, body::Incoming, header::HeaderMap,
+    Method, Request, Response, StatusCode, Version,
+    body::{Frame, Incoming},
+    header::HeaderMap,
+    http::request::Parts,
 };
 use serde_json::json;
 use tokio::time::{Instant, sleep};
@@ -27,6 +30,9 @@
     whole,
 };
 
+/// Time before a response breaks off in which its earlier bytes are written.
+const FLUSH_TIME: Duration = Duration::from_millis(5);
+
 /// Kind of a stand-in target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunnerKind {
@@ -73,6 +79,12 @@
     pub unsigned: bool,
     /// Returns KV cache handles that are already expired.
     pub forget_handles: bool,
+    /// Sends all responses with neither a length nor chunks, so that the end of the connection
+    /// ends them.
+    pub unframed: bool,
+    /// Breaks each response to a run off after as many bytes of its body as the number at the
+    /// end of the request's id states.
+    pub cut: Option<BrokenOff>,
     /// Crashes on requests with this body: the connection closes during the run.
     pub poison: Option<Bytes>,
 }
@@ -144,7 +156,7 @@
             async move {
                 match runner {
                     Some(runner) => runner.handle(request).await,
-                    None => Err(BrokenOff),
+                    None => Err(BrokenOff::Closed),
                 }
             }
         })
@@ -230,7 +242,24 @@
 
     async fn handle(self, request: Request<Incoming>) -> Result<Response<StandInBody>, BrokenOff> {
         let (parts, body) = request.into_parts();
-        let body = body.collect().await.map_err(|_| BrokenOff)?.to_bytes();
+        let body = body.collect().await.map_err(|_| BrokenOff::Closed)?.to_bytes();
+        let faults = locked(&self.state).faults.clone();
+        let cut_after =
+            header_text(&parts.headers, "request-id").and_then(|id| trailing_number(&id));
+        let is_run = !parts.headers.contains_key("serving-stage");
+        let mut response = self.respond(parts, body).await?;
+        if let (Some(cut), Some(bytes), true) = (faults.cut, cut_after, is_run) {
+            response = response.map(|body| cut_body(body, bytes, cut, faults.unframed));
+        }
+        if faults.unframed {
+            // The server ends a response of this version and unknown length with its connection.
+            *response.version_mut() = Version::HTTP_10;
+            response = response.map(|body| StreamBody::new(BodyStream::new(body)).boxed());
+        }
+        Ok(response)
+    }
+
+    async fn respond(self, parts: Parts, body: Bytes) -> Result<Response<StandInBody>, BrokenOff> {
         let path = parts.uri.path().to_owned();
         if header_text(&parts.headers, "expect-instance").is_some_and(|id| id != *self.id) {
             return Ok(self.response(StatusCode::MISDIRECTED_REQUEST, &parts.headers, ""));
@@ -275,7 +304,7 @@
         locked(&self.state).runs.push(record);
         if faults.poison.as_ref() == Some(&body) {
             sleep(self.profile.call_time).await;
-            return Err(BrokenOff);
+            return Err(BrokenOff::Closed);
         }
         let running = RunGuard { runner: self.clone(), id: Some(id.clone()) };
         match self.kind() {
@@ -287,7 +316,7 @@
             }
             RunnerKind::Prefill | RunnerKind::Decode => {
                 if faults.lose_answer {
-                    return Err(BrokenOff);
+                    return Err(BrokenOff::Closed);
                 }
                 if faults.fail {
                     running.end();
@@ -309,7 +338,7 @@
         id: &str,
     ) -> Result<Response<StandInBody>, BrokenOff> {
         if faults.lose_answer {
-            return Err(BrokenOff);
+            return Err(BrokenOff::Closed);
         }
         let (status, body) = match faults.fail {
             true => (StatusCode::INTERNAL_SERVER_ERROR, "failed".to_owned()),
@@ -421,7 +450,7 @@
             }
             sleep(plan.gap).await;
             if plan.break_after.is_some_and(|after| plan.next > after) {
-                return Some((Err(BrokenOff), (plan, held)));
+                return Some((Err(BrokenOff::Closed), (plan, held)));
             }
             let event = format!("id: {}\ndata: {} {}\n\n", plan.next, plan.id, plan.next);
             plan.next += 1;
@@ -487,6 +516,32 @@
     }
 }
 
+/// Breaks a body off after `limit` bytes, unless it ends before.
+fn cut_body(body: StandInBody, limit: usize, cut: BrokenOff, unframed: bool) -> StandInBody {
+    let frames = unfold((body, Some(limit)), move |(mut body, left)| async move {
+        let Some(left) = left else {
+            // Lets the server write the bytes before the error discards them.
+            sleep(FLUSH_TIME).await;
+            return match (cut, unframed) {
+                (BrokenOff::Closed, true) => None,
+                (cut, _) => Some((Err(cut), (body, None))),
+            };
+        };
+        let data = body.frame().await?.ok()?.into_data().ok()?;
+        let left = left.checked_sub(data.len()).ok_or(left);
+        let (data, left) = match left {
+            Ok(left) => (data, Some(left)),
+            Err(last) => (data.slice(..last), None),
+        };
+        Some((Ok(Frame::data(data)), (body, left)))
+    });
+    StreamBody::new(frames).boxed()
+}
+
+fn trailing_number(id: &str) -> Option<usize> {
+    id.rsplit_once('-')?.1.parse().ok()
+}
+
 fn header_text(headers: &HeaderMap, name: &str) -> Option<String> {
     headers.get(name)?.to_str().ok().map(str::to_owned)
 }
--- a/emulator/src/stand_in/store.rs
+++ b/emulator/src/stand_in/store.rs
@@ -129,16 +129,17 @@
         let topic = query.get("topic").cloned().unwrap_or_default();
         match request.uri().path() {
             "/log-append" => {
-                let body = request.into_body().collect().await.map_err(|_| BrokenOff)?.to_bytes();
+                let body =
+                    request.into_body().collect().await.map_err(|_| BrokenOff::Closed)?.to_bytes();
                 if let Some(append_delay) = faults.append_delay {
                     tokio::spawn(async move {
                         tokio::time::sleep(append_delay).await;
                         self.append_all(&topic, body);
                     });
-                    return Err(BrokenOff);
+                    return Err(BrokenOff::Closed);
                 }
                 let answer = self.append_all(&topic, body);
-                if faults.lose_append_responses { Err(BrokenOff) } else { Ok(answer) }
+                if faults.lose_append_responses { Err(BrokenOff::Closed) } else { Ok(answer) }
             }
             "/log-newest" => Ok(self.newest(&topic)),
             "/log-read" => Ok(self.read(&topic, &query).await),
