Break off answers whose event stream ends inside an event

An answer is now whole only if its framing says so and, for a stream of events, if it ends between two events; a stream that ends with its connection needs one event at least. The last frame of a stream that breaks off is withheld, since with it a body of known length would be complete. A connection that ends its answer does not go back to the pool.

--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -258,6 +258,13 @@
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
 
+/// Returns whether the body of a response is a stream of events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let media_type = content_type.and_then(|text| text.split(';').next());
+    media_type.is_some_and(|text| text.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
 /// Returns whether the target closes the connection after this response.
 pub fn closes_connection(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION);
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -31,6 +31,9 @@
         /// Error of the connection to the target.
         source: hyper::Error,
     },
+    /// The target's event stream ended before its last event did.
+    #[snafu(display("the target's event stream ended inside an event"))]
+    InsideEvent,
     /// The route's timeout has passed.
     #[snafu(display("the route's timeout has passed"))]
     TimedOut,
@@ -137,6 +140,8 @@
     /// Idle timeout that the target stated for its connection.
     pub(super) keep_alive: Option<Duration>,
     pub(super) reusable: bool,
+    /// Whether the body is a stream of events.
+    pub(super) is_event_stream: bool,
     pub(super) guard: FlowGuard,
     /// Timer after which the response is broken off.
     pub(super) timeout: Pin<Box<Sleep>>,
@@ -152,8 +157,12 @@
 
 impl TargetBody {
     /// Returns whether the connection can be reused, and its idle timeout.
-    pub(super) fn connection_reuse(headers: &HeaderMap) -> (bool, Option<Duration>) {
-        (!runner::closes_connection(headers), runner::keep_alive_timeout(headers))
+    pub(super) fn connection_reuse(
+        headers: &HeaderMap,
+        framing: BodyFraming,
+    ) -> (bool, Option<Duration>) {
+        let closes = runner::closes_connection(headers) || framing == BodyFraming::Connection;
+        (!closes, runner::keep_alive_timeout(headers))
     }
 
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
@@ -164,21 +173,17 @@
                     self.guard.boundary.advance(data);
                 }
                 self.record_output();
-                if self.upstream.is_end_stream() {
-                    self.finish();
+                if !self.upstream.is_end_stream() {
+                    return Poll::Ready(Some(Ok(frame)));
                 }
-                Poll::Ready(Some(Ok(frame)))
+                // The last frame of a stream that breaks off is withheld: with it, a body
+                // of known length would be complete.
+                Poll::Ready(Some(self.finish().map(|()| frame)))
             }
             Poll::Ready(Some(Err(source))) => {
-                self.lease = None;
-                let flow = self.guard.flow;
-                self.guard.driver.step(DirectEvent::AnswerInterrupted { flow });
-                Poll::Ready(Some(Err(BodyError::Target { source })))
-            }
-            Poll::Ready(None) => {
-                self.finish();
-                Poll::Ready(None)
+                Poll::Ready(Some(Err(self.interrupt(BodyError::Target { source }))))
             }
+            Poll::Ready(None) => Poll::Ready(self.finish().err().map(Err)),
             Poll::Pending => match self.timeout.as_mut().poll(context) {
                 Poll::Ready(()) => {
                     self.lease = None;
@@ -203,13 +208,30 @@
         }
     }
 
-    fn finish(&mut self) {
+    /// Ends the response, or reports that its target broke it off.
+    ///
+    /// The end of a connection ends a body without other framing, also when the target
+    /// failed. Whole events are then the only sign that nothing is missing.
+    fn finish(&mut self) -> Result<(), BodyError> {
+        let boundary = &self.guard.boundary;
+        let is_missing = boundary.is_empty() && self.guard.framing == Some(BodyFraming::Connection);
+        if self.is_event_stream && (boundary.is_inside_event() || is_missing) {
+            return Err(self.interrupt(BodyError::InsideEvent));
+        }
         self.guard.complete = true;
         if let Some(lease) = self.lease.take()
             && self.reusable
         {
             self.guard.driver.pools.return_idle(lease, self.keep_alive);
         }
+        Ok(())
+    }
+
+    fn interrupt(&mut self, error: BodyError) -> BodyError {
+        self.lease = None;
+        let flow = self.guard.flow;
+        self.guard.driver.step(DirectEvent::AnswerInterrupted { flow });
+        error
     }
 }
 
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -23,7 +23,7 @@
     shell::{ConnectionPhase, DirectDriver},
 };
 use crate::{
-    direct::{DirectAction, DirectEvent, FlowId},
+    direct::{DirectAction, DirectEvent, FlowId, RouteConfig},
     error::{Error, ErrorCode, Result},
     platform::{
         caller::{self, RequestRejection, ValidatedHead},
@@ -240,7 +240,7 @@
             }
             Some(DirectAction::Deliver { time_left, .. }) => {
                 if let Some(response) = pending.take() {
-                    return deliver(guard, response, time_left);
+                    return deliver(guard, response, &head.route, time_left);
                 }
                 next = actions.recv().await;
             }
@@ -277,17 +277,22 @@
 fn deliver(
     mut guard: FlowGuard,
     pending: PendingResponse,
+    route: &RouteConfig,
     time_left: Duration,
 ) -> Response<ResponseBody> {
     let (parts, upstream) = pending.response.into_parts();
     guard.set_status(parts.status.as_u16());
-    guard.set_framing(BodyFraming::of(&parts.headers, &upstream));
-    let (reusable, keep_alive) = TargetBody::connection_reuse(&parts.headers);
+    let framing = BodyFraming::of(&parts.headers, &upstream);
+    guard.set_framing(framing);
+    let (reusable, keep_alive) = TargetBody::connection_reuse(&parts.headers, framing);
+    let is_event_stream =
+        parts.status.is_success() && (route.streams || runner::is_event_stream(&parts.headers));
     let body = TargetBody {
         upstream,
         lease: Some(pending.lease),
         keep_alive,
         reusable,
+        is_event_stream,
         guard,
         timeout: Box::pin(tokio::time::sleep(time_left)),
         last_output: None,
