Reset callers without chunks when their answer breaks off

Same class as the streams that ended inside an event, on the sending side: a caller of HTTP/1.0 gets an answer that ends with its connection, and the entry ended a broken one by closing that connection, which looks complete. The stream to the caller now notes that it is to be reset, and has no linger time when it is dropped.

--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -20,6 +20,7 @@
 
 mod answer;
 mod call;
+mod caller_stream;
 mod copy;
 mod follow;
 mod gossip;
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -15,7 +15,9 @@
 use snafu::Snafu;
 use tokio::time::{Instant, Sleep};
 
-use super::{metrics::EndLabels, pool::ConnectionLease, shell::DirectDriver};
+use super::{
+    caller_stream::ConnectionReset, metrics::EndLabels, pool::ConnectionLease, shell::DirectDriver,
+};
 use crate::{
     direct::{DirectEvent, FlowId, RequestTrace},
     event_stream::EventBoundary,
@@ -142,6 +144,8 @@
     pub(super) reusable: bool,
     /// Whether the body is a stream of events.
     pub(super) is_event_stream: bool,
+    /// Resets the caller's connection where closing it would look like a complete response.
+    pub(super) reset: Option<ConnectionReset>,
     pub(super) guard: FlowGuard,
     /// Timer after which the response is broken off.
     pub(super) timeout: Pin<Box<Sleep>>,
@@ -185,10 +189,7 @@
             }
             Poll::Ready(None) => Poll::Ready(self.finish().err().map(Err)),
             Poll::Pending => match self.timeout.as_mut().poll(context) {
-                Poll::Ready(()) => {
-                    self.lease = None;
-                    Poll::Ready(Some(Err(BodyError::TimedOut)))
-                }
+                Poll::Ready(()) => Poll::Ready(Some(Err(self.break_off(BodyError::TimedOut)))),
                 Poll::Pending => Poll::Pending,
             },
         }
@@ -228,9 +229,16 @@
     }
 
     fn interrupt(&mut self, error: BodyError) -> BodyError {
-        self.lease = None;
         let flow = self.guard.flow;
         self.guard.driver.step(DirectEvent::AnswerInterrupted { flow });
+        self.break_off(error)
+    }
+
+    fn break_off(&mut self, error: BodyError) -> BodyError {
+        self.lease = None;
+        if let Some(reset) = &self.reset {
+            reset.request();
+        }
         error
     }
 }
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -20,6 +20,7 @@
 use super::{
     answer::{FlowGuard, ResponseBody, TargetBody},
     call::{self, CallSpec, CallerRequest, PendingResponse},
+    caller_stream::{CallerStream, ConnectionReset},
     shell::{ConnectionPhase, DirectDriver},
 };
 use crate::{
@@ -119,10 +120,13 @@
     let limits = driver.routes().map(|routes| routes.limits);
     let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes);
     let idle_time = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_time);
+    let reset = ConnectionReset::default();
+    let stream = CallerStream::new(stream, reset.clone());
     let service = {
         let driver = driver.clone();
-        service_fn(move |request| {
+        service_fn(move |mut request: Request<Incoming>| {
             let driver = driver.clone();
+            reset.attach(request.extensions_mut());
             async move { Ok::<_, Infallible>(serve_request(driver, request).await) }
         })
     };
@@ -240,7 +244,8 @@
             }
             Some(DirectAction::Deliver { time_left, .. }) => {
                 if let Some(response) = pending.take() {
-                    return deliver(guard, response, &head.route, time_left);
+                    let reset = ConnectionReset::needed_by(&request.parts);
+                    return deliver(guard, response, &head.route, reset, time_left);
                 }
                 next = actions.recv().await;
             }
@@ -278,6 +283,7 @@
     mut guard: FlowGuard,
     pending: PendingResponse,
     route: &RouteConfig,
+    reset: Option<ConnectionReset>,
     time_left: Duration,
 ) -> Response<ResponseBody> {
     let (parts, upstream) = pending.response.into_parts();
@@ -293,6 +299,7 @@
         keep_alive,
         reusable,
         is_event_stream,
+        reset,
         guard,
         timeout: Box::pin(tokio::time::sleep(time_left)),
         last_output: None,
