Log the software versions of targets and the stream that a request takes up

Registrations' version is decoded into DirectTarget::version; each call in the log names it, and resumes names the stream. Nothing decides by them yet.

A registration without a version of its type is rejected, as one without its other fields: it names no target to use. The example in platform_documents had none and was not a whole registration; it gains the field, and two cases that reject one without.

--- a/emulator/src/platform_rig/caller.rs
+++ b/emulator/src/platform_rig/caller.rs
@@ -207,7 +207,8 @@
             _ => Some(attempt as u64),
         };
         let time_left = record.deadline.saturating_sub(self.now);
-        Some(DirectRequest { route, time_left, prompt, fingerprint })
+        let id = format!("attempt-{attempt}").into();
+        Some(DirectRequest { id, route, time_left, prompt, fingerprint, resumes: None })
     }
 
     /// Ends an open attempt and schedules the caller's retry, if there is one.
--- a/emulator/src/platform_rig/target.rs
+++ b/emulator/src/platform_rig/target.rs
@@ -136,6 +136,7 @@
             id: plan.name.as_str().into(),
             born_ms: self.now.as_millis() as u64,
             service: plan.service.as_str().into(),
+            version: "v1".into(),
             address,
             data_centre: "dc".into(),
             stage: plan.stage,
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -23,6 +23,7 @@
 mod report;
 mod route;
 mod stage_plan;
+mod stream;
 mod suspect;
 mod target;
 mod waiting;
@@ -37,6 +38,7 @@
     ServiceName, WeightedService,
 };
 pub use stage_plan::{OrderOutcome, StageOrder};
+pub use stream::{SoftwareVersion, StreamId, StreamResume};
 pub use suspect::{CrashReport, CrashTable, SuspectChange, SuspectReport};
 pub use target::{DirectTarget, TargetChange, TargetFleet, TargetStage};
 
@@ -74,6 +76,8 @@
 /// Request metadata that decisions need. The driver keeps the head and body.
 #[derive(Debug, Clone)]
 pub struct DirectRequest {
+    /// Id that the caller gave the request. It names the stream that the request begins.
+    pub id: StreamId,
     /// Configuration of its route.
     pub route: Arc<RouteConfig>,
     /// Time until the caller stops waiting.
@@ -83,6 +87,8 @@
     /// Hash of the content, which is the same when a caller sends the request again.
     /// `None` if the request cannot be distinguished from others of its route.
     pub fingerprint: Option<ContentFingerprint>,
+    /// Earlier stream that the request goes on with, if any.
+    pub resumes: Option<StreamResume>,
 }
 
 /// Operation that a call requests from a target.
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -35,12 +35,13 @@
 }
 
 impl OpenCall {
-    /// Formats the call for a log line: target, operation, result, duration, and the
+    /// Formats the call for a log line: target, its software version, operation, result, duration, and the
     /// prompt tokens that it had to prefill and that were queued ahead of it.
     pub(super) fn describe(&self, now: ClockTime, ending: &str) -> String {
         let took = now.saturating_sub(self.started).as_millis();
-        let (id, step) = (&self.target.id, self.step);
-        format!("{id} {step} {ending} {took}ms {}+{}", self.prefill_tokens, self.tokens_ahead)
+        let (id, version, step) = (&self.target.id, &self.target.version, self.step);
+        let (own, ahead) = (self.prefill_tokens, self.tokens_ahead);
+        format!("{id} {version} {step} {ending} {took}ms {own}+{ahead}")
     }
 }
 
@@ -80,7 +81,7 @@
 pub struct RequestTrace {
     /// Name of the route.
     pub route: Arc<str>,
-    /// Calls in order, each with target, operation, result, duration and prefill tokens.
+    /// Calls in order, each with target, its software version, operation, result, duration and prefill tokens.
     pub calls: Vec<String>,
     /// Version of the configuration in force when the request arrived.
     pub version: u64,
@@ -88,6 +89,8 @@
     pub first_ms: Option<u64>,
     /// Reason of a failure that the entry itself reported.
     pub reason: Option<FailureReason>,
+    /// Stream that the request goes on with; empty if none or if the caller did not name it.
+    pub resumes: Arc<str>,
     /// Identifier of the prompt's longest shared segment, in hexadecimal; empty if none.
     #[serde(rename = "subject")]
     pub shared_segment: String,
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use strum::Display;
 
-use super::{InFlight, PromptSegment, PromptShape, ServiceName};
+use super::{InFlight, PromptSegment, PromptShape, ServiceName, SoftwareVersion};
 use crate::ids::{ClockTime, DataCentreId, TargetId};
 
 /// Prefill rate that is assumed before any call to an engine was timed, in tokens per
@@ -68,6 +68,8 @@
     pub born_ms: u64,
     /// Service that the target belongs to.
     pub service: ServiceName,
+    /// Version of its software. What two versions generate does not fit together.
+    pub version: SoftwareVersion,
     /// Address for calls.
     pub address: SocketAddr,
     /// Data centre that the target runs in.
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -14,12 +14,13 @@
 use std::hash::{Hash, Hasher};
 
 use super::header::{
-    DEADLINE_MS, PROMPT_PREFIX, REQUEST_ID, TOKEN_COUNT, strip_hop_by_hop, strip_reserved,
+    DEADLINE_MS, LAST_EVENT_ID, PROMPT_PREFIX, REQUEST_ID, RESUMES, TOKEN_COUNT, strip_hop_by_hop,
+    strip_reserved,
 };
 use crate::{
     direct::{
-        DirectRequest, FailureReason, PromptSegment, PromptShape, RequestFailure, RouteConfig,
-        RouteTable,
+        DirectRequest, FailureReason, PromptSegment, PromptShape, RequestFailure, RetryPolicy,
+        RouteConfig, RouteTable, StreamId, StreamResume,
     },
     ids::ContentFingerprint,
 };
@@ -110,6 +111,8 @@
             time_left: self.time_left,
             prompt: self.prompt.clone(),
             fingerprint: fingerprint(parts, body),
+            id: self.id.to_str().unwrap_or_default().into(),
+            resumes: stream_resume(&self.route, &parts.headers),
         }
     }
 }
@@ -176,6 +179,16 @@
     response
 }
 
+/// Returns the stream that a request goes on with, where its route lets streams go on.
+fn stream_resume(route: &RouteConfig, headers: &HeaderMap) -> Option<StreamResume> {
+    let has_position = headers.contains_key(&LAST_EVENT_ID) || headers.contains_key(&RESUMES);
+    if route.retry != RetryPolicy::Resume || !has_position {
+        return None;
+    }
+    let stream = header_text(headers, &RESUMES).filter(|stream| !stream.is_empty());
+    Some(StreamResume { stream: stream.map(StreamId::from) })
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: &hyper::header::HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -10,6 +10,7 @@
 pub(super) static TOKEN_COUNT: HeaderName = HeaderName::from_static("token-count");
 pub(super) static PROMPT_PREFIX: HeaderName = HeaderName::from_static("prompt-prefix");
 pub(super) static LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+pub(super) static RESUMES: HeaderName = HeaderName::from_static("resumes");
 pub(super) static EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
 pub(super) static REQUEST_PRIORITY: HeaderName = HeaderName::from_static("request-priority");
 pub(super) static SERVING_STAGE: HeaderName = HeaderName::from_static("serving-stage");
--- a/tests/platform_documents.rs
+++ b/tests/platform_documents.rs
@@ -8,7 +8,7 @@
 };
 use yare::parameterized;
 
-const REGISTRATION: &str = r#"{"service":"s","address":"127.0.0.1:80","zone":"z","slots":4,
+const REGISTRATION: &str = r#"{"service":"s","address":"127.0.0.1:80","zone":"z","version":"v1","slots":4,
     "state":"ready","stage":"decode","sequence":3,"born":17,"new_field":{}}"#;
 
 struct RegistrationCase {
@@ -22,6 +22,8 @@
     plain_service = { RegistrationCase { find: "\"stage\":\"decode\",", replace: "", accepted: true } },
     no_address = { RegistrationCase { find: "\"address\":\"127.0.0.1:80\",", replace: "", accepted: false } },
     address_of_wrong_type = { RegistrationCase { find: "\"127.0.0.1:80\"", replace: "80", accepted: false } },
+    no_version = { RegistrationCase { find: "\"version\":\"v1\",", replace: "", accepted: false } },
+    version_of_wrong_type = { RegistrationCase { find: "\"v1\"", replace: "1", accepted: false } },
     unknown_state = { RegistrationCase { find: "ready", replace: "resting", accepted: false } },
     unknown_stage = { RegistrationCase { find: "decode", replace: "both", accepted: false } },
     negative_slots = { RegistrationCase { find: "\"slots\":4", replace: "\"slots\":-4", accepted: false } },
@@ -38,6 +40,7 @@
     let target = discovery::decode("t", REGISTRATION.as_bytes()).unwrap();
     assert_eq!((target.born_ms, target.sequence, target.slots), (17, 3, 4));
     assert_eq!(target.stage, TargetStage::Decode);
+    assert_eq!(&*target.version, "v1");
     assert!(!target.leaving);
 }
 
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -120,6 +120,7 @@
             id: name.into(),
             born_ms: 1,
             service: SERVICE.into(),
+            version: "v1".into(),
             address,
             data_centre: "dc".into(),
             stage,
@@ -178,8 +179,14 @@
     }
 
     fn send(&mut self, flow: u64, time_left: Duration, prompt: Option<PromptShape>) -> StepResult {
-        let request =
-            DirectRequest { route: self.route(), time_left, prompt, fingerprint: Some(42) };
+        let request = DirectRequest {
+            id: format!("request-{flow}").into(),
+            route: self.route(),
+            time_left,
+            prompt,
+            fingerprint: Some(42),
+            resumes: None,
+        };
         self.after(DirectEvent::Submit { flow, request: Box::new(request) })
     }
 }
