Failing test: a stream goes on at a target of another software version

The stand-in platform learns targets of several software versions, which start again with another one, and a pause between events. Its callers note who signed a response and which events they hold, and the referee reports streams with events of two versions.

--- a/emulator/src/stand_in/caller.rs
+++ b/emulator/src/stand_in/caller.rs
@@ -88,6 +88,15 @@
     pub took: Duration,
     /// Ids of the received stream events, in order.
     pub events: Vec<u64>,
+    /// Id of the target that signed the response; `None` without a signed one.
+    pub signed_by: Option<String>,
+}
+
+/// What a caller has received of a response so far.
+#[derive(Debug, Default)]
+struct ReceivedResponse {
+    events: Vec<u64>,
+    signed_by: Option<String>,
 }
 
 /// Number of events in a complete stream.
@@ -138,8 +147,8 @@
 /// Sends a request over a new connection and records the response.
 pub async fn send(entry: SocketAddr, request: CallerRequest) -> CallerRecord {
     let started = Instant::now();
-    let mut events = Vec::new();
-    let work = exchange(entry, &request, &mut events);
+    let mut received = ReceivedResponse::default();
+    let work = exchange(entry, &request, &mut received);
     let outcome = match request.leave_after {
         Some(after) => match timeout(after, work).await {
             Ok(outcome) => outcome,
@@ -147,13 +156,14 @@
         },
         None => timeout(RESPONSE_TIMEOUT, work).await.unwrap_or(CallerOutcome::Broken),
     };
-    CallerRecord { outcome, took: started.elapsed(), events, request }
+    let ReceivedResponse { events, signed_by } = received;
+    CallerRecord { outcome, took: started.elapsed(), events, signed_by, request }
 }
 
 async fn exchange(
     entry: SocketAddr,
     request: &CallerRequest,
-    events: &mut Vec<u64>,
+    received: &mut ReceivedResponse,
 ) -> CallerOutcome {
     let Ok(stream) = TcpStream::connect(entry).await else { return CallerOutcome::Broken };
     let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
@@ -186,20 +196,21 @@
     };
     let Ok(response) = sender.send_request(message).await else { return CallerOutcome::Broken };
     let (parts, mut body) = response.into_parts();
+    let signature = parts.headers.get("server-signature").and_then(|value| value.to_str().ok());
+    received.signed_by = signature.and_then(|text| Some(text.rsplit_once('.')?.0.to_owned()));
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         match frame.map(|frame| frame.into_data()) {
-            Ok(Ok(data)) => bytes.extend_from_slice(&data),
-            Ok(Err(_)) => {}
-            Err(_) => {
-                events.extend(event_ids(&bytes));
-                return CallerOutcome::Broken;
+            Ok(Ok(data)) => {
+                bytes.extend_from_slice(&data);
+                received.events = event_ids(&bytes);
             }
+            Ok(Err(_)) => {}
+            Err(_) => return CallerOutcome::Broken,
         }
     }
     drop(task);
-    events.extend(event_ids(&bytes));
-    classify_response(&parts, &bytes, request, events)
+    classify_response(&parts, &bytes, request, &received.events)
 }
 
 fn classify_response(
--- a/emulator/src/stand_in/referee.rs
+++ b/emulator/src/stand_in/referee.rs
@@ -1,6 +1,6 @@
 //! Compares what callers received with what targets ran.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use super::{
     caller::{CallerKind, CallerOutcome, CallerRecord},
@@ -25,6 +25,9 @@
     /// A target accepted a decreasing fencing token, or the same one from two entries;
     /// holds the target's id.
     ConflictingOrders(String),
+    /// A stream holds events from targets of two software versions, in one answer or over its
+    /// caller's attempts; holds the stream's id and the versions.
+    JoinedVersions(String, Vec<String>),
     /// A refusal has no `retry-after` header; holds the request's id.
     NoReturnTime(String),
 }
@@ -70,9 +73,28 @@
         }
     }
     violations.extend(runs.into_keys().map(BrokenPromise::Unasked));
+    violations.extend(joined_versions(records, runners));
     violations
 }
 
+fn joined_versions(records: &[CallerRecord], runners: &[RunnerModel]) -> Vec<BrokenPromise> {
+    let mut versions: BTreeMap<&str, BTreeSet<String>> = BTreeMap::new();
+    for record in records.iter().filter(|record| !record.events.is_empty()) {
+        let Some(signed_by) = &record.signed_by else { continue };
+        let Some(runner) = runners.iter().find(|runner| *runner.id == **signed_by) else {
+            continue;
+        };
+        let resumed = record.request.resumed.as_ref();
+        let stream = resumed.map_or(&record.request.id, |resumed| &resumed.first_request);
+        versions.entry(stream).or_default().insert(runner.version());
+    }
+    let joined = versions.into_iter().filter(|(_, versions)| versions.len() > 1);
+    let joined = joined.map(|(stream, versions)| {
+        BrokenPromise::JoinedVersions(stream.to_owned(), versions.into_iter().collect())
+    });
+    joined.collect()
+}
+
 /// Returns the number of requests that received a complete, correct response.
 pub fn whole(records: &[CallerRecord]) -> usize {
     records.iter().filter(|record| record.outcome == CallerOutcome::Whole).count()
--- a/emulator/src/stand_in/runner.rs
+++ b/emulator/src/stand_in/runner.rs
@@ -71,6 +71,8 @@
     pub fail: bool,
     /// Runs the request and closes the connection without a response.
     pub lose_answer: bool,
+    /// Delay before each event of a stream, instead of that of the profile.
+    pub event_gap: Option<Duration>,
     /// Aborts streams after the event with this id.
     pub break_after: Option<u64>,
     /// Responds with the id of another request.
@@ -106,8 +108,12 @@
 /// the cache and the id of its request.
 pub type CacheRegistry = Arc<Mutex<HashMap<String, (SocketAddr, String)>>>;
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct RunnerState {
+    /// Version of its software.
+    version: String,
+    /// Number of its starts, from which its registration's start time follows.
+    starts: u64,
     faults: RunnerFaults,
     segments: VecDeque<(String, u64)>,
     runs: Vec<RunRecord>,
@@ -134,6 +140,22 @@
     sequence: Arc<AtomicU64>,
 }
 
+impl RunnerState {
+    fn new() -> RunnerState {
+        RunnerState {
+            version: "v1".to_owned(),
+            starts: 1,
+            faults: RunnerFaults::default(),
+            segments: VecDeque::new(),
+            runs: Vec::new(),
+            prefills: 0,
+            foreign_caches: 0,
+            cancelled: Vec::new(),
+            orders: OrderBook::default(),
+        }
+    }
+}
+
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -166,7 +188,7 @@
             address,
             service: service.into(),
             profile,
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(RunnerState::new())),
             slots: PrioritySlots::new(profile.slots),
             prefill_lock: Arc::default(),
             caches,
@@ -179,10 +201,14 @@
     /// Writes its registration to the store, with the given `state`.
     pub fn register(&self, store: &StoreModel, state: &str) {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        let (version, born) = {
+            let runner = locked(&self.state);
+            (runner.version.clone(), 1_000 * runner.starts)
+        };
         let mut registration = json!({
             "service": &*self.service, "address": self.address.to_string(), "zone": "zone-a",
-            "version": "v1", "slots": self.profile.slots, "state": state,
-            "cold_remaining_ms": 0, "sequence": sequence, "born": 1_000,
+            "version": version, "slots": self.profile.slots, "state": state,
+            "cold_remaining_ms": 0, "sequence": sequence, "born": born,
         });
         if let Some(stage) = stage_name(self.kind()) {
             registration["stage"] = json!(stage);
@@ -190,6 +216,22 @@
         store.put("keyed.servers", &self.id, Some(registration.to_string().as_bytes()));
     }
 
+    /// Starts again with another version of its software, which it registers.
+    pub fn restart_with_version(&self, store: &StoreModel, version: &str) {
+        {
+            let mut state = locked(&self.state);
+            state.version = version.to_owned();
+            state.starts += 1;
+            state.segments.clear();
+        }
+        self.register(store, "ready");
+    }
+
+    /// Returns the version of its software.
+    pub fn version(&self) -> String {
+        locked(&self.state).version.clone()
+    }
+
     /// Returns its current kind, which orders can change.
     pub fn kind(&self) -> RunnerKind {
         locked(&self.state).orders.kind(self.profile.kind)
@@ -436,7 +478,7 @@
         let plan = StreamPlan {
             next: first,
             last: output.max(1),
-            gap: self.profile.event_gap,
+            gap: faults.event_gap.unwrap_or(self.profile.event_gap),
             break_after: faults.break_after,
             id: id.to_owned(),
         };
