Let a stream go on only at the software version that began it

No entry knew the version of a target, and a request that goes on with a stream was placed like a new one: all targets of a service were taken for interchangeable.

The entry that delivers the first event of a stream now tells up to four entries, chosen by rendezvous hashing, at which service and version it began; the one that takes it up asks the same ones if it was not told, and places it at that version only. A stream of unknown origin goes on only if all targets that the entry knew for as long as it can have lasted had one version.

--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -9,7 +9,7 @@
 use sapphirewell::{
     direct::{
         CallNumber, CallOutcome, CrashReport, DirectAction, DirectEvent, DirectMachine,
-        DirectSettings, DirectTarget, FlowId,
+        DirectSettings, DirectTarget, FlowId, PeerName, StreamMessage,
     },
     ids::ClockTime,
 };
@@ -307,6 +307,9 @@
             DirectAction::FreeCache { target, handle } => {
                 self.free_cache(entry, &target, &handle);
             }
+            DirectAction::SendToPeers { peers, message } => {
+                self.send_to_peers(entry, &peers, &message);
+            }
             DirectAction::Claim => self.append_claim(entry),
             DirectAction::Order(order) => self.send_order(entry, order),
             DirectAction::PersistSuspect(change) => {
@@ -321,6 +324,25 @@
         }
     }
 
+    /// Sends a message about a stream to peers, unless reports are being lost.
+    fn send_to_peers(&mut self, entry: EntryId, peers: &[PeerName], message: &StreamMessage) {
+        if self.reports_lost_until > self.now {
+            return;
+        }
+        let own = self.entries[entry].machine.name().clone();
+        for receiver in 0..self.entries.len() {
+            if !peers.contains(self.entries[receiver].machine.name()) {
+                continue;
+            }
+            let event = DirectEvent::StreamMessage { peer: own.clone(), message: message.clone() };
+            let process = self.entries[receiver].process;
+            self.schedule_after(
+                NETWORK_DELAY,
+                RigEvent::Machine { entry: receiver, process, event: Box::new(event) },
+            );
+        }
+    }
+
     fn attempt_of(&self, entry: EntryId, flow: FlowId) -> Option<usize> {
         self.entries[entry].flows.get(&flow).map(|sim| sim.attempt)
     }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -21,6 +21,7 @@
 mod load;
 mod machine;
 mod report;
+mod resume;
 mod route;
 mod stage_plan;
 mod stream;
@@ -38,7 +39,7 @@
     ServiceName, WeightedService,
 };
 pub use stage_plan::{OrderOutcome, StageOrder};
-pub use stream::{SoftwareVersion, StreamId, StreamResume};
+pub use stream::{SoftwareVersion, StreamId, StreamMessage, StreamOrigin, StreamResume};
 pub use suspect::{CrashReport, CrashTable, SuspectChange, SuspectReport};
 pub use target::{DirectTarget, TargetChange, TargetFleet, TargetStage};
 
@@ -177,6 +178,13 @@
     PeerLoad(LoadReport),
     /// A peer reported requests under which targets crashed.
     Crashes(CrashReport),
+    /// A peer sent a message about the origin of a stream.
+    StreamMessage {
+        /// Peer that sent it.
+        peer: PeerName,
+        /// Its content.
+        message: StreamMessage,
+    },
     /// Requests that crashed targets were read from the store.
     Suspects(Vec<SuspectReport>),
     /// A claim on ordering engines ended.
@@ -209,6 +217,9 @@
     TimedOut,
     /// Earlier runs of the request crashed several targets.
     CrashesTargets,
+    /// The request goes on with a stream, and no entry knows at which software version that
+    /// began.
+    StreamVersionUnknown,
 }
 
 /// Failure that the entry itself reports to the caller.
@@ -261,6 +272,13 @@
         /// Handle of the KV cache at that target.
         handle: Arc<str>,
     },
+    /// Send a message about the origin of a stream to peers.
+    SendToPeers {
+        /// Peers to send it to.
+        peers: Vec<PeerName>,
+        /// Its content.
+        message: StreamMessage,
+    },
     /// Report to peers that targets crashed under these requests.
     ReportCrashes(CrashReport),
     /// Write to the store that a request crashes targets, or remove that record.
--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -231,7 +231,8 @@
         out.push(DirectAction::ReportCrashes(report));
     }
 
-    pub(super) fn first_output(&mut self, now: ClockTime, id: FlowId) {
+    pub(super) fn first_output(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+        self.stream_began(now, id, out);
         let Some(flow) = self.flows.get_mut(&id) else { return };
         flow.trace.first_ms = Some(now.saturating_sub(flow.arrived).as_millis() as u64);
         let Some(call) = &mut flow.call else { return };
--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -9,6 +9,7 @@
 
 use super::{
     CallStep, EngineConfig, InFlight, Locality, PeerTable, PromptShape, ServiceName,
+    SoftwareVersion,
     flow::StepKind,
     target::{CALL_OVERHEAD, TargetFleet, TargetStage, TargetState},
 };
@@ -51,6 +52,8 @@
     pub(super) service: &'a ServiceName,
     pub(super) engine: Option<&'a EngineConfig>,
     pub(super) prompt: Option<&'a PromptShape>,
+    /// Software version that the target must have; `None` for any.
+    pub(super) version: Option<&'a SoftwareVersion>,
     pub(super) tried: &'a [TargetId],
     pub(super) data_centre: &'a DataCentreId,
     /// Whether the request was late on arrival.
@@ -175,6 +178,7 @@
         let allowed = |state: &&TargetState| {
             state.target.service == *query.service
                 && !state.target.leaving
+                && query.version.is_none_or(|version| state.target.version == *version)
                 && !query.tried.contains(&state.target.id)
         };
         let not_paused = |state: &&TargetState| state.paused_until <= self.now;
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -6,7 +6,10 @@
 use smallvec::SmallVec;
 use strum::Display;
 
-use super::{CallNumber, DirectRequest, DirectTarget, FailureReason, PromptShape, ServiceName};
+use super::{
+    CallNumber, DirectRequest, DirectTarget, FailureReason, PromptShape, ServiceName,
+    SoftwareVersion, stream::OriginQuery,
+};
 use crate::ids::{ClockTime, TargetId};
 
 /// Operation of a call, without its parameters.
@@ -57,6 +60,10 @@
 pub(super) struct DirectFlow {
     pub(super) request: Box<DirectRequest>,
     pub(super) service: ServiceName,
+    /// Software version of the targets that may serve it; `None` for any.
+    pub(super) version: Option<SoftwareVersion>,
+    /// Query for the origin of the stream that it goes on with, until that is known.
+    pub(super) origin_query: Option<OriginQuery>,
     pub(super) arrived: ClockTime,
     /// Whether its latency objective had passed on arrival.
     pub(super) late: bool,
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -135,6 +135,11 @@
         self.peers.keys().all(|peer| name < peer)
     }
 
+    /// Returns the names of live peers.
+    pub fn names(&self) -> impl Iterator<Item = &PeerName> {
+        self.peers.keys()
+    }
+
     /// Returns the number of live peers.
     pub fn len(&self) -> usize {
         self.peers.len()
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -17,6 +17,7 @@
     estimate::{Placement, PlacementQuery, PlacementView, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
     stage_plan::StagePlanner,
+    stream::OriginTable,
     waiting::{allowed_wait, priority},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
@@ -30,6 +31,8 @@
 /// Bounds of the retry delay that is sent to callers, before it is randomized.
 const RETRY_AFTER_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_secs(2));
+/// Retry delay of requests that no known target can serve.
+pub(super) const NO_TARGET_DELAY: Duration = Duration::from_millis(500);
 /// Minimum number of entries among which the retry slack and connections are divided.
 const MIN_ENTRIES: usize = 4;
 /// Interval at which expired suspects are removed.
@@ -75,7 +78,7 @@
     #[serde(skip)]
     pub(super) timeouts: BTreeSet<(ClockTime, FlowId)>,
     #[serde(skip)]
-    longest_deadlines: HashMap<Arc<str>, Duration>,
+    pub(super) longest_deadlines: HashMap<Arc<str>, Duration>,
     #[serde(rename = "reports")]
     pub(super) report_count: u64,
     #[serde(skip)]
@@ -85,6 +88,13 @@
     pub(super) last_reported: HashMap<TargetId, TargetUsage>,
     #[serde(rename = "next_forget")]
     next_expiry: ClockTime,
+    /// Time of the first event.
+    pub(super) started: Option<ClockTime>,
+    #[serde(skip)]
+    pub(super) origins: OriginTable,
+    /// Requests that wait for the origin of their stream.
+    #[serde(skip)]
+    pub(super) querying: Vec<FlowId>,
     pub(super) authority: StageAuthority,
     pub(super) planner: StagePlanner,
 }
@@ -111,6 +121,9 @@
             recent_segments: VecDeque::new(),
             last_reported: HashMap::new(),
             next_expiry: ClockTime::ZERO,
+            started: None,
+            origins: OriginTable::default(),
+            querying: Vec::new(),
         }
     }
 
@@ -159,18 +172,22 @@
 
     /// Processes one event and appends the resulting actions to `out`.
     pub fn step(&mut self, now: ClockTime, event: DirectEvent, out: &mut Vec<DirectAction>) {
+        self.started.get_or_insert(now);
         match event {
             DirectEvent::Submit { flow, request } => self.submit(now, flow, request, out),
             DirectEvent::CallEnded { flow, call, outcome } => {
                 self.call_ended(now, flow, call, outcome, out);
             }
-            DirectEvent::FirstOutput { flow } => self.first_output(now, flow),
+            DirectEvent::FirstOutput { flow } => self.first_output(now, flow, out),
             DirectEvent::AnswerInterrupted { flow } => self.answer_interrupted(now, flow, out),
             DirectEvent::FlowEnded { flow, complete } => self.flow_ended(now, flow, complete, out),
             DirectEvent::Target(change) => self.fleet.apply(now, change),
             DirectEvent::Routes(routes) => self.apply_routes(routes),
             DirectEvent::PeerLoad(report) => self.peer_load(now, report),
             DirectEvent::Crashes(report) => self.crashes.apply(now, &report),
+            DirectEvent::StreamMessage { peer, message } => {
+                self.stream_message(now, peer, message, out);
+            }
             DirectEvent::Suspects(reports) => {
                 reports.iter().for_each(|report| self.crashes.apply_suspect(now, report));
             }
@@ -213,12 +230,15 @@
             ..RequestTrace::default()
         };
         let waited = self.time_waited(&request);
+        let resumes = request.resumes.is_some();
         let flow = DirectFlow {
             late: waited >= route.objective,
             deadline: now + request.time_left,
             objective: (now + route.objective).saturating_sub(waited),
             request,
             service,
+            version: None,
+            origin_query: None,
             arrived: now,
             timeout_at,
             calls: 0,
@@ -231,7 +251,11 @@
         };
         self.flows.insert(id, flow);
         self.timeouts.insert((timeout_at + TIMEOUT_GRACE, id));
-        self.place(now, id, out);
+        if resumes {
+            self.resume(now, id, out);
+        } else {
+            self.place(now, id, out);
+        }
     }
 
     /// Estimates how long the caller had waited before this request.
@@ -283,7 +307,7 @@
             return self.fail_request(id, FailureReason::Declined, Duration::ZERO, out);
         }
         let Some(placement) = self.choose(now, id) else {
-            return self.fail_request(id, FailureReason::NoTarget, Duration::from_millis(500), out);
+            return self.fail_request(id, FailureReason::NoTarget, NO_TARGET_DELAY, out);
         };
         let Some(flow) = self.flows.get_mut(&id) else { return };
         flow.trace.estimate_ms = placement.expected().as_millis() as u64;
@@ -395,9 +419,11 @@
     fn tick(&mut self, now: ClockTime, out: &mut Vec<DirectAction>) {
         self.peers.expire(now);
         self.fleet.drop_expired(now);
+        self.continue_queries(now, out);
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
             self.crashes.expire(now);
+            self.origins.expire(now);
         }
         let changes = self.crashes.take_changes(self.settings.instance);
         out.extend(changes.into_iter().map(DirectAction::PersistSuspect));
@@ -429,6 +455,7 @@
         service: &flow.service,
         engine: engine_config(routes, &flow.service),
         prompt: flow.request.prompt.as_ref(),
+        version: flow.version.as_ref(),
         tried: &flow.tried,
         data_centre: &settings.data_centre,
         late: flow.late,
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -129,6 +129,13 @@
     cached_tokens: u32,
 }
 
+#[derive(Debug, Clone, Serialize)]
+struct VersionHistory {
+    newest: SoftwareVersion,
+    /// Last time at which targets of two versions were known, or the version changed.
+    mixed: Option<ClockTime>,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct SegmentUse {
     used: ClockTime,
@@ -141,6 +148,10 @@
     targets: BTreeMap<TargetId, TargetState>,
     #[serde(rename = "lapsing")]
     expiring: BTreeMap<TargetId, ClockTime>,
+    /// Software version that was registered last and when another one was last known, by
+    /// service.
+    #[serde(rename = "versions")]
+    version_histories: HashMap<ServiceName, VersionHistory>,
     /// Time of the last failed read of the list.
     #[serde(rename = "unread")]
     last_read_failure: Option<ClockTime>,
@@ -274,14 +285,14 @@
     /// Applies a change of the list.
     pub(super) fn apply(&mut self, now: ClockTime, change: TargetChange) {
         match change {
-            TargetChange::Listed(target) => self.upsert(target),
+            TargetChange::Listed(target) => self.upsert(now, target),
             TargetChange::Removed(id) => self.expire(now, id),
             TargetChange::Snapshot { present, targets } => {
                 let missing = self.targets.keys().filter(|id| !present.contains(id)).cloned();
                 for id in missing.collect::<Vec<TargetId>>() {
                     self.expire(now, id);
                 }
-                targets.into_iter().for_each(|target| self.upsert(target));
+                targets.into_iter().for_each(|target| self.upsert(now, target));
             }
             TargetChange::ReadFailed => self.last_read_failure = Some(now),
         }
@@ -314,8 +325,9 @@
         }
     }
 
-    fn upsert(&mut self, target: DirectTarget) {
+    fn upsert(&mut self, now: ClockTime, target: DirectTarget) {
         self.expiring.remove(&target.id);
+        self.record_version(now, &target);
         let Some(known) = self.targets.get_mut(&target.id) else {
             self.targets.insert(target.id.clone(), TargetState::new(target));
             return;
@@ -336,6 +348,34 @@
         known.target = Arc::new(target);
     }
 
+    fn record_version(&mut self, now: ClockTime, target: &DirectTarget) {
+        let version = &target.version;
+        let history = self.version_histories.entry(target.service.clone());
+        let history =
+            history.or_insert_with(|| VersionHistory { newest: version.clone(), mixed: None });
+        if history.newest != *version {
+            history.newest = version.clone();
+            history.mixed = Some(now);
+        }
+    }
+
+    /// Returns the software version that all targets of a service had that were known since
+    /// a time; `None` if there were several.
+    ///
+    /// What this process knew before its start is nothing: a target of another version that
+    /// left before then goes unnoticed.
+    pub(super) fn only_version_since(
+        &self,
+        since: ClockTime,
+        service: &ServiceName,
+    ) -> Option<SoftwareVersion> {
+        let history = self.version_histories.get(service)?;
+        let mut targets = self.targets.values().filter(|state| state.target.service == *service);
+        let is_only = history.mixed.is_none_or(|mixed| mixed < since)
+            && targets.all(|state| state.target.version == history.newest);
+        is_only.then(|| history.newest.clone())
+    }
+
     pub(super) fn get_mut(&mut self, id: &TargetId) -> Option<&mut TargetState> {
         self.targets.get_mut(id)
     }
--- a/src/process/direct/gossip.rs
+++ b/src/process/direct/gossip.rs
@@ -1,4 +1,4 @@
-//! Reports of load and crashes that entries exchange in UDP datagrams.
+//! Reports of load and crashes, and messages about streams, in UDP datagrams between entries.
 //!
 //! Each report replaces the one before, so a lost datagram is not sent again. Entries
 //! discover each other through the platform's store.
@@ -19,7 +19,7 @@
     shell::DirectDriver,
 };
 use crate::{
-    direct::{CrashReport, DirectEvent, LoadReport},
+    direct::{CrashReport, DirectEvent, LoadReport, PeerName, StreamMessage},
     error::{Error, ErrorCode, Result},
     platform::{
         settings::PlatformSettings,
@@ -49,10 +49,20 @@
 /// Largest datagram that is received.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 struct PeerDatagram {
-    load: LoadReport,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    load: Option<LoadReport>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     crashes: Vec<CrashReport>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    stream: Option<PeerStreamMessage>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct PeerStreamMessage {
+    peer: PeerName,
+    message: StreamMessage,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -62,6 +72,32 @@
 
 type PeerAddresses = Rc<RefCell<HashMap<String, SocketAddr>>>;
 
+/// Sends single messages to peers, beside the reports.
+#[derive(Debug)]
+pub(super) struct PeerLink {
+    socket: Rc<UdpSocket>,
+    peers: PeerAddresses,
+}
+
+impl PeerLink {
+    /// Sends a message to peers at once. One that is lost is not sent again.
+    pub(super) fn send(&self, own: &str, peers: &[PeerName], message: StreamMessage) {
+        let stream = PeerStreamMessage { peer: own.into(), message };
+        let datagram = PeerDatagram { stream: Some(stream), ..PeerDatagram::default() };
+        let mut bytes = Vec::new();
+        if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
+            log::error!(error:% = error; "failed to encode stream message");
+            return;
+        }
+        for peer in peers {
+            let Some(address) = self.peers.borrow().get(&**peer).copied() else { continue };
+            if let Err(error) = self.socket.try_send_to(&bytes, address) {
+                log::debug!(peer:% = peer, error:% = error; "failed to send stream message");
+            }
+        }
+    }
+}
+
 /// Starts to exchange reports with peers, and publishes this process's address.
 ///
 /// # Errors
@@ -81,6 +117,8 @@
             peers.borrow_mut().insert(seed.to_string(), seed);
         }
     }
+    let link = PeerLink { socket: socket.clone(), peers: peers.clone() };
+    driver.peer_link.replace(Some(link));
     tokio::task::spawn_local(send_reports(driver.clone(), socket.clone(), peers.clone()));
     tokio::task::spawn_local(receive_reports(driver.clone(), socket, peers.clone()));
     let follower = PeerFollower { own: address, peers };
@@ -119,7 +157,7 @@
         }
         let crashes = driver.recent_crashes(driver.now().saturating_sub(CRASH_REPORT_TIME));
         let load = driver.load_report(number % FULL_REPORT_PERIOD == 0);
-        let datagram = PeerDatagram { load, crashes };
+        let datagram = PeerDatagram { load: Some(load), crashes, stream: None };
         let mut bytes = Vec::new();
         if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
             log::error!(error:% = error; "failed to encode report");
@@ -147,8 +185,14 @@
         };
         match ciborium::from_reader::<PeerDatagram, _>(&buffer[..length]) {
             Ok(datagram) => {
-                peers.borrow_mut().insert(datagram.load.peer.to_string(), sender);
-                driver.step(DirectEvent::PeerLoad(datagram.load));
+                if let Some(load) = datagram.load {
+                    peers.borrow_mut().insert(load.peer.to_string(), sender);
+                    driver.step(DirectEvent::PeerLoad(load));
+                }
+                if let Some(PeerStreamMessage { peer, message }) = datagram.stream {
+                    peers.borrow_mut().insert(peer.to_string(), sender);
+                    driver.step(DirectEvent::StreamMessage { peer, message });
+                }
                 for report in datagram.crashes {
                     driver.step(DirectEvent::Crashes(report));
                 }
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -258,6 +258,7 @@
                 DirectAction::FreeCache { .. }
                 | DirectAction::ReportCrashes(_)
                 | DirectAction::PersistSuspect(_)
+                | DirectAction::SendToPeers { .. }
                 | DirectAction::Claim
                 | DirectAction::Order(_),
             ) => {
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -17,6 +17,7 @@
 use super::{
     call,
     copy::{KnownRecords, RecordAges},
+    gossip::PeerLink,
     metrics::{DirectMetrics, StateGauges, StoreLabels},
     orders,
     pool::TargetPools,
@@ -58,6 +59,8 @@
     /// When each topic of the store was last read, by this process or by the peer
     /// that its records were copied from.
     last_reads: RefCell<HashMap<&'static str, Instant>>,
+    /// Sends messages to peers once their port is open.
+    pub(super) peer_link: RefCell<Option<PeerLink>>,
     pub(super) store: SocketAddr,
     name: PeerName,
     started: Instant,
@@ -76,6 +79,7 @@
             records: RefCell::default(),
             metrics: DirectMetrics::default(),
             last_reads: RefCell::default(),
+            peer_link: RefCell::default(),
             store,
             started: Instant::now(),
             next_flow: Cell::new(0),
@@ -129,6 +133,11 @@
             DirectAction::ReportCrashes(report) => {
                 self.crashes.borrow_mut().push((self.now(), report));
             }
+            DirectAction::SendToPeers { peers, message } => {
+                if let Some(link) = self.peer_link.borrow().as_ref() {
+                    link.send(&self.name, &peers, message);
+                }
+            }
             DirectAction::Claim => {
                 tokio::task::spawn_local(orders::claim(self.clone()));
             }
