--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -8,7 +8,7 @@
 
 use super::{
     CallNumber, DirectRequest, DirectTarget, FailureReason, PromptShape, ServiceName,
-    SoftwareVersion, stream::OriginQuery,
+    SoftwareVersion, StreamId, stream::OriginQuery,
 };
 use crate::ids::{ClockTime, TargetId};
 
@@ -96,8 +96,9 @@
     pub first_ms: Option<u64>,
     /// Reason of a failure that the entry itself reported.
     pub reason: Option<FailureReason>,
-    /// Stream that the request goes on with; empty if none or if the caller did not name it.
-    pub resumes: Arc<str>,
+    /// Stream that the request goes on with, which is empty if the caller did not name it;
+    /// `None` for a new stream.
+    pub resumes: Option<StreamId>,
     /// Identifier of the prompt's longest shared segment, in hexadecimal; empty if none.
     #[serde(rename = "subject")]
     pub shared_segment: String,
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -221,10 +221,12 @@
         let version = self.routes.as_ref().map_or(0, |routes| routes.version);
         let prompt = request.prompt.as_ref();
         let shared_segment = prompt.map_or_else(String::new, longest_shared_segment);
-        let resumed = request.resumes.as_ref().and_then(|resume| resume.stream.clone());
         let trace = RequestTrace {
             route: route.name.clone(),
-            resumes: resumed.unwrap_or_default(),
+            resumes: request
+                .resumes
+                .as_ref()
+                .map(|resume| resume.stream.clone().unwrap_or_default()),
             version,
             shared_segment,
             ..RequestTrace::default()
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -114,7 +114,7 @@
             whole:% = self.complete,
             reason:% = reason,
             calls:% = trace.calls.join("; "),
-            resumes:% = trace.resumes,
+            resumes:? = trace.resumes,
             subject:% = trace.shared_segment,
             estimate_ms:% = trace.estimate_ms,
             waiting_ms:% = trace.waiting_ms,
