The matrix takes streams up at entries, with engines of two versions; postmortem

Targets of the simulated platform have software versions, a fault starts one again with another, and a caller whose dossier broke off after its first event takes it up.

--- a/emulator/src/platform_matrix.rs
+++ b/emulator/src/platform_matrix.rs
@@ -136,16 +136,18 @@
         service: service.to_owned(),
         stage,
         speed,
+        version: "v1".to_owned(),
     };
+    let second = |plan: TargetPlan| TargetPlan { version: "v2".to_owned(), ..plan };
     // The prefill engines are slow, so that prompts queue and a decode engine is ordered to
     // prefill.
     vec![
         plan("reader-0", "llm", TargetStage::Prefill, 0.2),
-        plan("reader-1", "llm", TargetStage::Prefill, 0.3),
+        second(plan("reader-1", "llm", TargetStage::Prefill, 0.3)),
         plan("writer-0", "llm", TargetStage::Decode, 1.0),
-        plan("writer-1", "llm", TargetStage::Decode, 1.6),
+        second(plan("writer-1", "llm", TargetStage::Decode, 1.6)),
         plan("writer-2", "llm", TargetStage::Decode, 1.0),
-        plan("writer-3", "llm", TargetStage::Decode, 1.0),
+        second(plan("writer-3", "llm", TargetStage::Decode, 1.0)),
         plan("writer-4", "llm", TargetStage::Decode, 1.3),
         plan("tickets-0", "tickets", TargetStage::Plain, 1.0),
         plan("tickets-1", "tickets", TargetStage::Plain, 1.0),
--- a/emulator/src/platform_rig/caller.rs
+++ b/emulator/src/platform_rig/caller.rs
@@ -4,12 +4,12 @@
 
 use rand::RngExt;
 use sapphirewell::{
-    direct::{DirectRequest, PromptSegment, PromptShape, RequestFailure},
+    direct::{DirectRequest, PromptSegment, PromptShape, RequestFailure, StreamId, StreamResume},
     ids::ClockTime,
 };
 use strum::Display;
 
-use super::{EntryId, PlatformRig, PlatformSite, PlatformStep, RigEvent};
+use super::{DriverDefect, EntryId, PlatformRig, PlatformSite, PlatformStep, RigEvent};
 
 /// Class of a request, which determines its route and the size of its work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -101,6 +101,8 @@
     /// Time at which the first event reached the caller; absent until then.
     pub first: Option<ClockTime>,
     pub(crate) events: u32,
+    /// Attempt that began the stream which this one takes up; absent for a new stream.
+    pub(crate) resumes: Option<usize>,
 }
 
 /// Records of all attempts, indexed by attempt.
@@ -122,6 +124,7 @@
             ended: ClockTime::ZERO,
             first: None,
             events: 0,
+            resumes: None,
         });
         self.records.len() - 1
     }
@@ -146,6 +149,10 @@
 /// Prompt tokens of a note.
 const NOTE_TOKENS: u32 = 383;
 
+fn stream_id(attempt: usize) -> StreamId {
+    format!("attempt-{attempt}").into()
+}
+
 impl PlatformRig {
     /// Sends an attempt to a random entry that accepts connections.
     pub(super) fn attempt_arrives(&mut self, attempt: usize) {
@@ -207,8 +214,11 @@
             _ => Some(attempt as u64),
         };
         let time_left = record.deadline.saturating_sub(self.now);
-        let id = format!("attempt-{attempt}").into();
-        Some(DirectRequest { id, route, time_left, prompt, fingerprint, resumes: None })
+        let ignored = self.settings.defect == Some(DriverDefect::ResumesIgnored);
+        let resumes = record.resumes.filter(|_| !ignored);
+        let resumes = resumes.map(|first| StreamResume { stream: Some(stream_id(first)) });
+        let id = stream_id(attempt);
+        Some(DirectRequest { id, route, time_left, prompt, fingerprint, resumes })
     }
 
     /// Ends an open attempt and schedules the caller's retry, if there is one.
@@ -223,6 +233,8 @@
         record.answer = answer;
         record.ended = now;
         let request = record.request.clone();
+        let began = request.class == RequestClass::Dossier && record.events > 0;
+        let resumes = record.resumes.or(began.then_some(attempt));
         let left = record.deadline.saturating_sub(now);
         let pause = match answer {
             AttemptAnswer::Own(own) if own.not_run => Some(if request.retries_at_once {
@@ -244,7 +256,9 @@
         let again = OfferedRequest { at: now + pause, retries: request.retries - 1, ..request };
         let deadline = now + left;
         let next = self.callers.add(again);
-        self.callers.record_mut(next).deadline = deadline;
+        let record = self.callers.record_mut(next);
+        record.deadline = deadline;
+        record.resumes = resumes;
         self.schedule_after(pause, RigEvent::Attempt { attempt: next });
         self.record_step(PlatformStep::CallerRetries, PlatformSite { entry: 0, target: 0 });
     }
--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -66,6 +66,8 @@
     NoTicks,
     /// Orders are sent without checking the newest claim in the store.
     ClaimsUnchecked,
+    /// The stream that a request takes up is not passed on to the state machine.
+    ResumesIgnored,
     /// An interrupted answer is passed on as complete.
     #[strum(serialize = "break_as_end")]
     TruncatedAsComplete,
@@ -407,6 +409,7 @@
                 if index == 1 {
                     self.step_machine(entry, DirectEvent::FirstOutput { flow });
                 }
+                self.check_version(attempt, &call);
                 self.deliver_output(attempt, index);
             }
             TargetSignal::Output(_) => {}
--- a/emulator/src/platform_rig/fault.rs
+++ b/emulator/src/platform_rig/fault.rs
@@ -59,6 +59,8 @@
     /// KV caches that wait at the engines expire almost at once.
     #[strum(serialize = "caches_lapse")]
     CachesExpire,
+    /// The target crashes and starts again under a new id with another software version.
+    UpgradeTarget,
     /// The target announces that it leaves, and then stops.
     TargetLeaves,
     /// The target's registration is removed without notice, and the target then stops.
@@ -170,6 +172,11 @@
                 self.crash_target(target, TargetState::Crashed);
                 schedule_end(self, OUTAGE);
             }
+            PlatformFault::UpgradeTarget => {
+                self.crash_target(target, TargetState::Crashed);
+                self.targets[target].plan.version = "v3".to_owned();
+                schedule_end(self, OUTAGE);
+            }
             PlatformFault::PowerOffTarget => {
                 self.crash_target(target, TargetState::PoweredOff);
                 schedule_end(self, REGISTRATION_TTL);
@@ -230,7 +237,9 @@
                     self.start_entry(entry);
                 }
             }
-            PlatformFault::CrashTarget | PlatformFault::PowerOffTarget => {
+            PlatformFault::CrashTarget
+            | PlatformFault::UpgradeTarget
+            | PlatformFault::PowerOffTarget => {
                 self.restart_target(target, true);
             }
             PlatformFault::CrashTargetSameId => self.restart_target(target, false),
@@ -352,6 +361,7 @@
             service: service.to_owned(),
             stage: TargetStage::Plain,
             speed: 1.0,
+            version: "v1".to_owned(),
         };
         self.add_target_at(plan, address);
         // The old registration expires only later.
--- a/emulator/src/platform_rig/referee.rs
+++ b/emulator/src/platform_rig/referee.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use sapphirewell::{
-    direct::{CallStep, ServiceName},
+    direct::{CallStep, ServiceName, SoftwareVersion},
     ids::ClockTime,
 };
 use strum::{Display, EnumIter};
@@ -61,6 +61,8 @@
     NeverReverts,
     /// A caller gets the complete answer in order, or sees that it was interrupted.
     WholeOwnAnswer,
+    /// A stream holds events of one software version, over all attempts of its caller.
+    OneVersion,
     /// A planned stop of an entry interrupts no request.
     StopCutsNothing,
     /// Requests are served again after the last fault.
@@ -95,6 +97,8 @@
     calls_after_limit: usize,
     /// Last order that each engine accepted: time, entry and fencing token.
     orders: BTreeMap<TargetIndex, (ClockTime, EntryId, u64)>,
+    /// Software version that began each stream, by the attempt that began it.
+    stream_versions: BTreeMap<usize, SoftwareVersion>,
     breaches: Vec<PlatformBreach>,
 }
 
@@ -270,6 +274,18 @@
         }
     }
 
+    /// Checks the version of the target that sent an event of a stream.
+    pub(super) fn check_version(&mut self, attempt: usize, call: &SimCall) {
+        let target = self.target_at(call.target.address);
+        let version = self.targets[target].listed.version.clone();
+        let first = self.callers.record(attempt).resumes.unwrap_or(attempt);
+        let began = self.checker.stream_versions.entry(first).or_insert_with(|| version.clone());
+        if *began != version {
+            let seen = format!("the stream of attempt {first} began at {began}, not {version}");
+            self.checker.add_breach(PlatformRule::OneVersion, seen);
+        }
+    }
+
     /// Checks that an attempt that ended as complete got all its events.
     pub(super) fn check_complete(&mut self, attempt: usize) {
         let record = self.callers.record(attempt);
--- a/emulator/src/platform_rig/target.rs
+++ b/emulator/src/platform_rig/target.rs
@@ -49,6 +49,8 @@
     pub stage: TargetStage,
     /// Relative prefill speed; 1 is ordinary.
     pub speed: f64,
+    /// Version of its software.
+    pub version: String,
 }
 
 /// State of a target's process and VM.
@@ -136,7 +138,7 @@
             id: plan.name.as_str().into(),
             born_ms: self.now.as_millis() as u64,
             service: plan.service.as_str().into(),
-            version: "v1".into(),
+            version: plan.version.as_str().into(),
             address,
             data_centre: "dc".into(),
             stage: plan.stage,
@@ -211,6 +213,7 @@
         if new_name {
             sim.listed.id = format!("{}-{}", sim.plan.name, sim.starts).into();
         }
+        sim.listed.version = sim.plan.version.as_str().into();
         sim.listed.born_ms = now.as_millis() as u64;
         sim.listed.sequence = 1;
         sim.listed.leaving = false;
--- a/emulator/tests/platform_matrix.rs
+++ b/emulator/tests/platform_matrix.rs
@@ -52,6 +52,7 @@
     deadline_ignored = { DriverDefect::DeadlineIgnored, PlatformRule::TimeLeft },
     claims_unchecked = { DriverDefect::ClaimsUnchecked, PlatformRule::OneHolder },
     no_ticks = { DriverDefect::NoTicks, PlatformRule::Ends },
+    resumes_ignored = { DriverDefect::ResumesIgnored, PlatformRule::OneVersion },
     break_as_end = { DriverDefect::TruncatedAsComplete, PlatformRule::WholeOwnAnswer },
 )]
 fn each_driver_defect_is_detected(defect: DriverDefect, rule: PlatformRule) {
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -6,8 +6,8 @@
     direct::{
         CallOutcome, CallStep, DirectAction, DirectEvent, DirectMachine, DirectRequest,
         DirectSettings, DirectTarget, EngineConfig, PromptSegment, PromptShape, RequestLimits,
-        RetryPolicy, RouteConfig, RouteTable, ServiceConfig, TargetChange, TargetStage,
-        WeightedService,
+        RetryPolicy, RouteConfig, RouteTable, ServiceConfig, StreamResume, TargetChange,
+        TargetStage, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -166,7 +166,7 @@
     }
 
     pub fn submit_with(&mut self, flow: u64, time_left: Duration) -> StepResult {
-        self.send(flow, time_left, None)
+        self.send(flow, time_left, None, None)
     }
 
     /// Submits a request whose prompt is a shared segment and 100 tokens of its own.
@@ -175,17 +175,32 @@
         let own = PromptSegment { id: 1_000_000 + flow, tokens: 100 };
         let segments = [shared, own].into_iter().collect();
         let prompt = PromptShape { tokens, max_output: 120, segments };
-        self.send(flow, Duration::from_secs(5), Some(prompt))
+        self.send(flow, Duration::from_secs(5), Some(prompt), None)
     }
 
-    fn send(&mut self, flow: u64, time_left: Duration, prompt: Option<PromptShape>) -> StepResult {
+    /// Submits a request that goes on with a stream, which its caller may not name.
+    pub fn submit_resumed(&mut self, flow: u64, stream: Option<&str>) -> StepResult {
+        let own = PromptSegment { id: 1_000_000 + flow, tokens: 100 };
+        let segments = [own].into_iter().collect();
+        let prompt = PromptShape { tokens: 100, max_output: 120, segments };
+        let resume = StreamResume { stream: stream.map(Into::into) };
+        self.send(flow, Duration::from_secs(5), Some(prompt), Some(resume))
+    }
+
+    fn send(
+        &mut self,
+        flow: u64,
+        time_left: Duration,
+        prompt: Option<PromptShape>,
+        resumes: Option<StreamResume>,
+    ) -> StepResult {
         let request = DirectRequest {
             id: format!("request-{flow}").into(),
             route: self.route(),
             time_left,
             prompt,
             fingerprint: Some(42),
-            resumes: None,
+            resumes,
         };
         self.after(DirectEvent::Submit { flow, request: Box::new(request) })
     }
