Let a stream wait an objective for the targets of its version

A request that goes on with a stream was admitted like a new one, by the slack that its objective leaves. Most of that is used up when a stream breaks, and only the targets of one version can serve it, so it was refused sooner than requests that any target can serve. It may now wait for one objective.

--- a/src/direct/waiting.rs
+++ b/src/direct/waiting.rs
@@ -9,6 +9,9 @@
 
 /// Queueing time that is allowed even if the response will be late, relative to the objective.
 const LATE_WAIT_SHARE: f32 = 0.25;
+/// The same for a request that goes on with a stream: few targets can serve it, and a refusal
+/// loses the events that its caller has.
+const RESUMED_WAIT_SHARE: f32 = 1.0;
 /// The same for a request that was late on arrival. Targets serve it after the others, so
 /// its queueing does not delay them.
 const RETURN_WAIT_SHARE: f32 = 1.0;
@@ -23,7 +26,11 @@
 pub(super) fn allowed_wait(now: ClockTime, flow: &DirectFlow, placement: &Placement) -> Duration {
     let own = placement.expected().saturating_sub(placement.waiting());
     let slack = flow.objective.saturating_sub(now).saturating_sub(own);
-    let share = if flow.late { RETURN_WAIT_SHARE } else { LATE_WAIT_SHARE };
+    let share = match flow.version {
+        Some(_) => RESUMED_WAIT_SHARE,
+        None if flow.late => RETURN_WAIT_SHARE,
+        None => LATE_WAIT_SHARE,
+    };
     slack.max(flow.request.route.objective.mul_f32(share))
 }
 
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use sapphirewell::direct::{
-    CallOutcome, DirectAction, DirectEvent, DirectTarget, FailureReason, LoadReport, PeerName,
-    RetryPolicy, StreamMessage, StreamOrigin, TargetChange, TargetStage,
+    CallOutcome, DirectAction, DirectEvent, DirectTarget, FailureReason, PeerName, RetryPolicy,
+    StreamMessage, StreamOrigin, TargetChange, TargetStage,
 };
 use support::direct::{DirectRig, SERVICE};
 use yare::parameterized;
@@ -33,17 +33,7 @@
 }
 
 fn hear_of(rig: &mut DirectRig, peer: &str) {
-    rig.step(DirectEvent::PeerLoad(LoadReport {
-        peer: peer.into(),
-        instance: 1,
-        sequence: 1,
-        full: true,
-        targets: Vec::new(),
-        cached: Vec::new(),
-        suspects: Vec::new(),
-        claim: None,
-        switching: Vec::new(),
-    }));
+    rig.hear_of(peer, Vec::new());
 }
 
 fn origin(version: &str) -> StreamOrigin {
@@ -101,6 +91,24 @@
     }
 }
 
+/// A stream that was bound to its version was refused like a new request, which can go to any
+/// target and loses nothing that its caller already has.
+#[test]
+fn a_stream_waits_longer_for_its_version_than_a_new_request_for_any() {
+    let mut rig = rig(&["v1"]);
+    rig.submit_prompt(1, 1, 1000);
+    rig.step(message("peer", StreamMessage::Began(origin("v1"))));
+    for target in ["v1-0", "v1-1"] {
+        rig.add_load(target, 12_000);
+    }
+    // Both have used up most of their objective of 500 ms.
+    let left = Duration::from_millis(4600);
+    let new = rig.submit_tokens(2, 100, left, None).actions();
+    assert_eq!(placed(&new), Placed::Refused(FailureReason::CannotMeetDeadline));
+    let resumed = rig.submit_tokens(3, 100, left, Some(STREAM)).actions();
+    assert_eq!(placed(&resumed), Placed::At("v1".to_owned()));
+}
+
 #[test]
 fn a_stream_whose_version_has_no_target_is_refused() {
     let mut rig = rig(&["v1"]);
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -5,9 +5,9 @@
 use sapphirewell::{
     direct::{
         CallOutcome, CallStep, DirectAction, DirectEvent, DirectMachine, DirectRequest,
-        DirectSettings, DirectTarget, EngineConfig, PromptSegment, PromptShape, RequestLimits,
-        RetryPolicy, RouteConfig, RouteTable, ServiceConfig, StreamResume, TargetChange,
-        TargetStage, WeightedService,
+        DirectSettings, DirectTarget, EngineConfig, InFlight, LoadReport, PromptSegment,
+        PromptShape, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ServiceConfig,
+        StreamResume, TargetChange, TargetStage, TargetUsage, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -24,6 +24,11 @@
     addresses: Vec<(String, SocketAddr)>,
 }
 
+fn own_prompt(flow: u64, tokens: u32) -> PromptShape {
+    let own = PromptSegment { id: 1_000_000 + flow, tokens };
+    PromptShape { tokens, max_output: 120, segments: [own].into_iter().collect() }
+}
+
 /// Call that the machine requested.
 #[derive(Debug, Clone)]
 pub struct RequestedCall {
@@ -180,11 +185,42 @@
 
     /// Submits a request that goes on with a stream, which its caller may not name.
     pub fn submit_resumed(&mut self, flow: u64, stream: Option<&str>) -> StepResult {
-        let own = PromptSegment { id: 1_000_000 + flow, tokens: 100 };
-        let segments = [own].into_iter().collect();
-        let prompt = PromptShape { tokens: 100, max_output: 120, segments };
         let resume = StreamResume { stream: stream.map(Into::into) };
-        self.send(flow, Duration::from_secs(5), Some(prompt), Some(resume))
+        self.send(flow, Duration::from_secs(5), Some(own_prompt(flow, 100)), Some(resume))
+    }
+
+    /// Submits a request with a prompt of its own that goes on with a stream, if one is named.
+    pub fn submit_tokens(
+        &mut self,
+        flow: u64,
+        tokens: u32,
+        time_left: Duration,
+        stream: Option<&str>,
+    ) -> StepResult {
+        let resume = stream.map(|stream| StreamResume { stream: Some(stream.into()) });
+        self.send(flow, time_left, Some(own_prompt(flow, tokens)), resume)
+    }
+
+    /// Reports prompt tokens that a peer has in flight at a target.
+    pub fn add_load(&mut self, target: &str, tokens: u32) {
+        let in_flight = InFlight { on_time_tokens: tokens, ..InFlight::default() };
+        let usage = TargetUsage { target: target.into(), in_flight, ..TargetUsage::default() };
+        self.hear_of(&format!("peer-of-{target}"), vec![usage]);
+    }
+
+    /// Reports the load of a peer.
+    pub fn hear_of(&mut self, peer: &str, targets: Vec<TargetUsage>) {
+        self.step(DirectEvent::PeerLoad(LoadReport {
+            peer: peer.into(),
+            instance: 1,
+            sequence: 1,
+            full: true,
+            targets,
+            cached: Vec::new(),
+            suspects: Vec::new(),
+            claim: None,
+            switching: Vec::new(),
+        }));
     }
 
     fn send(
