Take the only known version for the only one while registrations are fresh

An entry that is cut off from the store and its peers, but not from callers and targets, would let a stream of unknown origin go on at the only version that it knew, though engines of another one had been registered since. The list now counts as complete for 3 s after the last change that was read. When each version was last seen is kept by version, so that one that has gone counts as long as its streams can last, whichever was registered last.

--- a/src/direct/resume.rs
+++ b/src/direct/resume.rs
@@ -97,7 +97,7 @@
         let longest = self.longest_deadlines.get(&route.name).copied().unwrap_or_default();
         let since = now.saturating_sub(longest.max(route.timeout));
         match route.services.as_slice() {
-            [weighted] => self.fleet.only_version_since(since, &weighted.service),
+            [weighted] => self.fleet.only_version_since(now, since, &weighted.service),
             _ => None,
         }
     }
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -47,6 +47,13 @@
 /// with the read interval this stays below the 2 s limit for leaving targets.
 const EXPIRY_GRACE: Duration = Duration::from_millis(800);
 
+/// Age of the last change up to which the list counts as complete. Targets renew their
+/// registrations several times in it.
+const FRESH_TIME: Duration = Duration::from_secs(3);
+/// Time for which a software version is remembered after it was last seen. It is longer than
+/// a stream can be taken up.
+const VERSION_MEMORY: Duration = Duration::from_secs(300);
+
 /// Stage of inference that an engine is assigned to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -129,13 +136,6 @@
     cached_tokens: u32,
 }
 
-#[derive(Debug, Clone, Serialize)]
-struct VersionHistory {
-    newest: SoftwareVersion,
-    /// Last time at which targets of two versions were known, or the version changed.
-    mixed: Option<ClockTime>,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct SegmentUse {
     used: ClockTime,
@@ -148,10 +148,11 @@
     targets: BTreeMap<TargetId, TargetState>,
     #[serde(rename = "lapsing")]
     expiring: BTreeMap<TargetId, ClockTime>,
-    /// Software version that was registered last and when another one was last known, by
-    /// service.
+    /// When each software version of a service was last seen in a registration.
     #[serde(rename = "versions")]
-    version_histories: HashMap<ServiceName, VersionHistory>,
+    version_sightings: HashMap<ServiceName, HashMap<SoftwareVersion, ClockTime>>,
+    /// Time of the last change that was read.
+    last_change: ClockTime,
     /// Time of the last failed read of the list.
     #[serde(rename = "unread")]
     last_read_failure: Option<ClockTime>,
@@ -284,6 +285,9 @@
 impl TargetFleet {
     /// Applies a change of the list.
     pub(super) fn apply(&mut self, now: ClockTime, change: TargetChange) {
+        if change != TargetChange::ReadFailed {
+            self.last_change = now;
+        }
         match change {
             TargetChange::Listed(target) => self.upsert(now, target),
             TargetChange::Removed(id) => self.expire(now, id),
@@ -310,8 +314,14 @@
         if may_return {
             self.expiring.entry(id).or_insert(now + EXPIRY_GRACE);
         } else {
-            self.expiring.remove(&id);
-            self.targets.remove(&id);
+            self.remove(now, &id);
+        }
+    }
+
+    fn remove(&mut self, now: ClockTime, id: &TargetId) {
+        self.expiring.remove(id);
+        if let Some(state) = self.targets.remove(id) {
+            self.record_version(now, &state.target);
         }
     }
 
@@ -320,8 +330,7 @@
         let due = |at: &ClockTime| *at <= now;
         let expired = self.expiring.iter().filter(|(_, at)| due(at)).map(|(id, _)| id.clone());
         for id in expired.collect::<Vec<TargetId>>() {
-            self.expiring.remove(&id);
-            self.targets.remove(&id);
+            self.remove(now, &id);
         }
     }
 
@@ -349,31 +358,31 @@
     }
 
     fn record_version(&mut self, now: ClockTime, target: &DirectTarget) {
-        let version = &target.version;
-        let history = self.version_histories.entry(target.service.clone());
-        let history =
-            history.or_insert_with(|| VersionHistory { newest: version.clone(), mixed: None });
-        if history.newest != *version {
-            history.newest = version.clone();
-            history.mixed = Some(now);
-        }
+        let sightings = self.version_sightings.entry(target.service.clone()).or_default();
+        sightings.retain(|_, seen| *seen + VERSION_MEMORY >= now);
+        sightings.insert(target.version.clone(), now);
     }
 
     /// Returns the software version that all targets of a service had that were known since
-    /// a time; `None` if there were several.
+    /// a time; `None` if there were several, or if the last read was too long ago to tell.
     ///
     /// What this process knew before its start is nothing: a target of another version that
     /// left before then goes unnoticed.
     pub(super) fn only_version_since(
         &self,
+        now: ClockTime,
         since: ClockTime,
         service: &ServiceName,
     ) -> Option<SoftwareVersion> {
-        let history = self.version_histories.get(service)?;
-        let mut targets = self.targets.values().filter(|state| state.target.service == *service);
-        let is_only = history.mixed.is_none_or(|mixed| mixed < since)
-            && targets.all(|state| state.target.version == history.newest);
-        is_only.then(|| history.newest.clone())
+        if self.last_change + FRESH_TIME < now {
+            return None;
+        }
+        let sightings = self.version_sightings.get(service)?;
+        let seen = sightings.iter().filter(|(_, seen)| **seen >= since).map(|(version, _)| version);
+        let targets = self.targets.values().filter(|state| state.target.service == *service);
+        let mut versions = seen.chain(targets.map(|state| &state.target.version));
+        let only = versions.next()?;
+        versions.all(|version| version == only).then(|| only.clone())
     }
 
     pub(super) fn get_mut(&mut self, id: &TargetId) -> Option<&mut TargetState> {
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -14,16 +14,21 @@
 const STREAM: &str = "first";
 
 /// Returns a rig with two engines of each version, which has run for longer than a stream
-/// can last.
+/// can last and has just read their registrations.
 fn rig(versions: &[&str]) -> DirectRig {
     let mut rig = DirectRig::new(RetryPolicy::Resume);
+    list_all(&mut rig, versions);
+    rig.advance(Duration::from_secs(6));
+    list_all(&mut rig, versions);
+    rig
+}
+
+fn list_all(rig: &mut DirectRig, versions: &[&str]) {
     for version in versions {
         for number in 0..2 {
-            list(&mut rig, &format!("{version}-{number}"), version);
+            list(rig, &format!("{version}-{number}"), version);
         }
     }
-    rig.advance(Duration::from_secs(6));
-    rig
 }
 
 fn list(rig: &mut DirectRig, name: &str, version: &str) {
@@ -158,8 +163,21 @@
     for name in ["v1-0", "v1-1"] {
         rig.step(DirectEvent::Target(TargetChange::Removed(name.into())));
     }
-    list(&mut rig, "v2-0", "v2");
     rig.advance(gone);
+    list(&mut rig, "v2-0", "v2");
+    let actions = rig.submit_resumed(1, Some(STREAM)).actions();
+    assert_eq!(placed(&actions), expected);
+}
+
+/// An entry that is cut off from the store may not know that engines of another version serve,
+/// at which other entries begin streams.
+#[parameterized(
+    fresh = { Duration::from_secs(2), Placed::At("v1".to_owned()) },
+    stale = { Duration::from_secs(4), Placed::Refused(FailureReason::StreamVersionUnknown) },
+)]
+fn the_only_version_is_known_from_fresh_registrations(age: Duration, expected: Placed) {
+    let mut rig = rig(&["v1"]);
+    rig.advance(age);
     let actions = rig.submit_resumed(1, Some(STREAM)).actions();
     assert_eq!(placed(&actions), expected);
 }
