Send nothing to a target that states in a response that it leaves

Each response of a target is looked at, also refusals, prefills, reports and freed caches. The statement holds for that start of the target; a registration of the same start does not undo it, a new start does. Peers hear it with the reports for 2 s. The stand-in targets make the statement while their registrations say ready.

--- a/emulator/src/stand_in/runner.rs
+++ b/emulator/src/stand_in/runner.rs
@@ -16,7 +16,7 @@
 use hyper::{
     Method, Request, Response, StatusCode, Version,
     body::{Frame, Incoming},
-    header::HeaderMap,
+    header::{HeaderMap, HeaderValue},
     http::request::Parts,
 };
 use serde_json::json;
@@ -84,6 +84,8 @@
     /// Sends all responses with neither a length nor chunks, so that the end of the connection
     /// ends them.
     pub unframed: bool,
+    /// States in all responses that it leaves, while its registration says that it is ready.
+    pub says_leaving: bool,
     /// Breaks each response to a run off after as many bytes of its body as the number at the
     /// end of the request's id states.
     pub cut: Option<BrokenOff>,
@@ -118,6 +120,7 @@
     segments: VecDeque<(String, u64)>,
     runs: Vec<RunRecord>,
     prefills: u64,
+    declined: u64,
     foreign_caches: u64,
     cancelled: Vec<String>,
     orders: OrderBook,
@@ -149,6 +152,7 @@
             segments: VecDeque::new(),
             runs: Vec::new(),
             prefills: 0,
+            declined: 0,
             foreign_caches: 0,
             cancelled: Vec::new(),
             orders: OrderBook::default(),
@@ -272,6 +276,11 @@
         locked(&self.state).prefills
     }
 
+    /// Returns the number of requests that it declined.
+    pub fn declined(&self) -> u64 {
+        locked(&self.state).declined
+    }
+
     /// Returns how often a request imported another request's KV cache.
     pub fn foreign_caches(&self) -> u64 {
         locked(&self.state).foreign_caches
@@ -293,6 +302,9 @@
         if let (Some(cut), Some(bytes), true) = (faults.cut, cut_after, is_run) {
             response = response.map(|body| cut_body(body, bytes, cut, faults.unframed));
         }
+        if faults.says_leaving {
+            response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
+        }
         if faults.unframed {
             // The server ends a response of this version and unknown length with its connection.
             *response.version_mut() = Version::HTTP_10;
@@ -507,6 +519,7 @@
     }
 
     fn decline_response(&self, headers: &HeaderMap) -> Response<StandInBody> {
+        locked(&self.state).declined += 1;
         let mut response = self.response(StatusCode::SERVICE_UNAVAILABLE, headers, "");
         response.headers_mut().insert("not-executed", hyper::header::HeaderValue::from_static("1"));
         response
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -41,7 +41,7 @@
 pub use stage_plan::{OrderOutcome, StageOrder};
 pub use stream::{SoftwareVersion, StreamId, StreamMessage, StreamOrigin, StreamResume};
 pub use suspect::{CrashReport, CrashTable, SuspectChange, SuspectReport};
-pub use target::{DirectTarget, TargetChange, TargetFleet, TargetStage};
+pub use target::{DirectTarget, LeavingTarget, TargetChange, TargetFleet, TargetStage};
 
 /// Identifies a request within one process.
 pub type FlowId = u64;
@@ -172,6 +172,8 @@
     },
     /// The list of targets changed.
     Target(TargetChange),
+    /// A target stated in a response that it leaves.
+    TargetLeaving(LeavingTarget),
     /// A configuration was read. Versions that are not newer are ignored.
     Routes(Arc<RouteTable>),
     /// A peer reported its load.
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{OrderFencingToken, PeerName, PromptSegment, SuspectReport};
+use super::{LeavingTarget, OrderFencingToken, PeerName, PromptSegment, SuspectReport};
 use crate::ids::{ClockTime, TargetId};
 
 /// Age after which a peer's load no longer counts; ten missed reports.
@@ -72,6 +72,9 @@
     pub suspects: Vec<SuspectReport>,
     /// Fencing token of the entry's claim on ordering engines, if it holds one.
     pub claim: Option<OrderFencingToken>,
+    /// Targets that stated lately that they leave.
+    #[serde(default)]
+    pub leaving: Vec<LeavingTarget>,
     /// Engines that are switching stages and take no new work.
     #[serde(rename = "moving")]
     pub switching: Vec<TargetId>,
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -182,6 +182,7 @@
             DirectEvent::AnswerInterrupted { flow } => self.answer_interrupted(now, flow, out),
             DirectEvent::FlowEnded { flow, complete } => self.flow_ended(now, flow, complete, out),
             DirectEvent::Target(change) => self.fleet.apply(now, change),
+            DirectEvent::TargetLeaving(leaving) => self.fleet.mark_leaving(now, leaving),
             DirectEvent::Routes(routes) => self.apply_routes(routes),
             DirectEvent::PeerLoad(report) => self.peer_load(now, report),
             DirectEvent::Crashes(report) => self.crashes.apply(now, &report),
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -15,6 +15,10 @@
 /// Time for which a cached segment is reported. It spans three reports, so a lost one does no harm.
 const SEGMENT_REPORT_TIME: Duration = Duration::from_millis(350);
 
+/// Time for which a target's statement that it leaves is reported, so that some reports may be
+/// lost.
+const LEAVING_REPORT_TIME: Duration = Duration::from_secs(2);
+
 impl DirectMachine {
     /// Creates this process's load report: either a full one, or one with the targets that
     /// changed since the previous report.
@@ -55,6 +59,7 @@
             targets: usages,
             cached: self.recent_segments.iter().map(|(_, cached)| cached.clone()).collect(),
             claim: self.authority.claim(),
+            leaving: self.fleet.leaving_since(now.saturating_sub(LEAVING_REPORT_TIME)),
             switching: self.planner.switching(),
             suspects: if full { self.crashes.suspects(now) } else { Vec::new() },
         }
@@ -67,6 +72,9 @@
                 let memory = memory_tokens(self.routes.as_ref(), &state.target.service);
                 state.add_cached_segment(now, cached.segment, memory);
             }
+            for leaving in &report.leaving {
+                self.fleet.hear_leaving(now, leaving);
+            }
             self.pause_switching(now, &report.switching);
             for suspect in &report.suspects {
                 self.crashes.apply_suspect(now, suspect);
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use strum::Display;
 
 use super::{InFlight, PromptSegment, PromptShape, ServiceName, SoftwareVersion};
@@ -54,6 +54,10 @@
 /// a stream can be taken up.
 const VERSION_MEMORY: Duration = Duration::from_secs(300);
 
+/// Time for which a target's statement that it leaves is remembered; it is longer than targets
+/// take to leave.
+const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+
 /// Stage of inference that an engine is assigned to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -91,6 +95,15 @@
     pub sequence: u64,
 }
 
+/// Start of a target that stated that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingTarget {
+    /// Name of the target.
+    pub target: TargetId,
+    /// Its start time, in milliseconds. A later start under the same name does not leave.
+    pub born_ms: u64,
+}
+
 /// Change of the list of targets.
 #[derive(Debug, Clone, PartialEq)]
 pub enum TargetChange {
@@ -148,6 +161,8 @@
     targets: BTreeMap<TargetId, TargetState>,
     #[serde(rename = "lapsing")]
     expiring: BTreeMap<TargetId, ClockTime>,
+    /// Targets that stated that they leave, which their registrations may not say yet.
+    leaving: BTreeMap<TargetId, (ClockTime, LeavingTarget)>,
     /// When each software version of a service was last seen in a registration.
     #[serde(rename = "versions")]
     version_sightings: HashMap<ServiceName, HashMap<SoftwareVersion, ClockTime>>,
@@ -334,7 +349,42 @@
         }
     }
 
-    fn upsert(&mut self, now: ClockTime, target: DirectTarget) {
+    /// Records that a target stated that it leaves. Registrations of the same start do not
+    /// undo this.
+    pub(super) fn mark_leaving(&mut self, now: ClockTime, leaving: LeavingTarget) {
+        self.leaving.retain(|_, (stated, _)| *stated + LEAVING_MEMORY >= now);
+        if let Some(state) = self.targets.get_mut(&leaving.target)
+            && state.target.born_ms == leaving.born_ms
+            && !state.target.leaving
+        {
+            state.target = Arc::new(DirectTarget { leaving: true, ..(*state.target).clone() });
+        }
+        self.leaving.insert(leaving.target.clone(), (now, leaving));
+    }
+
+    /// Records what a peer reported of a target that leaves, unless it is known: peers that
+    /// report the same to each other would never end.
+    pub(super) fn hear_leaving(&mut self, now: ClockTime, leaving: &LeavingTarget) {
+        let known = self.leaving.get(&leaving.target);
+        if known.is_some_and(|(_, known)| known.born_ms >= leaving.born_ms) {
+            return;
+        }
+        self.mark_leaving(now, leaving.clone());
+    }
+
+    /// Returns the targets that stated since a time that they leave, for reports to peers.
+    pub(super) fn leaving_since(&self, since: ClockTime) -> Vec<LeavingTarget> {
+        let recent = self.leaving.values().filter(|(stated, _)| *stated >= since);
+        recent.map(|(_, leaving)| leaving.clone()).collect()
+    }
+
+    fn has_stated_leaving(&self, target: &DirectTarget) -> bool {
+        let stated = self.leaving.get(&target.id);
+        stated.is_some_and(|(_, leaving)| leaving.born_ms == target.born_ms)
+    }
+
+    fn upsert(&mut self, now: ClockTime, mut target: DirectTarget) {
+        target.leaving |= self.has_stated_leaving(&target);
         self.expiring.remove(&target.id);
         self.record_version(now, &target);
         let Some(known) = self.targets.get_mut(&target.id) else {
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -17,6 +17,7 @@
 pub(super) static KV_SOURCE: HeaderName = HeaderName::from_static("kv-source");
 pub(super) static NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 pub(super) static SERVER_SIGNATURE: HeaderName = HeaderName::from_static("server-signature");
+pub(super) static SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 pub(super) static KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Request headers that only this system may set; a caller's values are not forwarded.
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -16,7 +16,7 @@
     discovery::WireStage,
     header::{
         DEADLINE_MS, EXPECT_INSTANCE, KEEP_ALIVE, KV_SOURCE, NOT_EXECUTED, REQUEST_ID,
-        REQUEST_PRIORITY, SERVER_SIGNATURE, SERVING_STAGE, strip_hop_by_hop,
+        REQUEST_PRIORITY, SERVER_LEAVING, SERVER_SIGNATURE, SERVING_STAGE, strip_hop_by_hop,
     },
 };
 use crate::{
@@ -258,6 +258,11 @@
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
 
+/// Returns whether a response states that its target leaves.
+pub fn is_leaving(headers: &HeaderMap) -> bool {
+    headers.get(&SERVER_LEAVING).is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
+}
+
 /// Returns whether the body of a response is a stream of events.
 pub fn is_event_stream(headers: &HeaderMap) -> bool {
     let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
--- a/src/process/direct/call.rs
+++ b/src/process/direct/call.rs
@@ -48,7 +48,7 @@
 
 /// Makes a call and returns its outcome, with the response if it is to reach the caller.
 pub(super) async fn call(
-    driver: &DirectDriver,
+    driver: &Rc<DirectDriver>,
     caller_request: &CallerRequest,
     spec: &CallSpec,
 ) -> (CallOutcome, Option<PendingResponse>) {
@@ -77,6 +77,16 @@
 ///
 /// A new connection is tried only if a pooled one returned the request unsent.
 async fn send(
+    driver: &Rc<DirectDriver>,
+    target: &DirectTarget,
+    request: Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, ConnectionLease), CallOutcome> {
+    let (response, lease) = send_once(driver, target, request).await?;
+    driver.record_leaving(target, response.headers());
+    Ok((response, lease))
+}
+
+async fn send_once(
     driver: &DirectDriver,
     target: &DirectTarget,
     request: Request<Full<Bytes>>,
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -201,7 +201,7 @@
         if is_new || target.leaving {
             log::info!(
                 target_id:% = target.id, service:% = target.service, stage:% = target.stage,
-                leaving:% = target.leaving;
+                version:% = target.version, leaving:% = target.leaving;
                 "target registered"
             );
         }
--- a/src/process/direct/orders.rs
+++ b/src/process/direct/orders.rs
@@ -85,8 +85,8 @@
     driver.step(DirectEvent::OrderEnded { target: order.target.id.clone(), outcome });
 }
 
-async fn carry_out(driver: &DirectDriver, order: &StageOrder) -> OrderEnd {
-    let report = match fetch_report(&order.target).await {
+async fn carry_out(driver: &Rc<DirectDriver>, order: &StageOrder) -> OrderEnd {
+    let report = match fetch_report(driver, &order.target).await {
         Ok(report) => report,
         Err(error) => {
             log::info!(
@@ -121,7 +121,7 @@
     if boot_time().saturating_sub(checked_at) > CLAIM_CHECK_LIFETIME {
         return OrderEnd::ClaimCheckExpired;
     }
-    match exchange(&order.target, request).await {
+    match exchange(driver, &order.target, request).await {
         Ok((StatusCode::ACCEPTED, _)) => OrderEnd::Accepted,
         Ok((StatusCode::OK, _)) => OrderEnd::AlreadyThere,
         Ok((status, _)) => {
@@ -149,8 +149,11 @@
     Ok(page.next == fence)
 }
 
-async fn fetch_report(target: &DirectTarget) -> Result<runner::EngineReport> {
-    let (status, body) = exchange(target, runner::report_request(target)?).await?;
+async fn fetch_report(
+    driver: &Rc<DirectDriver>,
+    target: &DirectTarget,
+) -> Result<runner::EngineReport> {
+    let (status, body) = exchange(driver, target, runner::report_request(target)?).await?;
     if status != StatusCode::OK {
         return Err(Error::new(ErrorCode::TargetUnavailable, format!("status {status}")));
     }
@@ -158,7 +161,11 @@
 }
 
 /// Sends one request over a new connection.
-async fn exchange(target: &DirectTarget, request: Request<Bytes>) -> Result<(StatusCode, Bytes)> {
+async fn exchange(
+    driver: &Rc<DirectDriver>,
+    target: &DirectTarget,
+    request: Request<Bytes>,
+) -> Result<(StatusCode, Bytes)> {
     let failed = |e: &dyn std::fmt::Display| {
         Error::new(ErrorCode::Network, format!("{} ({e})", target.address))
     };
@@ -166,6 +173,7 @@
         let mut connection = dial::connect(target.address, CALL_TIMEOUT).await?;
         let request = request.map(Full::new);
         let response = connection.sender.send_request(request).await.map_err(|e| failed(&e))?;
+        driver.record_leaving(target, response.headers());
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
         Ok((status, body.map_err(|e| failed(&e))?.to_bytes()))
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use hyper::header::HeaderMap;
 use tokio::{
     sync::{mpsc, watch},
     time::Instant,
@@ -25,11 +26,11 @@
 };
 use crate::{
     direct::{
-        CrashReport, DirectAction, DirectEvent, DirectMachine, DirectTarget, FlowId, LoadReport,
-        PeerName, RequestTrace, RouteTable,
+        CrashReport, DirectAction, DirectEvent, DirectMachine, DirectTarget, FlowId, LeavingTarget,
+        LoadReport, PeerName, RequestTrace, RouteTable,
     },
     ids::ClockTime,
-    platform::{configuration, discovery},
+    platform::{configuration, discovery, runner},
     process::logging,
 };
 
@@ -113,6 +114,18 @@
         }
     }
 
+    /// Records that a target leaves, if the headers of its response state that.
+    pub(super) fn record_leaving(self: &Rc<Self>, target: &DirectTarget, headers: &HeaderMap) {
+        if !runner::is_leaving(headers) {
+            return;
+        }
+        if !target.leaving {
+            log::info!(target_id:% = target.id; "target states that it leaves");
+        }
+        let leaving = LeavingTarget { target: target.id.clone(), born_ms: target.born_ms };
+        self.step(DirectEvent::TargetLeaving(leaving));
+    }
+
     pub(super) fn tick(self: &Rc<Self>) {
         self.step(DirectEvent::Tick);
     }
--- a/tests/load_reports.rs
+++ b/tests/load_reports.rs
@@ -31,6 +31,7 @@
         cached: vec![],
         suspects: vec![],
         claim: None,
+        leaving: vec![],
         switching: vec![],
     }
 }
--- a/tests/stage_orders.rs
+++ b/tests/stage_orders.rs
@@ -63,6 +63,7 @@
         cached: vec![],
         suspects: vec![],
         claim,
+        leaving: vec![],
         switching: vec![],
     }
 }
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -144,6 +144,10 @@
         self.addresses.iter().find(|(known, _)| known == name).unwrap().1
     }
 
+    pub fn report(&mut self) -> LoadReport {
+        self.machine.load_report(self.now, false)
+    }
+
     pub fn now(&self) -> ClockTime {
         self.now
     }
@@ -218,6 +222,7 @@
             targets,
             cached: Vec::new(),
             suspects: Vec::new(),
+            leaving: Vec::new(),
             claim: None,
             switching: Vec::new(),
         }));
