Send nothing to a target in the time for which it wants no requests

The header was not read: the backoff after a decline is 50 to 800 ms, and a target in backoff was still used where all were.

A 503 with a number of seconds, 60 at most, closes the target for this entry until the time is over or the target starts again. A closed target is never a candidate; where no other is left, the caller is refused at once and told when the first one opens, spread upwards.

--- a/emulator/src/stand_in/runner.rs
+++ b/emulator/src/stand_in/runner.rs
@@ -67,6 +67,8 @@
 pub struct RunnerFaults {
     /// Responds 503 with a `not-executed` header to every request.
     pub decline: bool,
+    /// With `decline`, states for how long it wants no more requests, as its `retry-after`.
+    pub retry_after: Option<String>,
     /// Runs the request and responds with a signed 500.
     pub fail: bool,
     /// Runs the request and closes the connection without a response.
@@ -120,7 +122,7 @@
     segments: VecDeque<(String, u64)>,
     runs: Vec<RunRecord>,
     prefills: u64,
-    declined: u64,
+    declined: Vec<Instant>,
     foreign_caches: u64,
     cancelled: Vec<String>,
     orders: OrderBook,
@@ -152,7 +154,7 @@
             segments: VecDeque::new(),
             runs: Vec::new(),
             prefills: 0,
-            declined: 0,
+            declined: Vec::new(),
             foreign_caches: 0,
             cancelled: Vec::new(),
             orders: OrderBook::default(),
@@ -276,9 +278,9 @@
         locked(&self.state).prefills
     }
 
-    /// Returns the number of requests that it declined.
-    pub fn declined(&self) -> u64 {
-        locked(&self.state).declined
+    /// Returns when it declined requests.
+    pub fn declined(&self) -> Vec<Instant> {
+        locked(&self.state).declined.clone()
     }
 
     /// Returns how often a request imported another request's KV cache.
@@ -519,9 +521,16 @@
     }
 
     fn decline_response(&self, headers: &HeaderMap) -> Response<StandInBody> {
-        locked(&self.state).declined += 1;
+        let retry_after = {
+            let mut state = locked(&self.state);
+            state.declined.push(Instant::now());
+            state.faults.retry_after.clone()
+        };
         let mut response = self.response(StatusCode::SERVICE_UNAVAILABLE, headers, "");
         response.headers_mut().insert("not-executed", hyper::header::HeaderValue::from_static("1"));
+        if let Some(Ok(value)) = retry_after.map(HeaderValue::try_from) {
+            response.headers_mut().insert("retry-after", value);
+        }
         response
     }
 
--- a/emulator/tests/request_sent_to_a_target_that_says_it_leaves.rs
+++ b/emulator/tests/request_sent_to_a_target_that_says_it_leaves.rs
@@ -61,7 +61,7 @@
 
 fn work(fleet: &PlatformFleet, index: usize) -> u64 {
     let runner = &fleet.runners[index];
-    runner.runs().len() as u64 + runner.prefills() + runner.declined()
+    runner.runs().len() as u64 + runner.prefills() + runner.declined().len() as u64
 }
 
 fn run(work: impl Future<Output = ()>) {
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -172,6 +172,13 @@
     },
     /// The list of targets changed.
     Target(TargetChange),
+    /// A target turned a request away and stated for how long it wants no more.
+    TargetClosed {
+        /// Name of the target.
+        target: TargetId,
+        /// Time for which it wants no requests from this process.
+        time: Duration,
+    },
     /// A target stated in a response that it leaves.
     TargetLeaving(LeavingTarget),
     /// A configuration was read. Versions that are not newer are ignored.
--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -178,6 +178,7 @@
         let allowed = |state: &&TargetState| {
             state.target.service == *query.service
                 && !state.target.leaving
+                && !state.is_closed(self.now)
                 && query.version.is_none_or(|version| state.target.version == *version)
                 && !query.tried.contains(&state.target.id)
         };
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -31,6 +31,8 @@
 /// Bounds of the retry delay that is sent to callers, before it is randomized.
 const RETRY_AFTER_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_secs(2));
+/// Factors between which a retry delay is drawn.
+const RETRY_SPREAD: (f64, f64) = (0.75, 1.5);
 /// Retry delay of requests that no known target can serve.
 pub(super) const NO_TARGET_DELAY: Duration = Duration::from_millis(500);
 /// Minimum number of entries among which the retry slack and connections are divided.
@@ -182,6 +184,11 @@
             DirectEvent::AnswerInterrupted { flow } => self.answer_interrupted(now, flow, out),
             DirectEvent::FlowEnded { flow, complete } => self.flow_ended(now, flow, complete, out),
             DirectEvent::Target(change) => self.fleet.apply(now, change),
+            DirectEvent::TargetClosed { target, time } => {
+                if let Some(state) = self.fleet.get_mut(&target) {
+                    state.close(now + time);
+                }
+            }
             DirectEvent::TargetLeaving(leaving) => self.fleet.mark_leaving(now, leaving),
             DirectEvent::Routes(routes) => self.apply_routes(routes),
             DirectEvent::PeerLoad(report) => self.peer_load(now, report),
@@ -310,7 +317,7 @@
             return self.fail_request(id, FailureReason::Declined, Duration::ZERO, out);
         }
         let Some(placement) = self.choose(now, id) else {
-            return self.fail_request(id, FailureReason::NoTarget, NO_TARGET_DELAY, out);
+            return self.fail_without_target(now, id, out);
         };
         let Some(flow) = self.flows.get_mut(&id) else { return };
         flow.trace.estimate_ms = placement.expected().as_millis() as u64;
@@ -341,10 +348,20 @@
         let chosen = source.and_then(|source| view.choose_decode(&mut self.rng, &query, source));
         match chosen {
             Some(placement) => self.call(now, id, placement, out),
-            None => self.fail_request(id, FailureReason::NoTarget, Duration::ZERO, out),
+            None => self.fail_without_target(now, id, out),
         }
     }
 
+    /// Fails a request that no target takes, with the time until one does, if that is known.
+    fn fail_without_target(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+        let Some(flow) = self.flows.get(&id) else { return };
+        let (reason, wait) = match self.fleet.opens_in(now, &flow.service) {
+            Some(wait) => (FailureReason::Declined, wait.div_f64(RETRY_SPREAD.0)),
+            None => (FailureReason::NoTarget, NO_TARGET_DELAY),
+        };
+        self.fail_request(id, reason, wait, out);
+    }
+
     fn call(&mut self, now: ClockTime, id: FlowId, chosen: Placement, out: &mut Vec<DirectAction>) {
         let Some(flow) = self.flows.get_mut(&id) else { return };
         let Some(state) = self.fleet.get_mut(&chosen.target) else { return };
@@ -393,7 +410,7 @@
         flow.trace.reason = Some(reason);
         let (low, high) = RETRY_AFTER_BOUNDS;
         // Spreads the retries of callers that were rejected at the same time.
-        let spread = self.rng.random_range(0.75..1.5);
+        let spread = self.rng.random_range(RETRY_SPREAD.0..RETRY_SPREAD.1);
         let retry_after = wait.clamp(low, high).mul_f64(spread);
         let failure = RequestFailure { reason, not_run, retry_after };
         out.push(DirectAction::Fail { flow: id, failure });
--- a/src/direct/stage_plan.rs
+++ b/src/direct/stage_plan.rs
@@ -191,6 +191,7 @@
         (self.planner.load.prefill_wait, self.planner.load.slot_use)
     }
 
+    /// Returns the engines that may be ordered.
     fn engines(&self) -> impl Iterator<Item = &TargetState> {
         self.fleet
             .iter()
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -136,6 +136,8 @@
     /// Average time of a complete run, in seconds; 0 before the first one.
     pub(super) run_seconds: f32,
     pub(super) paused_until: ClockTime,
+    /// Time until which the target wants no requests, by its own statement.
+    closed_until: ClockTime,
     #[serde(rename = "pause")]
     failure_backoff: Duration,
     #[serde(rename = "decline_pause")]
@@ -183,6 +185,7 @@
             samples: 0,
             run_seconds: 0.0,
             paused_until: ClockTime::ZERO,
+            closed_until: ClockTime::ZERO,
             failure_backoff: MIN_FAILURE_BACKOFF,
             decline_backoff: MIN_DECLINE_BACKOFF,
             failure_rate: 0.0,
@@ -277,6 +280,15 @@
         self.failure_rate += SMOOTHING_FACTOR * (1.0 - self.failure_rate);
     }
 
+    /// Sends nothing to the target until a time that it stated. An earlier one does not count.
+    pub(super) fn close(&mut self, until: ClockTime) {
+        self.closed_until = self.closed_until.max(until);
+    }
+
+    pub(super) fn is_closed(&self, now: ClockTime) -> bool {
+        self.closed_until > now
+    }
+
     /// Pauses an engine that is switching stages; repeated reports extend the pause.
     pub(super) fn pause_switching(&mut self, now: ClockTime) {
         self.paused_until = self.paused_until.max(now + SWITCH_PAUSE);
@@ -349,6 +361,14 @@
         }
     }
 
+    /// Returns the time until the first target of a service that wants no requests wants some
+    /// again; `None` if none of them is closed.
+    pub(super) fn opens_in(&self, now: ClockTime, service: &ServiceName) -> Option<Duration> {
+        let of_service = |state: &&TargetState| state.target.service == *service;
+        let closed = self.targets.values().filter(of_service).filter(|state| state.is_closed(now));
+        closed.map(|state| state.closed_until - now).min()
+    }
+
     /// Records that a target stated that it leaves. Registrations of the same start do not
     /// undo this.
     pub(super) fn mark_leaving(&mut self, now: ClockTime, leaving: LeavingTarget) {
@@ -403,6 +423,7 @@
         }
         if target.born_ms != known.target.born_ms {
             known.paused_until = ClockTime::ZERO;
+            known.closed_until = ClockTime::ZERO;
         }
         known.target = Arc::new(target);
     }
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -6,7 +6,9 @@
 use hyper::{
     Method, Request, StatusCode, Uri,
     body::Body,
-    header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING},
+    header::{
+        CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING,
+    },
     http::{request::Parts, response},
 };
 use serde::{Deserialize, Serialize};
@@ -258,6 +260,22 @@
     timeout.trim().parse().ok().map(Duration::from_secs)
 }
 
+/// Longest time for which a target's `Retry-After` is honoured.
+const MAX_CLOSED_TIME: Duration = Duration::from_secs(60);
+
+/// Returns for how long a target that turned a request away wants no more requests.
+///
+/// Only numbers of seconds count, which may have fractions; the longest time is 60 s.
+pub fn closed_time(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    let seconds: f64 = text.trim().parse().ok()?;
+    let valid = seconds.is_finite() && seconds > 0.0;
+    valid.then(|| Duration::from_secs_f64(seconds.min(MAX_CLOSED_TIME.as_secs_f64())))
+}
+
 /// Returns whether a response states that its target leaves.
 pub fn is_leaving(headers: &HeaderMap) -> bool {
     headers.get(&SERVER_LEAVING).is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
--- a/src/process/direct/call.rs
+++ b/src/process/direct/call.rs
@@ -82,7 +82,7 @@
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<Incoming>, ConnectionLease), CallOutcome> {
     let (response, lease) = send_once(driver, target, request).await?;
-    driver.record_leaving(target, response.headers());
+    driver.record_statements(target, response.status(), response.headers());
     Ok((response, lease))
 }
 
--- a/src/process/direct/orders.rs
+++ b/src/process/direct/orders.rs
@@ -173,8 +173,8 @@
         let mut connection = dial::connect(target.address, CALL_TIMEOUT).await?;
         let request = request.map(Full::new);
         let response = connection.sender.send_request(request).await.map_err(|e| failed(&e))?;
-        driver.record_leaving(target, response.headers());
         let status = response.status();
+        driver.record_statements(target, status, response.headers());
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
         Ok((status, body.map_err(|e| failed(&e))?.to_bytes()))
     };
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use hyper::header::HeaderMap;
+use hyper::{StatusCode, header::HeaderMap};
 use tokio::{
     sync::{mpsc, watch},
     time::Instant,
@@ -114,8 +114,21 @@
         }
     }
 
-    /// Records that a target leaves, if the headers of its response state that.
-    pub(super) fn record_leaving(self: &Rc<Self>, target: &DirectTarget, headers: &HeaderMap) {
+    /// Records what the head of a target's response states about the target itself: that it
+    /// leaves, or wants no requests for a while.
+    pub(super) fn record_statements(
+        self: &Rc<Self>,
+        target: &DirectTarget,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) {
+        if let Some(time) = runner::closed_time(status, headers) {
+            log::info!(
+                target_id:% = target.id, time_ms:% = time.as_millis();
+                "target wants no requests"
+            );
+            self.step(DirectEvent::TargetClosed { target: target.id.clone(), time });
+        }
         if !runner::is_leaving(headers) {
             return;
         }
