--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -285,6 +285,7 @@
                     step,
                     priority,
                     deadline: self.now + time_left,
+                    ran_at: "".into(),
                 };
                 self.send_call(sim_call, &target);
             }
--- a/emulator/src/platform_rig/referee.rs
+++ b/emulator/src/platform_rig/referee.rs
@@ -276,8 +276,7 @@
 
     /// Checks the version of the target that sent an event of a stream.
     pub(super) fn check_version(&mut self, attempt: usize, call: &SimCall) {
-        let target = self.target_at(call.target.address);
-        let version = self.targets[target].listed.version.clone();
+        let version = call.ran_at.clone();
         let first = self.callers.record(attempt).resumes.unwrap_or(attempt);
         let began = self.checker.stream_versions.entry(first).or_insert_with(|| version.clone());
         if *began != version {
--- a/emulator/src/platform_rig/target.rs
+++ b/emulator/src/platform_rig/target.rs
@@ -9,7 +9,9 @@
 
 use rand::RngExt;
 use sapphirewell::{
-    direct::{CallNumber, CallOutcome, CallStep, DirectTarget, FlowId, TargetStage},
+    direct::{
+        CallNumber, CallOutcome, CallStep, DirectTarget, FlowId, SoftwareVersion, TargetStage,
+    },
     ids::ClockTime,
 };
 
@@ -78,6 +80,8 @@
     pub(crate) step: CallStep,
     pub(crate) priority: u8,
     pub(crate) deadline: ClockTime,
+    /// Software version at which the call runs; empty until it does.
+    pub(crate) ran_at: SoftwareVersion,
 }
 
 type CallKey = (EntryId, u64, FlowId, CallNumber);
@@ -374,7 +378,8 @@
         sim.prefill_free_at - self.now + Duration::from_millis(5)
     }
 
-    fn schedule_run(&mut self, target: TargetIndex, call: SimCall, time: Duration) {
+    fn schedule_run(&mut self, target: TargetIndex, mut call: SimCall, time: Duration) {
+        call.ran_at = self.targets[target].listed.version.clone();
         self.next_run += 1;
         let number = self.next_run;
         let now = self.now;
--- a/emulator/tests/platform_matrix.rs
+++ b/emulator/tests/platform_matrix.rs
@@ -4,7 +4,7 @@
 
 use emulator::{
     platform_matrix::{self, PlatformCell},
-    platform_rig::{DriverDefect, PlatformRule, PlatformStep},
+    platform_rig::{DriverDefect, PlatformFault, PlatformRule, PlatformStep},
 };
 use strum::IntoEnumIterator;
 use yare::parameterized;
@@ -39,6 +39,19 @@
     assert_eq!(rig.breaches(Duration::from_secs(26)), []);
 }
 
+/// A target that starts again under its own name has another version before its registration
+/// is read.
+#[parameterized(
+    call_sent = { PlatformStep::CallSent },
+    call_arrived = { PlatformStep::CallArrived },
+    once_run_started = { PlatformStep::OnceRunStarted },
+    first_output = { PlatformStep::FirstOutput },
+)]
+fn no_stream_goes_on_at_a_target_that_started_again_with_another_version(step: PlatformStep) {
+    let faults = vec![PlatformFault::CrashTargetSameId, PlatformFault::UpgradeTarget];
+    assert_no_failed_cell(&[PlatformCell { faults, step, seed: 1, defect: None }]);
+}
+
 /// Guards against rules that never fail: each defect must break its rule in some cell.
 #[parameterized(
     lost_as_unreachable = { DriverDefect::LostAsUnreachable, PlatformRule::RunsOnce },
