Log when a request came after the stop signal, and those that end with the process

Callers saw responses cut by an entry that was stopped; the log had no line about them, as the process ended first, and none told how long after the signal a request had come.

stopping_ms is in the line of each request that came after the signal; each request that is still in flight when the process ends gets a line. Options are printed plainly, no longer as Some(224).

--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -12,7 +12,7 @@
 use super::{
     CachedSegment, CallNumber, ClaimOutcome, CrashTable, DirectAction, DirectEvent, DirectRequest,
     EngineConfig, FailureReason, FlowId, PeerName, PeerTable, RequestFailure, RequestTrace,
-    RetryWindow, RouteTable, ServiceName, TargetFleet, TargetUsage,
+    RetryWindow, RouteTable, ServiceName, StreamId, TargetFleet, TargetUsage,
     authority::StageAuthority,
     estimate::{Placement, PlacementQuery, PlacementView, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
@@ -172,6 +172,12 @@
         self.flows.get(&flow).map(|flow| flow.full_trace(now))
     }
 
+    /// Returns the ids and traces of the requests that have not ended.
+    pub fn unfinished(&self, now: ClockTime) -> Vec<(StreamId, RequestTrace)> {
+        let flows = self.flows.values();
+        flows.map(|flow| (flow.request.id.clone(), flow.full_trace(now))).collect()
+    }
+
     /// Processes one event and appends the resulting actions to `out`.
     pub fn step(&mut self, now: ClockTime, event: DirectEvent, out: &mut Vec<DirectAction>) {
         self.started.get_or_insert(now);
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -109,6 +109,7 @@
     }
     // Gives the last responses time to reach their callers.
     tokio::time::sleep(IDLE_POLL_INTERVAL).await;
+    driver.log_unfinished();
     log::info!(in_flight:% = driver.in_flight(); "stopped");
 }
 
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -55,11 +55,19 @@
     framing: Option<BodyFraming>,
     body_bytes: u64,
     boundary: EventBoundary,
+    /// Time from the stop signal to the arrival of the request, if it came after the signal.
+    stopping_for: Option<Duration>,
+}
+
+/// Formats a value for a log line; an absent one is empty.
+fn display_option<T: std::fmt::Display>(value: Option<T>) -> String {
+    value.map_or_else(String::new, |value| value.to_string())
 }
 
 impl FlowGuard {
     pub(super) fn new(driver: Rc<DirectDriver>, flow: FlowId, id: String) -> FlowGuard {
         FlowGuard {
+            stopping_for: driver.stopping_for(),
             driver,
             flow,
             id,
@@ -104,7 +112,7 @@
     fn drop(&mut self) {
         let trace = self.driver.trace(self.flow).unwrap_or_default();
         self.driver.close_flow(self.flow, self.complete);
-        let reason = trace.reason.map_or_else(String::new, |reason| reason.to_string());
+        let reason = display_option(trace.reason);
         self.record_end(&trace, &reason);
         log::info!(
             request:% = self.id,
@@ -114,15 +122,16 @@
             whole:% = self.complete,
             reason:% = reason,
             calls:% = trace.calls.join("; "),
-            resumes:? = trace.resumes,
+            resumes:% = display_option(trace.resumes.as_ref().map(|stream| format!("{stream:?}"))),
             subject:% = trace.shared_segment,
             estimate_ms:% = trace.estimate_ms,
             waiting_ms:% = trace.waiting_ms,
-            first_ms:? = trace.first_ms,
+            first_ms:% = display_option(trace.first_ms),
             pause_ms:% = self.longest_pause.as_millis(),
             framing:% = self.framing.map_or("none", <&str>::from),
             body_bytes:% = self.body_bytes,
-            inside_event:% = self.boundary.is_inside_event();
+            inside_event:% = self.boundary.is_inside_event(),
+            stopping_ms:% = display_option(self.stopping_for.map(|time| time.as_millis()));
             "request ended"
         );
     }
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -65,6 +65,8 @@
     pub(super) store: SocketAddr,
     name: PeerName,
     started: Instant,
+    /// When the stop signal came, if it has.
+    stop_started: Cell<Option<Instant>>,
     next_flow: Cell<FlowId>,
 }
 
@@ -83,6 +85,7 @@
             peer_link: RefCell::default(),
             store,
             started: Instant::now(),
+            stop_started: Cell::default(),
             next_flow: Cell::new(0),
         }
     }
@@ -278,9 +281,25 @@
     /// Starts the shutdown: the readiness probe fails, and each connection closes after
     /// its next response.
     pub(super) fn begin_shutdown(&self) {
+        self.stop_started.set(Some(Instant::now()));
         self.connection_phase.send_replace(ConnectionPhase::CloseAfterResponse);
     }
 
+    /// Returns the time since the stop signal, if it came.
+    pub(super) fn stopping_for(&self) -> Option<Duration> {
+        self.stop_started.get().map(|started| started.elapsed())
+    }
+
+    /// Logs each request that ends with the process.
+    pub(super) fn log_unfinished(&self) {
+        for (request, trace) in self.machine.borrow().unfinished(self.now()) {
+            log::warn!(
+                request:% = request, route:% = trace.route, calls:% = trace.calls.join("; ");
+                "process ends before the request"
+            );
+        }
+    }
+
     pub(super) fn close_idle_connections(&self) {
         self.connection_phase.send_replace(ConnectionPhase::CloseIdle);
     }
