Failing test: requests that a stopping entry takes and cuts

Callers saw their connections end in the middle of an answer, or with no answer at all, when the entry exited after SIGTERM: requests were taken until the end of the grace period (exit 7.4 s after the signal, at a grace of 8 s) and until the exit of an entry that was idle for an instant. From 3.2 s on, new connections were closed with no answer while the entry still ran.

The test stops real entries of the stand-in platform: all three in turn under callers that keep their connections, five at the instant at which their last request ends, and one that gets new connections. A request that reached a target has to end whole; a refusal is a 503 with `Retry-After` and `Connection: close`, at once; a connection may close unread within 200 ms. Also checked: exit status and time, what the targets ran, and the entries' logs.

New in the stand-ins: a caller that keeps its connection and may write a request in two parts, and the ids of the requests that arrived at a target, prefills included.

--- a/emulator/src/stand_in.rs
+++ b/emulator/src/stand_in.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod fleet;
+pub mod kept_connection;
 pub mod orders;
 pub mod referee;
 pub mod runner;
--- a/emulator/src/stand_in/caller.rs
+++ b/emulator/src/stand_in/caller.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, client::conn::http1};
+use hyper::{Request, client::conn::http1, header::HeaderMap};
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
@@ -12,7 +12,7 @@
 };
 
 /// Longest time from sending a request to the end of its response.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
+pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Kind of the route that a request uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -94,9 +94,22 @@
 
 /// What a caller has received of a response so far.
 #[derive(Debug, Default)]
-struct ReceivedResponse {
-    events: Vec<u64>,
-    signed_by: Option<String>,
+pub(super) struct ReceivedResponse {
+    pub(super) events: Vec<u64>,
+    pub(super) signed_by: Option<String>,
+}
+
+impl ReceivedResponse {
+    /// Records which target signed the response.
+    pub(super) fn record_head(&mut self, headers: &HeaderMap) {
+        let signature = headers.get("server-signature").and_then(|value| value.to_str().ok());
+        self.signed_by = signature.and_then(|text| Some(text.rsplit_once('.')?.0.to_owned()));
+    }
+
+    /// Records the events in the body received so far.
+    pub(super) fn record_body(&mut self, bytes: &[u8]) {
+        self.events = event_ids(bytes);
+    }
 }
 
 /// Number of events in a complete stream.
@@ -115,6 +128,32 @@
         CallerRequest { id, kind, subject, body, deadline, leave_after: None, resumed: None }
     }
 
+    /// Returns the HTTP message.
+    pub(super) fn message(&self) -> hyper::http::Result<Request<Full<Bytes>>> {
+        let mut builder = Request::builder()
+            .method("POST")
+            .uri(self.path())
+            .header("host", "front.example")
+            .header("request-id", &self.id)
+            .header("deadline-ms", self.deadline.as_millis() as u64)
+            // Internal headers: the system must not accept them from a caller.
+            .header("kv-source", "127.0.0.1:1/forged")
+            .header("serving-stage", "prefill");
+        if let Some(resumed) = &self.resumed {
+            builder = builder
+                .header("last-event-id", resumed.last_event)
+                .header("resumes", &resumed.first_request);
+        }
+        if let Some(prefix) = self.prefix() {
+            let tokens = if self.kind == CallerKind::Dossier { 7000 } else { 290 };
+            builder = builder
+                .header("model", "m")
+                .header("token-count", format!("{tokens},{EVENTS}"))
+                .header("prompt-prefix", prefix);
+        }
+        builder.body(Full::new(self.body.clone()))
+    }
+
     fn path(&self) -> &'static str {
         match self.kind {
             CallerKind::Dossier => "/dossier/a",
@@ -170,40 +209,16 @@
         return CallerOutcome::Broken;
     };
     let task = AbortOnDrop(tokio::spawn(async move { drop(connection.await) }));
-    let mut builder = Request::builder()
-        .method("POST")
-        .uri(request.path())
-        .header("host", "front.example")
-        .header("request-id", &request.id)
-        .header("deadline-ms", request.deadline.as_millis() as u64)
-        // Internal headers: the system must not accept them from a caller.
-        .header("kv-source", "127.0.0.1:1/forged")
-        .header("serving-stage", "prefill");
-    if let Some(resumed) = &request.resumed {
-        builder = builder
-            .header("last-event-id", resumed.last_event)
-            .header("resumes", &resumed.first_request);
-    }
-    if let Some(prefix) = request.prefix() {
-        let tokens = if request.kind == CallerKind::Dossier { 7000 } else { 290 };
-        builder = builder
-            .header("model", "m")
-            .header("token-count", format!("{tokens},{EVENTS}"))
-            .header("prompt-prefix", prefix);
-    }
-    let Ok(message) = builder.body(Full::new(request.body.clone())) else {
-        return CallerOutcome::Broken;
-    };
+    let Ok(message) = request.message() else { return CallerOutcome::Broken };
     let Ok(response) = sender.send_request(message).await else { return CallerOutcome::Broken };
     let (parts, mut body) = response.into_parts();
-    let signature = parts.headers.get("server-signature").and_then(|value| value.to_str().ok());
-    received.signed_by = signature.and_then(|text| Some(text.rsplit_once('.')?.0.to_owned()));
+    received.record_head(&parts.headers);
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
         match frame.map(|frame| frame.into_data()) {
             Ok(Ok(data)) => {
                 bytes.extend_from_slice(&data);
-                received.events = event_ids(&bytes);
+                received.record_body(&bytes);
             }
             Ok(Err(_)) => {}
             Err(_) => return CallerOutcome::Broken,
@@ -213,7 +228,7 @@
     classify_response(&parts, &bytes, request, &received.events)
 }
 
-fn classify_response(
+pub(super) fn classify_response(
     parts: &hyper::http::response::Parts,
     bytes: &[u8],
     request: &CallerRequest,
--- a/emulator/src/stand_in/runner.rs
+++ b/emulator/src/stand_in/runner.rs
@@ -120,6 +120,7 @@
     starts: u64,
     faults: RunnerFaults,
     segments: VecDeque<(String, u64)>,
+    arrivals: Vec<String>,
     runs: Vec<RunRecord>,
     prefills: u64,
     declined: Vec<Instant>,
@@ -152,6 +153,7 @@
             starts: 1,
             faults: RunnerFaults::default(),
             segments: VecDeque::new(),
+            arrivals: Vec::new(),
             runs: Vec::new(),
             prefills: 0,
             declined: Vec::new(),
@@ -268,6 +270,12 @@
         locked(&self.state).faults = faults;
     }
 
+    /// Returns the ids of the requests that arrived, whether or not they ran, with separate
+    /// prefills.
+    pub fn arrivals(&self) -> Vec<String> {
+        locked(&self.state).arrivals.clone()
+    }
+
     /// Returns all runs so far. Separate prefills are not included.
     pub fn runs(&self) -> Vec<RunRecord> {
         locked(&self.state).runs.clone()
@@ -330,6 +338,9 @@
             locked(&self.caches).remove(&name);
             return Ok(self.response(StatusCode::OK, &parts.headers, ""));
         }
+        if let Some(id) = header_text(&parts.headers, "request-id") {
+            locked(&self.state).arrivals.push(id);
+        }
         let faults = locked(&self.state).faults.clone();
         let wants_prefill =
             header_text(&parts.headers, "serving-stage").as_deref() == Some("prefill");
