Take only requests that end before a stopping entry exits

Callers saw streams and calls cut, or connections closed with no answer, by entries that had got SIGTERM 4 to 7 s before, and new connections closed without an answer from 3.2 s on.

Cause: shut_down waited until nothing was in flight, but requests were taken for as long as the process ran. While all entries are stopping, the load balancer asks all of them, so none is ever idle and the end of the grace period cut whatever ran. An idle process also waited 50 ms between its decision and its exit, and took requests meanwhile. New connections were closed by the graceful shutdown meant for idle ones.

Change: the state machine plans the stop (src/direct/stop.rs). After the signal a request is taken only if it is expected to end in time, by its estimate and the run time of its service; the others are rejected as not run. From the moment that the process is idle after the removal, or 4 s after the signal, nothing is taken any more, so that idle is final. What still runs at the end is answered or visibly broken off, and logged with the reason `stopping`.

--- a/emulator/src/platform_rig/caller.rs
+++ b/emulator/src/platform_rig/caller.rs
@@ -157,9 +157,14 @@
     /// Sends an attempt to a random entry that accepts connections.
     pub(super) fn attempt_arrives(&mut self, attempt: usize) {
         if self.callers.record(attempt).entry.is_none() {
-            let open: Vec<EntryId> = (0..self.entries.len())
-                .filter(|entry| self.entries[*entry].alive && !self.entries[*entry].stopping)
-                .collect();
+            let alive = (0..self.entries.len()).filter(|entry| self.entries[*entry].alive);
+            let alive: Vec<EntryId> = alive.collect();
+            let is_open = |entry: &&EntryId| !self.entries[**entry].stopping;
+            let mut open: Vec<EntryId> = alive.iter().filter(is_open).copied().collect();
+            if open.is_empty() {
+                // Without a ready entry, the load balancer uses all of them.
+                open = alive;
+            }
             if open.is_empty() {
                 // The load balancer finds no entry; the caller connects again later.
                 return self
--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -9,7 +9,7 @@
 use sapphirewell::{
     direct::{
         CallNumber, CallOutcome, CrashReport, DirectAction, DirectEvent, DirectMachine,
-        DirectSettings, DirectTarget, FlowId, PeerName, StreamMessage,
+        DirectSettings, DirectTarget, FlowId, PeerName, StopPhase, StreamMessage,
     },
     ids::ClockTime,
 };
@@ -233,6 +233,9 @@
         if self.settings.defect != Some(DriverDefect::NoTicks) {
             self.step_machine(entry, DirectEvent::Tick);
         }
+        if self.entries[entry].machine.stop_phase(self.now) == StopPhase::Exiting {
+            self.finish_drain(entry);
+        }
     }
 
     /// Submits an attempt to the entry's state machine.
@@ -307,6 +310,9 @@
                 self.end_flow(entry, flow, false, AttemptAnswer::Own(failure));
                 self.record_step(PlatformStep::RequestRefused, PlatformSite { entry, target: 0 });
             }
+            DirectAction::BreakOff { flow } => {
+                self.end_flow(entry, flow, false, AttemptAnswer::Broken);
+            }
             DirectAction::FreeCache { target, handle } => {
                 self.free_cache(entry, &target, &handle);
             }
--- a/emulator/src/platform_rig/fault.rs
+++ b/emulator/src/platform_rig/fault.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use sapphirewell::direct::TargetStage;
+use sapphirewell::direct::{DirectEvent, TargetStage};
 use strum::{Display, EnumIter, EnumString};
 
 use super::{
@@ -265,6 +265,7 @@
         self.entries[entry].draining = true;
         let now = self.now;
         self.entries[entry].add_disturbance(now, now + STOP_GRACE);
+        self.step_machine(entry, DirectEvent::StopRequested { time: STOP_GRACE });
         self.record_step(PlatformStep::DrainStarted, PlatformSite { entry, target: 0 });
         // The load balancer detects the stop only some time after the signal. The first end of
         // this fault marks that moment, the second ends the process.
@@ -277,7 +278,7 @@
         schedule_end(self, STOP_GRACE);
     }
 
-    fn finish_drain(&mut self, entry: EntryId) {
+    pub(super) fn finish_drain(&mut self, entry: EntryId) {
         if !self.entries[entry].draining {
             return;
         }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -24,6 +24,7 @@
 mod resume;
 mod route;
 mod stage_plan;
+mod stop;
 mod stream;
 mod suspect;
 mod target;
@@ -39,6 +40,7 @@
     ServiceName, WeightedService,
 };
 pub use stage_plan::{OrderOutcome, StageOrder};
+pub use stop::StopPhase;
 pub use stream::{SoftwareVersion, StreamId, StreamMessage, StreamOrigin, StreamResume};
 pub use suspect::{CrashReport, CrashTable, SuspectChange, SuspectReport};
 pub use target::{DirectTarget, LeavingTarget, TargetChange, TargetFleet, TargetStage};
@@ -205,6 +207,13 @@
         /// Whether the engine accepted or refused the order, or did not respond.
         outcome: OrderOutcome,
     },
+    /// The process was told to stop.
+    StopRequested {
+        /// Time until it has to exit.
+        time: Duration,
+    },
+    /// The process exits now, with the requests that are still in flight.
+    StopTimeOver,
     /// Periodic event that drives timeouts, expiry and stage planning.
     Tick,
 }
@@ -226,6 +235,8 @@
     TimedOut,
     /// Earlier runs of the request crashed several targets.
     CrashesTargets,
+    /// The entry is stopping, and the request would not end before it exits.
+    Stopping,
     /// The request goes on with a stream, and no entry knows at which software version that
     /// began.
     StreamVersionUnknown,
@@ -274,6 +285,11 @@
         /// Reason, whether the request certainly did not run, and when to retry.
         failure: RequestFailure,
     },
+    /// Break off the response that is being forwarded.
+    BreakOff {
+        /// Identifier of the request whose response stays incomplete.
+        flow: FlowId,
+    },
     /// Release a KV cache that no decode call will use.
     FreeCache {
         /// Target that holds the KV cache.
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -17,6 +17,7 @@
     estimate::{Placement, PlacementQuery, PlacementView, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
     stage_plan::StagePlanner,
+    stop::StopPlan,
     stream::OriginTable,
     waiting::{allowed_wait, priority},
 };
@@ -99,6 +100,8 @@
     pub(super) querying: Vec<FlowId>,
     pub(super) authority: StageAuthority,
     pub(super) planner: StagePlanner,
+    /// Stop of this process, once it was requested.
+    pub(super) stop: Option<StopPlan>,
 }
 
 impl DirectMachine {
@@ -126,6 +129,7 @@
             started: None,
             origins: OriginTable::default(),
             querying: Vec::new(),
+            stop: None,
         }
     }
 
@@ -209,6 +213,8 @@
             DirectEvent::OrderEnded { target, outcome } => {
                 self.planner.order_ended(now, &target, outcome);
             }
+            DirectEvent::StopRequested { time } => self.begin_stop(now, time),
+            DirectEvent::StopTimeOver => self.end_stop(out),
             DirectEvent::Tick => self.tick(now, out),
         }
     }
@@ -333,6 +339,9 @@
             let excess = placement.waiting().saturating_sub(allowed);
             return self.fail_request(id, FailureReason::CannotMeetDeadline, excess, out);
         }
+        if self.reject_while_stopping(now, id, &placement, out) {
+            return;
+        }
         self.call(now, id, placement, out);
     }
 
@@ -446,6 +455,7 @@
         self.peers.expire(now);
         self.fleet.drop_expired(now);
         self.continue_queries(now, out);
+        self.continue_stop(now);
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
             self.crashes.expire(now);
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -8,12 +8,12 @@
 
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
-    task::LocalSet,
+    task::{JoinHandle, LocalSet},
     time::Instant,
 };
 
 use crate::{
-    direct::{DirectMachine, DirectSettings},
+    direct::{DirectMachine, DirectSettings, StopPhase},
     error::{Error, ErrorCode, Result},
     platform::settings::{self, PlatformSettings},
 };
@@ -36,13 +36,12 @@
 
 /// Interval between ticks of the state machine; a twentieth of the shortest route timeout.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
-/// Time after the stop signal during which new connections still arrive: the load balancer
-/// probes readiness once a second and removes a process after two failed probes.
-const DRAIN_DELAY: Duration = Duration::from_millis(3200);
 /// Part of the stop grace period that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
-/// Interval at which a stopping process checks whether requests are still in flight.
-const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which a stopping process checks whether it may exit.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time in which the last responses reach their callers.
+const FLUSH_TIME: Duration = Duration::from_millis(300);
 
 /// Runs an entry until a stop signal, and then until its requests are finished or the stop
 /// grace period is over.
@@ -74,7 +73,7 @@
     let callers = serve::bind(settings.caller_listen).await?;
     let readiness = serve::bind(settings.readiness_listen).await?;
     tokio::task::spawn_local(serve::serve_readiness(readiness, driver.clone()));
-    tokio::task::spawn_local(serve::serve_callers(callers, driver.clone()));
+    let accepting = tokio::task::spawn_local(serve::serve_callers(callers, driver.clone()));
     tokio::task::spawn_local(tick(driver.clone()));
     follow::spawn(&settings, &driver);
     tokio::task::spawn_local(suspects::read(settings.store, driver.clone()));
@@ -91,25 +90,37 @@
         "started"
     );
     signals.wait_for_stop(&settings).await;
-    shut_down(&settings, &driver).await;
+    shut_down(&settings, &driver, &accepting).await;
     Ok(())
 }
 
-/// Finishes the requests in flight within the stop grace period. New ones are accepted
-/// until the load balancer has removed this process.
-async fn shut_down(settings: &PlatformSettings, driver: &Rc<DirectDriver>) {
+/// Finishes the requests in flight within the stop grace period, as the state machine plans it.
+async fn shut_down(
+    settings: &PlatformSettings,
+    driver: &Rc<DirectDriver>,
+    accepting: &JoinHandle<()>,
+) {
     log::info!(in_flight:% = driver.in_flight(); "stopping");
-    driver.begin_shutdown();
-    let started = Instant::now();
-    let limit = settings.stop_grace.saturating_sub(EXIT_MARGIN);
-    tokio::time::sleep(DRAIN_DELAY.min(limit)).await;
-    driver.close_idle_connections();
-    while driver.in_flight() > 0 && started.elapsed() < limit {
-        tokio::time::sleep(IDLE_POLL_INTERVAL).await;
+    driver.begin_shutdown(settings.stop_grace.saturating_sub(EXIT_MARGIN));
+    let mut phase = StopPhase::Serving;
+    while phase != StopPhase::Exiting {
+        let next = driver.stop_phase();
+        if next != phase {
+            phase = next;
+            log::info!(phase:% = phase, in_flight:% = driver.in_flight(); "stop goes on");
+            if phase >= StopPhase::Removed {
+                driver.close_idle_connections();
+            }
+        }
+        tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
-    // Gives the last responses time to reach their callers.
-    tokio::time::sleep(IDLE_POLL_INTERVAL).await;
+    accepting.abort();
     driver.log_unfinished();
+    driver.end_shutdown();
+    let flushing = Instant::now();
+    while driver.open_connections() > 0 && flushing.elapsed() < FLUSH_TIME {
+        tokio::time::sleep(STOP_POLL_INTERVAL).await;
+    }
     log::info!(in_flight:% = driver.in_flight(); "stopped");
 }
 
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -13,13 +13,16 @@
     header::HeaderMap,
 };
 use snafu::Snafu;
-use tokio::time::{Instant, Sleep};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, Sleep},
+};
 
 use super::{
     caller_stream::ConnectionReset, metrics::EndLabels, pool::ConnectionLease, shell::DirectDriver,
 };
 use crate::{
-    direct::{DirectEvent, FlowId, RequestTrace},
+    direct::{DirectAction, DirectEvent, FlowId, RequestTrace},
     event_stream::EventBoundary,
     platform::runner::{self, BodyFraming},
 };
@@ -39,6 +42,9 @@
     /// The route's timeout has passed.
     #[snafu(display("the route's timeout has passed"))]
     TimedOut,
+    /// The process exits.
+    #[snafu(display("the process exits"))]
+    Stopping,
 }
 
 /// Ends a request in the state machine, the metrics and the log when it is dropped.
@@ -157,6 +163,8 @@
     /// Resets the caller's connection where closing it would look like a complete response.
     pub(super) reset: Option<ConnectionReset>,
     pub(super) guard: FlowGuard,
+    /// Actions that end the response early.
+    pub(super) actions: mpsc::UnboundedReceiver<DirectAction>,
     /// Timer after which the response is broken off.
     pub(super) timeout: Pin<Box<Sleep>>,
     /// When the last frame arrived.
@@ -180,6 +188,9 @@
     }
 
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Poll::Ready(Some(DirectAction::BreakOff { .. })) = self.actions.poll_recv(context) {
+            return Poll::Ready(Some(Err(self.break_off(BodyError::Stopping))));
+        }
         match Pin::new(&mut self.upstream).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(data) = frame.data_ref() {
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    sync::mpsc,
+    sync::{mpsc, watch},
 };
 
 use super::{
@@ -48,6 +48,9 @@
 const MEAN_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Smallest buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Times after the stop signal between which idle connections are closed.
+const IDLE_CLOSE_TIMES: (Duration, Duration) =
+    (Duration::from_millis(1000), Duration::from_millis(3000));
 /// Idle timeout of a connection before the configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -114,6 +117,7 @@
 }
 
 async fn serve_connection(stream: TcpStream, driver: Rc<DirectDriver>) {
+    let guard = driver.count_connection();
     if let Err(error) = dial::set_socket_options(&stream) {
         log::debug!(error:% = error; "failed to set socket options");
     }
@@ -136,11 +140,7 @@
     builder.max_buf_size(head_bytes.max(MIN_BUFFER_BYTES));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let mut phase = driver.connection_phase.subscribe();
-    let closing = async move {
-        // The driver owns the sender, so this cannot fail.
-        drop(phase.wait_for(|phase| *phase == ConnectionPhase::CloseIdle).await);
-    };
+    let closing = wait_to_close(driver.connection_phase.subscribe());
     tokio::pin!(closing);
     let served = tokio::select! {
         served = connection.as_mut() => served,
@@ -152,6 +152,26 @@
     if let Err(error) = served {
         log::debug!(error:% = error; "caller connection failed");
     }
+    drop(guard);
+}
+
+/// Waits until a connection is to be closed if it is idle, or after its current response.
+///
+/// One that is accepted afterwards has a request to come, whose response closes it. The
+/// others close at times of their own, so that their callers do not all turn to other
+/// entries at once.
+async fn wait_to_close(mut phase: watch::Receiver<ConnectionPhase>) {
+    if *phase.borrow() != ConnectionPhase::Open {
+        return std::future::pending().await;
+    }
+    // The driver owns the sender, so this cannot fail.
+    drop(phase.wait_for(|phase| *phase != ConnectionPhase::Open).await);
+    let (first, last) = IDLE_CLOSE_TIMES;
+    let spread = tokio::time::sleep(rand::random_range(first..last));
+    tokio::select! {
+        () = spread => {}
+        _ = phase.wait_for(|phase| *phase == ConnectionPhase::CloseIdle) => {}
+    }
 }
 
 /// Serves one request up to the head of its response.
@@ -245,7 +265,8 @@
             Some(DirectAction::Deliver { time_left, .. }) => {
                 if let Some(response) = pending.take() {
                     let reset = ConnectionReset::needed_by(&request.parts);
-                    return deliver(guard, response, &head.route, reset, time_left);
+                    let delivery = Delivery { reset, time_left, actions };
+                    return deliver(guard, response, &head.route, delivery);
                 }
                 next = actions.recv().await;
             }
@@ -255,7 +276,8 @@
                 return response.map(ResponseBody::local);
             }
             Some(
-                DirectAction::FreeCache { .. }
+                DirectAction::BreakOff { .. }
+                | DirectAction::FreeCache { .. }
                 | DirectAction::ReportCrashes(_)
                 | DirectAction::PersistSuspect(_)
                 | DirectAction::SendToPeers { .. }
@@ -280,12 +302,18 @@
     response
 }
 
+/// How a target's response is forwarded, and what ends it early.
+struct Delivery {
+    reset: Option<ConnectionReset>,
+    time_left: Duration,
+    actions: mpsc::UnboundedReceiver<DirectAction>,
+}
+
 fn deliver(
     mut guard: FlowGuard,
     pending: PendingResponse,
     route: &RouteConfig,
-    reset: Option<ConnectionReset>,
-    time_left: Duration,
+    delivery: Delivery,
 ) -> Response<ResponseBody> {
     let (parts, upstream) = pending.response.into_parts();
     guard.set_status(parts.status.as_u16());
@@ -300,9 +328,10 @@
         keep_alive,
         reusable,
         is_event_stream,
-        reset,
+        reset: delivery.reset,
         guard,
-        timeout: Box::pin(tokio::time::sleep(time_left)),
+        actions: delivery.actions,
+        timeout: Box::pin(tokio::time::sleep(delivery.time_left)),
         last_output: None,
     };
     let mut response = Response::new(ResponseBody::Target(Box::new(body)));
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -27,7 +27,7 @@
 use crate::{
     direct::{
         CrashReport, DirectAction, DirectEvent, DirectMachine, DirectTarget, FlowId, LeavingTarget,
-        LoadReport, PeerName, RequestTrace, RouteTable,
+        LoadReport, PeerName, RequestTrace, RouteTable, StopPhase,
     },
     ids::ClockTime,
     platform::{configuration, discovery, runner},
@@ -48,6 +48,18 @@
     CloseIdle,
 }
 
+/// Counts a caller's connection as open until it is dropped.
+pub(super) struct ConnectionGuard {
+    driver: Rc<DirectDriver>,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        let open = &self.driver.open_connections;
+        open.set(open.get() - 1);
+    }
+}
+
 /// Runs the state machine of a direct entry and carries out its actions.
 pub(super) struct DirectDriver {
     machine: RefCell<DirectMachine>,
@@ -67,6 +79,8 @@
     started: Instant,
     /// When the stop signal came, if it has.
     stop_started: Cell<Option<Instant>>,
+    /// Number of callers' connections.
+    open_connections: Cell<usize>,
     next_flow: Cell<FlowId>,
 }
 
@@ -86,6 +100,7 @@
             store,
             started: Instant::now(),
             stop_started: Cell::default(),
+            open_connections: Cell::default(),
             next_flow: Cell::new(0),
         }
     }
@@ -150,6 +165,7 @@
         match action {
             DirectAction::Call { flow, .. }
             | DirectAction::Deliver { flow, .. }
+            | DirectAction::BreakOff { flow }
             | DirectAction::Fail { flow, .. } => {
                 if let Some(sender) = self.action_senders.borrow().get(&flow) {
                     // The send fails only if the caller has just disconnected.
@@ -278,10 +294,11 @@
         *self.connection_phase.borrow() != ConnectionPhase::Open
     }
 
-    /// Starts the shutdown: the readiness probe fails, and each connection closes after
-    /// its next response.
-    pub(super) fn begin_shutdown(&self) {
+    /// Starts the shutdown, which ends within `time`: the readiness probe fails, and each
+    /// connection closes after its next response.
+    pub(super) fn begin_shutdown(self: &Rc<Self>, time: Duration) {
         self.stop_started.set(Some(Instant::now()));
+        self.step(DirectEvent::StopRequested { time });
         self.connection_phase.send_replace(ConnectionPhase::CloseAfterResponse);
     }
 
@@ -290,6 +307,25 @@
         self.stop_started.get().map(|started| started.elapsed())
     }
 
+    pub(super) fn stop_phase(&self) -> StopPhase {
+        self.machine.borrow().stop_phase(self.now())
+    }
+
+    /// Ends the requests that are still in flight as the process exits.
+    pub(super) fn end_shutdown(self: &Rc<Self>) {
+        self.step(DirectEvent::StopTimeOver);
+    }
+
+    /// Counts a caller's connection until the guard is dropped.
+    pub(super) fn count_connection(self: &Rc<Self>) -> ConnectionGuard {
+        self.open_connections.set(self.open_connections.get() + 1);
+        ConnectionGuard { driver: self.clone() }
+    }
+
+    pub(super) fn open_connections(&self) -> usize {
+        self.open_connections.get()
+    }
+
     /// Logs each request that ends with the process.
     pub(super) fn log_unfinished(&self) {
         for (request, trace) in self.machine.borrow().unfinished(self.now()) {
