Keep the stop plan strict from 2.8 s on, and estimate requests by their route

Requests of 2.8 to 3.2 s after the signal were admitted with an end that no excuse covers; the run time was the largest mean over all kinds of a service, which rejected short requests and let long ones in; a request between two calls was never checked again; and the last bytes had 300 ms although seconds of the grace period were left. Short requests were also rejected while a long one kept the process running anyway, and a process with a short grace period exited before the load balancer had removed it.

Admission is strict from 2.8 s on, by the mean and deviation of the time of the route's requests; a request that did not run is checked again before each call; responses are flushed until the end of the plan; short requests are taken while others run; the margins shrink with the grace period. A stopping entry claims and orders no engines.

--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -282,6 +282,10 @@
         }
         self.drop_cache(id, out);
         if let Some(flow) = self.flows.remove(&id) {
+            if complete {
+                let times = self.request_times.entry(flow.request.route.name.clone()).or_default();
+                times.record(now.saturating_sub(flow.arrived));
+            }
             self.timeouts.remove(&(flow.timeout_at + TIMEOUT_GRACE, id));
         }
     }
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -17,7 +17,7 @@
     estimate::{Placement, PlacementQuery, PlacementView, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
     stage_plan::StagePlanner,
-    stop::StopPlan,
+    stop::{RequestTimes, StopPlan},
     stream::OriginTable,
     waiting::{allowed_wait, priority},
 };
@@ -100,6 +100,9 @@
     pub(super) querying: Vec<FlowId>,
     pub(super) authority: StageAuthority,
     pub(super) planner: StagePlanner,
+    /// Times of requests by the name of their route.
+    #[serde(skip)]
+    pub(super) request_times: HashMap<Arc<str>, RequestTimes>,
     /// Stop of this process, once it was requested.
     pub(super) stop: Option<StopPlan>,
 }
@@ -129,6 +132,7 @@
             started: None,
             origins: OriginTable::default(),
             querying: Vec::new(),
+            request_times: HashMap::new(),
             stop: None,
         }
     }
@@ -362,6 +366,7 @@
         let query = query(flow, self.routes.as_ref(), &self.settings);
         let chosen = source.and_then(|source| view.choose_decode(&mut self.rng, &query, source));
         match chosen {
+            Some(placement) if self.reject_while_stopping(now, id, &placement, out) => {}
             Some(placement) => self.call(now, id, placement, out),
             None => self.fail_without_target(now, id, out),
         }
@@ -438,7 +443,8 @@
 
     /// Claims the authority over engines if no entry holds it, and orders engines if held.
     fn manage_stages(&mut self, now: ClockTime, out: &mut Vec<DirectAction>) {
-        if !self.fleet.has_engines() {
+        // Its authority would end with it, and another entry would have to wait for that.
+        if !self.fleet.has_engines() || self.stop.is_some() {
             return;
         }
         if self.authority.should_claim(now, &self.settings.name, &self.peers) {
--- a/src/direct/stop.rs
+++ b/src/direct/stop.rs
@@ -16,14 +16,51 @@
 /// Time after the stop signal during which new connections still arrive: the load balancer
 /// probes readiness once a second and removes a process after two failed probes.
 const REMOVAL_DELAY: Duration = Duration::from_millis(3200);
-/// Time after [`REMOVAL_DELAY`] by which requests that are still taken are expected to end.
-const ADMISSION_TIME: Duration = Duration::from_millis(800);
-/// Largest share of the time to the exit in which requests are taken.
-const MAX_ADMISSION_SHARE: f32 = 0.6;
+/// Time after the stop signal from which only requests that soon end are taken. It ends before
+/// the 3 s after which no cut of a request is excused.
+const STRICT_DELAY: Duration = Duration::from_millis(2800);
+/// Time after the stop signal by which such requests are expected to end.
+const ADMISSION_TIME: Duration = Duration::from_secs(4);
+/// Longest expected time of a request that is taken after that, while earlier ones keep the
+/// process running anyway.
+const SHORT_REQUEST_TIME: Duration = Duration::from_millis(200);
+/// Largest shares of the time to the exit for [`STRICT_DELAY`] and [`ADMISSION_TIME`].
+const MAX_SHARES: (f32, f32) = (0.35, 0.6);
 /// Share of the time to the exit that is left for requests that take longer than expected.
 const OVERRUN_SHARE: f32 = 0.25;
 /// Mean time after which a caller that was rejected tries another entry.
-const REJECTED_RETRY_DELAY: Duration = Duration::from_millis(150);
+const REJECTED_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Weight of a new sample in the average time of a route's requests.
+const TIME_WEIGHT: f32 = 0.1;
+/// Deviations above the average within which most requests end.
+const TIME_DEVIATIONS: f32 = 3.0;
+
+/// Time from the arrival to the end of a route's requests that ended whole.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub(super) struct RequestTimes {
+    /// Average, in seconds; 0 before the first request.
+    mean: f32,
+    /// Average distance from the average, in seconds.
+    deviation: f32,
+}
+
+impl RequestTimes {
+    pub(super) fn record(&mut self, took: Duration) {
+        let seconds = took.as_secs_f32();
+        if self.mean == 0.0 {
+            *self = RequestTimes { mean: seconds, deviation: seconds / 2.0 };
+            return;
+        }
+        let distance = seconds - self.mean;
+        self.mean += TIME_WEIGHT * distance;
+        self.deviation += TIME_WEIGHT * (distance.abs() - self.deviation);
+    }
+
+    /// Returns the time within which most requests end.
+    fn most(self) -> Duration {
+        Duration::from_secs_f32(self.mean + TIME_DEVIATIONS * self.deviation)
+    }
+}
 
 /// Phase of a process from normal service to its exit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Display)]
@@ -44,10 +81,11 @@
 /// Times of a stop, and whether requests are still taken.
 #[derive(Debug, Clone, Serialize)]
 pub(super) struct StopPlan {
+    strict_from: ClockTime,
     removed_at: ClockTime,
-    /// Time by which requests that are taken after the removal are expected to end.
+    /// Time by which requests that come after `strict_from` are expected to end.
     admission_end: ClockTime,
-    /// The same before the removal.
+    /// Time by which any request that is taken is expected to end.
     overrun_start: ClockTime,
     exit_at: ClockTime,
     /// Whether nothing is taken any more, so that an idle process stays idle.
@@ -56,21 +94,26 @@
 
 impl StopPlan {
     fn new(now: ClockTime, time: Duration) -> StopPlan {
-        let removal = REMOVAL_DELAY.min(time.mul_f32(MAX_ADMISSION_SHARE));
-        let admission = (REMOVAL_DELAY + ADMISSION_TIME).min(time.mul_f32(MAX_ADMISSION_SHARE));
         StopPlan {
-            removed_at: now + removal,
-            admission_end: now + admission,
+            strict_from: now + STRICT_DELAY.min(time.mul_f32(MAX_SHARES.0)),
+            removed_at: now + REMOVAL_DELAY.min(time),
+            admission_end: now + ADMISSION_TIME.min(time.mul_f32(MAX_SHARES.1)),
             overrun_start: now + time.mul_f32(1.0 - OVERRUN_SHARE),
             exit_at: now + time,
             closing: false,
         }
     }
 
-    /// Returns whether a request is taken that is expected to end at a time.
-    fn admits(&self, now: ClockTime, expected_end: ClockTime) -> bool {
-        let latest = if now < self.removed_at { self.overrun_start } else { self.admission_end };
-        !self.closing && expected_end <= latest
+    /// Returns whether a request is taken that is expected to last for a time.
+    fn admits(&self, now: ClockTime, expected: Duration) -> bool {
+        let latest = if now < self.strict_from {
+            self.overrun_start
+        } else if now < self.admission_end {
+            self.admission_end.max(now + SHORT_REQUEST_TIME)
+        } else {
+            now + SHORT_REQUEST_TIME
+        };
+        !self.closing && now + expected <= latest.min(self.overrun_start)
     }
 }
 
@@ -84,22 +127,27 @@
         match &self.stop {
             None => StopPhase::Serving,
             Some(plan) if now >= plan.exit_at => StopPhase::Exiting,
-            Some(plan) if plan.closing && self.flows.is_empty() => StopPhase::Exiting,
+            Some(plan) if plan.closing && self.flows.is_empty() && now >= plan.removed_at => {
+                StopPhase::Exiting
+            }
             Some(plan) if plan.closing => StopPhase::Closing,
             Some(plan) if now >= plan.removed_at => StopPhase::Removed,
             Some(_) => StopPhase::Leaving,
         }
     }
 
-    /// Stops taking requests once the process is idle, or when its time for them is over.
+    /// Stops taking requests once the process is idle, or when only short ones are left of
+    /// those that it took.
     pub(super) fn continue_stop(&mut self, now: ClockTime) {
+        let Some(plan) = &mut self.stop else { return };
         let is_idle = self.flows.is_empty();
-        if let Some(plan) = &mut self.stop {
-            plan.closing |= now >= plan.admission_end || (now >= plan.removed_at && is_idle);
-        }
+        let has_long = self.flows.values().any(|flow| flow.arrived < plan.admission_end);
+        plan.closing |= now >= plan.overrun_start
+            || (now >= plan.admission_end.max(plan.removed_at) && !has_long)
+            || (now >= plan.removed_at && is_idle);
     }
 
-    /// Rejects a request that was not sent yet and would not end before the exit.
+    /// Rejects a request that did not run and would not end before the exit.
     ///
     /// Returns whether it was rejected.
     pub(super) fn reject_while_stopping(
@@ -110,11 +158,13 @@
         out: &mut Vec<DirectAction>,
     ) -> bool {
         let (Some(plan), Some(flow)) = (&self.stop, self.flows.get(&id)) else { return false };
-        if flow.calls > 0 {
-            return false;
-        }
-        let run_time = self.fleet.longest_run(&flow.service);
-        if plan.admits(now, now + placement.expected() + run_time) {
+        let fits = if flow.calls == 0 {
+            let times = self.request_times.get(&flow.request.route.name).copied();
+            plan.admits(now, placement.expected().max(times.unwrap_or_default().most()))
+        } else {
+            now + placement.expected() < plan.exit_at
+        };
+        if fits || flow.may_have_run {
             return false;
         }
         self.fail_request(id, FailureReason::Stopping, REJECTED_RETRY_DELAY, out);
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -456,13 +456,6 @@
         versions.all(|version| version == only).then(|| only.clone())
     }
 
-    /// Returns the longest average run time among the targets of a service.
-    pub(super) fn longest_run(&self, service: &ServiceName) -> Duration {
-        let states = self.targets.values().filter(|state| state.target.service == *service);
-        let longest = states.map(|state| state.run_seconds).fold(0.0, f32::max);
-        Duration::from_secs_f32(longest)
-    }
-
     pub(super) fn get_mut(&mut self, id: &TargetId) -> Option<&mut TargetState> {
         self.targets.get_mut(id)
     }
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -36,12 +36,13 @@
 
 /// Interval between ticks of the state machine; a twentieth of the shortest route timeout.
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
-/// Part of the stop grace period that is reserved for the exit of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(700);
+/// Part of the stop grace period that is reserved for the exit of the process, and the largest
+/// share of a short one.
+const EXIT_MARGIN: (Duration, u32) = (Duration::from_millis(700), 8);
 /// Interval at which a stopping process checks whether it may exit.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest time in which the last responses reach their callers.
-const FLUSH_TIME: Duration = Duration::from_millis(300);
+/// Time in which the last responses reach their callers, beyond the end of the stop.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
 
 /// Runs an entry until a stop signal, and then until its requests are finished or the stop
 /// grace period is over.
@@ -101,7 +102,10 @@
     accepting: &JoinHandle<()>,
 ) {
     log::info!(in_flight:% = driver.in_flight(); "stopping");
-    driver.begin_shutdown(settings.stop_grace.saturating_sub(EXIT_MARGIN));
+    let (margin, share) = EXIT_MARGIN;
+    let time = settings.stop_grace - margin.min(settings.stop_grace / share);
+    let end = Instant::now() + time;
+    driver.begin_shutdown(time);
     let mut phase = StopPhase::Serving;
     while phase != StopPhase::Exiting {
         let next = driver.stop_phase();
@@ -117,8 +121,8 @@
     accepting.abort();
     driver.log_unfinished();
     driver.end_shutdown();
-    let flushing = Instant::now();
-    while driver.open_connections() > 0 && flushing.elapsed() < FLUSH_TIME {
+    let flushed_by = end.max(Instant::now() + FLUSH_TIME);
+    while driver.busy_connections() > 0 && Instant::now() < flushed_by {
         tokio::time::sleep(STOP_POLL_INTERVAL).await;
     }
     log::info!(in_flight:% = driver.in_flight(); "stopped");
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -21,7 +21,7 @@
     answer::{FlowGuard, ResponseBody, TargetBody},
     call::{self, CallSpec, CallerRequest, PendingResponse},
     caller_stream::{CallerStream, ConnectionReset},
-    shell::{ConnectionPhase, DirectDriver},
+    shell::{ConnectionGuard, ConnectionPhase, DirectDriver},
 };
 use crate::{
     direct::{DirectAction, DirectEvent, FlowId, RouteConfig},
@@ -117,7 +117,6 @@
 }
 
 async fn serve_connection(stream: TcpStream, driver: Rc<DirectDriver>) {
-    let guard = driver.count_connection();
     if let Err(error) = dial::set_socket_options(&stream) {
         log::debug!(error:% = error; "failed to set socket options");
     }
@@ -128,8 +127,10 @@
     let stream = CallerStream::new(stream, reset.clone());
     let service = {
         let driver = driver.clone();
+        let guard = ConnectionGuard::new(driver.clone());
         service_fn(move |mut request: Request<Incoming>| {
             let driver = driver.clone();
+            guard.record_request();
             reset.attach(request.extensions_mut());
             async move { Ok::<_, Infallible>(serve_request(driver, request).await) }
         })
@@ -143,6 +144,7 @@
     let closing = wait_to_close(driver.connection_phase.subscribe());
     tokio::pin!(closing);
     let served = tokio::select! {
+        biased;
         served = connection.as_mut() => served,
         () = &mut closing => {
             connection.as_mut().graceful_shutdown();
@@ -152,7 +154,6 @@
     if let Err(error) = served {
         log::debug!(error:% = error; "caller connection failed");
     }
-    drop(guard);
 }
 
 /// Waits until a connection is to be closed if it is idle, or after its current response.
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -48,15 +48,31 @@
     CloseIdle,
 }
 
-/// Counts a caller's connection as open until it is dropped.
+/// Counts a caller's connection as busy from its first request until it is dropped.
 pub(super) struct ConnectionGuard {
     driver: Rc<DirectDriver>,
+    busy: Cell<bool>,
+}
+
+impl ConnectionGuard {
+    pub(super) fn new(driver: Rc<DirectDriver>) -> ConnectionGuard {
+        ConnectionGuard { driver, busy: Cell::new(false) }
+    }
+
+    pub(super) fn record_request(&self) {
+        if !self.busy.replace(true) {
+            let busy = &self.driver.busy_connections;
+            busy.set(busy.get() + 1);
+        }
+    }
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        let open = &self.driver.open_connections;
-        open.set(open.get() - 1);
+        if self.busy.get() {
+            let busy = &self.driver.busy_connections;
+            busy.set(busy.get() - 1);
+        }
     }
 }
 
@@ -79,8 +95,8 @@
     started: Instant,
     /// When the stop signal came, if it has.
     stop_started: Cell<Option<Instant>>,
-    /// Number of callers' connections.
-    open_connections: Cell<usize>,
+    /// Number of callers' connections that have brought a request.
+    busy_connections: Cell<usize>,
     next_flow: Cell<FlowId>,
 }
 
@@ -100,7 +116,7 @@
             store,
             started: Instant::now(),
             stop_started: Cell::default(),
-            open_connections: Cell::default(),
+            busy_connections: Cell::default(),
             next_flow: Cell::new(0),
         }
     }
@@ -316,14 +332,9 @@
         self.step(DirectEvent::StopTimeOver);
     }
 
-    /// Counts a caller's connection until the guard is dropped.
-    pub(super) fn count_connection(self: &Rc<Self>) -> ConnectionGuard {
-        self.open_connections.set(self.open_connections.get() + 1);
-        ConnectionGuard { driver: self.clone() }
-    }
-
-    pub(super) fn open_connections(&self) -> usize {
-        self.open_connections.get()
+    /// Returns the number of connections that have brought a request and are still open.
+    pub(super) fn busy_connections(&self) -> usize {
+        self.busy_connections.get()
     }
 
     /// Logs each request that ends with the process.
