Stand-in: a prompt segment that crashes engines, and engines that crash by themselves

An engine with such a segment among its faults crashes 1 to 100 ms after it begins a decode or a whole run, with one event at most written. Its listener and all its connections close, every second one with a reset; its heartbeats stop, and its registration goes after three of them. After 0.6 to 1.5 s it starts again without caches or orders, at every fourth start under its old id with a newer start time, else under a new id. A bound socket keeps its port meanwhile. An engine can also be crashed by itself. Engines record their crashes and every call of a request with its segments, and callers state the segments of a request freely.

--- a/emulator/src/stand_in.rs
+++ b/emulator/src/stand_in.rs
@@ -14,7 +14,12 @@
 pub mod store;
 
 use std::{
-    convert::Infallible, error::Error, net::SocketAddr, os::fd::AsFd, sync::Arc, time::Duration,
+    convert::Infallible,
+    error::Error,
+    net::SocketAddr,
+    os::fd::{AsFd, OwnedFd},
+    sync::Arc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -22,7 +27,10 @@
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::{net::TcpListener, task::JoinHandle};
+use tokio::{
+    net::TcpListener,
+    task::{JoinHandle, JoinSet},
+};
 
 /// Response body of a stand-in; an error in it aborts the connection.
 pub type StandInBody = BoxBody<Bytes, BrokenOff>;
@@ -56,24 +64,48 @@
 {
     let listener = TcpListener::bind(("127.0.0.1", port)).await?;
     let address = listener.local_addr()?;
+    Ok((address, serve_on(listener, handler)))
+}
+
+/// Serves `handler` on a listener, like [`serve`]. Aborting the returned task closes the
+/// listener and all its connections, every second one with a reset.
+pub fn serve_on<H, F>(listener: TcpListener, handler: H) -> JoinHandle<()>
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Result<Response<StandInBody>, BrokenOff>> + Send + 'static,
+{
     let handler = Arc::new(handler);
-    let task = tokio::spawn(async move {
-        loop {
+    tokio::spawn(async move {
+        let mut connections = JoinSet::new();
+        for number in 0_u64.. {
             let Ok((stream, _)) = listener.accept().await else { continue };
             let handler = handler.clone();
-            tokio::spawn(async move {
+            while connections.try_join_next().is_some() {}
+            connections.spawn(async move {
                 let service = service_fn(move |request| handler(request));
                 let Ok(handle) = stream.as_fd().try_clone_to_owned() else { return };
+                let mut closing = ConnectionClose { handle, resets: number.is_multiple_of(2) };
                 let served =
                     http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
                 // Other errors only mean that the caller disconnected or a fault closed the connection.
-                if served.is_err_and(|error| is_reset(&error)) {
-                    SockRef::from(&handle).set_linger(Some(Duration::ZERO)).ok();
-                }
+                closing.resets = served.is_err_and(|error| is_reset(&error));
             });
         }
-    });
-    Ok((address, task))
+    })
+}
+
+/// Handle of a connection that outlives its stream; dropping it closes the connection.
+struct ConnectionClose {
+    handle: OwnedFd,
+    resets: bool,
+}
+
+impl Drop for ConnectionClose {
+    fn drop(&mut self) {
+        if self.resets {
+            SockRef::from(&self.handle).set_linger(Some(Duration::ZERO)).ok();
+        }
+    }
 }
 
 fn is_reset(error: &hyper::Error) -> bool {
--- a/emulator/src/stand_in/caller.rs
+++ b/emulator/src/stand_in/caller.rs
@@ -36,6 +36,8 @@
     pub kind: CallerKind,
     /// Selects the first prompt segment; requests with the same number share it.
     pub subject: u64,
+    /// Ids and tokens of the prompt's segments, in order, instead of those of its kind.
+    pub segments: Option<Vec<(u64, u64)>>,
     /// Request body.
     pub body: Bytes,
     /// Time limit sent in the `deadline-ms` header.
@@ -125,7 +127,16 @@
         };
         let id = id.into();
         let body = Bytes::from(format!("body of {id}"));
-        CallerRequest { id, kind, subject, body, deadline, leave_after: None, resumed: None }
+        CallerRequest {
+            id,
+            kind,
+            subject,
+            segments: None,
+            body,
+            deadline,
+            leave_after: None,
+            resumed: None,
+        }
     }
 
     /// Returns the HTTP message.
@@ -144,12 +155,15 @@
                 .header("last-event-id", resumed.last_event)
                 .header("resumes", &resumed.first_request);
         }
-        if let Some(prefix) = self.prefix() {
-            let tokens = if self.kind == CallerKind::Dossier { 7000 } else { 290 };
+        let segments = self.prompt_segments();
+        if !segments.is_empty() {
+            let tokens: u64 = segments.iter().map(|(_, tokens)| tokens).sum();
+            let prefix: Vec<String> =
+                segments.iter().map(|(id, tokens)| format!("{id:x}:{tokens}")).collect();
             builder = builder
                 .header("model", "m")
                 .header("token-count", format!("{tokens},{EVENTS}"))
-                .header("prompt-prefix", prefix);
+                .header("prompt-prefix", prefix.join(","));
         }
         builder.body(Full::new(self.body.clone()))
     }
@@ -163,18 +177,15 @@
         }
     }
 
-    fn prefix(&self) -> Option<String> {
-        let subject = self.subject;
+    fn prompt_segments(&self) -> Vec<(u64, u64)> {
+        if let Some(segments) = &self.segments {
+            return segments.clone();
+        }
+        let own = 0x10_0000 + hash_id(&self.id);
         match self.kind {
-            CallerKind::Dossier => Some(format!(
-                "{:x}:6000,{:x}:1000",
-                0xd000 + subject,
-                0x10_0000 + hash_id(&self.id)
-            )),
-            CallerKind::Note => {
-                Some(format!("{:x}:90,{:x}:200", 0xe000 + subject, 0x10_0000 + hash_id(&self.id)))
-            }
-            CallerKind::Ticket | CallerKind::Lookup => None,
+            CallerKind::Dossier => vec![(0xd000 + self.subject, 6000), (own, 1000)],
+            CallerKind::Note => vec![(0xe000 + self.subject, 90), (own, 200)],
+            CallerKind::Ticket | CallerKind::Lookup => Vec::new(),
         }
     }
 }
--- a/emulator/src/stand_in/fleet.rs
+++ b/emulator/src/stand_in/fleet.rs
@@ -1,6 +1,7 @@
 //! Stand-in platform with real entry processes.
 
 use std::{
+    collections::BTreeMap,
     io,
     net::SocketAddr,
     path::PathBuf,
@@ -25,6 +26,8 @@
 pub const PLAIN: &str = "records";
 /// Interval at which targets renew their registration.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// Number of missed heartbeats after which a registration is removed.
+const MISSED_HEARTBEATS: u32 = 3;
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 const STOP_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -247,11 +250,21 @@
         let (runner, store, paused_heartbeats) =
             (runner.clone(), self.store.clone(), self.paused_heartbeats.clone());
         tokio::spawn(async move {
+            let mut heartbeats = BTreeMap::from([(runner.instance(), Instant::now())]);
             loop {
                 tokio::time::sleep(HEARTBEAT_INTERVAL).await;
-                if !locked(&paused_heartbeats).contains(&runner.id) {
+                if runner.is_up() && !locked(&paused_heartbeats).contains(&runner.id) {
                     runner.register(&store, "ready");
                 }
+                if runner.is_up() {
+                    heartbeats.insert(runner.instance(), Instant::now());
+                }
+                let is_silent = |_: &Arc<str>, last: &mut Instant| {
+                    last.elapsed() >= HEARTBEAT_INTERVAL * MISSED_HEARTBEATS
+                };
+                for (instance, _) in heartbeats.extract_if(.., is_silent) {
+                    store.put("keyed.servers", &instance, None);
+                }
             }
         })
     }
--- a/emulator/src/stand_in/runner.rs
+++ b/emulator/src/stand_in/runner.rs
@@ -1,6 +1,7 @@
 //! Stand-in targets: engines and plain services.
 
 mod call;
+mod crash;
 mod prefill;
 mod profile;
 mod response;
@@ -8,32 +9,28 @@
 mod stream;
 
 pub use profile::{RunnerFaults, RunnerKind, RunnerProfile};
-pub use state::{CacheRegistry, RunRecord};
+pub use state::{CacheRegistry, CrashRecord, ReceivedCall, RunRecord};
 
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex},
 };
 
 use serde_json::json;
-use tokio::time::Instant;
+use socket2::{Domain, Socket, Type};
+use tokio::{net::TcpListener, time::Instant};
 
 use state::{RunnerState, locked};
 
 use super::{
-    BrokenOff,
     orders::{OrderRecord, stage_name},
-    slots::PrioritySlots,
     store::StoreModel,
 };
 
 /// Stand-in target that serves HTTP; clones share its state.
 #[derive(Debug, Clone)]
 pub struct RunnerModel {
-    /// Id under which it registers in the store.
+    /// Name, which is also the id under which its first start registers in the store.
     pub id: Arc<str>,
     /// Address at which it listens.
     pub address: SocketAddr,
@@ -41,10 +38,9 @@
     pub service: Arc<str>,
     profile: RunnerProfile,
     state: Arc<Mutex<RunnerState>>,
-    slots: PrioritySlots,
-    prefill_lock: Arc<tokio::sync::Mutex<()>>,
     caches: CacheRegistry,
-    sequence: Arc<AtomicU64>,
+    /// Bound to its address, so that nothing else takes the port while it is down.
+    _reserved: Arc<Socket>,
 }
 
 impl RunnerModel {
@@ -58,39 +54,38 @@
         profile: RunnerProfile,
         caches: CacheRegistry,
     ) -> std::io::Result<RunnerModel> {
-        let cell: Arc<Mutex<Option<RunnerModel>>> = Arc::default();
-        let shared = cell.clone();
-        let (address, _) = super::serve(0, move |request| {
-            let runner = locked(&shared).clone();
-            async move {
-                match runner {
-                    Some(runner) => runner.handle(request).await,
-                    None => Err(BrokenOff::Closed),
-                }
-            }
-        })
-        .await?;
+        let reserved = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        reserved.set_reuse_address(true)?;
+        reserved.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+        let address = reserved.local_addr()?.as_socket().ok_or(std::io::ErrorKind::Unsupported)?;
         let runner = RunnerModel {
             id: id.into(),
             address,
             service: service.into(),
             profile,
-            state: Arc::new(Mutex::new(RunnerState::new())),
-            slots: PrioritySlots::new(profile.slots),
-            prefill_lock: Arc::default(),
+            state: Arc::new(Mutex::new(RunnerState::new(id.into(), profile.slots))),
             caches,
-            sequence: Arc::default(),
+            _reserved: Arc::new(reserved),
         };
-        *locked(&cell) = Some(runner.clone());
+        runner.listen().await?;
         Ok(runner)
     }
 
+    async fn listen(&self) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.address).await?;
+        let runner = self.clone();
+        let server = super::serve_on(listener, move |request| runner.clone().handle(request));
+        locked(&self.state).server = Some(server);
+        Ok(())
+    }
+
     /// Writes its registration to the store, with the given `state`.
     pub fn register(&self, store: &StoreModel, state: &str) {
-        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let (version, born) = {
-            let runner = locked(&self.state);
-            (runner.version.clone(), 1_000 * runner.starts)
+        let (instance, version, born, sequence) = {
+            let mut runner = locked(&self.state);
+            runner.sequence += 1;
+            let born = 1_000 * runner.starts;
+            (runner.instance.clone(), runner.version.clone(), born, runner.sequence)
         };
         let mut registration = json!({
             "service": &*self.service, "address": self.address.to_string(), "zone": "zone-a",
@@ -100,7 +95,7 @@
         if let Some(stage) = stage_name(self.kind()) {
             registration["stage"] = json!(stage);
         }
-        store.put("keyed.servers", &self.id, Some(registration.to_string().as_bytes()));
+        store.put("keyed.servers", &instance, Some(registration.to_string().as_bytes()));
     }
 
     /// Starts again with another version of its software, which it registers.
@@ -114,6 +109,11 @@
         self.register(store, "ready");
     }
 
+    /// Returns the id of its present start, under which it registers.
+    pub fn instance(&self) -> Arc<str> {
+        locked(&self.state).instance.clone()
+    }
+
     /// Returns the version of its software.
     pub fn version(&self) -> String {
         locked(&self.state).version.clone()
@@ -150,6 +150,11 @@
         locked(&self.state).runs.clone()
     }
 
+    /// Returns all calls of requests that reached it, oldest first.
+    pub fn received(&self) -> Vec<ReceivedCall> {
+        locked(&self.state).received.clone()
+    }
+
     /// Returns the number of prompts prefilled as a separate stage.
     pub fn prefills(&self) -> u64 {
         locked(&self.state).prefills
--- a/emulator/src/stand_in/runner/call.rs
+++ b/emulator/src/stand_in/runner/call.rs
@@ -13,8 +13,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::{
-    RunRecord, RunnerFaults, RunnerKind, RunnerModel,
-    response::{cut_body, header_text, trailing_number},
+    ReceivedCall, RunRecord, RunnerFaults, RunnerKind, RunnerModel,
+    response::{cut_body, header_text, prompt_segments, trailing_number},
     state::locked,
     stream::RunGuard,
 };
@@ -58,7 +58,8 @@
 
     async fn respond(self, parts: Parts, body: Bytes) -> Result<Response<StandInBody>, BrokenOff> {
         let path = parts.uri.path().to_owned();
-        if header_text(&parts.headers, "expect-instance").is_some_and(|id| id != *self.id) {
+        self.record_call(&parts);
+        if header_text(&parts.headers, "expect-instance").is_some_and(|id| id != *self.instance()) {
             return Ok(self.response(StatusCode::MISDIRECTED_REQUEST, &parts.headers, ""));
         }
         match path.as_str() {
@@ -96,7 +97,8 @@
         let deadline = header_text(&parts.headers, "deadline-ms").and_then(|t| t.parse().ok());
         let deadline = Instant::now() + Duration::from_millis(deadline.unwrap_or(60_000));
         let priority = header_text(&parts.headers, "request-priority").and_then(|t| t.parse().ok());
-        let taken = tokio::time::timeout_at(deadline, self.slots.take(priority.unwrap_or(5))).await;
+        let slots = locked(&self.state).slots.clone();
+        let taken = tokio::time::timeout_at(deadline, slots.take(priority.unwrap_or(5))).await;
         let Ok(slot) = taken else { return Ok(self.decline_response(&parts.headers)) };
         let read = if from_cache { 0 } else { self.prefill_prompt(&parts.headers, 2).await };
         let id = header_text(&parts.headers, "request-id").unwrap_or_default();
@@ -106,6 +108,10 @@
             sleep(self.profile.call_time).await;
             return Err(BrokenOff::Closed);
         }
+        let crashing = RunnerModel::crashing_segment(&faults, &parts.headers);
+        if let Some(segment) = crashing {
+            self.crash_soon(segment, &parts.headers);
+        }
         let running = RunGuard { runner: self.clone(), id: Some(id.clone()) };
         match self.kind() {
             RunnerKind::Plain => {
@@ -126,11 +132,22 @@
                         "failed",
                     ));
                 }
-                Ok(self.stream(&faults, &parts.headers, &id, slot, running))
+                Ok(self.stream(&faults, &parts.headers, slot, running))
             }
         }
     }
 
+    fn record_call(&self, parts: &Parts) {
+        let Some(request) = header_text(&parts.headers, "request-id") else { return };
+        let received = ReceivedCall {
+            request,
+            at: Instant::now(),
+            is_prefill: parts.headers.contains_key("serving-stage"),
+            segments: prompt_segments(&parts.headers),
+        };
+        locked(&self.state).received.push(received);
+    }
+
     fn finish_call(
         &self,
         faults: &RunnerFaults,
--- a/emulator/src/stand_in/runner/prefill.rs
+++ b/emulator/src/stand_in/runner/prefill.rs
@@ -66,7 +66,8 @@
         }
         let time = Duration::from_millis(uncached * slowness / self.profile.tokens_per_ms.max(1));
         // A target prefills one prompt at a time.
-        let _guard = self.prefill_lock.lock().await;
+        let lock = locked(&self.state).prefill_lock.clone();
+        let _guard = lock.lock().await;
         sleep(time).await;
         uncached
     }
--- a/emulator/src/stand_in/runner/profile.rs
+++ b/emulator/src/stand_in/runner/profile.rs
@@ -66,4 +66,7 @@
     pub cut: Option<BrokenOff>,
     /// Crashes on requests with this body: the connection closes during the run.
     pub poison: Option<Bytes>,
+    /// Prompt segments that crash it, shortly after it begins to write the answer to a request
+    /// that has one of them in its shared prefix.
+    pub crashing_segments: Vec<u64>,
 }
--- a/emulator/src/stand_in/runner/response.rs
+++ b/emulator/src/stand_in/runner/response.rs
@@ -93,6 +93,13 @@
     StreamBody::new(frames).boxed()
 }
 
+/// Returns the ids of the segments that the `prompt-prefix` header lists.
+pub(super) fn prompt_segments(headers: &HeaderMap) -> Vec<u64> {
+    let prefix = header_text(headers, "prompt-prefix").unwrap_or_default();
+    let ids = prefix.split(',').filter_map(|segment| segment.split_once(':'));
+    ids.filter_map(|(id, _)| u64::from_str_radix(id, 16).ok()).collect()
+}
+
 pub(super) fn trailing_number(id: &str) -> Option<usize> {
     id.rsplit_once('-')?.1.parse().ok()
 }
--- a/emulator/src/stand_in/runner/stream.rs
+++ b/emulator/src/stand_in/runner/stream.rs
@@ -16,10 +16,10 @@
         &self,
         faults: &RunnerFaults,
         headers: &HeaderMap,
-        id: &str,
         slot: TakenSlot,
         running: RunGuard,
     ) -> Response<StandInBody> {
+        let id = header_text(headers, "request-id").unwrap_or_default();
         let count = header_text(headers, "token-count").unwrap_or_default();
         let output: u64 = count.split_once(',').and_then(|(_, o)| o.parse().ok()).unwrap_or(1);
         let first =
@@ -29,7 +29,9 @@
             last: output.max(1),
             gap: faults.event_gap.unwrap_or(self.profile.event_gap),
             break_after: faults.break_after,
-            id: id.to_owned(),
+            // An engine that is about to crash writes no more than one event.
+            stall_after: RunnerModel::crashing_segment(faults, headers).map(|_| first),
+            id,
         };
         let events = unfold((plan, Some((slot, running))), |(mut plan, mut held)| async move {
             if plan.next > plan.last {
@@ -39,6 +41,9 @@
                 }
                 return None;
             }
+            if plan.stall_after.is_some_and(|after| plan.next > after) {
+                std::future::pending::<()>().await;
+            }
             sleep(plan.gap).await;
             if plan.break_after.is_some_and(|after| plan.next > after) {
                 return Some((Err(BrokenOff::Closed), (plan, held)));
@@ -61,6 +66,7 @@
     last: u64,
     gap: Duration,
     break_after: Option<u64>,
+    stall_after: Option<u64>,
     id: String,
 }
 
