Matrix: requests that share a segment which crashes engines, failing

The fault crashing_segment: for 20 s callers send four requests a second, notes and dossiers in turn, with one segment between the first and the last. An engine that begins to answer one crashes 1 to 95 ms later and is back after 3 s. Repeats count; a decode counts with its prefill.

The cells with this fault are a test of their own, so that the cells of the others stay as they were, the choice of pairs too.

--- a/emulator/src/platform_matrix.rs
+++ b/emulator/src/platform_matrix.rs
@@ -193,7 +193,15 @@
 const POISON_INTERVAL: Duration = Duration::from_millis(1500);
 
 fn offered_request(at: ClockTime, class: RequestClass, prefix_id: u64) -> OfferedRequest {
-    OfferedRequest { at, class, prefix_id, retries: 1, retries_at_once: false }
+    let has_crashing_segment = false;
+    OfferedRequest {
+        at,
+        class,
+        prefix_id,
+        has_crashing_segment,
+        retries: 1,
+        retries_at_once: false,
+    }
 }
 
 impl std::fmt::Display for PlatformSummary {
--- a/emulator/src/platform_rig.rs
+++ b/emulator/src/platform_rig.rs
@@ -161,6 +161,10 @@
         start: u64,
         stage: TargetStage,
     },
+    SegmentCrash {
+        target: TargetIndex,
+        start: u64,
+    },
     Fault {
         fault: PlatformFault,
         site: PlatformSite,
@@ -292,6 +296,7 @@
             RigEvent::StageChanges { target, start, stage } => {
                 self.stage_changes(target, start, stage);
             }
+            RigEvent::SegmentCrash { target, start } => self.crash_by_segment(target, start),
             RigEvent::Fault { fault, site, ends } => self.apply_fault(fault, site, ends),
         }
     }
--- a/emulator/src/platform_rig/caller.rs
+++ b/emulator/src/platform_rig/caller.rs
@@ -61,6 +61,8 @@
     pub class: RequestClass,
     /// Id of the prompt prefix; dossiers with the same id share a long prefix.
     pub prefix_id: u64,
+    /// Whether its prompt shares the segment that crashes each engine.
+    pub has_crashing_segment: bool,
     /// Maximum number of attempts after this one.
     pub retries: u32,
     /// Whether the caller retries at once and ignores the `retry_after` of a refusal.
@@ -146,6 +148,8 @@
 const SHARED_TOKENS: u32 = 13_300;
 /// Prompt tokens of a dossier after the shared prefix.
 const OWN_TOKENS: u32 = 3720;
+/// Id and tokens of the segment that crashes each engine that begins to answer on it.
+const CRASHING_SEGMENT: PromptSegment = PromptSegment { id: 2_000_000, tokens: 64 };
 /// Prompt tokens of a note.
 const NOTE_TOKENS: u32 = 383;
 
@@ -203,15 +207,15 @@
             RequestClass::Note | RequestClass::Poison => Some((0, NOTE_TOKENS)),
             RequestClass::Ticket | RequestClass::Lookup => None,
         };
+        let crashing = record.request.has_crashing_segment.then_some(CRASHING_SEGMENT);
         let prompt = shared.map(|(shared, own)| PromptShape {
-            tokens: shared + own,
+            tokens: shared + own + crashing.map_or(0, |segment| segment.tokens),
             max_output: 12 * class.events(),
-            segments: [
-                PromptSegment { id: prefix_id, tokens: shared },
-                PromptSegment { id: 1_000_000 + attempt as u64, tokens: own },
-            ]
-            .into_iter()
-            .collect(),
+            segments: [PromptSegment { id: prefix_id, tokens: shared }]
+                .into_iter()
+                .chain(crashing)
+                .chain([PromptSegment { id: 1_000_000 + attempt as u64, tokens: own }])
+                .collect(),
         });
         let fingerprint = match class {
             RequestClass::Poison => Some(u64::MAX),
--- a/emulator/src/platform_rig/fault.rs
+++ b/emulator/src/platform_rig/fault.rs
@@ -90,6 +90,9 @@
     /// Callers with open requests disconnect.
     #[strum(serialize = "callers_leave")]
     CallersDisconnect,
+    /// Callers send requests that share a prompt segment which crashes each engine that begins
+    /// to answer on it.
+    CrashingSegment,
 }
 
 /// Processes at which a step was reached, and to which a fault applies.
@@ -114,6 +117,11 @@
 const BALANCER_DELAY: Duration = Duration::from_secs(2);
 /// Time from the stop signal to the end of an entry's process.
 const STOP_GRACE: Duration = Duration::from_millis(7300);
+/// Time for which callers send requests with the crashing segment, and the pause between them.
+const CRASHING_SPAN: Duration = Duration::from_secs(20);
+const CRASHING_PAUSE: Duration = Duration::from_millis(250);
+/// Longest time from the begin of an answer to the crash that its prompt causes.
+const MAX_CRASH_DELAY_MS: u64 = 95;
 /// Time after which another target may get the address of one that is gone.
 const ADDRESS_REUSE_DELAY: Duration = Duration::from_secs(2);
 
@@ -224,6 +232,7 @@
             PlatformFault::Burst => self.offer_burst(false),
             PlatformFault::RetryStorm => self.offer_burst(true),
             PlatformFault::CallersDisconnect => self.disconnect_callers(),
+            PlatformFault::CrashingSegment => self.offer_crashing_segment(),
         }
     }
 
@@ -390,12 +399,30 @@
             class: classes[number as usize % classes.len()],
             prefix_id: u64::from(100 + number % 41),
             retries: if retries_at_once { 8 } else { 1 },
+            has_crashing_segment: false,
             retries_at_once,
         });
         let calls = calls.collect();
         self.offer(calls);
     }
 
+    fn offer_crashing_segment(&mut self) {
+        let classes = [RequestClass::Note, RequestClass::Dossier];
+        let now = self.now;
+        let count = CRASHING_SPAN.div_duration_f64(CRASHING_PAUSE) as u32;
+        let calls = (0..count).map(|number| OfferedRequest {
+            at: now + CRASHING_PAUSE * number,
+            class: classes[number as usize % classes.len()],
+            // Sound dossiers share this prefix.
+            prefix_id: 1,
+            has_crashing_segment: true,
+            retries: 1,
+            retries_at_once: false,
+        });
+        let calls = calls.collect();
+        self.offer(calls);
+    }
+
     fn disconnect_callers(&mut self) {
         let open = self.attempts().iter().enumerate();
         let open = open.filter(|(_, record)| record.answer == AttemptAnswer::Open);
@@ -408,6 +435,22 @@
         }
     }
 
+    /// Schedules the crash of an engine that begins to answer on the crashing segment.
+    pub(super) fn crash_soon(&mut self, target: TargetIndex) {
+        let start = self.targets[target].starts;
+        let delay = Duration::from_millis(self.rng.random_range(1..MAX_CRASH_DELAY_MS));
+        self.schedule_after(delay, RigEvent::SegmentCrash { target, start });
+    }
+
+    /// Crashes an engine, unless it has ended or started again since.
+    pub(super) fn crash_by_segment(&mut self, target: TargetIndex, start: u64) {
+        let sim = &self.targets[target];
+        if sim.state == TargetState::Serving && sim.starts == start {
+            self.checker.record_segment_crash(self.now);
+            self.crash_on_poison(target);
+        }
+    }
+
     /// Crashes a target that runs a poison request, and schedules its restart.
     pub(super) fn crash_on_poison(&mut self, target: TargetIndex) {
         self.crash_target(target, TargetState::Crashed);
--- a/emulator/src/platform_rig/referee.rs
+++ b/emulator/src/platform_rig/referee.rs
@@ -28,6 +28,10 @@
 const LEASE: Duration = Duration::from_secs(3);
 /// Crashes after which a request counts as poison, and calls that may still arrive for it.
 const CRASH_LIMIT: usize = 3;
+/// Crashes after which a segment counts as known to crash engines, and requests that may still
+/// arrive with it.
+const SEGMENT_CRASH_LIMIT: usize = 5;
+const MAX_REQUESTS_AFTER_LIMIT: usize = 3;
 
 /// Rule that the platform must keep.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, EnumIter)]
@@ -47,6 +51,8 @@
     RetryBudget,
     /// A request that crashed three targets is not sent again, except for a few calls.
     BoundedCrashes,
+    /// A segment that crashed five engines is not sent again, except with a few requests.
+    BoundedSegmentCrashes,
     /// Work ends soon after its caller has disconnected or was answered.
     StopsWithCaller,
     /// A call's deadline is no later than its caller's.
@@ -95,6 +101,10 @@
     crashes: Vec<ClockTime>,
     /// Poison calls that arrived after the crash limit was reached.
     calls_after_limit: usize,
+    /// Times at which the crashing segment crashed an engine.
+    segment_crashes: Vec<ClockTime>,
+    /// Requests with the crashing segment that arrived after its limit was reached.
+    segment_requests_after_limit: usize,
     /// Last order that each engine accepted: time, entry and fencing token.
     orders: BTreeMap<TargetIndex, (ClockTime, EntryId, u64)>,
     /// Software version that began each stream, by the attempt that began it.
@@ -111,6 +121,10 @@
         self.offered.entry(service.to_string()).or_default().push(now);
     }
 
+    pub(super) fn record_segment_crash(&mut self, now: ClockTime) {
+        self.segment_crashes.push(now);
+    }
+
     pub(super) fn record_not_run(&mut self, attempt: usize) {
         self.not_run.push(attempt);
         self.check_not_run(attempt);
@@ -194,6 +208,26 @@
             let seen = format!("attempt {}", call.attempt);
             self.checker.add_breach(PlatformRule::BoundedCrashes, seen);
         }
+        // The prefill call of a request was counted.
+        let is_counted = !(first && matches!(call.step, CallStep::Decode { .. }));
+        if is_counted && self.callers.record(call.attempt).request.has_crashing_segment {
+            self.check_segment_request(call);
+        }
+    }
+
+    fn check_segment_request(&mut self, call: &SimCall) {
+        let now = self.now;
+        let limit = self.checker.segment_crashes.get(SEGMENT_CRASH_LIMIT - 1);
+        let is_late = limit.is_some_and(|at| now > *at + STABLE_WINDOW);
+        if !is_late || !self.is_undisturbed(call.entry) {
+            return;
+        }
+        self.checker.segment_requests_after_limit += 1;
+        if self.checker.segment_requests_after_limit > MAX_REQUESTS_AFTER_LIMIT {
+            self.checker.segment_requests_after_limit = 0;
+            let seen = format!("attempt {}", call.attempt);
+            self.checker.add_breach(PlatformRule::BoundedSegmentCrashes, seen);
+        }
     }
 
     /// Checks a run when its target starts it.
@@ -313,6 +347,7 @@
             record.sent >= served_from
                 && record.sent + TIME_TOLERANCE * 10 < self.now
                 && record.request.class != RequestClass::Poison
+                && !record.request.has_crashing_segment
                 && self.is_servable(record.request.class)
         };
         let sent = self.attempts().iter().filter(counts).count();
--- a/emulator/src/platform_rig/target.rs
+++ b/emulator/src/platform_rig/target.rs
@@ -425,6 +425,9 @@
                 &run,
                 TargetSignal::Outcome(CallOutcome::Answered { success: !run.fails }),
             );
+            if self.callers.record(run.call.attempt).request.has_crashing_segment {
+                self.crash_soon(target);
+            }
         }
         if run.interrupted_after.is_some_and(|after| after < events)
             || (run.fails && class.is_stream())
--- a/emulator/tests/platform_matrix.rs
+++ b/emulator/tests/platform_matrix.rs
@@ -17,15 +17,30 @@
 
 #[test]
 fn every_single_fault_keeps_all_rules() {
-    assert_no_failed_cell(&platform_matrix::single_cells(1..3));
+    let cells = platform_matrix::single_cells(1..3).into_iter();
+    assert_no_failed_cell(&cells.filter(|cell| !has_crashing_segment(cell)).collect::<Vec<_>>());
 }
 
 /// Runs every eleventh cell of the pairs; `emulator matrix --platform --pairs` runs them all.
 #[test]
 fn every_eleventh_pair_of_faults_keeps_all_rules() {
-    let cells: Vec<PlatformCell> =
-        platform_matrix::pair_cells(1..2).into_iter().step_by(11).collect();
-    assert_no_failed_cell(&cells);
+    let cells = platform_matrix::pair_cells(1..2).into_iter();
+    let cells = cells.filter(|cell| !has_crashing_segment(cell));
+    assert_no_failed_cell(&cells.step_by(11).collect::<Vec<_>>());
+}
+
+/// Requests that share a segment which crashes engines, alone and with every other fault.
+#[parameterized(
+    alone = { platform_matrix::single_cells(1..3), 1 },
+    with_every_eleventh_fault = { platform_matrix::pair_cells(1..2), 11 },
+)]
+fn a_crashing_segment_keeps_all_rules(cells: Vec<PlatformCell>, step: usize) {
+    let cells = cells.into_iter().filter(has_crashing_segment);
+    assert_no_failed_cell(&cells.step_by(step).collect::<Vec<_>>());
+}
+
+fn has_crashing_segment(cell: &PlatformCell) -> bool {
+    cell.faults.contains(&PlatformFault::CrashingSegment)
 }
 
 /// A cell whose step is never reached injects nothing and passes unnoticed.
