Log the shared segments of requests that did not end whole

Engines crashed one after the other under requests that share a segment, and the log had only the longest shared segment of a prompt.

--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -102,6 +102,8 @@
     /// Identifier of the prompt's longest shared segment, in hexadecimal; empty if none.
     #[serde(rename = "subject")]
     pub shared_segment: String,
+    /// Identifiers of the prompt's shared segments, in hexadecimal and in order.
+    pub segments: String,
     /// Expected queueing time when it was last placed, in milliseconds.
     pub waiting_ms: u64,
     /// Expected time to the first output when it was last placed, in milliseconds.
@@ -112,6 +114,9 @@
     /// Returns the trace, including the call in flight.
     pub(super) fn full_trace(&self, now: ClockTime) -> RequestTrace {
         let mut trace = self.trace.clone();
+        if let Some(prompt) = &self.request.prompt {
+            trace.segments = shared_segment_names(prompt);
+        }
         if let Some(call) = &self.call {
             let ending = if call.answered { "answered" } else { "open" };
             trace.calls.push(call.describe(now, ending));
@@ -124,6 +129,13 @@
     }
 }
 
+/// Returns the identifiers of a prompt's shared segments, in hexadecimal and in order.
+pub(super) fn shared_segment_names(prompt: &PromptShape) -> String {
+    let shared = prompt.segments.split_last().map_or(&[][..], |(_, shared)| shared);
+    let names: Vec<String> = shared.iter().map(|segment| format!("{:x}", segment.id)).collect();
+    names.join(",")
+}
+
 /// Returns the identifier of a prompt's longest shared segment, in hexadecimal.
 pub(super) fn longest_shared_segment(prompt: &PromptShape) -> String {
     let shared = prompt.segments.split_last().map_or(&[][..], |(_, shared)| shared);
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -120,6 +120,8 @@
         self.driver.close_flow(self.flow, self.complete);
         let reason = display_option(trace.reason);
         self.record_end(&trace, &reason);
+        // A request that ended whole is no suspect, and most do.
+        let segments = if self.complete { "" } else { trace.segments.as_str() };
         log::info!(
             request:% = self.id,
             route:% = trace.route,
@@ -130,6 +132,7 @@
             calls:% = trace.calls.join("; "),
             resumes:% = display_option(trace.resumes.as_ref().map(|stream| format!("{stream:?}"))),
             subject:% = trace.shared_segment,
+            segments:% = segments,
             estimate_ms:% = trace.estimate_ms,
             waiting_ms:% = trace.waiting_ms,
             first_ms:% = display_option(trace.first_ms),
