Block prompt segments under which engines crash

Requests that share one segment of their prompts crashed each engine that began to answer them: 43 engines of 14 places in the users' record. Callers of all other requests at those engines saw their answers break off, and dossiers found no engine.

Cause: crashes were counted by the hash of host, path and body. No two of these requests are alike, so each was a suspect with one or two crashes and none was ever blocked.

Change: src/direct/segment.rs keeps the segments of all requests that broke off at a target's start, over all entries. Whole answers acquit segments, targets that answer later calls dismiss their crashes, and the segment that explains four crashes or more, three of them one after the other, is blocked: reports and the topic keyed.segments carry that to other entries and to those that start later. Requests with it are rejected before any call.

--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -325,6 +325,7 @@
                 let process = self.entries[entry].process;
                 self.persist_suspect(entry, process, change);
             }
+            DirectAction::PersistSegment(change) => self.persist_segment(change),
             DirectAction::ReportCrashes(report) => {
                 let now = self.now;
                 self.entries[entry].crashes.push_back((now, report));
--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -5,8 +5,9 @@
 use rand::RngExt;
 use sapphirewell::{
     direct::{
-        DirectEvent, DirectTarget, EngineConfig, RequestLimits, RetryPolicy, RouteConfig,
-        RouteTable, ServiceConfig, SuspectChange, SuspectReport, TargetChange, WeightedService,
+        BlockedSegment, DirectEvent, DirectTarget, EngineConfig, RequestLimits, RetryPolicy,
+        RouteConfig, RouteTable, SegmentChange, SegmentId, SegmentReport, ServiceConfig,
+        SuspectChange, SuspectReport, TargetChange, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -49,6 +50,8 @@
     first: u64,
     /// Requests suspected of crashing targets, by fingerprint.
     pub(crate) suspects: BTreeMap<u64, SuspectReport>,
+    /// Prompt segments that entries block.
+    pub(crate) segments: BTreeMap<SegmentId, BlockedSegment>,
     /// Entries that claimed the right to order engines, in the order of their claims.
     pub(crate) claims: Vec<EntryId>,
     /// Configurations with the times at which the store accepted them.
@@ -176,6 +179,25 @@
             self.response_time(),
             self.machine_event(entry, DirectEvent::Suspects(reports)),
         );
+        let blocked = self.store.segments.values();
+        let blocked = blocked.map(|block| BlockedSegment { age: Duration::ZERO, ..block.clone() });
+        let report = SegmentReport { blocked: blocked.collect(), ..SegmentReport::default() };
+        self.schedule_after(
+            self.response_time(),
+            self.machine_event(entry, DirectEvent::Segments(report)),
+        );
+    }
+
+    /// Writes a change of the blocked prompt segments to the store, which does not fail here.
+    pub(super) fn persist_segment(&mut self, change: SegmentChange) {
+        match change {
+            SegmentChange::Blocked(block) => {
+                self.store.segments.insert(block.segment, block);
+            }
+            SegmentChange::Cleared(segment) => {
+                self.store.segments.remove(&segment);
+            }
+        }
     }
 
     /// Writes a change of the suspect requests to the store, with retries.
@@ -223,6 +245,7 @@
         let number = self.entries[entry].count_report();
         let mut load = self.entries[entry].machine.load_report(now, number.is_multiple_of(8));
         let mut crashes = self.entries[entry].recent_crashes(now);
+        let segments = self.entries[entry].machine.segment_report(now);
         if self.settings.defect == Some(DriverDefect::CrashReportsOmitted) {
             load.suspects.clear();
             crashes.clear();
@@ -236,6 +259,12 @@
                 NETWORK_DELAY,
                 self.machine_event(peer, DirectEvent::PeerLoad(load.clone())),
             );
+            if !segments.is_empty() {
+                self.schedule_after(
+                    NETWORK_DELAY,
+                    self.machine_event(peer, DirectEvent::Segments(segments.clone())),
+                );
+            }
             for report in &crashes {
                 self.schedule_after(
                     NETWORK_DELAY,
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -23,6 +23,7 @@
 mod report;
 mod resume;
 mod route;
+mod segment;
 mod stage_plan;
 mod stop;
 mod stream;
@@ -39,6 +40,10 @@
     EngineConfig, ModelName, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ServiceConfig,
     ServiceName, WeightedService,
 };
+pub use segment::{
+    BlockedSegment, SegmentChange, SegmentId, SegmentReport, SegmentRun, SegmentTable, TargetCrash,
+    TargetStart,
+};
 pub use stage_plan::{OrderOutcome, StageOrder};
 pub use stop::StopPhase;
 pub use stream::{SoftwareVersion, StreamId, StreamMessage, StreamOrigin, StreamResume};
@@ -189,6 +194,14 @@
     PeerLoad(LoadReport),
     /// A peer reported requests under which targets crashed.
     Crashes(CrashReport),
+    /// A peer or the store reported segments that may crash targets.
+    Segments(SegmentReport),
+    /// The response that is being delivered has neither a length nor chunks, so that its end
+    /// does not show whether it is complete.
+    UnframedAnswer {
+        /// Identifier of the request.
+        flow: FlowId,
+    },
     /// A peer sent a message about the origin of a stream.
     StreamMessage {
         /// Peer that sent it.
@@ -309,6 +322,8 @@
     /// Write to the store that a request crashes targets, or remove that record.
     /// The store serves entries that start when no peer is left that knows.
     PersistSuspect(SuspectChange),
+    /// Write to the store that a prompt segment crashes targets, or remove that record.
+    PersistSegment(SegmentChange),
     /// Write a claim on ordering engines to the store.
     Claim,
     /// Order an engine to switch its stage, unless the store holds a newer claim.
--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -8,7 +8,7 @@
 use super::{
     CallNumber, CallOutcome, CrashReport, DirectAction, DirectMachine, FailureReason, FlowId,
     RetryPolicy,
-    flow::{HeldCache, OpenCall, StepKind},
+    flow::{DirectFlow, HeldCache, OpenCall, StepKind},
     machine::{MIN_CALL_TIME, TIMEOUT_GRACE, memory_tokens},
     report::record_cached_segments,
 };
@@ -44,7 +44,12 @@
         match outcome {
             CallOutcome::Declined => self.call_declined(now, id, out),
             CallOutcome::WrongTarget => self.call_not_run(now, id, "wrong_target", true, out),
-            CallOutcome::Unreachable => self.call_not_run(now, id, "unreachable", false, out),
+            CallOutcome::Unreachable => {
+                if let Some(call) = self.flows.get(&id).and_then(|flow| flow.call.as_ref()) {
+                    self.segments.target_unreachable(now, &call.target_start());
+                }
+                self.call_not_run(now, id, "unreachable", false, out);
+            }
             CallOutcome::Prefilled { handle } => self.call_prefilled(now, id, handle, out),
             CallOutcome::Answered { success } => self.call_answered(now, id, success, out),
             CallOutcome::Lost { closed } => self.call_lost(now, id, closed, out),
@@ -53,6 +58,7 @@
 
     fn call_declined(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let Some(call) = self.close_call(now, id, "declined") else { return };
+        self.segments.target_responded(&call.target_start(), call.started);
         let Some(flow) = self.flows.get_mut(&id) else { return };
         let source = flow.cache.as_ref().map(|cache| cache.target.id.clone());
         match source {
@@ -119,6 +125,7 @@
         out: &mut Vec<DirectAction>,
     ) {
         let Some(call) = self.close_call(now, id, "prefilled") else { return };
+        self.segments.target_responded(&call.target_start(), call.started);
         let Some(flow) = self.flows.get_mut(&id) else { return };
         if let Some(state) = self.fleet.get_mut(&call.target.id) {
             state.record_success();
@@ -146,6 +153,8 @@
         let Some(flow) = self.flows.get_mut(&id) else { return };
         let Some(call) = &mut flow.call else { return };
         call.answered = true;
+        call.succeeded = success;
+        self.segments.target_responded(&call.target_start(), call.started);
         // A KV cache that was used cannot be used or freed again.
         if call.step == StepKind::Decode && success {
             flow.cache = None;
@@ -220,6 +229,9 @@
     }
 
     fn report_crash(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+        if let Some(run) = self.flows.get(&id).and_then(DirectFlow::target_run) {
+            self.segments.run_broken(now, run);
+        }
         let fingerprint = self.flows.get(&id).and_then(|flow| flow.request.fingerprint);
         let Some(fingerprint) = fingerprint else { return };
         self.own_crashes += 1;
@@ -273,6 +285,9 @@
         complete: bool,
         out: &mut Vec<DirectAction>,
     ) {
+        if complete {
+            self.run_ended(now, id);
+        }
         let answered = self.flows.get(&id).and_then(|flow| flow.call.as_ref()).cloned();
         let call = self.close_call(now, id, if complete { "whole" } else { "broken_off" });
         if let (true, Some(call)) = (complete && answered.is_some(), &call)
@@ -290,6 +305,20 @@
         }
     }
 
+    /// Records that a target wrote a whole response to a request, as far as that is known.
+    fn run_ended(&mut self, now: ClockTime, id: FlowId) {
+        let Some(flow) = self.flows.get(&id) else { return };
+        let Some(run) = flow.target_run() else { return };
+        if !flow.call.as_ref().is_some_and(|call| call.succeeded) {
+            return;
+        }
+        if flow.unframed {
+            self.segments.run_ended_unconfirmed(now, run);
+        } else {
+            self.segments.run_succeeded(now, &run.segments);
+        }
+    }
+
     fn drop_cache(&mut self, id: FlowId, out: &mut Vec<DirectAction>) {
         let Some(cache) = self.flows.get_mut(&id).and_then(|flow| flow.cache.take()) else {
             return;
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -8,7 +8,9 @@
 
 use super::{
     CallNumber, DirectRequest, DirectTarget, FailureReason, PromptShape, ServiceName,
-    SoftwareVersion, StreamId, stream::OriginQuery,
+    SoftwareVersion, StreamId, TargetStart,
+    segment::{TargetRun, shared_segments},
+    stream::OriginQuery,
 };
 use crate::ids::{ClockTime, TargetId};
 
@@ -35,9 +37,16 @@
     /// Prompt tokens of other requests that were queued ahead of it.
     pub(super) tokens_ahead: u32,
     pub(super) answered: bool,
+    /// Whether the target answered with a success.
+    pub(super) succeeded: bool,
 }
 
 impl OpenCall {
+    /// Returns the start of the target that was called.
+    pub(super) fn target_start(&self) -> TargetStart {
+        (self.target.id.clone(), self.target.born_ms)
+    }
+
     /// Formats the call for a log line: target, its software version, operation, result, duration, and the
     /// prompt tokens that it had to prefill and that were queued ahead of it.
     pub(super) fn describe(&self, now: ClockTime, ending: &str) -> String {
@@ -80,6 +89,8 @@
     pub(super) call: Option<OpenCall>,
     pub(super) cache: Option<HeldCache>,
     pub(super) may_have_run: bool,
+    /// Whether the response that is being delivered ends with its connection.
+    pub(super) unframed: bool,
     pub(super) trace: RequestTrace,
 }
 
@@ -124,6 +135,14 @@
         trace
     }
 
+    /// Returns the call in flight with the shared segments of the prompt, if the target may
+    /// be writing the response.
+    pub(super) fn target_run(&self) -> Option<TargetRun> {
+        let call = self.call.as_ref().filter(|call| call.step != StepKind::Prefill)?;
+        let segments = shared_segments(self.request.prompt.as_ref()?);
+        Some(TargetRun { start: call.target_start(), sent: call.started, segments })
+    }
+
     pub(super) fn time_left(&self, now: ClockTime) -> Duration {
         self.deadline.min(self.timeout_at).saturating_sub(now)
     }
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -12,10 +12,11 @@
 use super::{
     CachedSegment, CallNumber, ClaimOutcome, CrashTable, DirectAction, DirectEvent, DirectRequest,
     EngineConfig, FailureReason, FlowId, PeerName, PeerTable, RequestFailure, RequestTrace,
-    RetryWindow, RouteTable, ServiceName, StreamId, TargetFleet, TargetUsage,
+    RetryWindow, RouteTable, SegmentReport, ServiceName, StreamId, TargetFleet, TargetUsage,
     authority::StageAuthority,
     estimate::{Placement, PlacementQuery, PlacementView, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
+    segment::SegmentTable,
     stage_plan::StagePlanner,
     stop::{RequestTimes, StopPlan},
     stream::OriginTable,
@@ -75,6 +76,7 @@
     pub(super) max_entries: usize,
     pub(super) crashes: CrashTable,
     pub(super) own_crashes: u64,
+    pub(super) segments: SegmentTable,
     budgets: HashMap<ServiceName, RetryWindow>,
     #[serde(skip)]
     pub(super) flows: HashMap<FlowId, DirectFlow>,
@@ -121,6 +123,7 @@
             max_entries: MIN_ENTRIES,
             crashes: CrashTable::default(),
             own_crashes: 0,
+            segments: SegmentTable::default(),
             budgets: HashMap::new(),
             flows: HashMap::new(),
             timeouts: BTreeSet::new(),
@@ -175,6 +178,16 @@
         (accepted / self.max_entries).max(1)
     }
 
+    /// Returns what peers have to know of segments that may crash targets.
+    pub fn segment_report(&self, now: ClockTime) -> SegmentReport {
+        self.segments.report(now)
+    }
+
+    /// Returns the number of segments with which requests are not sent.
+    pub fn blocked_segments(&self, now: ClockTime) -> usize {
+        self.segments.blocked_count(now)
+    }
+
     /// Returns the trace of a request that has not ended.
     pub fn trace(&self, now: ClockTime, flow: FlowId) -> Option<RequestTrace> {
         self.flows.get(&flow).map(|flow| flow.full_trace(now))
@@ -207,6 +220,12 @@
             DirectEvent::Routes(routes) => self.apply_routes(routes),
             DirectEvent::PeerLoad(report) => self.peer_load(now, report),
             DirectEvent::Crashes(report) => self.crashes.apply(now, &report),
+            DirectEvent::Segments(report) => self.segments.apply(now, &report),
+            DirectEvent::UnframedAnswer { flow } => {
+                if let Some(flow) = self.flows.get_mut(&flow) {
+                    flow.unframed = true;
+                }
+            }
             DirectEvent::StreamMessage { peer, message } => {
                 self.stream_message(now, peer, message, out);
             }
@@ -273,6 +292,7 @@
             call: None,
             cache: None,
             may_have_run: false,
+            unframed: false,
             trace,
         };
         self.flows.insert(id, flow);
@@ -322,7 +342,7 @@
     /// Places a request that has not run or may run again, or fails it.
     pub(super) fn place(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let Some(flow) = self.flows.get(&id) else { return };
-        if self.crashes.is_blocked(flow.request.fingerprint) {
+        if self.crashes_targets(now, flow) {
             return self.fail_request(id, FailureReason::CrashesTargets, Duration::MAX, out);
         }
         let left = flow.time_left(now);
@@ -349,6 +369,13 @@
         self.call(now, id, placement, out);
     }
 
+    /// Returns whether requests like this one have crashed several targets.
+    fn crashes_targets(&self, now: ClockTime, flow: &DirectFlow) -> bool {
+        let prompt = flow.request.prompt.as_ref();
+        self.crashes.is_blocked(flow.request.fingerprint)
+            || prompt.is_some_and(|prompt| self.segments.blocks(now, prompt))
+    }
+
     fn choose(&mut self, now: ClockTime, id: FlowId) -> Option<Placement> {
         let flow = self.flows.get(&id)?;
         let view = PlacementView { fleet: &self.fleet, peers: &self.peers, now };
@@ -358,6 +385,9 @@
 
     pub(super) fn place_decode(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let Some(flow) = self.flows.get(&id) else { return };
+        if self.crashes_targets(now, flow) {
+            return self.fail_request(id, FailureReason::CrashesTargets, Duration::MAX, out);
+        }
         if flow.time_left(now) < MIN_CALL_TIME {
             return self.fail_request(id, FailureReason::TimedOut, Duration::ZERO, out);
         }
@@ -406,6 +436,7 @@
             prefill_tokens: chosen.prefill_tokens,
             tokens_ahead,
             answered: false,
+            succeeded: false,
         });
         out.push(DirectAction::Call {
             flow: id,
@@ -465,10 +496,13 @@
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
             self.crashes.expire(now);
+            self.segments.expire(now);
             self.origins.expire(now);
         }
         let changes = self.crashes.take_changes(self.settings.instance);
         out.extend(changes.into_iter().map(DirectAction::PersistSuspect));
+        let changes = self.segments.take_changes();
+        out.extend(changes.into_iter().map(DirectAction::PersistSegment));
         self.manage_stages(now, out);
         while let Some((expires, id)) = self.timeouts.first().copied() {
             if expires > now {
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -86,6 +86,10 @@
         }
     }
 
+    pub(super) fn driver(&self) -> &Rc<DirectDriver> {
+        &self.driver
+    }
+
     pub(super) fn set_framing(&mut self, framing: BodyFraming) {
         self.framing = Some(framing);
     }
--- a/src/process/direct/gossip.rs
+++ b/src/process/direct/gossip.rs
@@ -19,7 +19,7 @@
     shell::DirectDriver,
 };
 use crate::{
-    direct::{CrashReport, DirectEvent, LoadReport, PeerName, StreamMessage},
+    direct::{CrashReport, DirectEvent, LoadReport, PeerName, SegmentReport, StreamMessage},
     error::{Error, ErrorCode, Result},
     platform::{
         settings::PlatformSettings,
@@ -57,6 +57,8 @@
     crashes: Vec<CrashReport>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     stream: Option<PeerStreamMessage>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    segments: Option<SegmentReport>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -157,7 +159,8 @@
         }
         let crashes = driver.recent_crashes(driver.now().saturating_sub(CRASH_REPORT_TIME));
         let load = driver.load_report(number % FULL_REPORT_PERIOD == 0);
-        let datagram = PeerDatagram { load: Some(load), crashes, stream: None };
+        let segments = Some(driver.segment_report()).filter(|report| !report.is_empty());
+        let datagram = PeerDatagram { load: Some(load), crashes, stream: None, segments };
         let mut bytes = Vec::new();
         if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
             log::error!(error:% = error; "failed to encode report");
@@ -193,6 +196,9 @@
                     peers.borrow_mut().insert(peer.to_string(), sender);
                     driver.step(DirectEvent::StreamMessage { peer, message });
                 }
+                if let Some(report) = datagram.segments {
+                    driver.step(DirectEvent::Segments(report));
+                }
                 for report in datagram.crashes {
                     driver.step(DirectEvent::Crashes(report));
                 }
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -34,6 +34,8 @@
 pub(super) struct StateGauges {
     pub(super) in_flight: usize,
     pub(super) targets: usize,
+    /// Number of prompt segments with which requests are not sent.
+    pub(super) blocked_segments: usize,
     pub(super) peers: usize,
     pub(super) version: u64,
     pub(super) configuration_age: Duration,
@@ -58,6 +60,7 @@
     pub(super) store_seconds: Histogram,
     in_flight: Gauge,
     targets: Gauge,
+    blocked_segments: Gauge,
     peers: Gauge,
     version: Gauge,
     configuration_age: Gauge<f64, std::sync::atomic::AtomicU64>,
@@ -78,6 +81,7 @@
             store_seconds: Histogram::new(DURATION_BUCKETS),
             in_flight: Gauge::default(),
             targets: Gauge::default(),
+            blocked_segments: Gauge::default(),
             peers: Gauge::default(),
             version: Gauge::default(),
             configuration_age: Gauge::default(),
@@ -94,6 +98,7 @@
     pub(super) fn text(&self, state: StateGauges) -> String {
         self.in_flight.set(state.in_flight as i64);
         self.targets.set(state.targets as i64);
+        self.blocked_segments.set(state.blocked_segments as i64);
         self.peers.set(state.peers as i64);
         self.version.set(state.version as i64);
         self.configuration_age.set(state.configuration_age.as_secs_f64());
@@ -133,6 +138,11 @@
         );
         registry.register("in_flight", "Requests without an end", self.in_flight.clone());
         registry.register("targets", "Known targets", self.targets.clone());
+        registry.register(
+            "blocked_segments",
+            "Prompt segments with which requests are rejected, as they crash targets",
+            self.blocked_segments.clone(),
+        );
         registry.register("peers", "Entries heard from lately", self.peers.clone());
         registry.register("configuration_version", "Version in force", self.version.clone());
         registry.register(
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -281,6 +281,7 @@
                 | DirectAction::FreeCache { .. }
                 | DirectAction::ReportCrashes(_)
                 | DirectAction::PersistSuspect(_)
+                | DirectAction::PersistSegment(_)
                 | DirectAction::SendToPeers { .. }
                 | DirectAction::Claim
                 | DirectAction::Order(_),
@@ -320,6 +321,9 @@
     guard.set_status(parts.status.as_u16());
     let framing = BodyFraming::of(&parts.headers, &upstream);
     guard.set_framing(framing);
+    if framing == BodyFraming::Connection {
+        guard.driver().step(DirectEvent::UnframedAnswer { flow: guard.flow });
+    }
     let (reusable, keep_alive) = TargetBody::connection_reuse(&parts.headers, framing);
     let is_event_stream =
         parts.status.is_success() && (route.streams || runner::is_event_stream(&parts.headers));
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -27,7 +27,7 @@
 use crate::{
     direct::{
         CrashReport, DirectAction, DirectEvent, DirectMachine, DirectTarget, FlowId, LeavingTarget,
-        LoadReport, PeerName, RequestTrace, RouteTable, StopPhase,
+        LoadReport, PeerName, RequestTrace, RouteTable, SegmentReport, StopPhase,
     },
     ids::ClockTime,
     platform::{configuration, discovery, runner},
@@ -208,6 +208,9 @@
             DirectAction::PersistSuspect(change) => {
                 tokio::task::spawn_local(suspects::write(self.store, change));
             }
+            DirectAction::PersistSegment(change) => {
+                tokio::task::spawn_local(suspects::write_segment(self.store, change));
+            }
         }
     }
 
@@ -235,6 +238,10 @@
         self.machine.borrow_mut().load_report(self.now(), full)
     }
 
+    pub(super) fn segment_report(&self) -> SegmentReport {
+        self.machine.borrow().segment_report(self.now())
+    }
+
     /// Returns the name of this process among the entries.
     pub(super) fn name(&self) -> &str {
         &self.name
@@ -286,6 +293,7 @@
             in_flight: machine.in_flight(),
             targets: machine.fleet().len(),
             peers: machine.peer_count(),
+            blocked_segments: machine.blocked_segments(self.now()),
             version: machine.routes().map_or(0, |routes| routes.version),
             configuration_age: ages.configuration,
             targets_age: ages.targets,
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -6,8 +6,9 @@
     direct::{
         CallOutcome, CallStep, DirectAction, DirectEvent, DirectMachine, DirectRequest,
         DirectSettings, DirectTarget, EngineConfig, InFlight, LoadReport, PromptSegment,
-        PromptShape, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ServiceConfig,
-        StreamResume, TargetChange, TargetStage, TargetUsage, WeightedService,
+        PromptShape, RequestLimits, RetryPolicy, RouteConfig, RouteTable, SegmentChange,
+        SegmentReport, ServiceConfig, StreamResume, TargetChange, TargetStage, TargetUsage,
+        WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -63,10 +64,15 @@
 
 impl DirectRig {
     pub fn new(retry: RetryPolicy) -> DirectRig {
+        DirectRig::named(retry, 7)
+    }
+
+    /// Returns the rig of an entry that is told apart from others by its number.
+    pub fn named(retry: RetryPolicy, number: u64) -> DirectRig {
         let machine = DirectMachine::new(DirectSettings {
             name: "entry".into(),
-            instance: 7,
-            seed: 7,
+            instance: number,
+            seed: number,
             data_centre: "dc".into(),
             retry_ratio: 0.2,
             retry_slack: 56.0,
@@ -148,6 +154,20 @@
         self.machine.load_report(self.now, false)
     }
 
+    pub fn segment_report(&mut self) -> SegmentReport {
+        self.machine.segment_report(self.now)
+    }
+
+    /// Returns the changes of blocked segments that the next tick writes to the store.
+    pub fn changes(&mut self) -> Vec<SegmentChange> {
+        let actions = self.step(DirectEvent::Tick).into_iter();
+        let changes = actions.filter_map(|action| match action {
+            DirectAction::PersistSegment(change) => Some(change),
+            _ => None,
+        });
+        changes.collect()
+    }
+
     pub fn now(&self) -> ClockTime {
         self.now
     }
@@ -187,6 +207,12 @@
         self.send(flow, Duration::from_secs(5), Some(prompt), None)
     }
 
+    /// Submits a request with a prompt, and a body unlike that of any other.
+    pub fn submit_shape(&mut self, flow: u64, prompt: PromptShape) -> StepResult {
+        let fingerprint = 1000 + flow;
+        self.send_body(flow, Duration::from_secs(5), Some(prompt), None, fingerprint)
+    }
+
     /// Submits a request that goes on with a stream, which its caller may not name.
     pub fn submit_resumed(&mut self, flow: u64, stream: Option<&str>) -> StepResult {
         let resume = StreamResume { stream: stream.map(Into::into) };
@@ -234,13 +260,24 @@
         time_left: Duration,
         prompt: Option<PromptShape>,
         resumes: Option<StreamResume>,
+    ) -> StepResult {
+        self.send_body(flow, time_left, prompt, resumes, 42)
+    }
+
+    fn send_body(
+        &mut self,
+        flow: u64,
+        time_left: Duration,
+        prompt: Option<PromptShape>,
+        resumes: Option<StreamResume>,
+        fingerprint: u64,
     ) -> StepResult {
         let request = DirectRequest {
             id: format!("request-{flow}").into(),
             route: self.route(),
             time_left,
             prompt,
-            fingerprint: Some(42),
+            fingerprint: Some(fingerprint),
             resumes,
         };
         self.after(DirectEvent::Submit { flow, request: Box::new(request) })
