Keep a draining entry closed when its isolation ends

An entry that is stopped while it can reach no other process closed for the drain, but took requests again once the log or a peer responded: until it was idle, and through the 200 ms in which it flushes its last responses. Its exit cut those.

Cause: the drain and the end of isolation set the same flag of the state machine with SetAccepting. The order isolated, SIGTERM, notice over, reachable again left it true.

Change: Drain is an event and a state of its own, which nothing takes back. An entry admits requests, and is ready, only if it is neither isolated nor draining.

--- a/emulator/src/rig/nodes.rs
+++ b/emulator/src/rig/nodes.rs
@@ -438,8 +438,7 @@
         match node {
             NodeId::Entry(index) => {
                 let incarnation = self.entries[index].base.incarnation;
-                let input =
-                    NodeInput::Entry(Box::new(EntryEvent::SetAccepting { accepting: false }));
+                let input = NodeInput::Entry(Box::new(EntryEvent::Drain));
                 let event = RigEvent::Deliver { node: NodeId::Entry(index), incarnation, input };
                 self.schedule_after(STOP_NOTICE_TIME, event);
             }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -77,9 +77,11 @@
     LogAdvanced,
     /// Starts or stops admitting new requests.
     SetAccepting {
-        /// `false` while the process is shutting down or can reach no other process.
+        /// `false` while the process can reach no other process.
         accepting: bool,
     },
+    /// Stops admitting new requests for good, as the process ends once it is idle.
+    Drain,
     /// Checks timeouts and heartbeats, see [`TICK_INTERVAL`].
     Tick,
 }
--- a/src/entry/machine.rs
+++ b/src/entry/machine.rs
@@ -44,6 +44,8 @@
 pub struct EntryMachine {
     pub(super) settings: EntrySettings,
     open: bool,
+    /// Whether the process is shutting down, which is final.
+    draining: bool,
     ready: bool,
     started: Option<ClockTime>,
     sequence: u64,
@@ -83,6 +85,7 @@
             chooser: TargetChooser { policy: settings.policy, rng, turn: 0 },
             settings,
             open: true,
+            draining: false,
             ready: false,
             started: None,
             sequence: 0,
@@ -120,7 +123,11 @@
 
     /// Returns whether a load balancer should send requests to this entry.
     pub fn is_ready(&self) -> bool {
-        self.open && self.ready
+        self.is_admitting() && self.ready
+    }
+
+    fn is_admitting(&self) -> bool {
+        self.open && !self.draining
     }
 
     /// Handles one event and appends the resulting actions to `out`.
@@ -142,6 +149,7 @@
             EntryEvent::Frame { side, frame } => self.handle_frame(now, view, side, frame, out),
             EntryEvent::LogAdvanced => self.handle_log_advance(now, view, out),
             EntryEvent::SetAccepting { accepting } => self.open = accepting,
+            EntryEvent::Drain => self.draining = true,
             EntryEvent::Tick => self.handle_tick(now, view, out),
         }
     }
@@ -174,7 +182,7 @@
         view: &FleetView,
         request: Box<CallerRequest>,
     ) -> Result<RequestState, RefusalReason> {
-        if !self.open {
+        if !self.is_admitting() {
             return Err(RefusalReason::Stopping);
         }
         let (revision, contract) =
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -125,7 +125,7 @@
     log::info!("draining");
     ready.store(false, Ordering::Relaxed);
     tokio::time::sleep(settings.stop_notice).await;
-    control.send_event(EntryEvent::SetAccepting { accepting: false });
+    control.send_event(EntryEvent::Drain);
     stop::wait_until_drained(&control).await?;
     tokio::time::sleep(RESPONSE_FLUSH_TIME).await;
     log::info!("stopped");
