Reset partial answers to slow callers when an entry exits

A caller of HTTP/1.0 that reads slowly got a part of its answer and a regular end of its connection when the entry exited, which is how a complete answer ends there.

Cause: the reset that marks a broken answer is requested when the response's body is polled. The HTTP library polls no body while its write buffer is full, so neither the end of the grace period nor the route's timeout reached it, and the exit closed the connection.

Change: the reset is armed where a response that ends with its connection is delivered. The library shuts the connection down only after it has written everything; that disarms it. A connection that is dropped in between is reset.

The stand-in engines can pad their events, and the stand-in platform can set the timeout of all routes.

--- a/emulator/src/stand_in/fleet.rs
+++ b/emulator/src/stand_in/fleet.rs
@@ -111,6 +111,15 @@
         self.store.put("keyed.op", "config", Some(config.as_bytes()));
     }
 
+    /// Writes a configuration with the same timeout for all routes.
+    pub fn configure_timeout(&self, version: u64, timeout: Duration) {
+        let mut config = configuration(version, ENGINES);
+        for route in config["routes"].as_array_mut().into_iter().flatten() {
+            route["timeout_ms"] = json!(timeout.as_millis() as u64);
+        }
+        self.store.put("keyed.op", "config", Some(config.to_string().as_bytes()));
+    }
+
     /// Starts the entry with this index; the caller stores the process in `entries`.
     ///
     /// # Errors
--- a/emulator/src/stand_in/runner/profile.rs
+++ b/emulator/src/stand_in/runner/profile.rs
@@ -48,6 +48,8 @@
     pub lose_answer: bool,
     /// Delay before each event of a stream, instead of that of the profile.
     pub event_gap: Option<Duration>,
+    /// Pads the data of each event of a stream by this many bytes.
+    pub event_padding: usize,
     /// Aborts streams after the event with this id.
     pub break_after: Option<u64>,
     /// Responds with the id of another request.
--- a/emulator/src/stand_in/runner/stream.rs
+++ b/emulator/src/stand_in/runner/stream.rs
@@ -32,6 +32,7 @@
             // An engine that is about to crash writes no more than one event.
             stall_after: RunnerModel::crashing_segment(faults, headers).map(|_| first),
             id,
+            padding: faults.event_padding,
         };
         let events = unfold((plan, Some((slot, running))), |(mut plan, mut held)| async move {
             if plan.next > plan.last {
@@ -48,7 +49,8 @@
             if plan.break_after.is_some_and(|after| plan.next > after) {
                 return Some((Err(BrokenOff::Closed), (plan, held)));
             }
-            let event = format!("id: {}\ndata: {} {}\n\n", plan.next, plan.id, plan.next);
+            let padding = ".".repeat(plan.padding);
+            let event = format!("id: {}\ndata: {} {}{padding}\n\n", plan.next, plan.id, plan.next);
             plan.next += 1;
             Some((Ok(Frame::data(Bytes::from(event))), (plan, held)))
         });
@@ -68,6 +70,7 @@
     break_after: Option<u64>,
     stall_after: Option<u64>,
     id: String,
+    padding: usize,
 }
 
 /// Records a run as cancelled if dropped before [`end`](Self::end).
--- a/src/process/direct/caller_stream.rs
+++ b/src/process/direct/caller_stream.rs
@@ -23,7 +23,15 @@
 /// A caller that knows no chunks takes the close of its connection for the end of a complete
 /// response, so only a reset tells it that the response was broken off.
 #[derive(Debug, Clone, Default)]
-pub(super) struct ConnectionReset(Arc<AtomicBool>);
+pub(super) struct ConnectionReset(Arc<ResetState>);
+
+#[derive(Debug, Default)]
+struct ResetState {
+    /// Whether a response was broken off.
+    requested: AtomicBool,
+    /// Whether a response that ends with the connection is under way.
+    armed: AtomicBool,
+}
 
 impl ConnectionReset {
     /// Attaches this to a request of the connection.
@@ -41,15 +49,31 @@
 
     /// Resets the connection as soon as it is dropped.
     pub(super) fn request(&self) {
-        self.0.store(true, Ordering::Relaxed);
+        self.0.requested.store(true, Ordering::Relaxed);
+    }
+
+    /// Resets the connection if it is dropped before it was shut down.
+    ///
+    /// The HTTP library polls no body while the caller reads too slowly, so that
+    /// [`request`](Self::request) may come too late for the exit of the process.
+    pub(super) fn arm(&self) {
+        self.0.armed.store(true, Ordering::Relaxed);
+    }
+
+    fn disarm(&self) {
+        self.0.armed.store(false, Ordering::Relaxed);
     }
 
     fn is_requested(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.requested.load(Ordering::Relaxed)
+    }
+
+    fn is_needed(&self) -> bool {
+        self.is_requested() || self.0.armed.load(Ordering::Relaxed)
     }
 }
 
-/// TCP stream that is reset on drop if its [`ConnectionReset`] was requested.
+/// TCP stream that is reset on drop if its [`ConnectionReset`] was requested, or is still armed.
 #[derive(Debug)]
 pub(super) struct CallerStream {
     stream: TcpStream,
@@ -64,7 +88,7 @@
 
 impl Drop for CallerStream {
     fn drop(&mut self) {
-        if !self.reset.is_requested() {
+        if !self.reset.is_needed() {
             return;
         }
         // Without a linger time the kernel discards unsent data and sends a reset.
@@ -113,6 +137,8 @@
         if self.reset.is_requested() {
             return Poll::Ready(Ok(()));
         }
+        // The HTTP library shuts down only after it has written the whole response.
+        self.reset.disarm();
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -324,6 +324,11 @@
     if framing == BodyFraming::Connection {
         guard.driver().step(DirectEvent::UnframedAnswer { flow: guard.flow });
     }
+    if let Some(reset) = &delivery.reset
+        && framing != BodyFraming::Length
+    {
+        reset.arm();
+    }
     let (reusable, keep_alive) = TargetBody::connection_reuse(&parts.headers, framing);
     let is_event_stream =
         parts.status.is_success() && (route.streams || runner::is_event_stream(&parts.headers));
