Take only requests that end before a stopping entry gives up

Contracts allow deadlines of up to 3,600 s, so that a request taken then could be cut by the exit.

Cause: admission was not tied to the time that is left.

Change: the state machine is told when the process exits at the latest. A request ends at its deadline, so one whose deadline is later is refused as not run (`stopping`).

Result: request_taken_while_stopping_outlives_the_drain, 4 cases of decisions. With the event but without the check, 2 of 4 failed (with_less_than_its_deadline_left, at_once_with_little_time); now 4 of 4 pass.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -80,6 +80,11 @@
         /// `false` while the process can reach no other process.
         accepting: bool,
     },
+    /// The process was told to stop.
+    Stop {
+        /// Time after which it exits at the latest.
+        time: Duration,
+    },
     /// Stops admitting new requests for good, as the process ends once it is idle.
     Drain,
     /// Checks timeouts and heartbeats, see [`TICK_INTERVAL`].
--- a/src/entry/machine.rs
+++ b/src/entry/machine.rs
@@ -44,6 +44,8 @@
 pub struct EntryMachine {
     pub(super) settings: EntrySettings,
     open: bool,
+    /// When the process exits at the latest, if it was told to stop.
+    stops_by: Option<ClockTime>,
     /// Whether the process is shutting down, which is final.
     draining: bool,
     ready: bool,
@@ -85,6 +87,7 @@
             chooser: TargetChooser { policy: settings.policy, rng, turn: 0 },
             settings,
             open: true,
+            stops_by: None,
             draining: false,
             ready: false,
             started: None,
@@ -149,6 +152,7 @@
             EntryEvent::Frame { side, frame } => self.handle_frame(now, view, side, frame, out),
             EntryEvent::LogAdvanced => self.handle_log_advance(now, view, out),
             EntryEvent::SetAccepting { accepting } => self.open = accepting,
+            EntryEvent::Stop { time } => self.stops_by = Some(now + time),
             EntryEvent::Drain => self.draining = true,
             EntryEvent::Tick => self.handle_tick(now, view, out),
         }
@@ -193,6 +197,10 @@
             .position(|kind| kind.name == *request.kind)
             .ok_or(RefusalReason::NoKind)?;
         let kind = &contract.kinds[kind_index];
+        let deadline = now + kind.deadline();
+        if self.stops_by.is_some_and(|stops_by| deadline > stops_by) {
+            return Err(RefusalReason::Stopping);
+        }
         let mut request = request;
         if let KindRoute::Engine { max_prompt_tokens, max_output_tokens, .. } = kind.route {
             if request.prompt_tokens > max_prompt_tokens
@@ -211,7 +219,7 @@
         }
         Ok(RequestState {
             fingerprint: request.fingerprint(),
-            deadline: now + kind.deadline(),
+            deadline,
             request,
             contract: contract.clone(),
             kind_index,
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -124,6 +124,7 @@
     }
     log::info!("draining");
     ready.store(false, Ordering::Relaxed);
+    control.send_event(EntryEvent::Stop { time: settings.stop_notice + stop::DRAIN_TIMEOUT });
     tokio::time::sleep(settings.stop_notice).await;
     control.send_event(EntryEvent::Drain);
     stop::wait_until_drained(&control).await?;
--- a/src/process/stop.rs
+++ b/src/process/stop.rs
@@ -16,7 +16,7 @@
 /// Interval at which a stopping process checks whether it is idle.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time for which a stopping process waits for work in flight.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(600);
+pub const DRAIN_TIMEOUT: Duration = Duration::from_secs(600);
 /// Interval between reads of the VM list.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 
