--- a/emulator/src/stand_in.rs
+++ b/emulator/src/stand_in.rs
@@ -5,6 +5,7 @@
 //! faults, and [`referee`] compares what callers received with what targets ran.
 
 pub mod caller;
+pub mod endless;
 pub mod fleet;
 pub mod orders;
 pub mod referee;
@@ -13,7 +14,12 @@
 pub mod store;
 
 use std::{
-    convert::Infallible, error::Error, net::SocketAddr, os::fd::AsFd, sync::Arc, time::Duration,
+    convert::Infallible,
+    error::Error,
+    net::SocketAddr,
+    os::fd::AsFd,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -23,6 +29,8 @@
 use socket2::SockRef;
 use tokio::{net::TcpListener, task::JoinHandle};
 
+use endless::EndlessResponse;
+
 /// Response body of a stand-in; an error in it aborts the connection.
 pub type StandInBody = BoxBody<Bytes, BrokenOff>;
 
@@ -61,10 +69,27 @@
             let Ok((stream, _)) = listener.accept().await else { continue };
             let handler = handler.clone();
             tokio::spawn(async move {
-                let service = service_fn(move |request| handler(request));
+                let endless: Arc<Mutex<Option<EndlessResponse>>> = Arc::default();
+                let taken = endless.clone();
+                let service = service_fn(move |request| {
+                    let (answer, taken) = (handler(request), taken.clone());
+                    async move {
+                        let mut response = answer.await?;
+                        let Some(endless) = response.extensions_mut().remove() else {
+                            return Ok(response);
+                        };
+                        *taken.lock().unwrap_or_else(PoisonError::into_inner) = Some(endless);
+                        // Ends the library's work on the connection, which stays open.
+                        Err(BrokenOff::Closed)
+                    }
+                });
                 let Ok(handle) = stream.as_fd().try_clone_to_owned() else { return };
                 let served =
                     http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                let endless = endless.lock().unwrap_or_else(PoisonError::into_inner).take();
+                if let Some(endless) = endless {
+                    return endless.send(handle).await;
+                }
                 // Other errors only mean that the caller disconnected or a fault closed the connection.
                 if served.is_err_and(|error| is_reset(&error)) {
                     SockRef::from(&handle).set_linger(Some(Duration::ZERO)).ok();
--- a/emulator/src/stand_in/runner.rs
+++ b/emulator/src/stand_in/runner.rs
@@ -24,6 +24,7 @@
 
 use super::{
     BrokenOff, StandInBody,
+    endless::{EndlessFault, EndlessLog},
     orders::{OrderBook, OrderRecord, stage_name},
     slots::{PrioritySlots, TakenSlot},
     store::StoreModel,
@@ -91,6 +92,8 @@
     /// Breaks each response to a run off after as many bytes of its body as the number at the
     /// end of the request's id states.
     pub cut: Option<BrokenOff>,
+    /// Sends responses that never end.
+    pub endless: Option<EndlessFault>,
     /// Crashes on requests with this body: the connection closes during the run.
     pub poison: Option<Bytes>,
 }
@@ -143,6 +146,7 @@
     prefill_lock: Arc<tokio::sync::Mutex<()>>,
     caches: CacheRegistry,
     sequence: Arc<AtomicU64>,
+    endless: EndlessLog,
 }
 
 impl RunnerState {
@@ -199,6 +203,7 @@
             prefill_lock: Arc::default(),
             caches,
             sequence: Arc::default(),
+            endless: EndlessLog::default(),
         };
         *locked(&cell) = Some(runner.clone());
         Ok(runner)
@@ -293,10 +298,31 @@
         locked(&self.state).cancelled.clone()
     }
 
+    /// Returns the responses without end that it sent, oldest first.
+    pub fn endless(&self) -> &EndlessLog {
+        &self.endless
+    }
+
+    /// Builds a response without end, and records the run that it stands for.
+    fn endless_response(&self, fault: EndlessFault, parts: &Parts) -> Response<StandInBody> {
+        let id = header_text(&parts.headers, "request-id").unwrap_or_default();
+        if fault.counts_as_run() {
+            let path = parts.uri.path().to_owned();
+            let record = RunRecord { request: id.clone(), path, at: Instant::now(), read: 0 };
+            locked(&self.state).runs.push(record);
+        }
+        let mut response = Response::new(whole(""));
+        response.extensions_mut().insert(fault.response(&id, &self.id, &self.endless));
+        response
+    }
+
     async fn handle(self, request: Request<Incoming>) -> Result<Response<StandInBody>, BrokenOff> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| BrokenOff::Closed)?.to_bytes();
         let faults = locked(&self.state).faults.clone();
+        if let Some(endless) = faults.endless.filter(|endless| endless.concerns(&parts)) {
+            return Ok(self.endless_response(endless, &parts));
+        }
         let cut_after =
             header_text(&parts.headers, "request-id").and_then(|id| trailing_number(&id));
         let is_run = !parts.headers.contains_key("serving-stage");
