Bound what is read of a response that makes no progress

Seen: a target that sends informational responses, or the digits of a chunk's size, without end was read at full speed, 72 to 322 MB on one connection, for a run, a refusal, a prefill, an answer and a report. The connections were closed up to 1.7 s after their time, since the one thread was busy with the bytes.

Cause: the HTTP library consumes these bytes without a limit, and the reader of the response sees none of them, so that no limit on bodies applied.

A connection now fails when 256 KiB came without a head or a frame of a body. Buffers hold at most 64 KiB, so that a sound response never comes near, whoever reads it how slowly. As the limit stands at the socket, it covers targets, the store and peers alike. Faulty responses are logged with their target and counted as sapphirewell_response_faults_total; they count as failures of the target, not as crashes by the request.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,11 +4,11 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, StatusCode, client::conn::http1::SendRequest, header::HOST};
+use hyper::{Method, Request, StatusCode, header::HOST};
 use serde::{Deserialize, de::DeserializeOwned};
 use snafu::Snafu;
 
-use crate::process::dial;
+use crate::process::dial::{self, RequestSender};
 
 /// Timeout of a call other than a long poll.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -82,7 +82,7 @@
 #[derive(Debug)]
 pub struct StoreClient {
     address: SocketAddr,
-    connection: Option<SendRequest<Full<Bytes>>>,
+    connection: Option<RequestSender>,
 }
 
 #[derive(Deserialize)]
@@ -242,7 +242,7 @@
     }
 
     /// Returns the open connection, or opens a new one.
-    async fn connection(&mut self) -> Result<&mut SendRequest<Full<Bytes>>, StoreError> {
+    async fn connection(&mut self) -> Result<&mut RequestSender, StoreError> {
         let usable = match &mut self.connection {
             Some(connection) => connection.ready().await.is_ok(),
             None => false,
--- a/src/process.rs
+++ b/src/process.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod peer;
 pub mod platform;
+pub mod read_limit;
 pub mod side;
 pub mod stop;
 pub mod tail;
--- a/src/process/dial.rs
+++ b/src/process/dial.rs
@@ -4,11 +4,18 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    Request, Response,
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
+};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle};
 
+use super::read_limit::{LimitedStream, MAX_BUFFER_BYTES, ReadProgress, ReceivedBody};
 use crate::error::{Error, ErrorCode, Result};
 
 /// Idle time before the first keepalive probe.
@@ -24,11 +31,63 @@
 #[derive(Debug)]
 pub struct ClientConnection {
     /// Sends requests over the connection.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: RequestSender,
     /// Aborts the task that drives the connection, which closes it at once.
     pub abort: AbortHandle,
 }
 
+/// Sends requests over a connection, one at a time.
+#[derive(Debug)]
+pub struct RequestSender {
+    sender: SendRequest<Full<Bytes>>,
+    progress: ReadProgress,
+}
+
+impl RequestSender {
+    /// Sends a request and returns its response once the head was read.
+    ///
+    /// # Errors
+    /// Returns the error of the connection, and the request if it was not sent.
+    pub async fn try_send_request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<ReceivedBody>, TrySendError<Request<Full<Bytes>>>> {
+        self.progress.advance();
+        let response = self.sender.try_send_request(request).await?;
+        self.progress.advance();
+        Ok(response.map(|body| ReceivedBody::new(body, self.progress.clone())))
+    }
+
+    /// Sends a request and returns its response once the head was read.
+    ///
+    /// # Errors
+    /// Returns the error of the connection.
+    pub async fn send_request(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<ReceivedBody>> {
+        self.try_send_request(request).await.map_err(TrySendError::into_error)
+    }
+
+    /// Waits until the connection takes a request.
+    ///
+    /// # Errors
+    /// Returns an error if the connection is closed.
+    pub async fn ready(&mut self) -> hyper::Result<()> {
+        self.sender.ready().await
+    }
+
+    /// Returns whether the connection takes a request now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Returns whether the connection is closed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
 /// Opens an HTTP connection to an address; `timeout` limits the TCP connect.
 ///
 /// # Errors
@@ -42,13 +101,16 @@
         .map_err(|_| Error::new(ErrorCode::Timeout, format!("{address}")))?
         .map_err(|e| failed(&e))?;
     set_socket_options(&stream).map_err(|e| failed(&e))?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|e| failed(&e))?;
+    let progress = ReadProgress::default();
+    let stream = TokioIo::new(LimitedStream::new(stream, progress.clone()));
+    let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(stream);
+    let (sender, connection) = handshake.await.map_err(|e| failed(&e))?;
     let task = tokio::task::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!(address:% = address, error:% = error; "connection ended");
         }
     });
+    let sender = RequestSender { sender, progress };
     Ok(ClientConnection { sender, abort: task.abort_handle() })
 }
 
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -22,6 +22,7 @@
 mod call;
 mod caller_stream;
 mod copy;
+mod fault;
 mod follow;
 mod gossip;
 mod inspect;
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -3,25 +3,28 @@
 use std::{
     pin::Pin,
     rc::Rc,
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
 
 use bytes::Bytes;
 use hyper::{
-    body::{Body, Frame, Incoming, SizeHint},
+    body::{Body, Frame, SizeHint},
     header::HeaderMap,
 };
 use snafu::Snafu;
 use tokio::time::{Instant, Sleep};
 
 use super::{
-    caller_stream::ConnectionReset, metrics::EndLabels, pool::ConnectionLease, shell::DirectDriver,
+    caller_stream::ConnectionReset, fault::ResponseFault, metrics::EndLabels,
+    pool::ConnectionLease, shell::DirectDriver,
 };
 use crate::{
-    direct::{DirectEvent, FlowId, RequestTrace},
+    direct::{DirectEvent, DirectTarget, FlowId, RequestTrace},
     event_stream::EventBoundary,
     platform::runner::{self, BodyFraming},
+    process::read_limit::ReceivedBody,
 };
 
 /// Error that ends a response body early; the caller's connection is closed with it.
@@ -138,7 +141,8 @@
 
 /// Target's response body, with its connection and the request that ends with it.
 pub(super) struct TargetBody {
-    pub(super) upstream: Incoming,
+    pub(super) target: Arc<DirectTarget>,
+    pub(super) upstream: ReceivedBody,
     pub(super) lease: Option<ConnectionLease>,
     /// Idle timeout that the target stated for its connection.
     pub(super) keep_alive: Option<Duration>,
@@ -186,6 +190,9 @@
                 Poll::Ready(Some(self.finish().map(|()| frame)))
             }
             Poll::Ready(Some(Err(source))) => {
+                if let Some(fault) = ResponseFault::of(&source) {
+                    self.guard.driver.record_fault(&self.target, fault, &source);
+                }
                 Poll::Ready(Some(Err(self.interrupt(BodyError::Target { source }))))
             }
             Poll::Ready(None) => Poll::Ready(self.finish().err().map(Err)),
--- a/src/process/direct/call.rs
+++ b/src/process/direct/call.rs
@@ -6,16 +6,16 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Request, Response,
-    body::Incoming,
     header::{HeaderMap, HeaderValue},
     http::request::Parts,
 };
 
-use super::{pool::ConnectionLease, shell::DirectDriver};
+use super::{fault::ResponseFault, pool::ConnectionLease, shell::DirectDriver};
 use crate::{
     direct::{CallOutcome, CallStep, DirectTarget},
     error::Result,
     platform::runner::{self, ResponseOutcome},
+    process::read_limit::ReceivedBody,
 };
 
 /// Largest body of a response that is not passed on to the caller.
@@ -42,7 +42,8 @@
 
 /// Response whose head was read and whose body is still to come.
 pub(super) struct PendingResponse {
-    pub(super) response: Response<Incoming>,
+    pub(super) target: Arc<DirectTarget>,
+    pub(super) response: Response<ReceivedBody>,
     pub(super) lease: ConnectionLease,
 }
 
@@ -80,7 +81,7 @@
     driver: &Rc<DirectDriver>,
     target: &DirectTarget,
     request: Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, ConnectionLease), CallOutcome> {
+) -> Result<(Response<ReceivedBody>, ConnectionLease), CallOutcome> {
     let (response, lease) = send_once(driver, target, request).await?;
     driver.record_statements(target, response.status(), response.headers());
     Ok((response, lease))
@@ -90,7 +91,7 @@
     driver: &DirectDriver,
     target: &DirectTarget,
     request: Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, ConnectionLease), CallOutcome> {
+) -> Result<(Response<ReceivedBody>, ConnectionLease), CallOutcome> {
     let address = target.address;
     let mut unsent = request;
     if let Some(mut lease) = driver.pools.take_idle(address) {
@@ -98,7 +99,7 @@
             Ok(response) => return Ok((response, lease)),
             Err(mut error) => match error.take_message() {
                 Some(request) => unsent = request,
-                None => return Err(lost_response(&error.into_error())),
+                None => return Err(lost_response(driver, target, &error.into_error())),
             },
         }
     }
@@ -111,21 +112,33 @@
         Ok(response) => Ok((response, lease)),
         Err(mut error) => match error.take_message() {
             Some(_) => Err(CallOutcome::Unreachable),
-            None => Err(lost_response(&error.into_error())),
+            None => Err(lost_response(driver, target, &error.into_error())),
         },
     }
 }
 
-fn lost_response(error: &hyper::Error) -> CallOutcome {
-    log::debug!(error:% = error; "response lost");
-    CallOutcome::Lost { closed: !error.is_parse() }
+fn lost_response(
+    driver: &DirectDriver,
+    target: &DirectTarget,
+    error: &hyper::Error,
+) -> CallOutcome {
+    match ResponseFault::of(error) {
+        Some(fault) => {
+            driver.record_fault(target, fault, error);
+            CallOutcome::Lost { closed: false }
+        }
+        None => {
+            log::debug!(target_id:% = target.id, error:% = error; "response lost");
+            CallOutcome::Lost { closed: true }
+        }
+    }
 }
 
 async fn read_response(
     driver: &DirectDriver,
     caller_request: &CallerRequest,
     spec: &CallSpec,
-    response: Response<Incoming>,
+    response: Response<ReceivedBody>,
     lease: ConnectionLease,
 ) -> (CallOutcome, Option<PendingResponse>) {
     let (parts, body) = response.into_parts();
@@ -133,7 +146,7 @@
     let is_prefill = spec.step == CallStep::Prefill;
     match head {
         ResponseOutcome::NotRun | ResponseOutcome::WrongTarget => {
-            read_short_body(driver, &parts.headers, body, lease).await;
+            read_short_body(driver, &spec.target, &parts.headers, body, lease).await;
             let outcome = match head {
                 ResponseOutcome::WrongTarget => CallOutcome::WrongTarget,
                 _ => CallOutcome::Declined,
@@ -141,7 +154,7 @@
             (outcome, None)
         }
         _ if is_prefill && runner::is_prefill_success(&parts, &caller_request.id) => {
-            let body = read_short_body(driver, &parts.headers, body, lease).await;
+            let body = read_short_body(driver, &spec.target, &parts.headers, body, lease).await;
             match body.as_ref().map(runner::decode_prefill_handle) {
                 Some(Ok(handle)) => (CallOutcome::Prefilled { handle }, None),
                 _ => (CallOutcome::Lost { closed: false }, None),
@@ -150,7 +163,8 @@
         _ if is_prefill => (CallOutcome::Lost { closed: false }, None),
         ResponseOutcome::Success | ResponseOutcome::Failure => {
             let success = head == ResponseOutcome::Success;
-            let pending = PendingResponse { response: Response::from_parts(parts, body), lease };
+            let (target, response) = (spec.target.clone(), Response::from_parts(parts, body));
+            let pending = PendingResponse { target, response, lease };
             (CallOutcome::Answered { success }, Some(pending))
         }
         ResponseOutcome::Invalid => (CallOutcome::Lost { closed: false }, None),
@@ -160,8 +174,9 @@
 /// Reads a short response to its end, so that its connection can be reused.
 async fn read_short_body(
     driver: &DirectDriver,
+    target: &DirectTarget,
     headers: &HeaderMap,
-    body: Incoming,
+    body: ReceivedBody,
     lease: ConnectionLease,
 ) -> Option<Bytes> {
     match Limited::new(body, MAX_SHORT_BODY_BYTES).collect().await {
@@ -172,7 +187,10 @@
             Some(body.to_bytes())
         }
         Err(error) => {
-            log::debug!(error:% = error; "short response broke off");
+            match ResponseFault::of(&*error) {
+                Some(fault) => driver.record_fault(target, fault, &*error),
+                None => log::debug!(error:% = error; "short response broke off"),
+            }
             None
         }
     }
@@ -197,7 +215,7 @@
     let freeing = async {
         let (response, lease) = send(&driver, &target, request).await.ok()?;
         let (parts, body) = response.into_parts();
-        read_short_body(&driver, &parts.headers, body, lease).await
+        read_short_body(&driver, &target, &parts.headers, body, lease).await
     };
     if !matches!(tokio::time::timeout(FREE_TIMEOUT, freeing).await, Ok(Some(_))) {
         log::info!(
--- /dev/null
+++ b/src/process/direct/fault.rs
@@ -0,0 +1,34 @@
+//! Faults of targets' responses other than a lost connection.
+
+use http_body_util::LengthLimitError;
+use strum::IntoStaticStr;
+
+use crate::process::read_limit::ReadLimitError;
+
+/// Fault of a response, for the log and the metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum ResponseFault {
+    /// It is no HTTP response, or its head or framing is too long.
+    Malformed,
+    /// Bytes came that belong to neither a head nor a body.
+    NoProgress,
+    /// The body of a response that is not passed on is too long.
+    LongBody,
+}
+
+impl ResponseFault {
+    /// Returns the fault behind an error, or `None` if the connection was lost.
+    pub(super) fn of(error: &(dyn std::error::Error + 'static)) -> Option<ResponseFault> {
+        if error.is::<LengthLimitError>() {
+            return Some(ResponseFault::LongBody);
+        }
+        if let Some(limit) = ReadLimitError::of(error) {
+            return Some(match limit {
+                ReadLimitError::Bytes => ResponseFault::NoProgress,
+            });
+        }
+        let error = error.downcast_ref::<hyper::Error>()?;
+        error.is_parse().then_some(ResponseFault::Malformed)
+    }
+}
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -29,6 +29,13 @@
     pub(super) end: &'static str,
 }
 
+/// Labels of a faulty response.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct FaultLabels {
+    /// [`ResponseFault`](super::fault::ResponseFault) of a target's response.
+    pub(super) fault: &'static str,
+}
+
 /// Values that are taken from the state when the metrics are scraped.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct StateGauges {
@@ -54,6 +61,7 @@
     pub(super) first_seconds: Histogram,
     pub(super) pause_seconds: Histogram,
     pub(super) calls: Counter,
+    pub(super) faults: Family<FaultLabels, Counter>,
     pub(super) store_calls: Family<StoreLabels, Counter>,
     pub(super) store_seconds: Histogram,
     in_flight: Gauge,
@@ -74,6 +82,7 @@
             first_seconds: Histogram::new(DURATION_BUCKETS),
             pause_seconds: Histogram::new(DURATION_BUCKETS),
             calls: Counter::default(),
+            faults: Family::default(),
             store_calls: Family::default(),
             store_seconds: Histogram::new(DURATION_BUCKETS),
             in_flight: Gauge::default(),
@@ -125,6 +134,11 @@
             self.pause_seconds.clone(),
         );
         registry.register("calls", "Calls to targets", self.calls.clone());
+        registry.register(
+            "response_faults",
+            "Responses of targets that were given up, by fault",
+            self.faults.clone(),
+        );
         registry.register("store_calls", "Reads of the store", self.store_calls.clone());
         registry.register(
             "store_seconds",
--- a/src/process/direct/pool.rs
+++ b/src/process/direct/pool.rs
@@ -8,14 +8,11 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1::SendRequest;
 use tokio::{task::AbortHandle, time::Instant};
 
 use crate::{
     error::{Error, ErrorCode, Result},
-    process::dial,
+    process::dial::{self, RequestSender},
 };
 
 /// Timeout for connecting to a target.
@@ -63,7 +60,7 @@
 /// [`TargetPools::return_idle`] keeps it for reuse.
 #[derive(Debug)]
 pub(super) struct ConnectionLease {
-    pub(super) sender: SendRequest<Full<Bytes>>,
+    pub(super) sender: RequestSender,
     abort: AbortHandle,
     _guard: OpenGuard,
     pub(super) address: SocketAddr,
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -295,6 +295,7 @@
     let is_event_stream =
         parts.status.is_success() && (route.streams || runner::is_event_stream(&parts.headers));
     let body = TargetBody {
+        target: pending.target,
         upstream,
         lease: Some(pending.lease),
         keep_alive,
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -18,8 +18,9 @@
 use super::{
     call,
     copy::{KnownRecords, RecordAges},
+    fault::ResponseFault,
     gossip::PeerLink,
-    metrics::{DirectMetrics, StateGauges, StoreLabels},
+    metrics::{DirectMetrics, FaultLabels, StateGauges, StoreLabels},
     orders,
     pool::TargetPools,
     suspects,
@@ -139,6 +140,21 @@
         self.step(DirectEvent::TargetLeaving(leaving));
     }
 
+    /// Counts and logs a target's response that is given up.
+    pub(super) fn record_fault(
+        &self,
+        target: &DirectTarget,
+        fault: ResponseFault,
+        error: &dyn std::fmt::Display,
+    ) {
+        let fault = <&str>::from(fault);
+        self.metrics.faults.get_or_create(&FaultLabels { fault }).inc();
+        log::warn!(
+            target_id:% = target.id, fault:% = fault, error:% = error;
+            "target's response given up"
+        );
+    }
+
     pub(super) fn tick(self: &Rc<Self>) {
         self.step(DirectEvent::Tick);
     }
