Give up a response whose head does not end

Seen: a target that sends a head a few bytes at a time held its request until the route's timeout, 965 to 1,007 ms of 800, 2.7 s of 2.5; an idempotent request had no time left for another target, and the target did not count as failing.

Cause: only the size of a head was bounded, at 400 KB.

A head now has 300 ms from its first byte, and eight reads beyond which that counts, so that a lost packet or a pause of the VM ends nothing: servers send heads at once. Silence before the first byte is no reason to give up, nor after an informational response, of which there may be four.

--- a/src/process/dial.rs
+++ b/src/process/dial.rs
@@ -50,9 +50,11 @@
     /// Returns the error of the connection, and the request if it was not sent.
     pub async fn try_send_request(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<ReceivedBody>, TrySendError<Request<Full<Bytes>>>> {
-        self.progress.advance();
+        let progress = self.progress.clone();
+        hyper::ext::on_informational(&mut request, move |_| progress.record_informational());
+        self.progress.expect_head();
         let response = self.sender.try_send_request(request).await?;
         self.progress.advance();
         Ok(response.map(|body| ReceivedBody::new(body, self.progress.clone())))
--- a/src/process/direct/fault.rs
+++ b/src/process/direct/fault.rs
@@ -13,6 +13,10 @@
     Malformed,
     /// Bytes came that belong to neither a head nor a body.
     NoProgress,
+    /// The head did not end in time.
+    SlowHead,
+    /// Informational responses came instead of a final one.
+    Informational,
     /// The body of a response that is not passed on is too long.
     LongBody,
 }
@@ -26,6 +30,8 @@
         if let Some(limit) = ReadLimitError::of(error) {
             return Some(match limit {
                 ReadLimitError::Bytes => ResponseFault::NoProgress,
+                ReadLimitError::HeadTime => ResponseFault::SlowHead,
+                ReadLimitError::Informational => ResponseFault::Informational,
             });
         }
         let error = error.downcast_ref::<hyper::Error>()?;
--- a/src/process/read_limit.rs
+++ b/src/process/read_limit.rs
@@ -9,6 +9,7 @@
     pin::Pin,
     sync::{Arc, Mutex},
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -17,6 +18,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time::Instant,
 };
 
 use super::lock;
@@ -28,12 +30,27 @@
 /// than the response is read.
 const MAX_STEP_BYTES: usize = 4 * MAX_BUFFER_BYTES;
 
+/// Longest time from the first byte of a head to its last. Servers send a head at once; the
+/// time leaves room for a lost packet.
+const MAX_HEAD_TIME: Duration = Duration::from_millis(300);
+/// Reads up to which a head may take longer: few of them are late only where a connection or
+/// a VM paused.
+const MAX_LATE_READS: u32 = 8;
+/// Most informational responses before the final one.
+const MAX_INFORMATIONAL: u32 = 4;
+
 /// Limit that a response has exceeded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum ReadLimitError {
     /// Bytes came without a head or a part of the body.
     #[snafu(display("{MAX_STEP_BYTES} bytes came without a head or a part of a body"))]
     Bytes,
+    /// A head began and did not end.
+    #[snafu(display("a head took longer than {} ms", MAX_HEAD_TIME.as_millis()))]
+    HeadTime,
+    /// Informational responses came instead of a final one.
+    #[snafu(display("more than {MAX_INFORMATIONAL} informational responses came"))]
+    Informational,
 }
 
 impl ReadLimitError {
@@ -59,18 +76,54 @@
 struct ProgressState {
     /// Bytes since the last step of a response.
     bytes: usize,
+    /// Whether the next step is a head.
+    expects_head: bool,
+    /// When the first byte of that head was read.
+    head_started: Option<Instant>,
+    /// Reads since then.
+    head_reads: u32,
+    /// Informational responses before that head.
+    informational: u32,
 }
 
 impl ReadProgress {
-    /// Records that a request was sent, or that a step of its response was read.
+    /// Records that a request is sent, whose response begins with a head.
+    pub(super) fn expect_head(&self) {
+        *lock(&self.0) = ProgressState { expects_head: true, ..ProgressState::default() };
+    }
+
+    /// Records that a step of a response was read.
     pub(super) fn advance(&self) {
         *lock(&self.0) = ProgressState::default();
     }
 
+    /// Records an informational response, after which the final one may take its time.
+    pub(super) fn record_informational(&self) {
+        let mut state = lock(&self.0);
+        state.informational += 1;
+        state.head_started = None;
+        state.head_reads = 0;
+    }
+
     fn record_read(&self, bytes: usize) -> Result<(), ReadLimitError> {
         let mut state = lock(&self.0);
         state.bytes += bytes;
-        if state.bytes > MAX_STEP_BYTES { Err(ReadLimitError::Bytes) } else { Ok(()) }
+        if state.bytes > MAX_STEP_BYTES {
+            return Err(ReadLimitError::Bytes);
+        }
+        if !state.expects_head || bytes == 0 {
+            return Ok(());
+        }
+        let now = Instant::now();
+        let started = *state.head_started.get_or_insert(now);
+        state.head_reads += 1;
+        if state.informational > MAX_INFORMATIONAL {
+            return Err(ReadLimitError::Informational);
+        }
+        if state.head_reads > MAX_LATE_READS && now - started > MAX_HEAD_TIME {
+            return Err(ReadLimitError::HeadTime);
+        }
+        Ok(())
     }
 }
 
