End an answer at its route's timeout also when its caller does not read

Cause: the timer of the answer was only polled when the target had no frame ready, which is never for such a target; and the HTTP library asks for no frame at all while the caller's connection takes no bytes.

The timer now goes first, and a write that waits for the caller fails once the answer's time is over, with a reset of the connection. An answer that was read from its target to its end has no such limit.

The stalled and slow cases in target_bytes_without_end.rs pass.

--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -149,7 +149,7 @@
     pub(super) reusable: bool,
     /// Whether the body is a stream of events.
     pub(super) is_event_stream: bool,
-    /// Resets the caller's connection where closing it would look like a complete response.
+    /// Ends the caller's connection early where the response breaks off.
     pub(super) reset: Option<ConnectionReset>,
     pub(super) guard: FlowGuard,
     /// Timer after which the response is broken off.
@@ -175,6 +175,10 @@
     }
 
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        // Checked first, as a target that sends without end always has a frame ready.
+        if self.timeout.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Some(Err(self.break_off(BodyError::TimedOut))));
+        }
         match Pin::new(&mut self.upstream).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(data) = frame.data_ref() {
@@ -196,10 +200,7 @@
                 Poll::Ready(Some(Err(self.interrupt(BodyError::Target { source }))))
             }
             Poll::Ready(None) => Poll::Ready(self.finish().err().map(Err)),
-            Poll::Pending => match self.timeout.as_mut().poll(context) {
-                Poll::Ready(()) => Poll::Ready(Some(Err(self.break_off(BodyError::TimedOut)))),
-                Poll::Pending => Poll::Pending,
-            },
+            Poll::Pending => Poll::Pending,
         }
     }
 
@@ -228,6 +229,9 @@
             return Err(self.interrupt(BodyError::InsideEvent));
         }
         self.guard.complete = true;
+        if let Some(reset) = &self.reset {
+            reset.limit_writes(None);
+        }
         if let Some(lease) = self.lease.take()
             && self.reusable
         {
@@ -245,7 +249,7 @@
     fn break_off(&mut self, error: BodyError) -> BodyError {
         self.lease = None;
         if let Some(reset) = &self.reset {
-            reset.request();
+            reset.break_off();
         }
         error
     }
--- a/src/process/direct/caller_stream.rs
+++ b/src/process/direct/caller_stream.rs
@@ -4,7 +4,7 @@
     io,
     pin::Pin,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     task::{Context, Poll},
@@ -16,36 +16,68 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time::{Instant, Sleep, sleep_until},
 };
 
-/// Makes a caller's connection end with a reset.
+use crate::process::lock;
+
+/// Makes a caller's connection end before its response does.
 ///
 /// A caller that knows no chunks takes the close of its connection for the end of a complete
-/// response, so only a reset tells it that the response was broken off.
+/// response, so only a reset tells it that the response was broken off. A caller that does not
+/// read keeps the HTTP library from asking for more of the response, and with that from
+/// finding out that its time is over.
 #[derive(Debug, Clone, Default)]
-pub(super) struct ConnectionReset(Arc<AtomicBool>);
+pub(super) struct ConnectionReset {
+    state: Arc<ResetState>,
+    /// Whether the caller knows no chunks.
+    needs_reset: bool,
+}
+
+#[derive(Debug, Default)]
+struct ResetState {
+    requested: AtomicBool,
+    /// Time at which a response that the caller does not read is broken off.
+    write_limit: Mutex<Option<Instant>>,
+}
 
 impl ConnectionReset {
-    /// Attaches this to a request of the connection.
+    /// Attaches this to a request of the connection, which is the next one.
     pub(super) fn attach(&self, extensions: &mut Extensions) {
+        self.limit_writes(None);
         extensions.insert(self.clone());
     }
 
-    /// Returns the one to use where a response to this request is broken off, if it needs it.
-    pub(super) fn needed_by(parts: &Parts) -> Option<ConnectionReset> {
-        if parts.version >= Version::HTTP_11 {
-            return None;
+    /// Returns the one to use for a response to this request.
+    pub(super) fn of(parts: &Parts) -> Option<ConnectionReset> {
+        let reset = parts.extensions.get::<ConnectionReset>()?.clone();
+        Some(ConnectionReset { needs_reset: parts.version < Version::HTTP_11, ..reset })
+    }
+
+    /// Records that a response was broken off: resets the connection as soon as it is dropped,
+    /// where its caller would otherwise take the response for complete.
+    pub(super) fn break_off(&self) {
+        if self.needs_reset {
+            self.request();
         }
-        parts.extensions.get().cloned()
     }
 
-    /// Resets the connection as soon as it is dropped.
-    pub(super) fn request(&self) {
-        self.0.store(true, Ordering::Relaxed);
+    /// Resets the connection if the caller still does not read the response at this time;
+    /// `None` lets it take its time.
+    pub(super) fn limit_writes(&self, until: Option<Instant>) {
+        *lock(&self.state.write_limit) = until;
+    }
+
+    fn write_limit(&self) -> Option<Instant> {
+        *lock(&self.state.write_limit)
+    }
+
+    fn request(&self) {
+        self.state.requested.store(true, Ordering::Relaxed);
     }
 
     fn is_requested(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.state.requested.load(Ordering::Relaxed)
     }
 }
 
@@ -54,11 +86,36 @@
 pub(super) struct CallerStream {
     stream: TcpStream,
     reset: ConnectionReset,
+    /// Timer of the write limit while a write waits for the caller.
+    write_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
     pub(super) fn new(stream: TcpStream, reset: ConnectionReset) -> CallerStream {
-        CallerStream { stream, reset }
+        CallerStream { stream, reset, write_timer: None }
+    }
+
+    /// Fails a write that waits for the caller once the limit is over.
+    fn limit_write(
+        &mut self,
+        context: &mut Context<'_>,
+        write: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let limit = self.reset.write_limit().filter(|_| write.is_pending());
+        let Some(limit) = limit else {
+            self.write_timer = None;
+            return write;
+        };
+        let timer = self.write_timer.get_or_insert_with(|| Box::pin(sleep_until(limit)));
+        if timer.deadline() != limit {
+            timer.as_mut().reset(limit);
+        }
+        if timer.as_mut().poll(context).is_pending() {
+            return Poll::Pending;
+        }
+        log::info!("response broken off: its time is over and the caller does not read it");
+        self.reset.request();
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 }
 
@@ -90,7 +147,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let write = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.limit_write(context, write)
     }
 
     fn poll_write_vectored(
@@ -98,7 +156,8 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let write = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.limit_write(context, write)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -244,7 +244,7 @@
             }
             Some(DirectAction::Deliver { time_left, .. }) => {
                 if let Some(response) = pending.take() {
-                    let reset = ConnectionReset::needed_by(&request.parts);
+                    let reset = ConnectionReset::of(&request.parts);
                     return deliver(guard, response, &head.route, reset, time_left);
                 }
                 next = actions.recv().await;
@@ -292,6 +292,9 @@
     let framing = BodyFraming::of(&parts.headers, &upstream);
     guard.set_framing(framing);
     let (reusable, keep_alive) = TargetBody::connection_reuse(&parts.headers, framing);
+    if let Some(reset) = &reset {
+        reset.limit_writes(Some(tokio::time::Instant::now() + time_left));
+    }
     let is_event_stream =
         parts.status.is_success() && (route.streams || runner::is_event_stream(&parts.headers));
     let body = TargetBody {
