Give up a short body that does not end

Seen: a prefill engine that sends the body of its response a few bytes at a time held the request until its route's timeout, 5.2 s of 5, though the prompt could have been read elsewhere. A refusal did the same.

Cause: bodies that are not passed on were bounded in size, not in time.

They now have 300 ms after their head, with which servers send them. The prompt is then read elsewhere, which runs nothing twice.

--- a/src/process/direct/call.rs
+++ b/src/process/direct/call.rs
@@ -20,6 +20,9 @@
 
 /// Largest body of a response that is not passed on to the caller.
 const MAX_SHORT_BODY_BYTES: usize = 64 * 1024;
+/// Longest time of such a body after its head. Targets send both at once; the time leaves room
+/// for a lost packet.
+const MAX_SHORT_BODY_TIME: Duration = Duration::from_millis(300);
 /// Timeout of a request that frees a KV cache.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -179,20 +182,25 @@
     body: ReceivedBody,
     lease: ConnectionLease,
 ) -> Option<Bytes> {
-    match Limited::new(body, MAX_SHORT_BODY_BYTES).collect().await {
-        Ok(body) => {
+    let collecting = Limited::new(body, MAX_SHORT_BODY_BYTES).collect();
+    match tokio::time::timeout(MAX_SHORT_BODY_TIME, collecting).await {
+        Ok(Ok(body)) => {
             if !runner::closes_connection(headers) {
                 driver.pools.return_idle(lease, runner::keep_alive_timeout(headers));
             }
             Some(body.to_bytes())
         }
-        Err(error) => {
+        Ok(Err(error)) => {
             match ResponseFault::of(&*error) {
                 Some(fault) => driver.record_fault(target, fault, &*error),
                 None => log::debug!(error:% = error; "short response broke off"),
             }
             None
         }
+        Err(elapsed) => {
+            driver.record_fault(target, ResponseFault::SlowBody, &elapsed);
+            None
+        }
     }
 }
 
--- a/src/process/direct/fault.rs
+++ b/src/process/direct/fault.rs
@@ -19,6 +19,8 @@
     Informational,
     /// The body of a response that is not passed on is too long.
     LongBody,
+    /// Such a body did not end in time.
+    SlowBody,
 }
 
 impl ResponseFault {
