Let a refused request go on before the body of its refusal was read

Seen: where a target refuses a request and sends the body of the refusal a few bytes at a time, the request waited 300 ms for it, longer than its route's objective, before another target got it: whole after 324 to 683 ms.

Cause: the body was read to its end, for the sake of the connection, before the outcome of the call was passed on, though the head of a refusal says all.

The body is now read beside the request, within the same bounds in size and time. The connection goes back to the pool as before.

The three refusal cases in target_bytes_without_end.rs pass.

--- a/src/process/direct/call.rs
+++ b/src/process/direct/call.rs
@@ -138,7 +138,7 @@
 }
 
 async fn read_response(
-    driver: &DirectDriver,
+    driver: &Rc<DirectDriver>,
     caller_request: &CallerRequest,
     spec: &CallSpec,
     response: Response<ReceivedBody>,
@@ -149,7 +149,7 @@
     let is_prefill = spec.step == CallStep::Prefill;
     match head {
         ResponseOutcome::NotRun | ResponseOutcome::WrongTarget => {
-            read_short_body(driver, &spec.target, &parts.headers, body, lease).await;
+            discard_short_body(driver, &spec.target, parts.headers, body, lease);
             let outcome = match head {
                 ResponseOutcome::WrongTarget => CallOutcome::WrongTarget,
                 _ => CallOutcome::Declined,
@@ -174,6 +174,20 @@
     }
 }
 
+/// Reads the body of a response whose head has said all, without keeping the request waiting.
+fn discard_short_body(
+    driver: &Rc<DirectDriver>,
+    target: &Arc<DirectTarget>,
+    headers: HeaderMap,
+    body: ReceivedBody,
+    lease: ConnectionLease,
+) {
+    let (driver, target) = (driver.clone(), target.clone());
+    tokio::task::spawn_local(async move {
+        read_short_body(&driver, &target, &headers, body, lease).await;
+    });
+}
+
 /// Reads a short response to its end, so that its connection can be reused.
 async fn read_short_body(
     driver: &DirectDriver,
