Failing tests: a body that breaks its framing counts as a crash of its request

Three answers whose chunks cannot be read block the request's content for all entries, though no target has crashed: the fourth request is refused with crashes_targets. A head that cannot be read does not count so.

Also cases of event streams without any event, which pass.

--- a/emulator/src/stand_in/endless.rs
+++ b/emulator/src/stand_in/endless.rs
@@ -68,6 +68,8 @@
     Chunks,
     /// Digits of a chunk's size.
     ChunkSize,
+    /// Bytes that are no chunk.
+    BadChunk,
     /// Body that the end of the connection would end.
     Unframed,
 }
@@ -157,6 +159,7 @@
                 (head + "transfer-encoding: chunked\r\n\r\n", "6\r\nfiller\r\n")
             }
             EndlessPlace::ChunkSize => (head + "transfer-encoding: chunked\r\n\r\n", "0"),
+            EndlessPlace::BadChunk => (head + "transfer-encoding: chunked\r\n\r\n", "zz\r\n"),
             EndlessPlace::Unframed => (head + "connection: close\r\n\r\n", "filler"),
         };
         EndlessResponse {
--- a/emulator/tests/target_bytes_without_end.rs
+++ b/emulator/tests/target_bytes_without_end.rs
@@ -38,8 +38,8 @@
 const SOUND_TIME: Duration = Duration::from_millis(500);
 /// Most memory that an entry may take for all responses without end together, in KiB.
 const MAX_GROWTH_KIB: u64 = 16 * 1024;
-/// Timeout of the routes of lookups and tickets, with the entry's grace time and its tick.
-const ROUTE_TIME: Duration = Duration::from_millis(800 + 150 + 40);
+/// Grace time of an entry after a route's timeout, and its tick.
+const ROUTE_GRACE: Duration = Duration::from_millis(150 + 40);
 /// Receive buffer of a caller that is slow to read, and how it reads.
 const SLOW_CALLER_BUFFER_BYTES: u32 = 16 * 1024;
 const SLOW_CALLER_READ_BYTES: usize = 4 * 1024;
@@ -97,8 +97,8 @@
 use BytePace::{Fast, Slow};
 use CallerKind::{Dossier, Lookup, Note, Ticket};
 use EndlessPlace::{
-    AfterLength, BlankLines, ChunkSize, Chunks, Garbage, HeaderLines, HeaderValue, Informational,
-    LongLength, Unframed,
+    AfterLength, BadChunk, BlankLines, ChunkSize, Chunks, Garbage, HeaderLines, HeaderValue,
+    Informational, LongLength, Unframed,
 };
 use Expected::{Unknown, Whole};
 
@@ -192,6 +192,7 @@
 #[derive(Debug, Clone, Copy)]
 struct AnswerCase {
     port: u16,
+    kind: CallerKind,
     place: EndlessPlace,
     pace: BytePace,
     caller: CallerPace,
@@ -199,30 +200,35 @@
 
 /// A signed answer without end lasts as long as its route allows, whoever reads it.
 #[parameterized(
-    chunks_fast = { AnswerCase { port: 23_600, place: Chunks, pace: Fast, caller: CallerPace::Fast } },
-    chunks_slow = { AnswerCase { port: 23_604, place: Chunks, pace: Slow, caller: CallerPace::Fast } },
-    length_fast = { AnswerCase { port: 23_608, place: LongLength, pace: Fast, caller: CallerPace::Fast } },
-    unframed_fast = { AnswerCase { port: 23_612, place: Unframed, pace: Fast, caller: CallerPace::Fast } },
-    chunk_size_fast = { AnswerCase { port: 23_616, place: ChunkSize, pace: Fast, caller: CallerPace::Fast } },
-    chunk_size_slow = { AnswerCase { port: 23_620, place: ChunkSize, pace: Slow, caller: CallerPace::Fast } },
-    chunks_fast_to_a_slow_caller = { AnswerCase { port: 23_624, place: Chunks, pace: Fast, caller: CallerPace::Slow } },
-    chunks_fast_to_a_stalled_caller = { AnswerCase { port: 23_628, place: Chunks, pace: Fast, caller: CallerPace::Stalled } },
-    length_fast_to_a_stalled_caller = { AnswerCase { port: 23_632, place: LongLength, pace: Fast, caller: CallerPace::Stalled } },
+    chunks_fast = { AnswerCase { port: 23_600, kind: Lookup, place: Chunks, pace: Fast, caller: CallerPace::Fast } },
+    chunks_slow = { AnswerCase { port: 23_604, kind: Lookup, place: Chunks, pace: Slow, caller: CallerPace::Fast } },
+    length_fast = { AnswerCase { port: 23_608, kind: Lookup, place: LongLength, pace: Fast, caller: CallerPace::Fast } },
+    unframed_fast = { AnswerCase { port: 23_612, kind: Lookup, place: Unframed, pace: Fast, caller: CallerPace::Fast } },
+    chunk_size_fast = { AnswerCase { port: 23_616, kind: Lookup, place: ChunkSize, pace: Fast, caller: CallerPace::Fast } },
+    chunk_size_slow = { AnswerCase { port: 23_620, kind: Lookup, place: ChunkSize, pace: Slow, caller: CallerPace::Fast } },
+    chunks_fast_to_a_slow_caller = { AnswerCase { port: 23_624, kind: Lookup, place: Chunks, pace: Fast, caller: CallerPace::Slow } },
+    chunks_fast_to_a_stalled_caller = { AnswerCase { port: 23_628, kind: Lookup, place: Chunks, pace: Fast, caller: CallerPace::Stalled } },
+    length_fast_to_a_stalled_caller = { AnswerCase { port: 23_632, kind: Lookup, place: LongLength, pace: Fast, caller: CallerPace::Stalled } },
+    no_event_unframed_fast = { AnswerCase { port: 23_672, kind: Note, place: Unframed, pace: Fast, caller: CallerPace::Fast } },
+    no_event_chunks_slow = { AnswerCase { port: 23_676, kind: Note, place: Chunks, pace: Slow, caller: CallerPace::Fast } },
+    no_event_chunks_to_a_slow_caller = { AnswerCase { port: 23_680, kind: Note, place: Chunks, pace: Fast, caller: CallerPace::Slow } },
 )]
 fn an_answer_without_end_lasts_as_long_as_its_route_allows(case: AnswerCase) {
     run(async {
         let (fleet, mut records) = warm_fleet(case.port, 2, 1).await;
-        let target = target_in_trouble(&fleet, EndlessCall::Run, Ticket);
         let memory = MemoryWatch::start(&fleet);
         let (place, pace) = (case.place, case.pace);
         let fault = EndlessFault { call: EndlessCall::Run, status: 200, place, pace };
-        fleet.runners[target].set_faults(endless(fault));
+        fleet.runners.iter().for_each(|runner| runner.set_faults(endless(fault)));
         let sound = tokio::spawn(sound_requests(fleet.entry(0)));
         let callers = (0..ENDLESS_ANSWERS)
-            .map(|number| tokio::spawn(receive(fleet.entry(0), number, case.caller)))
+            .map(|number| tokio::spawn(receive(fleet.entry(0), case.kind, number, case.caller)))
             .collect();
-        let responses = closed_responses(&fleet.runners[target], ROUTE_TIME).await;
-        assert_eq!(responses.len(), ENDLESS_ANSWERS);
+        let mut responses = 0;
+        for runner in &fleet.runners {
+            responses += closed_responses(runner, route_time(case.kind)).await.len();
+        }
+        assert_eq!(responses, ENDLESS_ANSWERS);
         let callers = all(callers).await;
         let is_broken = |record: &&CallerRecord| record.outcome == CallerOutcome::Broken;
         let complete: Vec<_> = callers.iter().filter(|record| !is_broken(record)).collect();
@@ -236,6 +242,45 @@
     });
 }
 
+/// A target that sends what cannot be read has not crashed, so that its request is served as
+/// soon as a target is sound.
+#[parameterized(
+    bad_chunk_fast = { 23_656, BadChunk, Fast },
+    bad_chunk_slow = { 23_660, BadChunk, Slow },
+    chunk_size_fast = { 23_664, ChunkSize, Fast },
+    garbage_fast = { 23_668, Garbage, Fast },
+)]
+fn a_response_that_cannot_be_read_is_no_crash_of_its_request(
+    port: u16,
+    place: EndlessPlace,
+    pace: BytePace,
+) {
+    run(async {
+        let (fleet, mut records) = warm_fleet(port, 2, 1).await;
+        let target = target_in_trouble(&fleet, EndlessCall::Run, Ticket);
+        let fault = EndlessFault { call: EndlessCall::Run, status: 200, place, pace };
+        fleet.runners[target].set_faults(endless(fault));
+        // Three crashes block a request.
+        for number in 0..4 {
+            let mut request = CallerRequest::new(format!("{ENDLESS_ID}-{number}"), Ticket, 1);
+            request.body = Bytes::from("same body");
+            let record = send(fleet.entry(0), request).await;
+            let own = matches!(record.outcome, CallerOutcome::Own { status: 502, .. });
+            assert!(own || record.outcome == CallerOutcome::Broken, "{}", describe(&[&record]));
+            records.push(record);
+        }
+        fleet.runners[target].set_faults(RunnerFaults::default());
+        let mut request = CallerRequest::new("sound", Ticket, 1);
+        request.body = Bytes::from("same body");
+        let record = send(fleet.entry(0), request).await;
+        let place = log_place(&fleet);
+        assert_eq!(record.outcome, CallerOutcome::Whole, "{place}");
+        records.push(record);
+        assert_eq!(fleet.judge(&records), []);
+        assert_released(&fleet, Some(&fleet.runners[target])).await;
+    });
+}
+
 /// Reports and orders of engines never reach a caller, and a failed one is no reason to
 /// disturb anything.
 #[parameterized(
@@ -373,29 +418,53 @@
     format!("logs in {}", fleet.folder().display())
 }
 
-/// Sends a lookup and takes its answer at the caller's pace, without keeping it.
-async fn receive(entry: SocketAddr, number: usize, pace: CallerPace) -> CallerRecord {
-    let request = CallerRequest::new(format!("{ENDLESS_ID}-{number}"), Lookup, 1);
+/// Returns how long an answer of a kind may last.
+fn route_time(kind: CallerKind) -> Duration {
+    let timeout = match kind {
+        Note => Duration::from_millis(2500),
+        Dossier => Duration::from_secs(5),
+        Lookup | Ticket => Duration::from_millis(800),
+    };
+    timeout + ROUTE_GRACE
+}
+
+/// Sends a request and takes its answer at the caller's pace, without keeping it.
+async fn receive(
+    entry: SocketAddr,
+    kind: CallerKind,
+    number: usize,
+    pace: CallerPace,
+) -> CallerRecord {
+    let request = CallerRequest::new(format!("{ENDLESS_ID}-{number}"), kind, 1);
+    let route_time = route_time(kind);
     let started = Instant::now();
     let socket = TcpSocket::new_v4().unwrap();
     if pace != CallerPace::Fast {
         socket.set_recv_buffer_size(SLOW_CALLER_BUFFER_BYTES).unwrap();
     }
     let mut stream = socket.connect(entry).await.unwrap();
+    let (path, prompt) = match kind {
+        Note | Dossier => {
+            let prefix = format!("e001:90,{number:x}:200");
+            let prompt = format!("model: m\r\ntoken-count: 290,4\r\nprompt-prefix: {prefix}\r\n");
+            ("/note/a", prompt)
+        }
+        Lookup | Ticket => ("/lookup/a", String::new()),
+    };
     let head = format!(
-        "POST /lookup/a HTTP/1.1\r\nhost: front.example\r\nrequest-id: {}\r\n\
+        "POST {path} HTTP/1.1\r\nhost: front.example\r\nrequest-id: {}\r\n{prompt}\
          deadline-ms: 20000\r\ncontent-length: 0\r\n\r\n",
         request.id
     );
     stream.write_all(head.as_bytes()).await.unwrap();
     let reading = async {
         if pace == CallerPace::Stalled {
-            tokio::time::sleep(ROUTE_TIME + 2 * SLACK).await;
+            tokio::time::sleep(route_time + 2 * SLACK).await;
         }
         let pause = (pace == CallerPace::Slow).then_some(SLOW_CALLER_PAUSE);
-        read_to_end(&mut stream, pause, started + ROUTE_TIME + 2 * SLACK).await
+        read_to_end(&mut stream, pause, started + route_time + 2 * SLACK).await
     };
-    let outcome = match tokio::time::timeout(ROUTE_TIME + 10 * SLACK, reading).await {
+    let outcome = match tokio::time::timeout(route_time + 10 * SLACK, reading).await {
         Ok(tail) if tail.ends_with(b"0\r\n\r\n") => CallerOutcome::Wrong("complete".to_owned()),
         Ok(_) => CallerOutcome::Broken,
         Err(_) => CallerOutcome::Wrong("still open".to_owned()),
