Count a body that breaks its framing as a fault of its target, not as a crash

Seen: after three answers whose chunks could not be read, the fourth request with the same content was refused with 503, crashes_targets, at every entry, though no target had crashed.

Cause: whatever ended a body early was reported as a crash of the target by the request, while a head that cannot be read was not.

A body that breaks its framing, or makes no progress, now only counts as a failure of its target, and its line names the fault. An end of the connection, with or without a reset, counts as before.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -163,6 +163,12 @@
         /// Identifier of the request whose response is incomplete.
         flow: FlowId,
     },
+    /// The target's response could not be read further after it had begun, as it broke its
+    /// framing. The target is at fault, but has not crashed.
+    AnswerMalformed {
+        /// Identifier of the request whose response is incomplete.
+        flow: FlowId,
+    },
     /// The response was delivered or interrupted, or the caller disconnected.
     FlowEnded {
         /// Identifier of the request. Later events for it are ignored.
--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -258,12 +258,19 @@
         id: FlowId,
         out: &mut Vec<DirectAction>,
     ) {
+        if self.flows.get(&id).is_none_or(|flow| flow.call.is_none()) {
+            return;
+        }
+        self.answer_malformed(id);
+        self.report_crash(now, id, out);
+    }
+
+    pub(super) fn answer_malformed(&mut self, id: FlowId) {
         let call = self.flows.get(&id).and_then(|flow| flow.call.as_ref());
         let Some(target) = call.map(|call| call.target.id.clone()) else { return };
         if let Some(state) = self.fleet.get_mut(&target) {
             state.record_failure();
         }
-        self.report_crash(now, id, out);
     }
 
     pub(super) fn flow_ended(
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -182,6 +182,7 @@
             }
             DirectEvent::FirstOutput { flow } => self.first_output(now, flow, out),
             DirectEvent::AnswerInterrupted { flow } => self.answer_interrupted(now, flow, out),
+            DirectEvent::AnswerMalformed { flow } => self.answer_malformed(flow),
             DirectEvent::FlowEnded { flow, complete } => self.flow_ended(now, flow, complete, out),
             DirectEvent::Target(change) => self.fleet.apply(now, change),
             DirectEvent::TargetClosed { target, time } => {
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -194,10 +194,11 @@
                 Poll::Ready(Some(self.finish().map(|()| frame)))
             }
             Poll::Ready(Some(Err(source))) => {
-                if let Some(fault) = ResponseFault::of(&source) {
-                    self.guard.driver.record_fault(&self.target, fault, &source);
-                }
-                Poll::Ready(Some(Err(self.interrupt(BodyError::Target { source }))))
+                let error = match ResponseFault::of(&source) {
+                    Some(fault) => self.reject(fault, source),
+                    None => self.interrupt(BodyError::Target { source }),
+                };
+                Poll::Ready(Some(Err(error)))
             }
             Poll::Ready(None) => Poll::Ready(self.finish().err().map(Err)),
             Poll::Pending => Poll::Pending,
@@ -246,6 +247,14 @@
         self.break_off(error)
     }
 
+    /// Gives up a response that cannot be read.
+    fn reject(&mut self, fault: ResponseFault, source: hyper::Error) -> BodyError {
+        let flow = self.guard.flow;
+        self.guard.driver.record_fault(&self.target, fault, &source);
+        self.guard.driver.step(DirectEvent::AnswerMalformed { flow });
+        self.break_off(BodyError::Target { source })
+    }
+
     fn break_off(&mut self, error: BodyError) -> BodyError {
         self.lease = None;
         if let Some(reset) = &self.reset {
--- a/src/process/direct/fault.rs
+++ b/src/process/direct/fault.rs
@@ -1,5 +1,7 @@
 //! Faults of targets' responses other than a lost connection.
 
+use std::{error::Error, io};
+
 use http_body_util::LengthLimitError;
 use strum::IntoStaticStr;
 
@@ -25,7 +27,7 @@
 
 impl ResponseFault {
     /// Returns the fault behind an error, or `None` if the connection was lost.
-    pub(super) fn of(error: &(dyn std::error::Error + 'static)) -> Option<ResponseFault> {
+    pub(super) fn of(error: &(dyn Error + 'static)) -> Option<ResponseFault> {
         if error.is::<LengthLimitError>() {
             return Some(ResponseFault::LongBody);
         }
@@ -37,6 +39,11 @@
             });
         }
         let error = error.downcast_ref::<hyper::Error>()?;
-        error.is_parse().then_some(ResponseFault::Malformed)
+        let cause = error.source().and_then(|cause| cause.downcast_ref::<io::Error>());
+        // The HTTP library reports chunks that it cannot read as input errors.
+        let is_bad_chunk = cause.is_some_and(|cause| {
+            matches!(cause.kind(), io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData)
+        });
+        (error.is_parse() || is_bad_chunk).then_some(ResponseFault::Malformed)
     }
 }
