--- a/emulator/src/stand_in.rs
+++ b/emulator/src/stand_in.rs
@@ -5,6 +5,7 @@
 //! faults, and [`referee`] compares what callers received with what targets ran.
 
 pub mod caller;
+pub mod endless;
 pub mod fleet;
 pub mod kept_connection;
 pub mod orders;
@@ -18,7 +19,7 @@
     error::Error,
     net::SocketAddr,
     os::fd::{AsFd, OwnedFd},
-    sync::Arc,
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
@@ -32,6 +33,8 @@
     task::{JoinHandle, JoinSet},
 };
 
+use endless::EndlessResponse;
+
 /// Response body of a stand-in; an error in it aborts the connection.
 pub type StandInBody = BoxBody<Bytes, BrokenOff>;
 
@@ -82,11 +85,30 @@
             let handler = handler.clone();
             while connections.try_join_next().is_some() {}
             connections.spawn(async move {
-                let service = service_fn(move |request| handler(request));
+                let endless: Arc<Mutex<Option<EndlessResponse>>> = Arc::default();
+                let taken = endless.clone();
+                let service = service_fn(move |request| {
+                    let (answer, taken) = (handler(request), taken.clone());
+                    async move {
+                        let mut response = answer.await?;
+                        let Some(endless) = response.extensions_mut().remove() else {
+                            return Ok(response);
+                        };
+                        *taken.lock().unwrap_or_else(PoisonError::into_inner) = Some(endless);
+                        // Ends the library's work on the connection, which stays open.
+                        Err(BrokenOff::Closed)
+                    }
+                });
                 let Ok(handle) = stream.as_fd().try_clone_to_owned() else { return };
                 let mut closing = ConnectionClose { handle, resets: number.is_multiple_of(2) };
                 let served =
                     http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                let endless = endless.lock().unwrap_or_else(PoisonError::into_inner).take();
+                if let Some(endless) = endless {
+                    let Ok(handle) = closing.handle.try_clone() else { return };
+                    closing.resets = false;
+                    return endless.send(handle).await;
+                }
                 // Other errors only mean that the caller disconnected or a fault closed the connection.
                 closing.resets = served.is_err_and(|error| is_reset(&error));
             });
--- a/emulator/src/stand_in/runner.rs
+++ b/emulator/src/stand_in/runner.rs
@@ -23,6 +23,7 @@
 use state::{RunnerState, locked};
 
 use super::{
+    endless::EndlessLog,
     orders::{OrderRecord, stage_name},
     store::StoreModel,
 };
@@ -41,6 +42,7 @@
     caches: CacheRegistry,
     /// Bound to its address, so that nothing else takes the port while it is down.
     _reserved: Arc<Socket>,
+    endless: EndlessLog,
 }
 
 impl RunnerModel {
@@ -66,6 +68,7 @@
             state: Arc::new(Mutex::new(RunnerState::new(id.into(), profile.slots))),
             caches,
             _reserved: Arc::new(reserved),
+            endless: EndlessLog::default(),
         };
         runner.listen().await?;
         Ok(runner)
@@ -174,4 +177,9 @@
     pub fn left(&self) -> Vec<String> {
         locked(&self.state).cancelled.clone()
     }
+
+    /// Returns the responses without end that it sent, oldest first.
+    pub fn endless(&self) -> &EndlessLog {
+        &self.endless
+    }
 }
--- a/emulator/src/stand_in/runner/call.rs
+++ b/emulator/src/stand_in/runner/call.rs
@@ -18,7 +18,7 @@
     state::locked,
     stream::RunGuard,
 };
-use crate::stand_in::{BrokenOff, StandInBody};
+use crate::stand_in::{BrokenOff, StandInBody, endless::EndlessFault, whole};
 
 impl RunnerModel {
     fn report(&self, headers: &HeaderMap) -> Response<StandInBody> {
@@ -31,6 +31,19 @@
         self.response(status, headers, "")
     }
 
+    /// Builds a response without end, and records the run that it stands for.
+    fn endless_response(&self, fault: EndlessFault, parts: &Parts) -> Response<StandInBody> {
+        let id = header_text(&parts.headers, "request-id").unwrap_or_default();
+        if fault.counts_as_run() {
+            let path = parts.uri.path().to_owned();
+            let record = RunRecord { request: id.clone(), path, at: Instant::now(), read: 0 };
+            locked(&self.state).runs.push(record);
+        }
+        let mut response = Response::new(whole(""));
+        response.extensions_mut().insert(fault.response(&id, &self.id, &self.endless));
+        response
+    }
+
     pub(super) async fn handle(
         self,
         request: Request<Incoming>,
@@ -38,6 +51,9 @@
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| BrokenOff::Closed)?.to_bytes();
         let faults = locked(&self.state).faults.clone();
+        if let Some(endless) = faults.endless.filter(|endless| endless.concerns(&parts)) {
+            return Ok(self.endless_response(endless, &parts));
+        }
         let cut_after =
             header_text(&parts.headers, "request-id").and_then(|id| trailing_number(&id));
         let is_run = !parts.headers.contains_key("serving-stage");
--- a/emulator/src/stand_in/runner/profile.rs
+++ b/emulator/src/stand_in/runner/profile.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::stand_in::BrokenOff;
+use crate::stand_in::{BrokenOff, endless::EndlessFault};
 
 /// Kind of a stand-in target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,6 +66,8 @@
     /// Breaks each response to a run off after as many bytes of its body as the number at the
     /// end of the request's id states.
     pub cut: Option<BrokenOff>,
+    /// Sends responses that never end.
+    pub endless: Option<EndlessFault>,
     /// Crashes on requests with this body: the connection closes during the run.
     pub poison: Option<Bytes>,
     /// Prompt segments that crash it, shortly after it begins to write the answer to a request
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -3,13 +3,14 @@
 use std::{
     pin::Pin,
     rc::Rc,
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
 
 use bytes::Bytes;
 use hyper::{
-    body::{Body, Frame, Incoming, SizeHint},
+    body::{Body, Frame, SizeHint},
     header::HeaderMap,
 };
 use snafu::Snafu;
@@ -19,12 +20,14 @@
 };
 
 use super::{
-    caller_stream::ConnectionReset, metrics::EndLabels, pool::ConnectionLease, shell::DirectDriver,
+    caller_stream::ConnectionReset, fault::ResponseFault, metrics::EndLabels,
+    pool::ConnectionLease, shell::DirectDriver,
 };
 use crate::{
-    direct::{DirectAction, DirectEvent, FlowId, RequestTrace},
+    direct::{DirectAction, DirectEvent, DirectTarget, FlowId, RequestTrace},
     event_stream::EventBoundary,
     platform::runner::{self, BodyFraming},
+    process::read_limit::ReceivedBody,
 };
 
 /// Error that ends a response body early; the caller's connection is closed with it.
@@ -160,14 +163,15 @@
 
 /// Target's response body, with its connection and the request that ends with it.
 pub(super) struct TargetBody {
-    pub(super) upstream: Incoming,
+    pub(super) target: Arc<DirectTarget>,
+    pub(super) upstream: ReceivedBody,
     pub(super) lease: Option<ConnectionLease>,
     /// Idle timeout that the target stated for its connection.
     pub(super) keep_alive: Option<Duration>,
     pub(super) reusable: bool,
     /// Whether the body is a stream of events.
     pub(super) is_event_stream: bool,
-    /// Resets the caller's connection where closing it would look like a complete response.
+    /// Ends the caller's connection early where the response breaks off.
     pub(super) reset: Option<ConnectionReset>,
     pub(super) guard: FlowGuard,
     /// Actions that end the response early.
@@ -198,6 +202,10 @@
         if let Poll::Ready(Some(DirectAction::BreakOff { .. })) = self.actions.poll_recv(context) {
             return Poll::Ready(Some(Err(self.break_off(BodyError::Stopping))));
         }
+        // Checked first, as a target that sends without end always has a frame ready.
+        if self.timeout.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Some(Err(self.break_off(BodyError::TimedOut))));
+        }
         match Pin::new(&mut self.upstream).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(data) = frame.data_ref() {
@@ -213,13 +221,14 @@
                 Poll::Ready(Some(self.finish().map(|()| frame)))
             }
             Poll::Ready(Some(Err(source))) => {
-                Poll::Ready(Some(Err(self.interrupt(BodyError::Target { source }))))
+                let error = match ResponseFault::of(&source) {
+                    Some(fault) => self.reject(fault, source),
+                    None => self.interrupt(BodyError::Target { source }),
+                };
+                Poll::Ready(Some(Err(error)))
             }
             Poll::Ready(None) => Poll::Ready(self.finish().err().map(Err)),
-            Poll::Pending => match self.timeout.as_mut().poll(context) {
-                Poll::Ready(()) => Poll::Ready(Some(Err(self.break_off(BodyError::TimedOut)))),
-                Poll::Pending => Poll::Pending,
-            },
+            Poll::Pending => Poll::Pending,
         }
     }
 
@@ -248,6 +257,9 @@
             return Err(self.interrupt(BodyError::InsideEvent));
         }
         self.guard.complete = true;
+        if let Some(reset) = &self.reset {
+            reset.limit_writes(None);
+        }
         if let Some(lease) = self.lease.take()
             && self.reusable
         {
@@ -262,10 +274,18 @@
         self.break_off(error)
     }
 
+    /// Gives up a response that cannot be read.
+    fn reject(&mut self, fault: ResponseFault, source: hyper::Error) -> BodyError {
+        let flow = self.guard.flow;
+        self.guard.driver.record_fault(&self.target, fault, &source);
+        self.guard.driver.step(DirectEvent::AnswerMalformed { flow });
+        self.break_off(BodyError::Target { source })
+    }
+
     fn break_off(&mut self, error: BodyError) -> BodyError {
         self.lease = None;
         if let Some(reset) = &self.reset {
-            reset.request();
+            reset.break_off();
         }
         error
     }
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -265,7 +265,7 @@
             }
             Some(DirectAction::Deliver { time_left, .. }) => {
                 if let Some(response) = pending.take() {
-                    let reset = ConnectionReset::needed_by(&request.parts);
+                    let reset = ConnectionReset::of(&request.parts);
                     let delivery = Delivery { reset, time_left, actions };
                     return deliver(guard, response, &head.route, delivery);
                 }
@@ -324,15 +324,17 @@
     if framing == BodyFraming::Connection {
         guard.driver().step(DirectEvent::UnframedAnswer { flow: guard.flow });
     }
-    if let Some(reset) = &delivery.reset
-        && framing != BodyFraming::Length
-    {
-        reset.arm();
+    if let Some(reset) = &delivery.reset {
+        reset.limit_writes(Some(tokio::time::Instant::now() + delivery.time_left));
+        if framing != BodyFraming::Length {
+            reset.arm();
+        }
     }
     let (reusable, keep_alive) = TargetBody::connection_reuse(&parts.headers, framing);
     let is_event_stream =
         parts.status.is_success() && (route.streams || runner::is_event_stream(&parts.headers));
     let body = TargetBody {
+        target: pending.target,
         upstream,
         lease: Some(pending.lease),
         keep_alive,
