Count a crash only where the target is gone, and let blocks of segments end

Crashes were also missed where the one entry saw its stream end between two events and another one saw its streams break.

A broken connection is now followed by a connect to the target: a crash counts once that fails, and is dismissed at every entry if it succeeds. Responses without framing join the crash that another entry reports. A segment that was in a whole response within a minute needs eight crashes, and comes after those that never were; where requests queue for seconds, five moments stand for three crashes in a row. Reports renew no block, an answer at a later start of a target acquits nothing, and records are removed by whoever read them. Causes are looked for once a tick.

--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -326,6 +326,7 @@
                 self.persist_suspect(entry, process, change);
             }
             DirectAction::PersistSegment(change) => self.persist_segment(change),
+            DirectAction::ProbeTarget(target) => self.probe_target(entry, &target),
             DirectAction::ReportCrashes(report) => {
                 let now = self.now;
                 self.entries[entry].crashes.push_back((now, report));
@@ -334,6 +335,14 @@
         }
     }
 
+    fn probe_target(&mut self, entry: EntryId, target: &DirectTarget) {
+        let age = NETWORK_DELAY * 2;
+        let gone = !self.takes_connections(target.address);
+        let start = (target.id.clone(), target.born_ms);
+        let event = DirectEvent::TargetProbed { start, age, gone };
+        self.schedule_after(age, self.machine_event(entry, event));
+    }
+
     /// Sends a message about a stream to peers, unless reports are being lost.
     fn send_to_peers(&mut self, entry: EntryId, peers: &[PeerName], message: &StreamMessage) {
         if self.reports_lost_until > self.now {
--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -6,8 +6,8 @@
 use sapphirewell::{
     direct::{
         BlockedSegment, DirectEvent, DirectTarget, EngineConfig, RequestLimits, RetryPolicy,
-        RouteConfig, RouteTable, SegmentChange, SegmentId, SegmentReport, ServiceConfig,
-        SuspectChange, SuspectReport, TargetChange, WeightedService,
+        RouteConfig, RouteTable, SegmentChange, SegmentId, ServiceConfig, SuspectChange,
+        SuspectReport, TargetChange, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -181,10 +181,9 @@
         );
         let blocked = self.store.segments.values();
         let blocked = blocked.map(|block| BlockedSegment { age: Duration::ZERO, ..block.clone() });
-        let report = SegmentReport { blocked: blocked.collect(), ..SegmentReport::default() };
         self.schedule_after(
             self.response_time(),
-            self.machine_event(entry, DirectEvent::Segments(report)),
+            self.machine_event(entry, DirectEvent::StoredSegments(blocked.collect())),
         );
     }
 
--- a/emulator/src/platform_rig/target.rs
+++ b/emulator/src/platform_rig/target.rs
@@ -254,6 +254,12 @@
         );
     }
 
+    /// Returns whether a target serves at an address.
+    pub(super) fn takes_connections(&self, address: SocketAddr) -> bool {
+        let target = self.target_at(address);
+        self.targets[target].state == TargetState::Serving
+    }
+
     /// Handles a call that has reached the address of its target.
     pub(super) fn call_arrives(&mut self, call: SimCall) {
         let target = self.target_at(call.target.address);
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -202,6 +202,17 @@
     Crashes(CrashReport),
     /// A peer or the store reported segments that may crash targets.
     Segments(SegmentReport),
+    /// Prompt segments that the store says crash targets.
+    StoredSegments(Vec<BlockedSegment>),
+    /// It was found out whether a target is gone.
+    TargetProbed {
+        /// Target and start that were asked.
+        start: TargetStart,
+        /// Time since it was asked.
+        age: Duration,
+        /// Whether it takes no connections.
+        gone: bool,
+    },
     /// The response that is being delivered has neither a length nor chunks, so that its end
     /// does not show whether it is complete.
     UnframedAnswer {
@@ -328,6 +339,8 @@
     /// Write to the store that a request crashes targets, or remove that record.
     /// The store serves entries that start when no peer is left that knows.
     PersistSuspect(SuspectChange),
+    /// Find out whether a target is gone, to which a connection broke.
+    ProbeTarget(Arc<DirectTarget>),
     /// Write to the store that a prompt segment crashes targets, or remove that record.
     PersistSegment(SegmentChange),
     /// Write a claim on ordering engines to the store.
--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -45,8 +45,10 @@
             CallOutcome::Declined => self.call_declined(now, id, out),
             CallOutcome::WrongTarget => self.call_not_run(now, id, "wrong_target", true, out),
             CallOutcome::Unreachable => {
-                if let Some(call) = self.flows.get(&id).and_then(|flow| flow.call.as_ref()) {
-                    self.segments.target_unreachable(now, &call.target_start());
+                if let Some(call) = self.flows.get(&id).and_then(|flow| flow.call.as_ref())
+                    && self.segments.target_unreachable(now, &call.target_start())
+                {
+                    out.push(DirectAction::ProbeTarget(call.target.clone()));
                 }
                 self.call_not_run(now, id, "unreachable", false, out);
             }
@@ -229,8 +231,12 @@
     }
 
     fn report_crash(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
-        if let Some(run) = self.flows.get(&id).and_then(DirectFlow::target_run) {
-            self.segments.run_broken(now, run);
+        let flow = self.flows.get(&id);
+        if let Some(run) = flow.and_then(DirectFlow::target_run)
+            && let Some(call) = flow.and_then(|flow| flow.call.as_ref())
+            && self.segments.run_broken(now, run)
+        {
+            out.push(DirectAction::ProbeTarget(call.target.clone()));
         }
         let fingerprint = self.flows.get(&id).and_then(|flow| flow.request.fingerprint);
         let Some(fingerprint) = fingerprint else { return };
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -222,6 +222,12 @@
             DirectEvent::PeerLoad(report) => self.peer_load(now, report),
             DirectEvent::Crashes(report) => self.crashes.apply(now, &report),
             DirectEvent::Segments(report) => self.segments.apply(now, &report),
+            DirectEvent::StoredSegments(blocked) => {
+                blocked.iter().for_each(|block| self.segments.adopt_block(now, block, true));
+            }
+            DirectEvent::TargetProbed { start, age, gone } => {
+                self.segments.target_probed(&start, now.saturating_sub(age), gone);
+            }
             DirectEvent::UnframedAnswer { flow } => {
                 if let Some(flow) = self.flows.get_mut(&flow) {
                     flow.unframed = true;
@@ -502,7 +508,7 @@
         }
         let changes = self.crashes.take_changes(self.settings.instance);
         out.extend(changes.into_iter().map(DirectAction::PersistSuspect));
-        let changes = self.segments.take_changes();
+        let changes = self.segments.take_changes(now);
         out.extend(changes.into_iter().map(DirectAction::PersistSegment));
         self.manage_stages(now, out);
         while let Some((expires, id)) = self.timeouts.first().copied() {
--- a/src/direct/segment.rs
+++ b/src/direct/segment.rs
@@ -26,6 +26,14 @@
 /// Number of them that must follow each other, each under a request that was sent after the
 /// one before. Engines that lose power together crash under all popular segments at once.
 const MIN_CONSECUTIVE_CRASHES: usize = 3;
+/// Number of crashes at different moments that stand for those, where requests wait so long
+/// that each was sent before the crash ahead of it.
+const MIN_CRASH_MOMENTS: usize = 5;
+/// Shortest time between two such moments.
+const CRASH_MOMENT: Duration = Duration::from_millis(250);
+/// The first two numbers for a segment that was in a whole response within
+/// [`SUCCESS_LIFETIME`].
+const MIN_CRASHES_AFTER_SUCCESS: (usize, usize) = (8, 4);
 /// Time after the last crash for which a segment is blocked. It doubles each time that the
 /// first crash afterwards blocks the segment again.
 const BLOCK_TIME: Duration = Duration::from_secs(600);
@@ -46,6 +54,8 @@
 const MAX_CRASHES: usize = 256;
 /// Largest number of crashes, successes and blocked segments in a report, each.
 const MAX_REPORTED: usize = 32;
+/// Largest number of blocked segments; further ones are not adopted from others.
+const MAX_BLOCKED: usize = 4096;
 /// Largest number of segments with a known success.
 const MAX_SUCCESSES: usize = 65_536;
 
@@ -84,7 +94,7 @@
 /// What one entry has seen lately of segments that may crash targets.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct SegmentReport {
-    /// Crashes that it saw itself.
+    /// Crashes that it saw itself and confirmed.
     pub crashes: Vec<TargetCrash>,
     /// Segments of responses that ended whole, with the time since; only those under which
     /// targets crashed.
@@ -125,6 +135,8 @@
 #[derive(Debug, Clone, Serialize)]
 struct CrashRecord {
     at: ClockTime,
+    /// Whether the target was seen to be gone; a broken connection alone does not show it.
+    confirmed: bool,
     /// Segments of the requests that this entry had at the target.
     own: HashSet<SegmentId>,
     segments: HashMap<SegmentId, SegmentUse>,
@@ -190,6 +202,9 @@
     blocked: HashMap<SegmentId, BlockRecord>,
     #[serde(skip)]
     changes: Vec<SegmentChange>,
+    /// Whether there is new evidence since causes were last looked for.
+    #[serde(skip)]
+    has_new_evidence: bool,
 }
 
 impl SegmentTable {
@@ -207,32 +222,66 @@
     }
 
     /// Records that a target's connection broke under a request.
-    pub(super) fn run_broken(&mut self, now: ClockTime, run: TargetRun) {
-        let ended = self.unconfirmed.remove(&run.start).unwrap_or_default();
-        let ended = ended.into_iter().filter(|run| run.ended + UNCONFIRMED_TIME >= now);
-        let mut runs: Vec<(ClockTime, Vec<(SegmentId, u8)>)> =
-            ended.map(|run| (run.sent, run.segments)).collect();
-        runs.push((run.sent, run.segments));
-        for (sent, segments) in runs {
-            for (segment, position) in segments {
-                self.add_run(now, &run.start, segment, SegmentUse { sent, position }, true);
-            }
+    ///
+    /// Returns whether it has to be found out if the target is gone.
+    pub(super) fn run_broken(&mut self, now: ClockTime, run: TargetRun) -> bool {
+        let is_new = !self.crashes.contains_key(&run.start);
+        self.add_unconfirmed_runs(now, now, &run.start);
+        self.add_own_runs(now, &run.start, run.sent, &run.segments);
+        is_new && self.crashes.contains_key(&run.start)
+    }
+
+    fn add_own_runs(
+        &mut self,
+        at: ClockTime,
+        start: &TargetStart,
+        sent: ClockTime,
+        segments: &[(SegmentId, u8)],
+    ) {
+        for (segment, position) in segments {
+            let used = SegmentUse { sent, position: *position };
+            self.add_run(at, start, *segment, used, true);
         }
-        self.block_causes(now);
     }
 
-    /// Records that a target could not be reached.
+    /// Adds the requests to a crash whose responses may have ended with it.
+    fn add_unconfirmed_runs(&mut self, now: ClockTime, at: ClockTime, start: &TargetStart) {
+        let runs = self.unconfirmed.remove(start).unwrap_or_default();
+        let (ended, others): (Vec<_>, Vec<_>) =
+            runs.into_iter().partition(|run| run.ended.abs_diff(at) <= UNCONFIRMED_TIME);
+        for run in ended {
+            self.add_own_runs(at, start, run.sent, &run.segments);
+        }
+        let others: Vec<_> =
+            others.into_iter().filter(|run| run.ended + UNCONFIRMED_TIME >= now).collect();
+        if !others.is_empty() {
+            self.unconfirmed.insert(start.clone(), others);
+        }
+    }
+
+    /// Records whether a target was gone when a connection to it had broken.
+    pub(super) fn target_probed(&mut self, start: &TargetStart, asked: ClockTime, gone: bool) {
+        let Some(crash) = self.crashes.get_mut(start) else { return };
+        if gone {
+            crash.confirmed = true;
+            self.has_new_evidence = true;
+        } else {
+            self.dismiss_crash(start, asked, true);
+        }
+    }
+
+    /// Records that a call could not be sent to a target.
     ///
     /// If all its responses without framing ended between two events as it crashed, this is
-    /// the only sign of the crash.
-    pub(super) fn target_unreachable(&mut self, now: ClockTime, start: &TargetStart) {
+    /// the only sign of the crash. Returns whether it has to be found out if the target is gone.
+    pub(super) fn target_unreachable(&mut self, now: ClockTime, start: &TargetStart) -> bool {
         let runs = self.unconfirmed.get(start);
         let is_recent = |run: &UnconfirmedRun| run.ended + UNCONFIRMED_TIME >= now;
         if !runs.is_some_and(|runs| runs.iter().any(is_recent)) {
-            return;
+            return false;
         }
         let run = TargetRun { start: start.clone(), sent: now, segments: Vec::new() };
-        self.run_broken(now, run);
+        self.run_broken(now, run)
     }
 
     /// Records that a target responded to a call, which it can do only if it had not crashed
@@ -245,7 +294,7 @@
         }
         let Some(runs) = self.unconfirmed.get_mut(start) else { return };
         let confirmed: Vec<UnconfirmedRun> =
-            runs.extract_if(.., |run| run.ended < called).collect();
+            runs.extract_if(.., |run| shows_survival(run.ended, called)).collect();
         if runs.is_empty() {
             self.unconfirmed.remove(start);
         }
@@ -288,37 +337,53 @@
             if self.survivors.get(&crash.start).is_some_and(|(called, _)| at < *called) {
                 continue;
             }
+            self.add_unconfirmed_runs(now, at, &crash.start);
             for run in &crash.runs {
                 let (segment, position, running_ms) = *run;
                 let sent = at.saturating_sub(Duration::from_millis(running_ms.into()));
                 self.add_run(at, &crash.start, segment, SegmentUse { sent, position }, false);
             }
+            if let Some(known) = self.crashes.get_mut(&crash.start) {
+                self.has_new_evidence |= !known.confirmed || !crash.runs.is_empty();
+                known.confirmed = true;
+            }
         }
-        self.block_causes(now);
         for block in &report.blocked {
-            self.adopt_block(now, block);
+            self.adopt_block(now, block, false);
         }
     }
 
     /// Blocks a segment that a peer or an earlier process blocks.
-    pub fn adopt_block(&mut self, now: ClockTime, block: &BlockedSegment) {
+    ///
+    /// A record of the store is removed by whoever read it, as its writer may be gone.
+    pub fn adopt_block(&mut self, now: ClockTime, block: &BlockedSegment, stored: bool) {
+        if self.blocked.len() >= MAX_BLOCKED {
+            return;
+        }
         let last = now.saturating_sub(block.age);
         // One that a request has run with since was blocked by mistake.
         if let Some(at) = self.successes.get(&block.segment).filter(|at| **at > last) {
             self.own_successes.insert(block.segment, *at);
             return;
         }
-        let new = BlockRecord { crashes: 0, repeats: 0, last, stored: false };
+        let new = BlockRecord { crashes: 0, repeats: 0, last, stored };
         let known = self.blocked.entry(block.segment).or_insert(new);
-        known.crashes = known.crashes.max(block.crashes);
-        known.repeats = known.repeats.max(block.repeats);
-        known.last = known.last.max(last);
+        known.stored |= stored;
+        // Ages grow by the time of each message, so that entries which took over the newest
+        // of them would renew a block without end.
+        if (block.repeats, block.crashes) > (known.repeats, known.crashes) {
+            known.crashes = block.crashes;
+            known.repeats = block.repeats;
+            known.last = known.last.max(last);
+        }
     }
 
     /// Returns what peers have to know.
     pub(super) fn report(&self, now: ClockTime) -> SegmentReport {
         let is_recent = |at: &ClockTime| *at + REPORT_TIME >= now;
-        let crashes = self.crashes.iter().filter(|(_, c)| is_recent(&c.at) && !c.own.is_empty());
+        let is_reported =
+            |crash: &CrashRecord| crash.confirmed && is_recent(&crash.at) && !crash.own.is_empty();
+        let crashes = self.crashes.iter().filter(|(_, crash)| is_reported(crash));
         let mut crashes: Vec<TargetCrash> =
             crashes.map(|(start, crash)| report_crash(now, start, crash)).collect();
         crashes.sort_by(|a, b| a.age.cmp(&b.age).then_with(|| a.start.cmp(&b.start)));
@@ -340,8 +405,12 @@
         SegmentReport { crashes, successes, blocked, survivors }
     }
 
-    /// Returns and clears the changes that this entry writes to the store.
-    pub(super) fn take_changes(&mut self) -> Vec<SegmentChange> {
+    /// Blocks segments that new evidence speaks against, and returns and clears the changes
+    /// that this entry writes to the store.
+    pub(super) fn take_changes(&mut self, now: ClockTime) -> Vec<SegmentChange> {
+        if std::mem::take(&mut self.has_new_evidence) {
+            self.block_causes(now);
+        }
         std::mem::take(&mut self.changes)
     }
 
@@ -376,6 +445,7 @@
         }
         let record = self.crashes.entry(start.clone()).or_insert_with(|| CrashRecord {
             at,
+            confirmed: false,
             own: HashSet::new(),
             segments: HashMap::new(),
         });
@@ -450,7 +520,7 @@
             crash.segments.contains_key(segment) && (now < block.ends() || crash.at <= block.ends())
         };
         let mut spans: HashMap<SegmentId, Vec<(ClockTime, &SegmentUse)>> = HashMap::new();
-        for crash in self.crashes.values() {
+        for crash in self.crashes.values().filter(|crash| crash.confirmed) {
             if self.blocked.iter().any(|block| explains(block, crash)) {
                 continue;
             }
@@ -459,21 +529,25 @@
             }
         }
         let causes = spans.into_iter().filter(|(segment, crashes)| {
+            let was_fine = self.successes.contains_key(segment);
             let needed = match self.blocked.contains_key(segment) {
                 true => (1, 1),
+                false if was_fine => MIN_CRASHES_AFTER_SUCCESS,
                 false => (MIN_CRASHES, MIN_CONSECUTIVE_CRASHES),
             };
-            crashes.len() >= needed.0 && consecutive_crashes(crashes) >= needed.1
+            let follow = consecutive_crashes(crashes) >= needed.1
+                || (!was_fine && crash_moments(crashes) >= MIN_CRASH_MOMENTS);
+            crashes.len() >= needed.0 && follow
         });
         // A segment that was fine before is less likely than one that never was, and one that
         // follows others in the prompt less likely shared by sound requests.
         let weight = |segment: &SegmentId, crashes: &[(ClockTime, &SegmentUse)]| {
             let position = crashes.iter().map(|(_, used)| used.position).max();
             let success = self.successes.get(segment);
-            (crashes.len(), Reverse(success.is_some()), position, Reverse(*segment))
+            (Reverse(success.is_some()), crashes.len(), position, Reverse(*segment))
         };
         let causes = causes.map(|(segment, crashes)| (weight(&segment, &crashes), segment));
-        causes.max_by_key(|(weight, _)| *weight).map(|(weight, segment)| (segment, weight.0))
+        causes.max_by_key(|(weight, _)| *weight).map(|(weight, segment)| (segment, weight.1))
     }
 
     fn drop_oldest_crash(&mut self) {
@@ -507,6 +581,21 @@
     called > crashed && called <= crashed + SURVIVAL_TIME
 }
 
+/// Returns the number of moments at which there were crashes.
+fn crash_moments(crashes: &[(ClockTime, &SegmentUse)]) -> usize {
+    let mut times: Vec<ClockTime> = crashes.iter().map(|(at, _)| *at).collect();
+    times.sort_unstable();
+    let mut last: Option<ClockTime> = None;
+    times.retain(|at| {
+        let is_later = last.is_none_or(|last| *at >= last + CRASH_MOMENT);
+        if is_later {
+            last = Some(*at);
+        }
+        is_later
+    });
+    times.len()
+}
+
 /// Returns the largest number of crashes of which each came under a request that was sent
 /// after the one before.
 fn consecutive_crashes(crashes: &[(ClockTime, &SegmentUse)]) -> usize {
--- a/src/process/direct/call.rs
+++ b/src/process/direct/call.rs
@@ -9,10 +9,11 @@
     header::{HeaderMap, HeaderValue},
     http::request::Parts,
 };
+use tokio::{net::TcpStream, time::Instant};
 
 use super::{fault::ResponseFault, pool::ConnectionLease, shell::DirectDriver};
 use crate::{
-    direct::{CallOutcome, CallStep, DirectTarget},
+    direct::{CallOutcome, CallStep, DirectEvent, DirectTarget},
     error::Result,
     platform::runner::{self, ResponseOutcome},
     process::read_limit::ReceivedBody,
@@ -23,6 +24,8 @@
 /// Longest time of such a body after its head. Targets send both at once; the time leaves room
 /// for a lost packet.
 const MAX_SHORT_BODY_TIME: Duration = Duration::from_millis(300);
+/// Time after which a target that does not take a connection counts as gone.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of a request that frees a KV cache.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -218,6 +221,19 @@
     }
 }
 
+/// Finds out whether a target still takes connections.
+///
+/// The connection of the probe is closed unused; a target at its limit of connections resets
+/// it only after it was established.
+pub(super) async fn probe(driver: Rc<DirectDriver>, target: Arc<DirectTarget>) {
+    let asked = Instant::now();
+    let connecting = TcpStream::connect(target.address);
+    let gone = !matches!(tokio::time::timeout(PROBE_TIMEOUT, connecting).await, Ok(Ok(_)));
+    log::info!(target_id:% = target.id, gone:% = gone; "connection to target broke");
+    let start = (target.id.clone(), target.born_ms);
+    driver.step(DirectEvent::TargetProbed { start, age: asked.elapsed(), gone });
+}
+
 /// Frees a KV cache. If this fails, the cache expires by itself.
 pub(super) async fn free_cache(
     driver: Rc<DirectDriver>,
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -282,6 +282,7 @@
                 | DirectAction::ReportCrashes(_)
                 | DirectAction::PersistSuspect(_)
                 | DirectAction::PersistSegment(_)
+                | DirectAction::ProbeTarget(_)
                 | DirectAction::SendToPeers { .. }
                 | DirectAction::Claim
                 | DirectAction::Order(_),
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -224,6 +224,9 @@
             DirectAction::PersistSuspect(change) => {
                 tokio::task::spawn_local(suspects::write(self.store, change));
             }
+            DirectAction::ProbeTarget(target) => {
+                tokio::task::spawn_local(call::probe(self.clone(), target));
+            }
             DirectAction::PersistSegment(change) => {
                 tokio::task::spawn_local(suspects::write_segment(self.store, change));
             }
--- a/src/process/direct/suspects.rs
+++ b/src/process/direct/suspects.rs
@@ -9,9 +9,7 @@
 
 use super::shell::DirectDriver;
 use crate::{
-    direct::{
-        BlockedSegment, DirectEvent, SegmentChange, SegmentReport, SuspectChange, SuspectReport,
-    },
+    direct::{BlockedSegment, DirectEvent, SegmentChange, SuspectChange, SuspectReport},
     platform::store::{KeyedRecord, StoreClient, StoreError},
 };
 
@@ -93,8 +91,7 @@
     let segments = read_topic(&mut client, SEGMENT_TOPIC).await;
     let blocked: Vec<BlockedSegment> = segments.iter().filter_map(decode_segment).collect();
     if !blocked.is_empty() {
-        let report = SegmentReport { blocked, ..SegmentReport::default() };
-        driver.step(DirectEvent::Segments(report));
+        driver.step(DirectEvent::StoredSegments(blocked));
     }
     let requests = read_topic(&mut client, TOPIC).await;
     let reports: Vec<SuspectReport> = requests.iter().filter_map(decode).collect();
