Measure the prefill rate over the time in which any prompt was in progress

Callers saw requests at engines that were thought to be up to hundreds of times faster than they are. Cause: each prompt was a sample of its own, with the time since the end of the one before. A prompt that ended in the step of another had read all its tokens in no time, one that short prompts overtook had read them since the last of these, and a cached prompt in a step.

The rate is now tokens by time, both with a memory of 5 s of prefill. The time is that in which any of the prompts was in progress, counted once. A prompt that is over four times as fast as the rate allows counts only with the tokens for that, so that cached prompts add little time and little work, while the rate of an engine that is faster can still grow.

--- a/src/side/speed.rs
+++ b/src/side/speed.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::Serialize;
+use smallvec::SmallVec;
 
 use crate::ids::ClockTime;
 
@@ -16,16 +17,28 @@
 const INITIAL_CALL_MS: f32 = 50.0;
 /// Shortest prompt whose prefill counts as a sample.
 const MIN_PREFILL_SAMPLE_TOKENS: u32 = 128;
+/// Weight of the initial prefill rate, in seconds of prefill.
+const INITIAL_PREFILL_SECONDS: f32 = 0.5;
+/// Seconds of prefill after which the weight of a sample has fallen to 1/e.
+const PREFILL_MEMORY_SECONDS: f32 = 5.0;
+/// Multiple of the estimated rate from which on a prompt counts as partly cached.
+const MAX_PREFILL_SPEEDUP: f32 = 4.0;
+/// Maximum number of separate periods of prefill that are remembered.
+const MAX_PREFILL_PERIODS: usize = 16;
 
 /// Moving averages of one target's speed, and the backoff after its failures.
 #[derive(Debug, Clone, Serialize)]
 pub struct SpeedEstimate {
     prefill_rate: f32,
+    #[serde(skip)]
+    prefill_tokens: f32,
+    #[serde(skip)]
+    prefill_seconds: f32,
+    #[serde(skip)]
+    prefill_periods: PrefillPeriods,
     #[serde(rename = "gap_ms")]
     inter_token_ms: f32,
     call_ms: f32,
-    #[serde(rename = "last_read")]
-    last_prefill_end: ClockTime,
     failures: u32,
     retry_at: ClockTime,
 }
@@ -34,9 +47,11 @@
     fn default() -> SpeedEstimate {
         SpeedEstimate {
             prefill_rate: INITIAL_PREFILL_RATE,
+            prefill_tokens: INITIAL_PREFILL_RATE * INITIAL_PREFILL_SECONDS,
+            prefill_seconds: INITIAL_PREFILL_SECONDS,
+            prefill_periods: PrefillPeriods::default(),
             inter_token_ms: INITIAL_INTER_TOKEN_MS,
             call_ms: INITIAL_CALL_MS,
-            last_prefill_end: ClockTime::ZERO,
             failures: 0,
             retry_at: ClockTime::ZERO,
         }
@@ -46,14 +61,21 @@
 impl SpeedEstimate {
     /// Records that the prefill of an attempt started at `started` has ended.
     ///
-    /// An engine prefills one prompt after the other, so the time counts from the end of the
-    /// previous prefill if that came after `started`.
+    /// The rate is the tokens of all samples by the time in which any of them was in progress,
+    /// as an engine may prefill several prompts in one step and in another order than they
+    /// came. A prompt that is faster than [`MAX_PREFILL_SPEEDUP`] allows was partly in the
+    /// engine's cache, and only counts with what the engine can have prefilled.
     pub fn record_prefill(&mut self, now: ClockTime, started: ClockTime, tokens: u32) {
-        let busy = now.saturating_sub(started.max(self.last_prefill_end)).as_secs_f32();
-        self.last_prefill_end = now;
-        if tokens >= MIN_PREFILL_SAMPLE_TOKENS && busy > 0.0 {
-            update_average(&mut self.prefill_rate, tokens as f32 / busy);
+        if tokens < MIN_PREFILL_SAMPLE_TOKENS {
+            return;
         }
+        let own_time = now.saturating_sub(started).as_secs_f32();
+        let max_tokens = MAX_PREFILL_SPEEDUP * self.prefill_rate * own_time;
+        let added_time = self.prefill_periods.add(started, now).as_secs_f32();
+        let decay = (-added_time / PREFILL_MEMORY_SECONDS).exp();
+        self.prefill_tokens = self.prefill_tokens * decay + max_tokens.min(tokens as f32);
+        self.prefill_seconds = self.prefill_seconds * decay + added_time;
+        self.prefill_rate = self.prefill_tokens / self.prefill_seconds;
     }
 
     /// Records the time in which an engine generated `tokens` output tokens.
@@ -106,6 +128,34 @@
     }
 }
 
+/// Disjoint periods in which prefill was in progress, the newest last.
+#[derive(Debug, Clone, Default)]
+struct PrefillPeriods {
+    periods: SmallVec<[(ClockTime, ClockTime); MAX_PREFILL_PERIODS]>,
+}
+
+impl PrefillPeriods {
+    /// Adds a period and returns the part of it that no earlier one covers.
+    fn add(&mut self, start: ClockTime, end: ClockTime) -> Duration {
+        let overlap =
+            |(from, to): &(ClockTime, ClockTime)| (*to).min(end).saturating_sub((*from).max(start));
+        let covered: Duration = self.periods.iter().map(overlap).sum();
+        let mut merged = (start, end);
+        self.periods.retain(|(from, to)| {
+            let separate = *to < start;
+            if !separate {
+                merged = (merged.0.min(*from), merged.1.max(*to));
+            }
+            separate
+        });
+        if self.periods.len() == MAX_PREFILL_PERIODS {
+            self.periods.remove(0);
+        }
+        self.periods.push(merged);
+        end.saturating_sub(start).saturating_sub(covered)
+    }
+}
+
 fn update_average(value: &mut f32, sample: f32) {
     *value += (sample - *value) * SMOOTHING_FACTOR;
 }
