Assume that an engine without samples is a good one

Callers of a lightly loaded fleet got refusals and reached their deadlines while most engines were idle. Cause: an engine without samples counted with 50 ms a token and 4,000 prompt tokens a second, so that any measured one, at 13 to 30 ms, looked better until a queue stood there. In the demo 3 of 14 engines got 41 of 44 requests and the fastest three none.

Engines without samples now count with 20 ms and 6,000 tokens a second, as a good one reports. They are tried early, and the first samples correct what was assumed.

--- a/src/side/speed.rs
+++ b/src/side/speed.rs
@@ -10,9 +10,12 @@
 /// Weight of a new sample in the moving averages.
 const SMOOTHING_FACTOR: f32 = 0.1;
 /// Prefill rate assumed before the first sample, in tokens per second.
-const INITIAL_PREFILL_RATE: f32 = 4000.0;
+///
+/// The assumed speeds are those of a good engine, so that placement tries engines without samples
+/// before the measured ones are busy.
+const INITIAL_PREFILL_RATE: f32 = 6000.0;
 /// Time between two output tokens assumed before the first sample.
-const INITIAL_INTER_TOKEN_MS: f32 = 50.0;
+const INITIAL_INTER_TOKEN_MS: f32 = 20.0;
 /// Duration of a call assumed before the first sample.
 const INITIAL_CALL_MS: f32 = 50.0;
 /// Shortest prompt whose prefill counts as a sample.
