Estimate decode beside the prefill of prompts that come later

Short requests reached their deadline at engines with long prompts while others were idle. Cause: a short request of a higher priority passes the long prompts, so only its own prompt counted, and its output at the average time between tokens; but an engine that prefills beside decode generates a token in 0.1 to 0.3 s instead of 0.01 to 0.04 s until it has read the long prompts.

Sides measure the time between tokens beside prefill on its own and report it. Placement counts it for as many tokens as fit into the prefill of the prompts that come after the request's own. A load report without the field, from an older side, is placed as before.

--- a/emulator/src/capacity.rs
+++ b/emulator/src/capacity.rs
@@ -119,6 +119,7 @@
         free_pages: 200,
         prefill_rate: 6000.0,
         inter_token_ms: 40.0,
+        mixed_inter_token_ms: 130.0,
         call_ms: 20.0,
         prefixes: Some(
             (0..prefixes).map(|index| (seed + index).wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect(),
--- a/src/entry/placement.rs
+++ b/src/entry/placement.rs
@@ -265,6 +265,23 @@
     query.expected_output as f32 * estimate.load.inter_token_ms * growth / 1000.0
 }
 
+/// Estimates the additional time of decode beside the prefill of prompts that come after the
+/// request's own.
+fn mixed_delay_seconds(estimate: &TargetEstimate, query: &PlaceQuery<'_>) -> f32 {
+    let mixed_ms = estimate.load.mixed_inter_token_ms;
+    let additional_ms = (mixed_ms - estimate.load.inter_token_ms).max(0.0);
+    if additional_ms == 0.0 {
+        return 0.0;
+    }
+    let lowest = u8::MAX;
+    let waiting = estimate.load.tokens_ahead(lowest) + estimate.added_tokens_ahead(lowest);
+    let ahead =
+        estimate.load.tokens_ahead(query.priority) + estimate.added_tokens_ahead(query.priority);
+    let prefill_ms = 1000.0 * (waiting - ahead) as f32 / estimate.load.prefill_rate.max(1.0);
+    let mixed_tokens = (prefill_ms / mixed_ms).min(query.expected_output as f32);
+    mixed_tokens * additional_ms / 1000.0
+}
+
 /// Estimates how long an isolated request waits until the target runs nothing else.
 fn isolation_wait_seconds(estimate: &TargetEstimate, query: &PlaceQuery<'_>) -> f32 {
     if !query.isolated || in_flight(estimate) == 0 {
@@ -281,6 +298,7 @@
     Some(
         prompt_seconds(estimate, query)
             + output_seconds(estimate, query)
+            + mixed_delay_seconds(estimate, query)
             + isolation_wait_seconds(estimate, query),
     )
 }
--- a/src/frame.rs
+++ b/src/frame.rs
@@ -218,6 +218,10 @@
     /// Measured inter-token latency of decode, in milliseconds.
     #[serde(rename = "token_gap_ms")]
     pub inter_token_ms: f32,
+    /// Measured inter-token latency of decode beside the prefill of other prompts, in
+    /// milliseconds; 0 from a side of a version that does not measure it.
+    #[serde(default, rename = "mixed_gap_ms")]
+    pub mixed_inter_token_ms: f32,
     /// Measured duration of one call of a plain service, in milliseconds.
     pub call_ms: f32,
     /// Prompt prefixes presumed to be cached; `None` if unchanged since the last report.
--- a/src/side/attempt.rs
+++ b/src/side/attempt.rs
@@ -61,6 +61,9 @@
     pub(crate) prefilled: bool,
     pub(crate) next_chunk: u32,
     pub(crate) last_chunk: ClockTime,
+    /// Whether the target had prompts to prefill at the time of the last chunk.
+    #[serde(rename = "mixed")]
+    pub(crate) beside_prefill: bool,
 }
 
 impl SideAttempt {
--- a/src/side/runs.rs
+++ b/src/side/runs.rs
@@ -53,6 +53,7 @@
                 prefilled: false,
                 next_chunk: attempt.place.resume_chunks,
                 last_chunk: now,
+                beside_prefill: false,
             });
             let place = attempt.place.clone();
             out.push(SideAction::Start { target: name.clone(), fence, place });
@@ -114,6 +115,18 @@
         target.remove_pending_prefill(attempt.place.priority, tokens);
         target.speed.record_prefill(now, started, tokens);
         target.record_prefixes(prefixes);
+        self.update_beside_prefill(id);
+    }
+
+    /// Notes whether an attempt decodes beside the prefill of others, and returns it.
+    fn update_beside_prefill(&mut self, id: AttemptId) -> bool {
+        let Some(attempt) = self.attempts.get_mut(&id) else { return false };
+        let target = self.targets.get(&attempt.target);
+        let beside_prefill = target.is_some_and(|target| target.has_pending_prefill());
+        if let AttemptPhase::Running(progress) = &mut attempt.phase {
+            progress.beside_prefill = beside_prefill;
+        }
+        beside_prefill
     }
 
     fn handle_chunk(
@@ -133,9 +146,14 @@
         progress.next_chunk += 1;
         let elapsed = now.saturating_sub(progress.last_chunk);
         progress.last_chunk = now;
+        let was_beside_prefill = progress.beside_prefill;
+        let beside_prefill = self.update_beside_prefill(id);
         let Some(attempt) = self.attempts.get(&id) else { return };
         if let Some(target) = self.targets.get_mut(&attempt.target) {
             target.speed.record_tokens(elapsed, tokens);
+            if was_beside_prefill && beside_prefill {
+                target.speed.record_mixed_tokens(elapsed, tokens);
+            }
         }
         if let Some(link) = attempt.link {
             out.push(SideAction::Send {
--- a/src/side/speed.rs
+++ b/src/side/speed.rs
@@ -16,6 +16,8 @@
 const INITIAL_PREFILL_RATE: f32 = 6000.0;
 /// Time between two output tokens assumed before the first sample.
 const INITIAL_INTER_TOKEN_MS: f32 = 20.0;
+/// Time between two output tokens beside prefill, assumed before the first sample.
+const INITIAL_MIXED_INTER_TOKEN_MS: f32 = 150.0;
 /// Duration of a call assumed before the first sample.
 const INITIAL_CALL_MS: f32 = 50.0;
 /// Shortest prompt whose prefill counts as a sample.
@@ -41,6 +43,8 @@
     prefill_periods: PrefillPeriods,
     #[serde(rename = "gap_ms")]
     inter_token_ms: f32,
+    #[serde(rename = "mixed_gap_ms")]
+    mixed_inter_token_ms: f32,
     call_ms: f32,
     failures: u32,
     retry_at: ClockTime,
@@ -54,6 +58,7 @@
             prefill_seconds: INITIAL_PREFILL_SECONDS,
             prefill_periods: PrefillPeriods::default(),
             inter_token_ms: INITIAL_INTER_TOKEN_MS,
+            mixed_inter_token_ms: INITIAL_MIXED_INTER_TOKEN_MS,
             call_ms: INITIAL_CALL_MS,
             failures: 0,
             retry_at: ClockTime::ZERO,
@@ -90,6 +95,14 @@
         self.failures = 0;
     }
 
+    /// Records the time in which an engine that prefilled other prompts generated `tokens`.
+    pub fn record_mixed_tokens(&mut self, elapsed: Duration, tokens: u32) {
+        update_average(
+            &mut self.mixed_inter_token_ms,
+            elapsed.as_secs_f32() * 1000.0 / tokens.max(1) as f32,
+        );
+    }
+
     /// Records the duration of a call to a plain service.
     pub fn record_call(&mut self, elapsed: Duration) {
         update_average(&mut self.call_ms, elapsed.as_secs_f32() * 1000.0);
@@ -125,6 +138,12 @@
         self.inter_token_ms
     }
 
+    /// Returns the time between two output tokens while other prompts are prefilled, in
+    /// milliseconds.
+    pub fn mixed_inter_token_ms(&self) -> f32 {
+        self.mixed_inter_token_ms
+    }
+
     /// Returns the duration of one call, in milliseconds.
     pub fn call_ms(&self) -> f32 {
         self.call_ms
--- a/src/side/target.rs
+++ b/src/side/target.rs
@@ -146,6 +146,11 @@
         self.pending_prefill[usize::from(priority).min(PRIORITY_LEVELS - 1)] -= u64::from(tokens);
     }
 
+    /// Returns whether the engine has prompts to prefill.
+    pub(crate) fn has_pending_prefill(&self) -> bool {
+        self.pending_prefill.iter().any(|tokens| *tokens > 0)
+    }
+
     fn prefill_tokens_ahead(&self, priority: u8) -> u64 {
         self.pending_prefill.iter().take(usize::from(priority) + 1).sum()
     }
@@ -196,6 +201,7 @@
             free_pages: self.free_pages(),
             prefill_rate: self.speed.prefill_rate(),
             inter_token_ms: self.speed.inter_token_ms(),
+            mixed_inter_token_ms: self.speed.mixed_inter_token_ms(),
             call_ms: self.speed.call_ms(),
             prefixes,
             prompt_total: self.prompt_total,
