Forget a broken connection to a target that lives on, so that its later crash counts

A connection that breaks while its target lives on left a record where the probe fell on the same moment; the target's real crash afterwards was then neither probed nor counted. The record goes with the answer of the probe. The new case passes; it was not run on the code before.

--- a/src/direct/segment.rs
+++ b/src/direct/segment.rs
@@ -197,6 +197,7 @@
     /// When the latest call to which a target responded was sent.
     #[serde(skip)]
     responses: HashMap<TargetStart, ClockTime>,
+    /// Responses that ended with their connection, by the target that wrote them.
     #[serde(skip)]
     unconfirmed: HashMap<TargetStart, Vec<UnconfirmedRun>>,
     blocked: HashMap<SegmentId, BlockRecord>,
@@ -266,6 +267,8 @@
             crash.confirmed = true;
             self.has_new_evidence = true;
         } else {
+            // Also where both happened at the same moment, so that a later crash is new.
+            self.crashes.remove(start);
             self.dismiss_crash(start, asked, true);
         }
     }
--- a/src/direct/stop.rs
+++ b/src/direct/stop.rs
@@ -16,8 +16,8 @@
 /// Time after the stop signal during which new connections still arrive: the load balancer
 /// probes readiness once a second and removes a process after two failed probes.
 const REMOVAL_DELAY: Duration = Duration::from_millis(3200);
-/// Time after the stop signal from which only requests that soon end are taken. It ends before
-/// the 3 s after which no cut of a request is excused.
+/// Time after the stop signal from which only requests that soon end are taken. Those of the
+/// first 3 s may run into the exit if their target is slow; later ones must not.
 const STRICT_DELAY: Duration = Duration::from_millis(2800);
 /// Time after the stop signal by which such requests are expected to end.
 const ADMISSION_TIME: Duration = Duration::from_secs(4);
--- a/tests/crashing_segments.rs
+++ b/tests/crashing_segments.rs
@@ -460,3 +460,24 @@
     }
     assert!(fleet.send(0, &[SOUND[0], CRASHING]).is_ok());
 }
+
+/// A target whose connection broke before, without a crash, crashes later.
+#[test]
+fn a_crash_counts_at_a_target_whose_connection_broke_before() {
+    let mut fleet = Fleet::new(1, 8);
+    for round in 0..16 {
+        let Ok(sent) = fleet.send(0, &[SOUND[0], CRASHING]) else { return };
+        fleet.begin(&sent, false);
+        fleet.advance(RUN_TIME);
+        fleet.end(&sent, StreamEnd::Broken);
+        fleet.advance(TICK);
+        let Ok(sent) = fleet.send(0, &[SOUND[0], CRASHING]) else { return };
+        assert!(round < ALLOWED_CRASHES, "{round} crashes");
+        fleet.begin(&sent, false);
+        fleet.advance(RUN_TIME);
+        let engine = sent.engine;
+        fleet.crash(engine, vec![sent]);
+        fleet.advance(TICK);
+    }
+    panic!("never blocked");
+}
