Matrix: the end of an earlier stop does not end a later one

Only the rig is at fault: the end now applies to a stop that has lasted as long, or whose machine exits by itself. All checks stand.

--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -88,6 +88,8 @@
     pub(super) alive: bool,
     /// Whether the entry was told to stop.
     pub(super) draining: bool,
+    /// When the last stop of the entry began.
+    pub(super) drain_started: ClockTime,
     /// Whether the load balancer has stopped sending it new connections.
     pub(super) stopping: bool,
     pub(super) frozen_until: ClockTime,
@@ -134,6 +136,7 @@
             process: 0,
             alive: false,
             draining: false,
+            drain_started: ClockTime::ZERO,
             stopping: false,
             frozen_until: ClockTime::ZERO,
             store_cut_until: ClockTime::ZERO,
--- a/emulator/src/platform_rig/fault.rs
+++ b/emulator/src/platform_rig/fault.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use sapphirewell::direct::{DirectEvent, TargetStage};
+use sapphirewell::direct::{DirectEvent, StopPhase, TargetStage};
 use strum::{Display, EnumIter, EnumString};
 
 use super::{
@@ -273,6 +273,7 @@
         }
         self.entries[entry].draining = true;
         let now = self.now;
+        self.entries[entry].drain_started = now;
         self.entries[entry].add_disturbance(now, now + STOP_GRACE);
         self.step_machine(entry, DirectEvent::StopRequested { time: STOP_GRACE });
         self.record_step(PlatformStep::DrainStarted, PlatformSite { entry, target: 0 });
@@ -291,8 +292,15 @@
         if !self.entries[entry].draining {
             return;
         }
+        // An entry that exits early leaves the ends of its stop behind, which are not those of a
+        // later stop.
+        let since = self.now.saturating_sub(self.entries[entry].drain_started);
         if !self.entries[entry].stopping {
-            self.entries[entry].stopping = true;
+            self.entries[entry].stopping = since >= BALANCER_DELAY;
+            return;
+        }
+        let exits = self.entries[entry].machine.stop_phase(self.now) == StopPhase::Exiting;
+        if !exits && since < STOP_GRACE {
             return;
         }
         let open = self.open_flows(entry);
