--- a/emulator/src/matrix.rs
+++ b/emulator/src/matrix.rs
@@ -71,9 +71,9 @@
     EntryClockSlow,
     /// Two operators change the same contract at the same time.
     OperatorRace,
-    /// The side's process is told to stop, drains and is replaced.
+    /// The side's process gets the stop signal, drains and is replaced.
     StopSide,
-    /// The entry's process is told to stop, drains and is replaced.
+    /// The entry's process gets the stop signal, drains and is replaced.
     StopEntry,
     /// The side's VM is announced as leaving through the log.
     AnnounceVm,
--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -86,7 +86,7 @@
     pub(super) machine: DirectMachine,
     pub(super) process: u64,
     pub(super) alive: bool,
-    /// Whether the entry was told to stop.
+    /// Whether the entry has got the stop signal.
     pub(super) draining: bool,
     /// When the last stop of the entry began.
     pub(super) drain_started: ClockTime,
--- a/emulator/src/platform_rig/fault.rs
+++ b/emulator/src/platform_rig/fault.rs
@@ -24,7 +24,7 @@
     FreezeEntry,
     /// The entry's process is frozen for longer than its peers wait for its reports.
     FreezeLong,
-    /// The entry is told to stop, drains and restarts.
+    /// The entry gets the stop signal, drains and restarts.
     StopEntry,
     /// An entry is added.
     AddEntry,
--- a/emulator/src/platform_rig/step.rs
+++ b/emulator/src/platform_rig/step.rs
@@ -64,7 +64,7 @@
     OrderAccepted,
     /// The process of an entry starts.
     EntryStarted,
-    /// An entry is told to stop and starts to drain.
+    /// An entry gets the stop signal and starts to drain.
     #[strum(serialize = "drain_begun")]
     DrainStarted,
 }
--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -88,7 +88,7 @@
 
     /// Returns the changes since an offset, or a snapshot where these are not available.
     ///
-    /// The flag tells whether it is a snapshot.
+    /// The flag is set for a snapshot.
     fn changes(&self, from: Option<u64>) -> (Vec<TargetChange>, bool) {
         match from.filter(|from| *from >= self.first) {
             None => {
--- a/emulator/tests/request_sent_to_a_target_that_says_it_leaves.rs
+++ b/emulator/tests/request_sent_to_a_target_that_says_it_leaves.rs
@@ -12,7 +12,7 @@
 use yare::parameterized;
 
 const PAUSE: Duration = Duration::from_millis(15);
-/// Time in which entries tell each other, also if a report is lost.
+/// Time in which entries learn it from each other's reports, also if one is lost.
 const TELL_TIME: Duration = Duration::from_millis(1000);
 
 /// Targets by index: 0 and 1 prefill, 2 to 4 decode, 5 to 7 are plain services.
--- a/emulator/tests/request_taken_after_stop_signal.rs
+++ b/emulator/tests/request_taken_after_stop_signal.rs
@@ -30,7 +30,7 @@
 const REFUSAL_TIME: Duration = Duration::from_millis(300);
 /// Pause of a caller that was refused.
 const REFUSED_PAUSE: Duration = Duration::from_millis(100);
-/// Interval at which callers whose connections were closed come back.
+/// Interval at which callers whose connections were closed reconnect.
 const ROUND: Duration = Duration::from_millis(25);
 const KINDS: [CallerKind; 4] =
     [CallerKind::Note, CallerKind::Ticket, CallerKind::Dossier, CallerKind::Lookup];
@@ -272,7 +272,7 @@
     records
 }
 
-/// Callers come back together, so that an entry finds their requests when it accepts them.
+/// Callers reconnect at the same time, so that an entry finds their requests when it accepts them.
 async fn wait_for_next_round(begun: Instant) {
     let rounds = begun.elapsed().div_duration_f64(ROUND).floor() as u32 + 1;
     tokio::time::sleep_until((begun + ROUND * rounds).into()).await;
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -237,7 +237,7 @@
         /// Whether the engine accepted or refused the order, or did not respond.
         outcome: OrderOutcome,
     },
-    /// The process was told to stop.
+    /// The process has got the stop signal.
     StopRequested {
         /// Time until it has to exit.
         time: Duration,
