Keep last_read in the state dump of a side

The mended prefill rate had dropped the end of the last prefill, and with it a name of the state dump that operators' tools may read. It is recorded again, for the dump alone.

--- a/src/side/speed.rs
+++ b/src/side/speed.rs
@@ -35,6 +35,9 @@
 #[derive(Debug, Clone, Serialize)]
 pub struct SpeedEstimate {
     prefill_rate: f32,
+    /// End of the last prefill, for the state dump.
+    #[serde(rename = "last_read")]
+    last_prefill_end: ClockTime,
     #[serde(skip)]
     prefill_tokens: f32,
     #[serde(skip)]
@@ -54,6 +57,7 @@
     fn default() -> SpeedEstimate {
         SpeedEstimate {
             prefill_rate: INITIAL_PREFILL_RATE,
+            last_prefill_end: ClockTime::ZERO,
             prefill_tokens: INITIAL_PREFILL_RATE * INITIAL_PREFILL_SECONDS,
             prefill_seconds: INITIAL_PREFILL_SECONDS,
             prefill_periods: PrefillPeriods::default(),
@@ -74,6 +78,7 @@
     /// came. A prompt that is faster than [`MAX_PREFILL_SPEEDUP`] allows was partly in the
     /// engine's cache, and only counts with what the engine can have prefilled.
     pub fn record_prefill(&mut self, now: ClockTime, started: ClockTime, tokens: u32) {
+        self.last_prefill_end = now;
         if tokens < MIN_PREFILL_SAMPLE_TOKENS {
             return;
         }
