--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -115,6 +115,8 @@
     pub shared_segment: String,
     /// Identifiers of the prompt's shared segments, in hexadecimal and in order.
     pub segments: String,
+    /// Hash of the content by which its crashes are counted, in hexadecimal; empty if none.
+    pub content: String,
     /// Expected queueing time when it was last placed, in milliseconds.
     pub waiting_ms: u64,
     /// Expected time to the first output when it was last placed, in milliseconds.
@@ -128,6 +130,8 @@
         if let Some(prompt) = &self.request.prompt {
             trace.segments = shared_segment_names(prompt);
         }
+        let content = self.request.fingerprint;
+        trace.content = content.map_or_else(String::new, |hash| format!("{hash:x}"));
         if let Some(call) = &self.call {
             let ending = if call.answered { "answered" } else { "open" };
             trace.calls.push(call.describe(now, ending));
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -128,7 +128,10 @@
         let reason = display_option(trace.reason);
         self.record_end(&trace, &reason);
         // A request that ended whole is no suspect, and most do.
-        let segments = if self.complete { "" } else { trace.segments.as_str() };
+        let (segments, content) = match self.complete {
+            true => ("", ""),
+            false => (trace.segments.as_str(), trace.content.as_str()),
+        };
         log::info!(
             request:% = self.id,
             route:% = trace.route,
@@ -140,6 +143,7 @@
             resumes:% = display_option(trace.resumes.as_ref().map(|stream| format!("{stream:?}"))),
             subject:% = trace.shared_segment,
             segments:% = segments,
+            content:% = content,
             estimate_ms:% = trace.estimate_ms,
             waiting_ms:% = trace.waiting_ms,
             first_ms:% = display_option(trace.first_ms),
