--- a/emulator/src/stand_in/caller.rs
+++ b/emulator/src/stand_in/caller.rs
@@ -1,13 +1,16 @@
 //! Callers that send one request each and record the complete response.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, client::conn::http1, header::HeaderMap};
+use hyper::{Method, Request, client::conn::http1, header::HeaderMap};
 use hyper_util::rt::TokioIo;
 use tokio::{
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     time::{Instant, timeout},
 };
 
@@ -38,6 +41,13 @@
     pub subject: u64,
     /// Ids and tokens of the prompt's segments, in order, instead of those of its kind.
     pub segments: Option<Vec<(u64, u64)>>,
+    /// Request method.
+    pub method: Method,
+    /// What follows the route's prefix in the request target: the rest of the path, and the
+    /// query if any.
+    pub path_rest: String,
+    /// Address that the caller connects from.
+    pub source: Ipv4Addr,
     /// Request body.
     pub body: Bytes,
     /// Time limit sent in the `deadline-ms` header.
@@ -132,6 +142,9 @@
             kind,
             subject,
             segments: None,
+            method: Method::POST,
+            path_rest: "a".to_owned(),
+            source: Ipv4Addr::LOCALHOST,
             body,
             deadline,
             leave_after: None,
@@ -142,8 +155,8 @@
     /// Returns the HTTP message.
     pub(super) fn message(&self) -> hyper::http::Result<Request<Full<Bytes>>> {
         let mut builder = Request::builder()
-            .method("POST")
-            .uri(self.path())
+            .method(&self.method)
+            .uri(self.uri())
             .header("host", "front.example")
             .header("request-id", &self.id)
             .header("deadline-ms", self.deadline.as_millis() as u64)
@@ -168,13 +181,14 @@
         builder.body(Full::new(self.body.clone()))
     }
 
-    fn path(&self) -> &'static str {
-        match self.kind {
-            CallerKind::Dossier => "/dossier/a",
-            CallerKind::Note => "/note/a",
-            CallerKind::Ticket => "/ticket/a",
-            CallerKind::Lookup => "/lookup/a",
-        }
+    fn uri(&self) -> String {
+        let prefix = match self.kind {
+            CallerKind::Dossier => "dossier",
+            CallerKind::Note => "note",
+            CallerKind::Ticket => "ticket",
+            CallerKind::Lookup => "lookup",
+        };
+        format!("/{prefix}/{}", self.path_rest)
     }
 
     fn prompt_segments(&self) -> Vec<(u64, u64)> {
@@ -210,12 +224,18 @@
     CallerRecord { outcome, took: started.elapsed(), events, signed_by, request }
 }
 
+async fn connect(source: Ipv4Addr, entry: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind((source, 0).into())?;
+    socket.connect(entry).await
+}
+
 async fn exchange(
     entry: SocketAddr,
     request: &CallerRequest,
     received: &mut ReceivedResponse,
 ) -> CallerOutcome {
-    let Ok(stream) = TcpStream::connect(entry).await else { return CallerOutcome::Broken };
+    let Ok(stream) = connect(request.source, entry).await else { return CallerOutcome::Broken };
     let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
         return CallerOutcome::Broken;
     };
--- a/emulator/src/stand_in/runner.rs
+++ b/emulator/src/stand_in/runner.rs
@@ -9,7 +9,7 @@
 mod stream;
 
 pub use profile::{RunnerFaults, RunnerKind, RunnerProfile};
-pub use state::{CacheRegistry, CrashRecord, ReceivedCall, RunRecord};
+pub use state::{CacheRegistry, CrashCause, CrashRecord, ReceivedCall, RunRecord};
 
 use std::{
     net::SocketAddr,
--- a/emulator/src/stand_in/runner/call.rs
+++ b/emulator/src/stand_in/runner/call.rs
@@ -20,6 +20,9 @@
 };
 use crate::stand_in::{BrokenOff, StandInBody, endless::EndlessFault, whole};
 
+/// Duration of a call to a plain service that crashes, which does not end before the crash.
+const LONGEST_CALL_TIME: Duration = Duration::from_secs(10);
+
 impl RunnerModel {
     fn report(&self, headers: &HeaderMap) -> Response<StandInBody> {
         let report = locked(&self.state).orders.report(self.profile.kind);
@@ -124,14 +127,19 @@
             sleep(self.profile.call_time).await;
             return Err(BrokenOff::Closed);
         }
-        let crashing = RunnerModel::crashing_segment(&faults, &parts.headers);
-        if let Some(segment) = crashing {
-            self.crash_soon(segment, &parts.headers);
+        let cause = RunnerModel::crash_cause(&faults, &parts.headers);
+        let crashes = cause.is_some();
+        if let Some(cause) = cause {
+            self.crash_soon(cause, &parts.headers);
         }
         let running = RunGuard { runner: self.clone(), id: Some(id.clone()) };
         match self.kind() {
             RunnerKind::Plain => {
-                sleep(self.profile.call_time).await;
+                let call_time = match crashes {
+                    true => LONGEST_CALL_TIME,
+                    false => self.profile.call_time,
+                };
+                sleep(call_time).await;
                 running.end();
                 drop(slot);
                 self.finish_call(&faults, &parts.headers, &id)
--- a/emulator/src/stand_in/runner/crash.rs
+++ b/emulator/src/stand_in/runner/crash.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    CrashRecord, RunnerFaults, RunnerModel,
+    CrashCause, CrashRecord, RunnerFaults, RunnerModel,
     response::{header_text, prompt_segments},
     state::locked,
 };
@@ -39,15 +39,19 @@
         locked(&self.state).server.is_some()
     }
 
-    /// Returns the segment in the shared prefix of a prompt that crashes this target.
-    pub(super) fn crashing_segment(faults: &RunnerFaults, headers: &HeaderMap) -> Option<u64> {
+    /// Returns what in a request crashes this target: a segment in the shared prefix of its
+    /// prompt, or the request as a whole.
+    pub(super) fn crash_cause(faults: &RunnerFaults, headers: &HeaderMap) -> Option<CrashCause> {
         let segments = prompt_segments(headers);
-        let (_, shared) = segments.split_last()?;
-        shared.iter().copied().find(|id| faults.crashing_segments.contains(id))
+        let shared = segments.split_last().map_or(&[][..], |(_, shared)| shared);
+        let segment = shared.iter().copied().find(|id| faults.crashing_segments.contains(id));
+        let id = header_text(headers, "request-id").unwrap_or_default();
+        let request = faults.crashing_requests.iter().find(|name| id.starts_with(name.as_str()));
+        segment.map(CrashCause::Segment).or(request.cloned().map(CrashCause::Request))
     }
 
     /// Crashes it shortly, after a delay that depends on the request's id.
-    pub(super) fn crash_soon(&self, segment: u64, headers: &HeaderMap) {
+    pub(super) fn crash_soon(&self, cause: CrashCause, headers: &HeaderMap) {
         let id = header_text(headers, "request-id").unwrap_or_default();
         let delay = Duration::from_millis(1 + hash(&id) % MAX_CRASH_DELAY_MS);
         let (runner, instance) = (self.clone(), self.instance());
@@ -55,16 +59,16 @@
             sleep(delay).await;
             // It may have crashed and started again since.
             if runner.instance() == instance {
-                runner.crash_by(Some(segment));
+                runner.crash_by(Some(cause));
             }
         });
     }
 
-    fn crash_by(&self, segment: Option<u64>) {
+    fn crash_by(&self, cause: Option<CrashCause>) {
         let (server, crashes) = {
             let mut state = locked(&self.state);
             let Some(server) = state.server.take() else { return };
-            state.crashes.push(CrashRecord { at: Instant::now(), segment });
+            state.crashes.push(CrashRecord { at: Instant::now(), cause });
             (server, state.crashes.len() as u32)
         };
         server.abort();
--- a/emulator/src/stand_in/runner/profile.rs
+++ b/emulator/src/stand_in/runner/profile.rs
@@ -73,4 +73,6 @@
     /// Prompt segments that crash it, shortly after it begins to write the answer to a request
     /// that has one of them in its shared prefix.
     pub crashing_segments: Vec<u64>,
+    /// Requests that crash it shortly after it begins to run them, by what their ids begin with.
+    pub crashing_requests: Vec<String>,
 }
--- a/emulator/src/stand_in/runner/state.rs
+++ b/emulator/src/stand_in/runner/state.rs
@@ -42,8 +42,17 @@
 pub struct CrashRecord {
     /// When it crashed.
     pub at: Instant,
-    /// Prompt segment that crashed it; `None` if it crashed by itself.
-    pub segment: Option<u64>,
+    /// What crashed it; `None` if it crashed by itself.
+    pub cause: Option<CrashCause>,
+}
+
+/// What crashes a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CrashCause {
+    /// A segment of a prompt.
+    Segment(u64),
+    /// A request, named by what its ids begin with.
+    Request(String),
 }
 
 /// KV caches of all engines by handle, with the address of the engine that holds
--- a/emulator/src/stand_in/runner/stream.rs
+++ b/emulator/src/stand_in/runner/stream.rs
@@ -30,7 +30,7 @@
             gap: faults.event_gap.unwrap_or(self.profile.event_gap),
             break_after: faults.break_after,
             // An engine that is about to crash writes no more than one event.
-            stall_after: RunnerModel::crashing_segment(faults, headers).map(|_| first),
+            stall_after: RunnerModel::crash_cause(faults, headers).map(|_| first),
             id,
             padding: faults.event_padding,
         };
--- a/emulator/tests/requests_with_a_crashing_segment.rs
+++ b/emulator/tests/requests_with_a_crashing_segment.rs
@@ -1,16 +1,14 @@
 //! Guards against engines that crash one after the other, as entries go on sending requests
 //! that have one prompt segment in common, which crashes every engine.
 
-use std::{
-    fmt::Write,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+mod support;
+
+use std::{fmt::Write, time::Duration};
 
 use emulator::stand_in::{
-    caller::{CallerKind, CallerOutcome, CallerRecord, CallerRequest, send},
+    caller::{CallerKind, CallerOutcome, CallerRecord, CallerRequest},
     fleet::{PlatformFleet, PlatformSizes},
-    runner::{ReceivedCall, RunnerFaults, RunnerModel},
+    runner::{CrashCause, ReceivedCall, RunnerFaults, RunnerModel},
 };
 use tokio::{
     task::JoinHandle,
@@ -18,14 +16,12 @@
 };
 use yare::parameterized;
 
-/// The users' `stable_window_ms`.
-const STABLE_WINDOW: Duration = Duration::from_millis(3000);
+use support::{LoadState, STABLE_WINDOW, count_sendings, locked, run};
+
 /// Crash from which the users count.
 const COUNTED_CRASH: usize = 5;
 /// Largest number of requests with a crashing segment that may reach engines after that.
 const MAX_REACHED: usize = 3;
-/// Smallest number of requests by which the users judge a share.
-const MIN_JUDGED: usize = 20;
 
 const SIZES: PlatformSizes = PlatformSizes { port: 0, entries: 3, prefill: 2, decode: 5, plain: 1 };
 /// Load before the fault.
@@ -136,7 +132,7 @@
         let mut fleet = spawn_fleet(&case).await;
         let load = LoadState::new(&fleet);
         if case.starts == EntryStarts::One {
-            stop_entry(&mut fleet, &load, 2);
+            load.stop_entry(&mut fleet, 2);
         }
         let sound = spawn_load(&case, &load, false);
         sleep(CALM_TIME).await;
@@ -152,7 +148,8 @@
                 pending_starts = false;
                 // The store has the crashes by then.
                 sleep(Duration::from_secs(1)).await;
-                restart_entries(&mut fleet, &load, case.starts).await;
+                let started = if case.starts == EntryStarts::All { 0..3 } else { 2..3 };
+                load.restart_entries(&mut fleet, started).await;
                 restarted_at = Some(Instant::now());
             }
             let judged = judged_from(&crashes, &load).is_some_and(|at| at.elapsed() >= JUDGED_TIME);
@@ -178,7 +175,7 @@
                 violations.push(format!("{reached} reached engines after all entries started"));
             }
         }
-        violations.extend(load.succeeds_too_seldom(fault_start, from, fault_end));
+        violations.extend(load.succeeds_too_seldom(CALM_TIME, fault_start, from, fault_end));
         let logs = fleet.folder().display().to_string();
         assert_eq!(violations, Vec::<String>::new(), "{}; logs in {logs}", crashes.describe());
     });
@@ -215,7 +212,7 @@
         let refused = judged.iter().filter(is_refused).count();
         let logs = fleet.folder().display().to_string();
         assert_eq!(refused, 0, "of {} sound requests; logs in {logs}", judged.len());
-        assert_eq!(load.succeeds_too_seldom(fault_start, from, end), None);
+        assert_eq!(load.succeeds_too_seldom(CALM_TIME, fault_start, from, end), None);
     });
 }
 
@@ -239,115 +236,6 @@
     })
 }
 
-fn stop_entry(fleet: &mut PlatformFleet, load: &LoadState, index: usize) {
-    locked(&load.entries)[index].started = None;
-    fleet.entries[index].signal("KILL").unwrap();
-    fleet.entries[index].wait(Duration::from_secs(2)).ok();
-}
-
-async fn restart_entries(fleet: &mut PlatformFleet, load: &LoadState, starts: EntryStarts) {
-    let indexes = if starts == EntryStarts::All { 0..SIZES.entries } else { 2..3 };
-    if starts == EntryStarts::All {
-        indexes.clone().for_each(|index| stop_entry(fleet, load, index));
-    }
-    for index in indexes.clone() {
-        fleet.entries[index] = fleet.start_entry(index).unwrap();
-    }
-    for index in indexes {
-        fleet.wait_until_ready(index).await.unwrap();
-        locked(&load.entries)[index].started = Some(Instant::now());
-    }
-}
-
-/// Entry as its callers know it.
-#[derive(Debug, Clone, Copy)]
-struct EntryState {
-    address: std::net::SocketAddr,
-    /// When it was last started; `None` while it is down, and sent nothing.
-    started: Option<Instant>,
-}
-
-/// Call that was sent.
-#[derive(Debug)]
-struct SentCall {
-    id: String,
-    entry: usize,
-    at: Instant,
-    is_crashing: bool,
-    work: Option<JoinHandle<CallerRecord>>,
-    record: Option<CallerRecord>,
-}
-
-/// Calls so far; clones share them.
-#[derive(Debug, Clone)]
-struct LoadState {
-    entries: Arc<Mutex<Vec<EntryState>>>,
-    calls: Arc<Mutex<Vec<SentCall>>>,
-}
-
-impl LoadState {
-    fn new(fleet: &PlatformFleet) -> LoadState {
-        let started = Some(Instant::now());
-        let state = |index| EntryState { address: fleet.entry(index), started };
-        let entries = (0..SIZES.entries).map(state).collect();
-        LoadState { entries: Arc::new(Mutex::new(entries)), calls: Arc::default() }
-    }
-
-    fn send(&self, request: CallerRequest, turn: usize, is_crashing: bool) {
-        let entries = locked(&self.entries).clone();
-        let up: Vec<usize> = (0..entries.len()).filter(|i| entries[*i].started.is_some()).collect();
-        let Some(entry) = up.get(turn % up.len().max(1)).copied() else { return };
-        let id = request.id.clone();
-        let work = Some(tokio::spawn(send(entries[entry].address, request)));
-        let at = Instant::now();
-        locked(&self.calls).push(SentCall { id, entry, at, is_crashing, work, record: None });
-    }
-
-    async fn finish(&self) {
-        let works: Vec<_> = locked(&self.calls).iter_mut().map(|call| call.work.take()).collect();
-        for (index, work) in works.into_iter().enumerate() {
-            let Some(work) = work else { continue };
-            let record = work.await.unwrap();
-            locked(&self.calls)[index].record = Some(record);
-        }
-    }
-
-    /// Returns whether an entry has been up for the stable window.
-    fn is_in_touch(&self, entry: usize, at: Instant) -> bool {
-        let started = locked(&self.entries)[entry].started;
-        started.is_some_and(|started| at >= started + STABLE_WINDOW)
-    }
-
-    fn sound_between(&self, from: Instant, to: Instant) -> Vec<CallerRecord> {
-        let calls = locked(&self.calls);
-        let judged = |call: &&SentCall| !call.is_crashing && call.at >= from && call.at < to;
-        calls.iter().filter(judged).filter_map(|call| call.record.clone()).collect()
-    }
-
-    /// Judges the share of sound requests that succeed at their first attempt against that
-    /// before the fault.
-    fn succeeds_too_seldom(&self, fault: Instant, from: Instant, to: Instant) -> Option<String> {
-        let before = self.sound_between(fault - CALM_TIME, fault);
-        let during = self.sound_between(from, to);
-        if before.len() < MIN_JUDGED || during.len() < MIN_JUDGED {
-            return Some(format!("too few requests: {}, {}", before.len(), during.len()));
-        }
-        let (share_before, share_during) = (whole_share(&before), whole_share(&during));
-        (share_during < share_before / 2.0).then(|| {
-            format!(
-                "{share_during:.2} of {} sound requests succeed, {share_before:.2} of {} before",
-                during.len(),
-                before.len()
-            )
-        })
-    }
-}
-
-fn whole_share(records: &[CallerRecord]) -> f64 {
-    let whole = records.iter().filter(|record| record.outcome == CallerOutcome::Whole);
-    whole.count() as f64 / records.len() as f64
-}
-
 fn spawn_load(case: &CrashCase, load: &LoadState, is_crashing: bool) -> JoinHandle<()> {
     let (case, load) = (*case, load.clone());
     tokio::spawn(async move {
@@ -371,7 +259,8 @@
     fn of(runners: &[RunnerModel], case: &CrashCase) -> SegmentCrashes {
         let crashes: Vec<_> = runners.iter().flat_map(RunnerModel::crashes).collect();
         let of_segment = |id: u64| {
-            let caused = crashes.iter().filter(|crash| crash.segment == Some(id));
+            let caused =
+                crashes.iter().filter(|crash| crash.cause == Some(CrashCause::Segment(id)));
             let mut times: Vec<Instant> = caused.map(|crash| crash.at).collect();
             times.sort();
             (id, times)
@@ -443,20 +332,3 @@
     };
     runners.iter().flat_map(RunnerModel::received).filter(is_crashing).collect()
 }
-
-/// Counts requests and their repeats. A prefill and the decode that follows it are one.
-fn count_sendings<'a>(calls: impl Iterator<Item = &'a ReceivedCall>) -> usize {
-    let mut counts = std::collections::BTreeMap::<&str, [usize; 2]>::new();
-    for call in calls {
-        counts.entry(&call.request).or_default()[usize::from(call.is_prefill)] += 1;
-    }
-    counts.values().map(|[runs, prefills]| runs.max(prefills)).sum()
-}
-
-fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn run(work: impl Future<Output = ()>) {
-    tokio::runtime::Runtime::new().unwrap().block_on(work);
-}
