--- a/emulator/src/platform_rig/caller.rs
+++ b/emulator/src/platform_rig/caller.rs
@@ -4,7 +4,10 @@
 
 use rand::RngExt;
 use sapphirewell::{
-    direct::{DirectRequest, PromptSegment, PromptShape, RequestFailure, StreamId, StreamResume},
+    direct::{
+        DirectRequest, PromptSegment, PromptShape, RequestFailure, RequestIdentity, StreamId,
+        StreamResume,
+    },
     ids::ClockTime,
 };
 use strum::Display;
@@ -217,17 +220,17 @@
                 .chain([PromptSegment { id: 1_000_000 + attempt as u64, tokens: own }])
                 .collect(),
         });
-        let fingerprint = match class {
-            RequestClass::Poison => Some(u64::MAX),
-            RequestClass::Lookup => None,
-            _ => Some(attempt as u64),
+        let content = match class {
+            RequestClass::Poison => u64::MAX,
+            _ => attempt as u64,
         };
+        let identity = RequestIdentity { content, caller: content };
         let time_left = record.deadline.saturating_sub(self.now);
         let ignored = self.settings.defect == Some(DriverDefect::ResumesIgnored);
         let resumes = record.resumes.filter(|_| !ignored);
         let resumes = resumes.map(|first| StreamResume { stream: Some(stream_id(first)) });
         let id = stream_id(attempt);
-        Some(DirectRequest { id, route, time_left, prompt, fingerprint, resumes })
+        Some(DirectRequest { id, route, time_left, prompt, identity, resumes })
     }
 
     /// Ends an open attempt and schedules the caller's retry, if there is one.
--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -1,15 +1,12 @@
 //! Simulated entries: the real state machine, inside a model of its I/O driver.
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use rand::RngExt;
 use sapphirewell::{
     direct::{
-        CallNumber, CallOutcome, CrashReport, DirectAction, DirectEvent, DirectMachine,
-        DirectSettings, DirectTarget, FlowId, PeerName, StopPhase, StreamMessage,
+        CallNumber, CallOutcome, DirectAction, DirectEvent, DirectMachine, DirectSettings,
+        DirectTarget, FlowId, PeerName, StopPhase, StreamMessage,
     },
     ids::ClockTime,
 };
@@ -32,8 +29,6 @@
 pub(super) const RETRY_SLACK: f64 = 6.0;
 /// Window over which the retry budget is counted.
 pub(super) const RETRY_WINDOW: Duration = Duration::from_secs(10);
-/// Time during which an entry repeats a crash report to its peers.
-const CRASH_REPORT_TIME: Duration = Duration::from_secs(3);
 /// Time after which a connection that no longer carries data is detected.
 pub(super) const CONNECTION_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -102,7 +97,6 @@
     flows: BTreeMap<FlowId, SimFlow>,
     next_flow: FlowId,
     reports: u64,
-    crashes: VecDeque<(ClockTime, CrashReport)>,
 }
 
 impl SimEntry {
@@ -111,11 +105,6 @@
         self.reports
     }
 
-    pub(super) fn recent_crashes(&mut self, now: ClockTime) -> Vec<CrashReport> {
-        self.crashes.retain(|(seen, _)| *seen + CRASH_REPORT_TIME >= now);
-        self.crashes.iter().map(|(_, report)| report.clone()).collect()
-    }
-
     pub(super) fn add_disturbance(&mut self, from: ClockTime, until: ClockTime) {
         self.disturbances.push((from, until));
     }
@@ -147,7 +136,6 @@
             flows: BTreeMap::new(),
             next_flow: 0,
             reports: 0,
-            crashes: VecDeque::new(),
         });
         self.start_entry(entry);
         entry
@@ -183,7 +171,6 @@
         sim.stopping = false;
         sim.next_record = None;
         sim.shown_version = 0;
-        sim.crashes.clear();
         sim.add_disturbance(now, now);
         let process = sim.process;
         for event in [
@@ -328,11 +315,8 @@
                 let process = self.entries[entry].process;
                 self.persist_suspect(entry, process, change);
             }
-            DirectAction::PersistSegment(change) => self.persist_segment(change),
-            DirectAction::ProbeTarget(target) => self.probe_target(entry, &target),
-            DirectAction::ReportCrashes(report) => {
-                let now = self.now;
-                self.entries[entry].crashes.push_back((now, report));
+            DirectAction::ProbeTarget(target) => {
+                self.probe_target(entry, &target);
                 self.record_step(PlatformStep::CrashDetected, PlatformSite { entry, target: 0 });
             }
         }
--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -5,9 +5,9 @@
 use rand::RngExt;
 use sapphirewell::{
     direct::{
-        BlockedSegment, DirectEvent, DirectTarget, EngineConfig, RequestLimits, RetryPolicy,
-        RouteConfig, RouteTable, SegmentChange, SegmentId, ServiceConfig, SuspectChange,
-        SuspectReport, TargetChange, WeightedService,
+        BlockedSuspect, CrashSuspect, DirectEvent, DirectTarget, EngineConfig, RequestLimits,
+        RetryPolicy, RouteConfig, RouteTable, ServiceConfig, SuspectChange, SuspectReport,
+        TargetChange, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -48,10 +48,8 @@
     next: u64,
     /// Offset of the oldest record that the store still holds.
     first: u64,
-    /// Requests suspected of crashing targets, by fingerprint.
-    pub(crate) suspects: BTreeMap<u64, SuspectReport>,
-    /// Prompt segments that entries block.
-    pub(crate) segments: BTreeMap<SegmentId, BlockedSegment>,
+    /// Suspects that entries block.
+    pub(crate) suspects: BTreeMap<CrashSuspect, BlockedSuspect>,
     /// Entries that claimed the right to order engines, in the order of their claims.
     pub(crate) claims: Vec<EntryId>,
     /// Configurations with the times at which the store accepted them.
@@ -163,7 +161,7 @@
         self.schedule_after(answer + ROUTE_READ_PAUSE, again);
     }
 
-    /// Reads the suspect requests once, at the start of a process.
+    /// Reads the blocked suspects once, at the start of a process.
     pub(super) fn read_suspects(&mut self, entry: EntryId, process: u64) {
         if !self.is_process(entry, process) {
             return;
@@ -172,34 +170,15 @@
             let again = RigEvent::ReadSuspects { entry, process };
             return self.schedule_after(READ_TIMEOUT + FAILURE_PAUSE, again);
         }
-        let with_zero_age =
-            |report: &SuspectReport| SuspectReport { age: Duration::ZERO, ..report.clone() };
-        let reports = self.store.suspects.values().map(with_zero_age).collect();
+        let blocked = self.store.suspects.values();
+        let blocked = blocked.map(|block| BlockedSuspect { age: Duration::ZERO, ..block.clone() });
         self.schedule_after(
             self.response_time(),
-            self.machine_event(entry, DirectEvent::Suspects(reports)),
-        );
-        let blocked = self.store.segments.values();
-        let blocked = blocked.map(|block| BlockedSegment { age: Duration::ZERO, ..block.clone() });
-        self.schedule_after(
-            self.response_time(),
-            self.machine_event(entry, DirectEvent::StoredSegments(blocked.collect())),
+            self.machine_event(entry, DirectEvent::StoredSuspects(blocked.collect())),
         );
     }
 
-    /// Writes a change of the blocked prompt segments to the store, which does not fail here.
-    pub(super) fn persist_segment(&mut self, change: SegmentChange) {
-        match change {
-            SegmentChange::Blocked(block) => {
-                self.store.segments.insert(block.segment, block);
-            }
-            SegmentChange::Cleared(segment) => {
-                self.store.segments.remove(&segment);
-            }
-        }
-    }
-
-    /// Writes a change of the suspect requests to the store, with retries.
+    /// Writes a change of the blocked suspects to the store, with retries.
     pub(super) fn persist_suspect(&mut self, entry: EntryId, process: u64, change: SuspectChange) {
         if !self.is_process(entry, process) {
             return;
@@ -209,11 +188,11 @@
             return self.schedule_after(READ_TIMEOUT + FAILURE_PAUSE, again);
         }
         match change {
-            SuspectChange::Crashed(report) => {
-                self.store.suspects.insert(report.fingerprint, report);
+            SuspectChange::Blocked(block) => {
+                self.store.suspects.insert(block.suspect, block);
             }
-            SuspectChange::Expired(report) => {
-                self.store.suspects.remove(&report.fingerprint);
+            SuspectChange::Cleared(suspect) => {
+                self.store.suspects.remove(&suspect);
             }
         }
     }
@@ -242,12 +221,10 @@
         self.schedule_after(super::REPORT_INTERVAL, RigEvent::Report { entry, process });
         let now = self.now;
         let number = self.entries[entry].count_report();
-        let mut load = self.entries[entry].machine.load_report(now, number.is_multiple_of(8));
-        let mut crashes = self.entries[entry].recent_crashes(now);
-        let segments = self.entries[entry].machine.segment_report(now);
+        let load = self.entries[entry].machine.load_report(now, number.is_multiple_of(8));
+        let mut suspects = self.entries[entry].machine.suspect_report(now);
         if self.settings.defect == Some(DriverDefect::CrashReportsOmitted) {
-            load.suspects.clear();
-            crashes.clear();
+            suspects = SuspectReport::default();
         }
         for peer in 0..self.entries.len() {
             let lost = self.reports_lost_until > now || self.rng.random_ratio(1, 50);
@@ -258,16 +235,10 @@
                 NETWORK_DELAY,
                 self.machine_event(peer, DirectEvent::PeerLoad(load.clone())),
             );
-            if !segments.is_empty() {
-                self.schedule_after(
-                    NETWORK_DELAY,
-                    self.machine_event(peer, DirectEvent::Segments(segments.clone())),
-                );
-            }
-            for report in &crashes {
+            if !suspects.is_empty() {
                 self.schedule_after(
                     NETWORK_DELAY,
-                    self.machine_event(peer, DirectEvent::Crashes(report.clone())),
+                    self.machine_event(peer, DirectEvent::Suspects(suspects.clone())),
                 );
             }
         }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -11,10 +11,11 @@
 use smallvec::SmallVec;
 use strum::{Display, IntoStaticStr};
 
-use crate::ids::{ContentFingerprint, DataCentreId, TargetId};
+use crate::ids::{DataCentreId, TargetId};
 
 mod authority;
 mod budget;
+mod crash_cause;
 mod ending;
 mod estimate;
 mod flow;
@@ -23,11 +24,11 @@
 mod report;
 mod resume;
 mod route;
-mod segment;
 mod stage_plan;
 mod stop;
 mod stream;
 mod suspect;
+mod suspect_table;
 mod target;
 mod waiting;
 
@@ -40,14 +41,14 @@
     EngineConfig, ModelName, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ServiceConfig,
     ServiceName, WeightedService,
 };
-pub use segment::{
-    BlockedSegment, SegmentChange, SegmentId, SegmentReport, SegmentRun, SegmentTable, TargetCrash,
-    TargetStart,
-};
 pub use stage_plan::{OrderOutcome, StageOrder};
 pub use stop::StopPhase;
 pub use stream::{SoftwareVersion, StreamId, StreamMessage, StreamOrigin, StreamResume};
-pub use suspect::{CrashReport, CrashTable, SuspectChange, SuspectReport};
+pub use suspect::{
+    BlockedSuspect, BreakId, BrokenRun, CrashSuspect, RequestIdentity, SegmentId, SuspectChange,
+    SuspectReport, SuspectRun, TargetCrash, TargetStart,
+};
+pub use suspect_table::SuspectTable;
 pub use target::{DirectTarget, LeavingTarget, TargetChange, TargetFleet, TargetStage};
 
 /// Identifies a request within one process.
@@ -92,9 +93,8 @@
     pub time_left: Duration,
     /// Prompt of a request to engines; `None` for plain services.
     pub prompt: Option<PromptShape>,
-    /// Hash of the content, which is the same when a caller sends the request again.
-    /// `None` if the request cannot be distinguished from others of its route.
-    pub fingerprint: Option<ContentFingerprint>,
+    /// What stays the same when the caller sends the request again.
+    pub identity: RequestIdentity,
     /// Earlier stream that the request goes on with, if any.
     pub resumes: Option<StreamResume>,
 }
@@ -148,7 +148,7 @@
     Submit {
         /// Identifier that the driver chose for the request.
         flow: FlowId,
-        /// Route, time left, prompt and fingerprint of the request, without its head and body.
+        /// Route, time left, prompt and identity of the request, without its head and body.
         request: Box<DirectRequest>,
     },
     /// A call ended or its response began.
@@ -198,12 +198,10 @@
     Routes(Arc<RouteTable>),
     /// A peer reported its load.
     PeerLoad(LoadReport),
-    /// A peer reported requests under which targets crashed.
-    Crashes(CrashReport),
-    /// A peer or the store reported segments that may crash targets.
-    Segments(SegmentReport),
-    /// Prompt segments that the store says crash targets.
-    StoredSegments(Vec<BlockedSegment>),
+    /// A peer reported suspects that may crash targets.
+    Suspects(SuspectReport),
+    /// Suspects that the store says crash targets.
+    StoredSuspects(Vec<BlockedSuspect>),
     /// It was found out whether a target is gone.
     TargetProbed {
         /// Target and start that were asked.
@@ -226,8 +224,6 @@
         /// Its content.
         message: StreamMessage,
     },
-    /// Requests that crashed targets were read from the store.
-    Suspects(Vec<SuspectReport>),
     /// A claim on ordering engines ended.
     ClaimEnded(ClaimOutcome),
     /// An order ended.
@@ -334,15 +330,11 @@
         /// Its content.
         message: StreamMessage,
     },
-    /// Report to peers that targets crashed under these requests.
-    ReportCrashes(CrashReport),
-    /// Write to the store that a request crashes targets, or remove that record.
-    /// The store serves entries that start when no peer is left that knows.
-    PersistSuspect(SuspectChange),
     /// Find out whether a target is gone, to which a connection broke.
     ProbeTarget(Arc<DirectTarget>),
-    /// Write to the store that a prompt segment crashes targets, or remove that record.
-    PersistSegment(SegmentChange),
+    /// Write to the store that a suspect crashes targets, or remove that record. The store
+    /// serves entries that start when no peer is left that knows.
+    PersistSuspect(SuspectChange),
     /// Write a claim on ordering engines to the store.
     Claim,
     /// Order an engine to switch its stage, unless the store holds a newer claim.
--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -6,8 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    CallNumber, CallOutcome, CrashReport, DirectAction, DirectMachine, FailureReason, FlowId,
-    RetryPolicy,
+    CallNumber, CallOutcome, DirectAction, DirectMachine, FailureReason, FlowId, RetryPolicy,
     flow::{DirectFlow, HeldCache, OpenCall, StepKind},
     machine::{MIN_CALL_TIME, TIMEOUT_GRACE, memory_tokens},
     report::record_cached_segments,
@@ -46,7 +45,7 @@
             CallOutcome::WrongTarget => self.call_not_run(now, id, "wrong_target", true, out),
             CallOutcome::Unreachable => {
                 if let Some(call) = self.flows.get(&id).and_then(|flow| flow.call.as_ref())
-                    && self.segments.target_unreachable(now, &call.target_start())
+                    && self.suspects.target_unreachable(now, &call.target_start())
                 {
                     out.push(DirectAction::ProbeTarget(call.target.clone()));
                 }
@@ -60,7 +59,7 @@
 
     fn call_declined(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let Some(call) = self.close_call(now, id, "declined") else { return };
-        self.segments.target_responded(&call.target_start(), call.started);
+        self.suspects.target_responded(&call.target_start(), call.started);
         let Some(flow) = self.flows.get_mut(&id) else { return };
         let source = flow.cache.as_ref().map(|cache| cache.target.id.clone());
         match source {
@@ -127,7 +126,7 @@
         out: &mut Vec<DirectAction>,
     ) {
         let Some(call) = self.close_call(now, id, "prefilled") else { return };
-        self.segments.target_responded(&call.target_start(), call.started);
+        self.suspects.target_responded(&call.target_start(), call.started);
         let Some(flow) = self.flows.get_mut(&id) else { return };
         if let Some(state) = self.fleet.get_mut(&call.target.id) {
             state.record_success();
@@ -156,7 +155,7 @@
         let Some(call) = &mut flow.call else { return };
         call.answered = true;
         call.succeeded = success;
-        self.segments.target_responded(&call.target_start(), call.started);
+        self.suspects.target_responded(&call.target_start(), call.started);
         // A KV cache that was used cannot be used or freed again.
         if call.step == StepKind::Decode && success {
             flow.cache = None;
@@ -195,14 +194,14 @@
         retryable
             && flow.runs + 1 < route.max_attempts
             && flow.time_left(now) >= MIN_CALL_TIME
-            && !self.crashes.is_blocked(flow.request.fingerprint)
+            && !self.crashes_targets(now, flow)
     }
 
     fn call_lost(&mut self, now: ClockTime, id: FlowId, closed: bool, out: &mut Vec<DirectAction>) {
         let Some(flow) = self.flows.get(&id) else { return };
         let Some(step) = flow.call.as_ref().map(|call| call.step) else { return };
         if closed && step != StepKind::Prefill {
-            self.report_crash(now, id, out);
+            self.record_broken_run(now, id, out);
         }
         let may_retry = step == StepKind::Prefill || self.may_rerun(now, id);
         let Some(call) = self.close_call(now, id, "lost") else { return };
@@ -230,23 +229,14 @@
         }
     }
 
-    fn report_crash(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+    fn record_broken_run(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let flow = self.flows.get(&id);
         if let Some(run) = flow.and_then(DirectFlow::target_run)
             && let Some(call) = flow.and_then(|flow| flow.call.as_ref())
-            && self.segments.run_broken(now, run)
+            && self.suspects.run_broken(now, run)
         {
             out.push(DirectAction::ProbeTarget(call.target.clone()));
         }
-        let fingerprint = self.flows.get(&id).and_then(|flow| flow.request.fingerprint);
-        let Some(fingerprint) = fingerprint else { return };
-        self.own_crashes += 1;
-        let report = CrashReport {
-            reporter: self.settings.instance,
-            crashes: vec![(fingerprint, self.own_crashes)],
-        };
-        self.crashes.apply(now, &report);
-        out.push(DirectAction::ReportCrashes(report));
     }
 
     pub(super) fn first_output(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
@@ -280,7 +270,7 @@
             return;
         }
         self.answer_malformed(id);
-        self.report_crash(now, id, out);
+        self.record_broken_run(now, id, out);
     }
 
     pub(super) fn answer_malformed(&mut self, id: FlowId) {
@@ -326,9 +316,9 @@
             return;
         }
         if flow.unframed {
-            self.segments.run_ended_unconfirmed(now, run);
+            self.suspects.run_ended_unconfirmed(now, run);
         } else {
-            self.segments.run_succeeded(now, &run.segments);
+            self.suspects.run_succeeded(now, &run.suspects);
         }
     }
 
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -7,10 +7,10 @@
 use strum::Display;
 
 use super::{
-    CallNumber, DirectRequest, DirectTarget, FailureReason, PromptShape, ServiceName,
-    SoftwareVersion, StreamId, TargetStart,
-    segment::{TargetRun, shared_segments},
+    CallNumber, CrashSuspect, DirectRequest, DirectTarget, FailureReason, PromptShape,
+    RequestIdentity, ServiceName, SoftwareVersion, StreamId, TargetStart,
     stream::OriginQuery,
+    suspect::{TargetRun, request_suspects},
 };
 use crate::ids::{ClockTime, TargetId};
 
@@ -115,8 +115,10 @@
     pub shared_segment: String,
     /// Identifiers of the prompt's shared segments, in hexadecimal and in order.
     pub segments: String,
-    /// Hash of the content by which its crashes are counted, in hexadecimal; empty if none.
+    /// Suspect of its content, as the store and the state dump name it.
     pub content: String,
+    /// Suspect of its content and caller.
+    pub caller: String,
     /// Expected queueing time when it was last placed, in milliseconds.
     pub waiting_ms: u64,
     /// Expected time to the first output when it was last placed, in milliseconds.
@@ -130,8 +132,9 @@
         if let Some(prompt) = &self.request.prompt {
             trace.segments = shared_segment_names(prompt);
         }
-        let content = self.request.fingerprint;
-        trace.content = content.map_or_else(String::new, |hash| format!("{hash:x}"));
+        let RequestIdentity { content, caller } = self.request.identity;
+        trace.content = CrashSuspect::Content(content).to_string();
+        trace.caller = CrashSuspect::Caller(caller).to_string();
         if let Some(call) = &self.call {
             let ending = if call.answered { "answered" } else { "open" };
             trace.calls.push(call.describe(now, ending));
@@ -139,12 +142,12 @@
         trace
     }
 
-    /// Returns the call in flight with the shared segments of the prompt, if the target may
-    /// be writing the response.
+    /// Returns the call in flight with the suspects in the request, if the target may be
+    /// writing the response.
     pub(super) fn target_run(&self) -> Option<TargetRun> {
         let call = self.call.as_ref().filter(|call| call.step != StepKind::Prefill)?;
-        let segments = shared_segments(self.request.prompt.as_ref()?);
-        Some(TargetRun { start: call.target_start(), sent: call.started, segments })
+        let suspects = request_suspects(&self.request);
+        Some(TargetRun { start: call.target_start(), sent: call.started, suspects })
     }
 
     pub(super) fn time_left(&self, now: ClockTime) -> Duration {
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{LeavingTarget, OrderFencingToken, PeerName, PromptSegment, SuspectReport};
+use super::{LeavingTarget, OrderFencingToken, PeerName, PromptSegment};
 use crate::ids::{ClockTime, TargetId};
 
 /// Age after which a peer's load no longer counts; ten missed reports.
@@ -48,7 +48,7 @@
     pub segment: PromptSegment,
 }
 
-/// Report of one entry to its peers: load, cached segments, suspects and claims.
+/// Report of one entry to its peers: load, cached segments and claims.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Name of the reporting entry.
@@ -67,9 +67,9 @@
     /// Segments of long shared prefixes that targets have recently cached.
     #[serde(rename = "kept")]
     pub cached: Vec<CachedSegment>,
-    /// Requests that crashed targets. Only full reports list them, for entries that started
-    /// since.
-    pub suspects: Vec<SuspectReport>,
+    /// Empty. Entries of earlier versions cannot read a report without it.
+    #[serde(skip_deserializing)]
+    pub suspects: Vec<()>,
     /// Fencing token of the entry's claim on ordering engines, if it holds one.
     pub claim: Option<OrderFencingToken>,
     /// Targets that stated lately that they leave.
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -10,16 +10,17 @@
 use serde::Serialize;
 
 use super::{
-    CachedSegment, CallNumber, ClaimOutcome, CrashTable, DirectAction, DirectEvent, DirectRequest,
-    EngineConfig, FailureReason, FlowId, PeerName, PeerTable, RequestFailure, RequestTrace,
-    RetryWindow, RouteTable, SegmentReport, ServiceName, StreamId, TargetFleet, TargetUsage,
+    CachedSegment, CallNumber, ClaimOutcome, CrashSuspect, DirectAction, DirectEvent,
+    DirectRequest, EngineConfig, FailureReason, FlowId, PeerName, PeerTable, RequestFailure,
+    RequestTrace, RetryWindow, RouteTable, ServiceName, StreamId, SuspectReport, TargetFleet,
+    TargetUsage,
     authority::StageAuthority,
     estimate::{Placement, PlacementQuery, PlacementView, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
-    segment::SegmentTable,
     stage_plan::StagePlanner,
     stop::{RequestTimes, StopPlan},
     stream::OriginTable,
+    suspect_table::SuspectTable,
     waiting::{allowed_wait, priority},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
@@ -74,9 +75,8 @@
     pub(super) peers: PeerTable,
     #[serde(rename = "most_entries")]
     pub(super) max_entries: usize,
-    pub(super) crashes: CrashTable,
-    pub(super) own_crashes: u64,
-    pub(super) segments: SegmentTable,
+    #[serde(rename = "segments")]
+    pub(super) suspects: SuspectTable,
     budgets: HashMap<ServiceName, RetryWindow>,
     #[serde(skip)]
     pub(super) flows: HashMap<FlowId, DirectFlow>,
@@ -115,15 +115,13 @@
         DirectMachine {
             rng: SmallRng::seed_from_u64(settings.seed),
             authority: StageAuthority::new(settings.lease),
+            suspects: SuspectTable::new(settings.instance),
             planner: StagePlanner::default(),
             settings,
             routes: None,
             fleet: TargetFleet::default(),
             peers: PeerTable::default(),
             max_entries: MIN_ENTRIES,
-            crashes: CrashTable::default(),
-            own_crashes: 0,
-            segments: SegmentTable::default(),
             budgets: HashMap::new(),
             flows: HashMap::new(),
             timeouts: BTreeSet::new(),
@@ -178,14 +176,14 @@
         (accepted / self.max_entries).max(1)
     }
 
-    /// Returns what peers have to know of segments that may crash targets.
-    pub fn segment_report(&self, now: ClockTime) -> SegmentReport {
-        self.segments.report(now)
+    /// Returns what peers have to know of suspects that may crash targets.
+    pub fn suspect_report(&self, now: ClockTime) -> SuspectReport {
+        self.suspects.report(now)
     }
 
-    /// Returns the number of segments with which requests are not sent.
-    pub fn blocked_segments(&self, now: ClockTime) -> usize {
-        self.segments.blocked_count(now)
+    /// Returns the suspects with which requests are not sent.
+    pub fn blocked_suspects(&self, now: ClockTime) -> impl Iterator<Item = &CrashSuspect> {
+        self.suspects.blocked(now)
     }
 
     /// Returns the trace of a request that has not ended.
@@ -220,13 +218,12 @@
             DirectEvent::TargetLeaving(leaving) => self.fleet.mark_leaving(now, leaving),
             DirectEvent::Routes(routes) => self.apply_routes(routes),
             DirectEvent::PeerLoad(report) => self.peer_load(now, report),
-            DirectEvent::Crashes(report) => self.crashes.apply(now, &report),
-            DirectEvent::Segments(report) => self.segments.apply(now, &report),
-            DirectEvent::StoredSegments(blocked) => {
-                blocked.iter().for_each(|block| self.segments.adopt_block(now, block, true));
+            DirectEvent::Suspects(report) => self.suspects.apply(now, &report),
+            DirectEvent::StoredSuspects(blocked) => {
+                blocked.iter().for_each(|block| self.suspects.adopt_block(now, block, true));
             }
             DirectEvent::TargetProbed { start, age, gone } => {
-                self.segments.target_probed(&start, now.saturating_sub(age), gone);
+                self.suspects.target_probed(&start, now.saturating_sub(age), gone);
             }
             DirectEvent::UnframedAnswer { flow } => {
                 if let Some(flow) = self.flows.get_mut(&flow) {
@@ -236,9 +233,6 @@
             DirectEvent::StreamMessage { peer, message } => {
                 self.stream_message(now, peer, message, out);
             }
-            DirectEvent::Suspects(reports) => {
-                reports.iter().for_each(|report| self.crashes.apply_suspect(now, report));
-            }
             DirectEvent::ClaimEnded(outcome) => self.claim_ended(now, outcome),
             DirectEvent::OrderEnded { target, outcome } => {
                 self.planner.order_ended(now, &target, outcome);
@@ -377,10 +371,8 @@
     }
 
     /// Returns whether requests like this one have crashed several targets.
-    fn crashes_targets(&self, now: ClockTime, flow: &DirectFlow) -> bool {
-        let prompt = flow.request.prompt.as_ref();
-        self.crashes.is_blocked(flow.request.fingerprint)
-            || prompt.is_some_and(|prompt| self.segments.blocks(now, prompt))
+    pub(super) fn crashes_targets(&self, now: ClockTime, flow: &DirectFlow) -> bool {
+        self.suspects.blocks(now, &flow.request)
     }
 
     fn choose(&mut self, now: ClockTime, id: FlowId) -> Option<Placement> {
@@ -502,14 +494,11 @@
         self.continue_stop(now);
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
-            self.crashes.expire(now);
-            self.segments.expire(now);
+            self.suspects.expire(now);
             self.origins.expire(now);
         }
-        let changes = self.crashes.take_changes(self.settings.instance);
+        let changes = self.suspects.take_changes(now);
         out.extend(changes.into_iter().map(DirectAction::PersistSuspect));
-        let changes = self.segments.take_changes(now);
-        out.extend(changes.into_iter().map(DirectAction::PersistSegment));
         self.manage_stages(now, out);
         while let Some((expires, id)) = self.timeouts.first().copied() {
             if expires > now {
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -61,7 +61,7 @@
             claim: self.authority.claim(),
             leaving: self.fleet.leaving_since(now.saturating_sub(LEAVING_REPORT_TIME)),
             switching: self.planner.switching(),
-            suspects: if full { self.crashes.suspects(now) } else { Vec::new() },
+            suspects: Vec::new(),
         }
     }
 
@@ -76,9 +76,6 @@
                 self.fleet.hear_leaving(now, leaving);
             }
             self.pause_switching(now, &report.switching);
-            for suspect in &report.suspects {
-                self.crashes.apply_suspect(now, suspect);
-            }
             self.peers.apply(now, report);
             self.max_entries = self.max_entries.max(self.peers.len() + 1);
         }
--- a/src/direct/suspect.rs
+++ b/src/direct/suspect.rs
@@ -1,165 +1,197 @@
-//! Requests that may crash targets: each was running when a target's connection broke.
+//! What a crash of a target may be blamed on, and how entries report it.
 
-use std::{
-    collections::{BTreeSet, HashMap},
-    time::Duration,
-};
+use std::{fmt, num::ParseIntError, str::FromStr, time::Duration};
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use super::{DirectRequest, PromptShape};
+use crate::ids::{ClockTime, ContentFingerprint, TargetId};
+
+/// Identifier of a prompt segment.
+pub type SegmentId = u64;
+
+/// Prefixes of the text forms, which are no hexadecimal digits.
+const CALLER_PREFIX: char = 'k';
+const CONTENT_PREFIX: char = 'q';
+/// Positions of a request's content in place of that of a segment, behind all of them.
+const CONTENT_POSITION: u8 = 254;
+const CALLER_POSITION: u8 = 255;
+
+/// Something in a request that may crash the target that runs it.
+///
+/// Its text form, which the store and reports use, is a hexadecimal number. It has a prefix
+/// unless it is a segment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub enum CrashSuspect {
+    /// Segment of a prompt that requests share.
+    Segment(SegmentId),
+    /// Content of a request, whoever sends it.
+    Content(ContentFingerprint),
+    /// Content of a request from one caller.
+    Caller(ContentFingerprint),
+}
 
-use crate::ids::{ClockTime, ContentFingerprint};
-
-/// Number of crashes after which a request is no longer sent.
-const MAX_CRASHES: usize = 3;
-/// Number of crashes from which a request is written to the store. A single crash is mostly
-/// caused by the target and not by the request.
-const MIN_STORED_CRASHES: usize = 2;
-/// Time after the last crash at which a suspect expires.
-const SUSPECT_LIFETIME: Duration = Duration::from_secs(60);
-/// Maximum number of suspects in a load report, which must fit in a datagram.
-const MAX_REPORTED_SUSPECTS: usize = 32;
-/// Maximum number of suspects; the oldest are removed first.
-const MAX_SUSPECTS: usize = 4096;
-
-/// Report of requests under which a target's connection broke.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// Instance number of the process that saw the crashes.
-    pub reporter: u64,
-    /// Fingerprint of each request, with the reporter's sequence number of the crash.
-    pub crashes: Vec<(ContentFingerprint, u64)>,
+impl fmt::Display for CrashSuspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CrashSuspect::Segment(id) => write!(f, "{id:x}"),
+            CrashSuspect::Content(hash) => write!(f, "{CONTENT_PREFIX}{hash:x}"),
+            CrashSuspect::Caller(hash) => write!(f, "{CALLER_PREFIX}{hash:x}"),
+        }
+    }
 }
 
-/// All known crashes of one request.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct SuspectReport {
-    /// Fingerprint of the request.
-    pub fingerprint: ContentFingerprint,
-    /// Crashes, each as the instance number of its reporter and the sequence number there.
-    pub seen: Vec<(u64, u64)>,
-    /// Time since the last crash.
-    pub age: Duration,
+impl FromStr for CrashSuspect {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<CrashSuspect, ParseIntError> {
+        let number = |text| u64::from_str_radix(text, 16);
+        if let Some(hash) = text.strip_prefix(CONTENT_PREFIX) {
+            return number(hash).map(CrashSuspect::Content);
+        }
+        match text.strip_prefix(CALLER_PREFIX) {
+            Some(hash) => number(hash).map(CrashSuspect::Caller),
+            None => number(text).map(CrashSuspect::Segment),
+        }
+    }
 }
 
-impl SuspectReport {
-    fn is_seen_by(&self, process: u64) -> bool {
-        self.seen.iter().any(|(reporter, _)| *reporter == process)
+impl From<CrashSuspect> for String {
+    fn from(suspect: CrashSuspect) -> String {
+        suspect.to_string()
     }
 }
 
-impl SuspectChange {
-    /// Returns the request and its crashes.
-    pub fn report(&self) -> &SuspectReport {
-        match self {
-            SuspectChange::Crashed(report) | SuspectChange::Expired(report) => report,
-        }
+impl TryFrom<String> for CrashSuspect {
+    type Error = ParseIntError;
+
+    fn try_from(text: String) -> Result<CrashSuspect, ParseIntError> {
+        text.parse()
     }
 }
 
-/// Known crashes by request fingerprint.
-#[derive(Debug, Clone, Default, Serialize)]
-pub struct CrashTable {
-    entries: HashMap<ContentFingerprint, CrashHistory>,
-    /// Changes since the last call of [`CrashTable::take_changes`].
-    #[serde(skip)]
-    changes: Vec<SuspectChange>,
+/// Hashes of what stays the same when a caller sends a request again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestIdentity {
+    /// Hash of the content: method, host, path, query and body, which may be empty.
+    pub content: ContentFingerprint,
+    /// Hash of the content and the caller.
+    pub caller: ContentFingerprint,
 }
 
-/// Change of a suspect's record in the store.
-#[derive(Debug, Clone, PartialEq)]
-pub enum SuspectChange {
-    /// The request crashed another target.
-    Crashed(SuspectReport),
-    /// The last crash is older than the lifetime of a suspect.
-    Expired(SuspectReport),
+/// Suspects of one request, each with its position in the prompt.
+pub(super) type RequestSuspects = SmallVec<[(CrashSuspect, u8); 6]>;
+
+/// Returns what crashes of the targets that run a request may be blamed on.
+pub(super) fn request_suspects(request: &DirectRequest) -> RequestSuspects {
+    let RequestIdentity { content, caller } = request.identity;
+    let own = [
+        (CrashSuspect::Content(content), CONTENT_POSITION),
+        (CrashSuspect::Caller(caller), CALLER_POSITION),
+    ];
+    let shared = request.prompt.as_ref().map_or(&[][..], shared_segments);
+    let shared = shared.iter().zip(0..CONTENT_POSITION);
+    shared.map(|(segment, at)| (CrashSuspect::Segment(segment.id), at)).chain(own).collect()
 }
 
-#[derive(Debug, Clone, Serialize)]
-struct CrashHistory {
-    seen: BTreeSet<(u64, u64)>,
-    last: ClockTime,
+/// Returns the segments of a prompt that other requests may share.
+fn shared_segments(prompt: &PromptShape) -> &[super::PromptSegment] {
+    prompt.segments.split_last().map_or(&[][..], |(_, shared)| shared)
 }
 
-impl CrashTable {
-    /// Counts the crashes in a report. A crash that is reported twice counts once.
-    pub fn apply(&mut self, now: ClockTime, report: &CrashReport) {
-        for (fingerprint, number) in &report.crashes {
-            self.count(now, *fingerprint, (report.reporter, *number));
-        }
-    }
+/// One start of a target: its id and the time of its start.
+pub type TargetStart = (TargetId, u64);
 
-    /// Merges the crashes that another entry knows of, whichever process saw them.
-    ///
-    /// Reported crashes keep their age. Otherwise entries that report them to each other
-    /// would never let them expire.
-    pub fn apply_suspect(&mut self, now: ClockTime, report: &SuspectReport) {
-        let last = now.saturating_sub(report.age);
-        for crash in &report.seen {
-            self.count(last, report.fingerprint, *crash);
-        }
-    }
+/// Suspect in a request that was running when its target crashed: the suspect, its position
+/// in the prompt from 0, and the milliseconds from the sending of the request to the crash.
+/// A tuple, as reports hold many.
+pub type SuspectRun = (CrashSuspect, u8, u32);
 
-    /// Returns the suspects with the newest crashes, for entries that start later.
-    pub fn suspects(&self, now: ClockTime) -> Vec<SuspectReport> {
-        let mut reports: Vec<SuspectReport> =
-            self.entries.iter().map(suspect_report(now)).collect();
-        reports.sort_by_key(|report| (report.age, report.fingerprint));
-        reports.truncate(MAX_REPORTED_SUSPECTS);
-        reports
-    }
+/// Crash of a target, with the suspects in the requests that one entry had there.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TargetCrash {
+    /// Target and start that ended.
+    pub start: TargetStart,
+    /// Time since the crash.
+    pub age: Duration,
+    /// Suspects that have not been in a whole response since.
+    pub runs: Vec<SuspectRun>,
+}
 
-    fn count(&mut self, at: ClockTime, fingerprint: ContentFingerprint, crash: (u64, u64)) {
-        let new_history = || CrashHistory { seen: BTreeSet::new(), last: at };
-        let history = self.entries.entry(fingerprint).or_insert_with(new_history);
-        if history.seen.insert(crash) {
-            history.last = history.last.max(at);
-            if history.seen.len() >= MIN_STORED_CRASHES {
-                let seen = suspect_report(at)((&fingerprint, history));
-                self.changes.push(SuspectChange::Crashed(seen));
-            }
-        }
-        if self.entries.len() > MAX_SUSPECTS {
-            self.drop_oldest();
-        }
-    }
+/// Request whose connection broke while its target lived on.
+///
+/// A request that ends each of its connections early is as good as one that crashes targets:
+/// what listens may have started the program behind it again.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BrokenRun {
+    /// Instance number of the process that saw it, and its sequence number there.
+    pub id: BreakId,
+    /// Time since then.
+    pub age: Duration,
+    /// The request, as a suspect.
+    pub run: SuspectRun,
+}
 
-    /// Returns whether a request has crashed so many targets that it is no longer sent.
-    pub fn is_blocked(&self, fingerprint: Option<ContentFingerprint>) -> bool {
-        let history = fingerprint.and_then(|fingerprint| self.entries.get(&fingerprint));
-        history.is_some_and(|history| history.seen.len() >= MAX_CRASHES)
-    }
+/// Instance number of a process, with the sequence number of a broken connection there.
+pub type BreakId = (u64, u64);
 
-    /// Removes suspects whose last crash is older than their lifetime.
-    pub fn expire(&mut self, now: ClockTime) {
-        let is_expired = |history: &CrashHistory| now > history.last + SUSPECT_LIFETIME;
-        let expired =
-            self.entries.iter().filter(|(_, history)| is_expired(history)).map(suspect_report(now));
-        self.changes.extend(expired.map(SuspectChange::Expired));
-        self.entries.retain(|_, history| !is_expired(history));
-    }
+/// Suspect with which requests are not sent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BlockedSuspect {
+    /// The suspect.
+    pub suspect: CrashSuspect,
+    /// Number of crashes that it is blocked for.
+    pub crashes: u32,
+    /// How often it was blocked again after its time was over.
+    pub repeats: u32,
+    /// Time since the last of the crashes.
+    pub age: Duration,
+}
 
-    /// Returns and clears the changes of requests of which `process` saw a crash itself.
-    ///
-    /// Only such a process writes them to the store, so that not every entry writes.
-    pub fn take_changes(&mut self, process: u64) -> Vec<SuspectChange> {
-        let changes = std::mem::take(&mut self.changes);
-        changes.into_iter().filter(|change| change.report().is_seen_by(process)).collect()
-    }
+/// What one entry has seen lately of suspects.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct SuspectReport {
+    /// Crashes that it saw itself and confirmed.
+    pub crashes: Vec<TargetCrash>,
+    /// Connections that broke there while their targets lived on.
+    #[serde(default)]
+    pub breaks: Vec<BrokenRun>,
+    /// Suspects in responses that ended whole, with the time since; only those under which
+    /// targets crashed.
+    pub successes: Vec<(CrashSuspect, Duration)>,
+    /// Suspects that it blocks.
+    pub blocked: Vec<BlockedSuspect>,
+    /// Targets that responded to it after a connection to them had broken, with the time since
+    /// it sent the call.
+    pub survivors: Vec<(TargetStart, Duration)>,
+}
 
-    fn drop_oldest(&mut self) {
-        let oldest = self.entries.iter().min_by_key(|(_, history)| history.last).map(|(f, _)| *f);
-        if let Some(oldest) = oldest {
-            self.entries.remove(&oldest);
-        }
+impl SuspectReport {
+    /// Returns whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+            && self.breaks.is_empty()
+            && self.successes.is_empty()
+            && self.blocked.is_empty()
+            && self.survivors.is_empty()
     }
 }
 
-fn suspect_report(
-    now: ClockTime,
-) -> impl Fn((&ContentFingerprint, &CrashHistory)) -> SuspectReport {
-    move |(fingerprint, history)| SuspectReport {
-        fingerprint: *fingerprint,
-        seen: history.seen.iter().copied().collect(),
-        age: now.saturating_sub(history.last),
-    }
+/// Change of a blocked suspect's record in the store.
+#[derive(Debug, Clone, PartialEq)]
+pub enum SuspectChange {
+    /// The suspect is blocked.
+    Blocked(BlockedSuspect),
+    /// The suspect is no longer blocked.
+    Cleared(CrashSuspect),
+}
+
+/// Request at a target: when it was sent, and its suspects.
+#[derive(Debug, Clone)]
+pub(super) struct TargetRun {
+    pub(super) start: TargetStart,
+    pub(super) sent: ClockTime,
+    pub(super) suspects: RequestSuspects,
 }
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -1,6 +1,6 @@
 //! Validation of callers' requests, and the responses that this system generates itself.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{
@@ -17,12 +17,9 @@
     DEADLINE_MS, LAST_EVENT_ID, PROMPT_PREFIX, REQUEST_ID, RESUMES, TOKEN_COUNT, strip_hop_by_hop,
     strip_reserved,
 };
-use crate::{
-    direct::{
-        DirectRequest, FailureReason, PromptSegment, PromptShape, RequestFailure, RetryPolicy,
-        RouteConfig, RouteTable, StreamId, StreamResume,
-    },
-    ids::ContentFingerprint,
+use crate::direct::{
+    DirectRequest, FailureReason, PromptSegment, PromptShape, RequestFailure, RequestIdentity,
+    RetryPolicy, RouteConfig, RouteTable, StreamId, StreamResume,
 };
 
 /// Reason for rejecting a request before placement. The text is the `error` of the response.
@@ -105,12 +102,12 @@
 
 impl ValidatedHead {
     /// Builds the request that the state machine decides on.
-    pub fn to_direct_request(&self, parts: &Parts, body: &Bytes) -> DirectRequest {
+    pub fn to_direct_request(&self, parts: &Parts, body: &Bytes, caller: IpAddr) -> DirectRequest {
         DirectRequest {
             route: self.route.clone(),
             time_left: self.time_left,
             prompt: self.prompt.clone(),
-            fingerprint: fingerprint(parts, body),
+            identity: request_identity(parts, body, caller),
             id: self.id.to_str().unwrap_or_default().into(),
             resumes: stream_resume(&self.route, &parts.headers),
         }
@@ -219,16 +216,16 @@
     Ok(shape)
 }
 
-/// Hashes what stays the same when a caller retries a request: host, path and body.
-///
-/// Returns `None` for an empty body, which does not tell requests of one route apart.
-fn fingerprint(parts: &Parts, body: &Bytes) -> Option<ContentFingerprint> {
-    if body.is_empty() {
-        return None;
-    }
+/// Hashes what stays the same when a caller sends a request again, which includes an empty
+/// body. The caller is told by its address, as no header names it.
+fn request_identity(parts: &Parts, body: &Bytes, caller: IpAddr) -> RequestIdentity {
     let mut hasher = SipHasher13::new();
-    parts.uri.path().hash(&mut hasher);
+    parts.method.as_str().hash(&mut hasher);
     header_text(&parts.headers, &HOST).hash(&mut hasher);
+    parts.uri.path().hash(&mut hasher);
+    parts.uri.query().hash(&mut hasher);
     body.hash(&mut hasher);
-    Some(hasher.finish())
+    let content = hasher.finish();
+    caller.hash(&mut hasher);
+    RequestIdentity { content, caller: hasher.finish() }
 }
--- a/src/process/direct/gossip.rs
+++ b/src/process/direct/gossip.rs
@@ -19,7 +19,7 @@
     shell::DirectDriver,
 };
 use crate::{
-    direct::{CrashReport, DirectEvent, LoadReport, PeerName, SegmentReport, StreamMessage},
+    direct::{DirectEvent, LoadReport, PeerName, StreamMessage, SuspectReport},
     error::{Error, ErrorCode, Result},
     platform::{
         settings::PlatformSettings,
@@ -44,8 +44,6 @@
 const FULL_REPORT_PERIOD: u64 = 8;
 /// Delay before a failed write of this process's address is retried.
 const WRITE_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Time for which a crash is repeated in reports: thirty of them, so that some may be lost.
-const CRASH_REPORT_TIME: Duration = Duration::from_secs(3);
 /// Largest datagram that is received.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 
@@ -53,12 +51,10 @@
 struct PeerDatagram {
     #[serde(default, skip_serializing_if = "Option::is_none")]
     load: Option<LoadReport>,
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    crashes: Vec<CrashReport>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     stream: Option<PeerStreamMessage>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    segments: Option<SegmentReport>,
+    suspects: Option<SuspectReport>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -157,10 +153,9 @@
         if addresses.is_empty() {
             continue;
         }
-        let crashes = driver.recent_crashes(driver.now().saturating_sub(CRASH_REPORT_TIME));
         let load = driver.load_report(number % FULL_REPORT_PERIOD == 0);
-        let segments = Some(driver.segment_report()).filter(|report| !report.is_empty());
-        let datagram = PeerDatagram { load: Some(load), crashes, stream: None, segments };
+        let suspects = Some(driver.suspect_report()).filter(|report| !report.is_empty());
+        let datagram = PeerDatagram { load: Some(load), stream: None, suspects };
         let mut bytes = Vec::new();
         if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
             log::error!(error:% = error; "failed to encode report");
@@ -196,11 +191,8 @@
                     peers.borrow_mut().insert(peer.to_string(), sender);
                     driver.step(DirectEvent::StreamMessage { peer, message });
                 }
-                if let Some(report) = datagram.segments {
-                    driver.step(DirectEvent::Segments(report));
-                }
-                for report in datagram.crashes {
-                    driver.step(DirectEvent::Crashes(report));
+                if let Some(report) = datagram.suspects {
+                    driver.step(DirectEvent::Suspects(report));
                 }
             }
             Err(error) => log::info!(error:% = error; "malformed report ignored"),
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -8,6 +8,8 @@
     registry::Registry,
 };
 
+use crate::direct::CrashSuspect;
+
 /// Labels of an ended request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct EndLabels {
@@ -36,13 +38,33 @@
     pub(super) fault: &'static str,
 }
 
+/// Numbers of suspects with which requests are not sent, by kind.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct BlockedCounts {
+    segments: i64,
+    requests: i64,
+}
+
+impl BlockedCounts {
+    /// Counts suspects with which requests are not sent, by kind.
+    pub(super) fn of<'a>(blocked: impl Iterator<Item = &'a CrashSuspect>) -> BlockedCounts {
+        let mut counts = BlockedCounts::default();
+        for suspect in blocked {
+            match suspect {
+                CrashSuspect::Segment(_) => counts.segments += 1,
+                CrashSuspect::Content(_) | CrashSuspect::Caller(_) => counts.requests += 1,
+            }
+        }
+        counts
+    }
+}
+
 /// Values that are taken from the state when the metrics are scraped.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct StateGauges {
     pub(super) in_flight: usize,
     pub(super) targets: usize,
-    /// Number of prompt segments with which requests are not sent.
-    pub(super) blocked_segments: usize,
+    pub(super) blocked: BlockedCounts,
     pub(super) peers: usize,
     pub(super) version: u64,
     pub(super) configuration_age: Duration,
@@ -69,6 +91,7 @@
     in_flight: Gauge,
     targets: Gauge,
     blocked_segments: Gauge,
+    blocked_requests: Gauge,
     peers: Gauge,
     version: Gauge,
     configuration_age: Gauge<f64, std::sync::atomic::AtomicU64>,
@@ -91,6 +114,7 @@
             in_flight: Gauge::default(),
             targets: Gauge::default(),
             blocked_segments: Gauge::default(),
+            blocked_requests: Gauge::default(),
             peers: Gauge::default(),
             version: Gauge::default(),
             configuration_age: Gauge::default(),
@@ -107,7 +131,8 @@
     pub(super) fn text(&self, state: StateGauges) -> String {
         self.in_flight.set(state.in_flight as i64);
         self.targets.set(state.targets as i64);
-        self.blocked_segments.set(state.blocked_segments as i64);
+        self.blocked_segments.set(state.blocked.segments);
+        self.blocked_requests.set(state.blocked.requests);
         self.peers.set(state.peers as i64);
         self.version.set(state.version as i64);
         self.configuration_age.set(state.configuration_age.as_secs_f64());
@@ -157,6 +182,11 @@
             "Prompt segments with which requests are rejected, as they crash targets",
             self.blocked_segments.clone(),
         );
+        registry.register(
+            "blocked_requests",
+            "Requests that are rejected, as they crash targets",
+            self.blocked_requests.clone(),
+        );
         registry.register("peers", "Entries heard from lately", self.peers.clone());
         registry.register("configuration_version", "Version in force", self.version.clone());
         registry.register(
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -1,6 +1,11 @@
 //! Callers' connections and requests, and readiness probes.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
@@ -100,14 +105,18 @@
         tokio::time::sleep(STARTUP_POLL_INTERVAL).await;
     }
     loop {
-        let Some(stream) = accept(&listener).await else { continue };
-        tokio::task::spawn_local(serve_connection(stream, driver.clone()));
+        let Some((stream, caller)) = accept_from(&listener).await else { continue };
+        tokio::task::spawn_local(serve_connection(stream, caller.ip(), driver.clone()));
     }
 }
 
 pub(super) async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+    accept_from(listener).await.map(|(stream, _)| stream)
+}
+
+async fn accept_from(listener: &TcpListener) -> Option<(TcpStream, SocketAddr)> {
     match listener.accept().await {
-        Ok((stream, _)) => Some(stream),
+        Ok(accepted) => Some(accepted),
         Err(error) => {
             log::warn!(error:% = error; "failed to accept connection");
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -116,7 +125,7 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, driver: Rc<DirectDriver>) {
+async fn serve_connection(stream: TcpStream, caller: IpAddr, driver: Rc<DirectDriver>) {
     if let Err(error) = dial::set_socket_options(&stream) {
         log::debug!(error:% = error; "failed to set socket options");
     }
@@ -132,7 +141,7 @@
             let driver = driver.clone();
             guard.record_request();
             reset.attach(request.extensions_mut());
-            async move { Ok::<_, Infallible>(serve_request(driver, request).await) }
+            async move { Ok::<_, Infallible>(serve_request(driver, request, caller).await) }
         })
     };
     let mut builder = http1::Builder::new();
@@ -179,8 +188,9 @@
 async fn serve_request(
     driver: Rc<DirectDriver>,
     request: Request<Incoming>,
+    caller: IpAddr,
 ) -> Response<ResponseBody> {
-    let mut response = handle_request(&driver, request).await;
+    let mut response = handle_request(&driver, request, caller).await;
     if driver.is_stopping() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -190,6 +200,7 @@
 async fn handle_request(
     driver: &Rc<DirectDriver>,
     request: Request<Incoming>,
+    caller: IpAddr,
 ) -> Response<ResponseBody> {
     let (parts, body) = request.into_parts();
     let Some(routes) = driver.routes() else {
@@ -203,7 +214,7 @@
         Ok(body) => body,
         Err(rejection) => return reject(rejection, Some(&head.id)),
     };
-    let direct_request = head.to_direct_request(&parts, &body);
+    let direct_request = head.to_direct_request(&parts, &body, caller);
     let (flow, actions) = driver.open_flow();
     let id_text = String::from_utf8_lossy(head.id.as_bytes()).into_owned();
     let guard = FlowGuard::new(driver.clone(), flow, id_text);
@@ -279,9 +290,7 @@
             Some(
                 DirectAction::BreakOff { .. }
                 | DirectAction::FreeCache { .. }
-                | DirectAction::ReportCrashes(_)
                 | DirectAction::PersistSuspect(_)
-                | DirectAction::PersistSegment(_)
                 | DirectAction::ProbeTarget(_)
                 | DirectAction::SendToPeers { .. }
                 | DirectAction::Claim
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -20,15 +20,15 @@
     copy::{KnownRecords, RecordAges},
     fault::ResponseFault,
     gossip::PeerLink,
-    metrics::{DirectMetrics, FaultLabels, StateGauges, StoreLabels},
+    metrics::{BlockedCounts, DirectMetrics, FaultLabels, StateGauges, StoreLabels},
     orders,
     pool::TargetPools,
     suspects,
 };
 use crate::{
     direct::{
-        CrashReport, DirectAction, DirectEvent, DirectMachine, DirectTarget, FlowId, LeavingTarget,
-        LoadReport, PeerName, RequestTrace, RouteTable, SegmentReport, StopPhase,
+        DirectAction, DirectEvent, DirectMachine, DirectTarget, FlowId, LeavingTarget, LoadReport,
+        PeerName, RequestTrace, RouteTable, StopPhase, SuspectReport,
     },
     ids::ClockTime,
     platform::{configuration, discovery, runner},
@@ -83,7 +83,6 @@
     action_senders: RefCell<HashMap<FlowId, mpsc::UnboundedSender<DirectAction>>>,
     pub(super) pools: TargetPools,
     pub(super) connection_phase: watch::Sender<ConnectionPhase>,
-    crashes: RefCell<Vec<(ClockTime, CrashReport)>>,
     pub(super) records: RefCell<KnownRecords>,
     pub(super) metrics: DirectMetrics,
     /// When each topic of the store was last read, by this process or by the peer
@@ -109,7 +108,6 @@
             action_senders: RefCell::default(),
             pools: TargetPools::default(),
             connection_phase: watch::Sender::new(ConnectionPhase::Open),
-            crashes: RefCell::default(),
             records: RefCell::default(),
             metrics: DirectMetrics::default(),
             last_reads: RefCell::default(),
@@ -207,9 +205,6 @@
             DirectAction::FreeCache { target, handle } => {
                 tokio::task::spawn_local(call::free_cache(self.clone(), target, handle));
             }
-            DirectAction::ReportCrashes(report) => {
-                self.crashes.borrow_mut().push((self.now(), report));
-            }
             DirectAction::SendToPeers { peers, message } => {
                 if let Some(link) = self.peer_link.borrow().as_ref() {
                     link.send(&self.name, &peers, message);
@@ -227,19 +222,9 @@
             DirectAction::ProbeTarget(target) => {
                 tokio::task::spawn_local(call::probe(self.clone(), target));
             }
-            DirectAction::PersistSegment(change) => {
-                tokio::task::spawn_local(suspects::write_segment(self.store, change));
-            }
         }
     }
 
-    /// Returns the crashes seen since a time, and drops older ones.
-    pub(super) fn recent_crashes(&self, since: ClockTime) -> Vec<CrashReport> {
-        let mut crashes = self.crashes.borrow_mut();
-        crashes.retain(|(seen, _)| *seen >= since);
-        crashes.iter().map(|(_, report)| report.clone()).collect()
-    }
-
     pub(super) fn routes(&self) -> Option<Arc<RouteTable>> {
         self.machine.borrow().routes().cloned()
     }
@@ -257,8 +242,8 @@
         self.machine.borrow_mut().load_report(self.now(), full)
     }
 
-    pub(super) fn segment_report(&self) -> SegmentReport {
-        self.machine.borrow().segment_report(self.now())
+    pub(super) fn suspect_report(&self) -> SuspectReport {
+        self.machine.borrow().suspect_report(self.now())
     }
 
     /// Returns the name of this process among the entries.
@@ -312,7 +297,7 @@
             in_flight: machine.in_flight(),
             targets: machine.fleet().len(),
             peers: machine.peer_count(),
-            blocked_segments: machine.blocked_segments(self.now()),
+            blocked: BlockedCounts::of(machine.blocked_suspects(self.now())),
             version: machine.routes().map_or(0, |routes| routes.version),
             configuration_age: ages.configuration,
             targets_age: ages.targets,
--- a/src/process/direct/suspects.rs
+++ b/src/process/direct/suspects.rs
@@ -9,66 +9,50 @@
 
 use super::shell::DirectDriver;
 use crate::{
-    direct::{BlockedSegment, DirectEvent, SegmentChange, SuspectChange, SuspectReport},
+    direct::{BlockedSuspect, CrashSuspect, DirectEvent, SuspectChange},
     platform::store::{KeyedRecord, StoreClient, StoreError},
 };
 
-/// Topic of the suspects, keyed by the request's fingerprint in hexadecimal.
-const TOPIC: &str = "keyed.suspects";
-/// Topic of the blocked prompt segments, keyed by their id in hexadecimal.
-const SEGMENT_TOPIC: &str = "keyed.segments";
+/// Topic of the blocked suspects, keyed by their text form.
+const TOPIC: &str = "keyed.segments";
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Attempts to write one change, after which it is dropped.
 const MAX_WRITE_ATTEMPTS: u32 = 30;
 
 #[derive(Debug, Serialize, Deserialize)]
-struct StoredSegment {
+struct StoredSuspect {
     crashes: u32,
     repeats: u32,
 }
 
-#[derive(Debug, Serialize, Deserialize)]
-struct StoredSuspect {
-    seen: Vec<(u64, u64)>,
-}
-
-/// Writes a request that crashes targets to the store, or removes it once forgotten.
+/// Writes a suspect that crashes targets to the store, or removes it.
 pub(super) async fn write(store: SocketAddr, change: SuspectChange) {
-    let key = format!("{:x}", change.report().fingerprint);
-    let value = match &change {
-        SuspectChange::Expired(_) => Vec::new(),
-        SuspectChange::Crashed(report) => {
-            log::info!(
-                fingerprint:% = key, crashes:% = report.seen.len();
-                "request crashes targets"
-            );
-            // Serializing numbers cannot fail.
-            serde_json::to_vec(&StoredSuspect { seen: report.seen.clone() }).unwrap_or_default()
-        }
-    };
-    put(store, TOPIC, &key, &value).await;
-}
-
-/// Writes a prompt segment that crashes targets to the store, or removes it.
-pub(super) async fn write_segment(store: SocketAddr, change: SegmentChange) {
-    let (segment, value) = match &change {
-        SegmentChange::Cleared(segment) => {
-            log::info!(segment:% = format!("{segment:x}"); "prompt segment is no longer blocked");
-            (*segment, Vec::new())
+    let (suspect, value) = match &change {
+        SuspectChange::Cleared(suspect) => {
+            log::info!(suspect:% = suspect; "{} is no longer blocked", noun(*suspect));
+            (*suspect, Vec::new())
         }
-        SegmentChange::Blocked(block) => {
+        SuspectChange::Blocked(block) => {
             log::warn!(
-                segment:% = format!("{:x}", block.segment), crashes:% = block.crashes,
-                repeats:% = block.repeats;
-                "prompt segment crashes targets; requests with it are rejected"
+                suspect:% = block.suspect, crashes:% = block.crashes, repeats:% = block.repeats;
+                "{} crashes targets; requests with it are rejected", noun(block.suspect)
             );
-            let stored = StoredSegment { crashes: block.crashes, repeats: block.repeats };
+            let stored = StoredSuspect { crashes: block.crashes, repeats: block.repeats };
             // Serializing numbers cannot fail.
-            (block.segment, serde_json::to_vec(&stored).unwrap_or_default())
+            (block.suspect, serde_json::to_vec(&stored).unwrap_or_default())
         }
     };
-    put(store, SEGMENT_TOPIC, &format!("{segment:x}"), &value).await;
+    put(store, TOPIC, &suspect.to_string(), &value).await;
+}
+
+/// Names the kind of a suspect in a log line.
+fn noun(suspect: CrashSuspect) -> &'static str {
+    match suspect {
+        CrashSuspect::Segment(_) => "prompt segment",
+        CrashSuspect::Content(_) => "request of any caller",
+        CrashSuspect::Caller(_) => "request",
+    }
 }
 
 /// Writes a record, with retries.
@@ -88,15 +72,10 @@
 /// Reads all suspects once at the start, with retries until the store answers.
 pub(super) async fn read(store: SocketAddr, driver: Rc<DirectDriver>) {
     let mut client = StoreClient::new(store);
-    let segments = read_topic(&mut client, SEGMENT_TOPIC).await;
-    let blocked: Vec<BlockedSegment> = segments.iter().filter_map(decode_segment).collect();
+    let records = read_topic(&mut client, TOPIC).await;
+    let blocked: Vec<BlockedSuspect> = records.iter().filter_map(decode).collect();
     if !blocked.is_empty() {
-        driver.step(DirectEvent::StoredSegments(blocked));
-    }
-    let requests = read_topic(&mut client, TOPIC).await;
-    let reports: Vec<SuspectReport> = requests.iter().filter_map(decode).collect();
-    if !reports.is_empty() {
-        driver.step(DirectEvent::Suspects(reports));
+        driver.step(DirectEvent::StoredSuspects(blocked));
     }
 }
 
@@ -112,28 +91,14 @@
     }
 }
 
-fn decode_segment(record: &KeyedRecord) -> Option<BlockedSegment> {
-    let value = record.value.as_ref()?;
-    let segment = u64::from_str_radix(&record.key, 16).ok();
-    let stored: Option<StoredSegment> = serde_json::from_slice(value).ok();
-    let (Some(segment), Some(stored)) = (segment, stored) else {
-        log::warn!(key:% = record.key, error:% = StoreError::Malformed; "malformed segment ignored");
-        return None;
-    };
-    let StoredSegment { crashes, repeats } = stored;
-    Some(BlockedSegment { segment, crashes, repeats, age: Duration::ZERO })
-}
-
-fn decode(record: &KeyedRecord) -> Option<SuspectReport> {
+fn decode(record: &KeyedRecord) -> Option<BlockedSuspect> {
     let value = record.value.as_ref()?;
-    let fingerprint = u64::from_str_radix(&record.key, 16).ok();
-    let suspect: Option<StoredSuspect> = serde_json::from_slice(value).ok();
-    let (Some(fingerprint), Some(suspect)) = (fingerprint, suspect) else {
-        log::warn!(
-            key:% = record.key, error:% = StoreError::Malformed;
-            "malformed suspect ignored"
-        );
+    let suspect: Option<CrashSuspect> = record.key.parse().ok();
+    let stored: Option<StoredSuspect> = serde_json::from_slice(value).ok();
+    let (Some(suspect), Some(stored)) = (suspect, stored) else {
+        log::warn!(key:% = record.key, error:% = StoreError::Malformed; "malformed suspect ignored");
         return None;
     };
-    Some(SuspectReport { fingerprint, seen: suspect.seen, age: Duration::ZERO })
+    let StoredSuspect { crashes, repeats } = stored;
+    Some(BlockedSuspect { suspect, crashes, repeats, age: Duration::ZERO })
 }
