--- a/emulator/src/stand_in/runner/call.rs
+++ b/emulator/src/stand_in/runner/call.rs
@@ -60,10 +60,14 @@
         let cut_after =
             header_text(&parts.headers, "request-id").and_then(|id| trailing_number(&id));
         let is_run = !parts.headers.contains_key("serving-stage");
+        let stated_limit = RunnerModel::stated_limit(&faults, &parts.headers);
         let mut response = self.respond(parts, body).await?;
         if let (Some(cut), Some(bytes), true) = (faults.cut, cut_after, is_run) {
             response = response.map(|body| cut_body(body, bytes, cut, faults.unframed));
         }
+        if let Some(limit) = stated_limit {
+            response.headers_mut().insert("server-limit", limit);
+        }
         if faults.says_leaving {
             response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
         }
--- a/emulator/src/stand_in/runner/profile.rs
+++ b/emulator/src/stand_in/runner/profile.rs
@@ -63,6 +63,10 @@
     pub unframed: bool,
     /// States in all responses that it leaves, while its registration says that it is ready.
     pub says_leaving: bool,
+    /// States in its responses, as its `server-limit`, how many requests a second it takes.
+    pub limit: Option<String>,
+    /// With `limit`, omits the statement from about one response in this many; 0 omits none.
+    pub limit_gap: u64,
     /// Breaks each response to a run off after as many bytes of its body as the number at the
     /// end of the request's id states.
     pub cut: Option<BrokenOff>,
--- a/emulator/src/stand_in/runner/response.rs
+++ b/emulator/src/stand_in/runner/response.rs
@@ -34,6 +34,16 @@
         }
     }
 
+    /// Returns the limit on requests that a response states.
+    pub(super) fn stated_limit(faults: &RunnerFaults, headers: &HeaderMap) -> Option<HeaderValue> {
+        let id = header_text(headers, "request-id").unwrap_or_default();
+        let number = trailing_number(&id).unwrap_or(0) as u64;
+        if faults.limit_gap > 0 && number.is_multiple_of(faults.limit_gap) {
+            return None;
+        }
+        HeaderValue::try_from(faults.limit.as_deref()?).ok()
+    }
+
     pub(super) fn decline_response(&self, headers: &HeaderMap) -> Response<StandInBody> {
         let retry_after = {
             let mut state = locked(&self.state);
--- a/emulator/tests/support/mod.rs
+++ b/emulator/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! Callers' load on real entries, and how targets and callers fared.
+#![allow(dead_code)]
 
 use std::{
     ops::Range,
