Find a crashing request whose query changes between its sendings

Change: a request is also a suspect by host, path, body and caller, without query and method; sound requests that share these acquit it.

--- a/emulator/src/platform_rig/caller.rs
+++ b/emulator/src/platform_rig/caller.rs
@@ -224,7 +224,7 @@
             RequestClass::Poison => u64::MAX,
             _ => attempt as u64,
         };
-        let identity = RequestIdentity { content, caller: content };
+        let identity = RequestIdentity { content, resource: content, caller: content };
         let time_left = record.deadline.saturating_sub(self.now);
         let ignored = self.settings.defect == Some(DriverDefect::ResumesIgnored);
         let resumes = record.resumes.filter(|_| !ignored);
--- a/emulator/tests/request_without_a_body_crashed_all_targets.rs
+++ b/emulator/tests/request_without_a_body_crashed_all_targets.rs
@@ -75,6 +75,8 @@
     /// Number of crashing requests.
     crashing: usize,
     resumed: bool,
+    /// Whether each sending of a crashing request has another query.
+    query_changes: bool,
     starts: EntryStarts,
     prefill: usize,
 }
@@ -82,8 +84,18 @@
 impl RequestCase {
     const fn new(port: u16, kind: CallerKind, has_body: bool) -> RequestCase {
         let (difference, starts) = (Difference::Path, EntryStarts::Never);
-        let (crashing, resumed, prefill) = (1, false, 2);
-        RequestCase { port, kind, has_body, difference, crashing, resumed, starts, prefill }
+        let (crashing, resumed, query_changes, prefill) = (1, false, false, 2);
+        RequestCase {
+            port,
+            kind,
+            has_body,
+            difference,
+            crashing,
+            resumed,
+            query_changes,
+            starts,
+            prefill,
+        }
     }
 
     fn name(index: usize) -> String {
@@ -95,7 +107,8 @@
         let id = format!("{}{number}", RequestCase::name(index));
         let mut request = CallerRequest::new(id, self.kind, 0);
         request.method = if self.kind == CallerKind::Lookup { Method::GET } else { Method::POST };
-        request.path_rest = format!("thing-{index}?page=1");
+        let page = if self.query_changes { 1 + number } else { 1 };
+        request.path_rest = format!("thing-{index}?page={page}");
         request.source = CALLER;
         request.body = if self.has_body { Bytes::from_static(b"body") } else { Bytes::new() };
         request.resumed = self
@@ -148,6 +161,8 @@
     other_caller_of_tickets = { RequestCase { difference: Difference::Caller, ..RequestCase::new(24_180, TICKET, true) } },
     other_method = { RequestCase { difference: Difference::Method, ..RequestCase::new(24_195, LOOKUP, false) } },
     other_body = { RequestCase { difference: Difference::Body, ..RequestCase::new(24_210, TICKET, false) } },
+    query_changes = { RequestCase { query_changes: true, ..RequestCase::new(24_315, LOOKUP, false) } },
+    query_of_tickets_changes = { RequestCase { query_changes: true, ..RequestCase::new(24_330, TICKET, true) } },
     two_at_once = { RequestCase { crashing: 2, ..RequestCase::new(24_225, LOOKUP, false) } },
     an_entry_starts_later = { RequestCase { starts: EntryStarts::One, ..RequestCase::new(24_240, LOOKUP, false) } },
     all_entries_start_again = { RequestCase { starts: EntryStarts::All, ..RequestCase::new(24_255, LOOKUP, false) } },
--- a/src/direct/crash_cause.rs
+++ b/src/direct/crash_cause.rs
@@ -36,8 +36,8 @@
 fn threshold(suspect: CrashSuspect, was_fine: bool, was_blocked: bool) -> BlockThreshold {
     let (crashes, consecutive, moments) = match suspect {
         _ if was_blocked => (1, 1, 1),
-        CrashSuspect::Caller(_) if was_fine => (4, 3, usize::MAX),
-        CrashSuspect::Caller(_) => (3, 2, 3),
+        CrashSuspect::Caller(_) | CrashSuspect::Resource(_) if was_fine => (4, 3, usize::MAX),
+        CrashSuspect::Caller(_) | CrashSuspect::Resource(_) => (3, 2, 3),
         CrashSuspect::Segment(_) | CrashSuspect::Content(_) if was_fine => (8, 4, usize::MAX),
         CrashSuspect::Segment(_) | CrashSuspect::Content(_) => (4, 3, 5),
     };
@@ -139,7 +139,9 @@
             for (suspect, _) in explaining {
                 match suspect {
                     CrashSuspect::Segment(_) => by_segment = true,
-                    CrashSuspect::Content(_) | CrashSuspect::Caller(_) => by_request = true,
+                    CrashSuspect::Content(_)
+                    | CrashSuspect::Resource(_)
+                    | CrashSuspect::Caller(_) => by_request = true,
                 }
             }
             for (suspect, used) in &crash.suspects {
@@ -172,11 +174,10 @@
         suspect: CrashSuspect,
         crashes: &CrashSpans<'_>,
     ) -> bool {
-        let is_caller = |suspect: &CrashSuspect| matches!(suspect, CrashSuspect::Caller(_));
         let may_be_cause = |other: &CrashSuspect| {
-            is_caller(other) && *other != suspect && !self.successes.contains_key(other)
+            other.is_same_kind(&suspect) && *other != suspect && !self.successes.contains_key(other)
         };
-        is_caller(&suspect)
+        suspect.has_caller()
             && crashes.uses.len() <= MAX_TIED_CRASHES
             && !self.blocked.contains_key(&suspect)
             && spans.iter().any(|(other, known)| may_be_cause(other) && known.is_same(crashes))
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -117,6 +117,8 @@
     pub segments: String,
     /// Suspect of its content, as the store and the state dump name it.
     pub content: String,
+    /// Suspect of its path, body and caller.
+    pub resource: String,
     /// Suspect of its content and caller.
     pub caller: String,
     /// Expected queueing time when it was last placed, in milliseconds.
@@ -132,8 +134,9 @@
         if let Some(prompt) = &self.request.prompt {
             trace.segments = shared_segment_names(prompt);
         }
-        let RequestIdentity { content, caller } = self.request.identity;
+        let RequestIdentity { content, resource, caller } = self.request.identity;
         trace.content = CrashSuspect::Content(content).to_string();
+        trace.resource = CrashSuspect::Resource(resource).to_string();
         trace.caller = CrashSuspect::Caller(caller).to_string();
         if let Some(call) = &self.call {
             let ending = if call.answered { "answered" } else { "open" };
--- a/src/direct/suspect.rs
+++ b/src/direct/suspect.rs
@@ -13,9 +13,11 @@
 
 /// Prefixes of the text forms, which are no hexadecimal digits.
 const CALLER_PREFIX: char = 'k';
+const RESOURCE_PREFIX: char = 'p';
 const CONTENT_PREFIX: char = 'q';
 /// Positions of a request's content in place of that of a segment, behind all of them.
-const CONTENT_POSITION: u8 = 254;
+const CONTENT_POSITION: u8 = 253;
+const RESOURCE_POSITION: u8 = 254;
 const CALLER_POSITION: u8 = 255;
 
 /// Something in a request that may crash the target that runs it.
@@ -29,15 +31,30 @@
     Segment(SegmentId),
     /// Content of a request, whoever sends it.
     Content(ContentFingerprint),
+    /// Path and body of requests from one caller, with any query.
+    Resource(ContentFingerprint),
     /// Content of a request from one caller.
     Caller(ContentFingerprint),
 }
 
+impl CrashSuspect {
+    /// Returns whether it names the requests of one caller.
+    pub(super) fn has_caller(&self) -> bool {
+        matches!(self, CrashSuspect::Resource(_) | CrashSuspect::Caller(_))
+    }
+
+    /// Returns whether two suspects are of one kind.
+    pub(super) fn is_same_kind(&self, other: &CrashSuspect) -> bool {
+        std::mem::discriminant(self) == std::mem::discriminant(other)
+    }
+}
+
 impl fmt::Display for CrashSuspect {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             CrashSuspect::Segment(id) => write!(f, "{id:x}"),
             CrashSuspect::Content(hash) => write!(f, "{CONTENT_PREFIX}{hash:x}"),
+            CrashSuspect::Resource(hash) => write!(f, "{RESOURCE_PREFIX}{hash:x}"),
             CrashSuspect::Caller(hash) => write!(f, "{CALLER_PREFIX}{hash:x}"),
         }
     }
@@ -51,6 +68,9 @@
         if let Some(hash) = text.strip_prefix(CONTENT_PREFIX) {
             return number(hash).map(CrashSuspect::Content);
         }
+        if let Some(hash) = text.strip_prefix(RESOURCE_PREFIX) {
+            return number(hash).map(CrashSuspect::Resource);
+        }
         match text.strip_prefix(CALLER_PREFIX) {
             Some(hash) => number(hash).map(CrashSuspect::Caller),
             None => number(text).map(CrashSuspect::Segment),
@@ -77,6 +97,8 @@
 pub struct RequestIdentity {
     /// Hash of the content: method, host, path, query and body, which may be empty.
     pub content: ContentFingerprint,
+    /// Hash of host, path, body and caller. A caller may change the query between sendings.
+    pub resource: ContentFingerprint,
     /// Hash of the content and the caller.
     pub caller: ContentFingerprint,
 }
@@ -86,9 +108,10 @@
 
 /// Returns what crashes of the targets that run a request may be blamed on.
 pub(super) fn request_suspects(request: &DirectRequest) -> RequestSuspects {
-    let RequestIdentity { content, caller } = request.identity;
+    let RequestIdentity { content, resource, caller } = request.identity;
     let own = [
         (CrashSuspect::Content(content), CONTENT_POSITION),
+        (CrashSuspect::Resource(resource), RESOURCE_POSITION),
         (CrashSuspect::Caller(caller), CALLER_POSITION),
     ];
     let shared = request.prompt.as_ref().map_or(&[][..], shared_segments);
--- a/src/direct/suspect_table.rs
+++ b/src/direct/suspect_table.rs
@@ -423,7 +423,7 @@
     fn drop_crash(&mut self, start: &TargetStart) {
         let Some(crash) = self.crashes.remove(start) else { return };
         for (suspect, used) in crash.suspects {
-            if matches!(suspect, CrashSuspect::Caller(_)) && crash.own.contains(&suspect) {
+            if suspect.has_caller() && crash.own.contains(&suspect) {
                 self.own_breaks += 1;
                 let id = (self.instance, self.own_breaks);
                 self.add_break(id, BreakRecord { at: crash.at, suspect, used });
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -220,12 +220,15 @@
 /// body. The caller is told by its address, as no header names it.
 fn request_identity(parts: &Parts, body: &Bytes, caller: IpAddr) -> RequestIdentity {
     let mut hasher = SipHasher13::new();
-    parts.method.as_str().hash(&mut hasher);
     header_text(&parts.headers, &HOST).hash(&mut hasher);
     parts.uri.path().hash(&mut hasher);
-    parts.uri.query().hash(&mut hasher);
     body.hash(&mut hasher);
-    let content = hasher.finish();
-    caller.hash(&mut hasher);
-    RequestIdentity { content, caller: hasher.finish() }
+    let mut with_caller = hasher;
+    caller.hash(&mut with_caller);
+    let resource = with_caller.finish();
+    for hasher in [&mut hasher, &mut with_caller] {
+        parts.method.as_str().hash(hasher);
+        parts.uri.query().hash(hasher);
+    }
+    RequestIdentity { content: hasher.finish(), resource, caller: with_caller.finish() }
 }
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -128,9 +128,9 @@
         let reason = display_option(trace.reason);
         self.record_end(&trace, &reason);
         // A request that ended whole is no suspect, and most do.
-        let (segments, content, caller) = match self.complete {
-            true => ("", "", ""),
-            false => (&*trace.segments, &*trace.content, &*trace.caller),
+        let (segments, content, resource, caller) = match self.complete {
+            true => ("", "", "", ""),
+            false => (&*trace.segments, &*trace.content, &*trace.resource, &*trace.caller),
         };
         log::info!(
             request:% = self.id,
@@ -144,6 +144,7 @@
             subject:% = trace.shared_segment,
             segments:% = segments,
             content:% = content,
+            resource:% = resource,
             caller:% = caller,
             estimate_ms:% = trace.estimate_ms,
             waiting_ms:% = trace.waiting_ms,
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -52,7 +52,9 @@
         for suspect in blocked {
             match suspect {
                 CrashSuspect::Segment(_) => counts.segments += 1,
-                CrashSuspect::Content(_) | CrashSuspect::Caller(_) => counts.requests += 1,
+                CrashSuspect::Content(_) | CrashSuspect::Resource(_) | CrashSuspect::Caller(_) => {
+                    counts.requests += 1
+                }
             }
         }
         counts
--- a/src/process/direct/suspects.rs
+++ b/src/process/direct/suspects.rs
@@ -51,6 +51,7 @@
     match suspect {
         CrashSuspect::Segment(_) => "prompt segment",
         CrashSuspect::Content(_) => "request of any caller",
+        CrashSuspect::Resource(_) => "request with any query",
         CrashSuspect::Caller(_) => "request",
     }
 }
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -20,9 +20,9 @@
 const BLOCK_TIME: Duration = Duration::from_secs(600);
 
 /// Content 1 of callers 1 and 2, and content 2 of caller 1.
-const FIRST: RequestIdentity = RequestIdentity { content: 1, caller: 11 };
-const OTHER_CALLER: RequestIdentity = RequestIdentity { content: 1, caller: 12 };
-const OTHER_CONTENT: RequestIdentity = RequestIdentity { content: 2, caller: 21 };
+const FIRST: RequestIdentity = RequestIdentity { content: 1, resource: 31, caller: 11 };
+const OTHER_CALLER: RequestIdentity = RequestIdentity { content: 1, resource: 32, caller: 12 };
+const OTHER_CONTENT: RequestIdentity = RequestIdentity { content: 2, resource: 41, caller: 21 };
 
 /// Entries that report to each other, and targets that start again at once.
 struct Fleet {
@@ -178,12 +178,30 @@
 fn a_content_is_blocked_whoever_sends_it() {
     let mut fleet = Fleet::new(2, 6);
     let crashes = (0..20_u64).take_while(|number| {
-        let identity = RequestIdentity { caller: 100 + number, ..FIRST };
+        let identity = RequestIdentity { caller: 100 + number, resource: 200 + number, ..FIRST };
         fleet.crash(&[(*number as usize % 2, identity)]).is_ok()
     });
     assert_eq!(crashes.count(), 4);
 }
 
+/// One caller sends a path with another query each time.
+#[parameterized(three_entries = { 3, 1 }, two_at_once = { 3, 2 })]
+fn a_request_whose_query_changes_is_blocked(entries: usize, at_once: u64) {
+    let mut fleet = Fleet::new(entries, 6);
+    let crashes = (0..20_u64).take_while(|number| {
+        let sent = (0..at_once).map(|other| {
+            let own = 100 + number * at_once + other;
+            let identity = RequestIdentity { content: own, resource: 31, caller: own };
+            ((number + other) as usize % entries, identity)
+        });
+        fleet.crash(&sent.collect::<Vec<_>>()).is_ok()
+    });
+    assert!(crashes.count() <= 3);
+    // Neither another caller nor another path is blocked with it.
+    fleet.succeed(0, OTHER_CALLER);
+    fleet.succeed(0, OTHER_CONTENT);
+}
+
 /// Sound requests that ran at the same targets each time, and those that succeed in between.
 #[test]
 fn bystanders_are_not_blocked() {
@@ -240,7 +258,8 @@
     let mut fleet = Fleet::new(entries, 3);
     let mut breaks = 0;
     for number in 0..20_u64 {
-        let bystander = RequestIdentity { content: 100 + number, caller: 200 + number };
+        let bystander =
+            RequestIdentity { content: 100 + number, resource: 300 + number, caller: 200 + number };
         let entry = number as usize % entries;
         for identity in [FIRST, bystander] {
             if let Ok(sent) = fleet.send(entry, identity) {
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -25,6 +25,10 @@
     addresses: Vec<(String, SocketAddr)>,
 }
 
+fn own_identity(hash: u64) -> RequestIdentity {
+    RequestIdentity { content: hash, resource: hash, caller: hash }
+}
+
 fn own_prompt(flow: u64, tokens: u32) -> PromptShape {
     let own = PromptSegment { id: 1_000_000 + flow, tokens };
     PromptShape { tokens, max_output: 120, segments: [own].into_iter().collect() }
@@ -219,7 +223,7 @@
 
     /// Submits a request with a prompt, and a body unlike that of any other.
     pub fn submit_shape(&mut self, flow: u64, prompt: PromptShape) -> StepResult {
-        let identity = RequestIdentity { content: 1000 + flow, caller: 1000 + flow };
+        let identity = own_identity(1000 + flow);
         self.submit_identity(flow, Some(prompt), identity)
     }
 
@@ -281,13 +285,7 @@
         prompt: Option<PromptShape>,
         resumes: Option<StreamResume>,
     ) -> StepResult {
-        self.send_body(
-            flow,
-            time_left,
-            prompt,
-            resumes,
-            RequestIdentity { content: 42, caller: 42 },
-        )
+        self.send_body(flow, time_left, prompt, resumes, own_identity(42))
     }
 
     fn send_body(
