Block a request after three crashes, also of several targets at once

The three targets of the service end within 0.2 s of each other, so that each group of three counted as one step. Besides, requests that were in just the same crashes waited for the fifth.

--- a/src/direct/crash_cause.rs
+++ b/src/direct/crash_cause.rs
@@ -13,10 +13,11 @@
 };
 use crate::ids::ClockTime;
 
-/// Shortest time between two moments of crashes.
-const CRASH_MOMENT: Duration = Duration::from_millis(250);
-/// Crashes up to which a request is not blocked while another one was in just the same ones.
-const MAX_TIED_CRASHES: usize = 4;
+/// Shortest time between two moments of crashes under a segment.
+const SEGMENT_MOMENT: Duration = Duration::from_millis(250);
+/// Shortest time between two moments of crashes under a request. It is longer than the
+/// differences between entries' times of one power loss.
+const REQUEST_MOMENT: Duration = Duration::from_millis(20);
 
 /// What it takes to block a suspect.
 struct BlockThreshold {
@@ -29,19 +30,27 @@
     /// Number of crashes at different moments that stand for those, where requests wait so
     /// long that each was sent before the crash ahead of it.
     moments: usize,
+    /// Shortest time between two of those moments.
+    moment: Duration,
 }
 
 /// Returns what it takes to block a suspect that was in a whole response lately, or that was
 /// blocked before.
 fn threshold(suspect: CrashSuspect, was_fine: bool, was_blocked: bool) -> BlockThreshold {
+    let moment = match suspect {
+        CrashSuspect::Segment(_) => SEGMENT_MOMENT,
+        CrashSuspect::Content(_) | CrashSuspect::Resource(_) | CrashSuspect::Caller(_) => {
+            REQUEST_MOMENT
+        }
+    };
     let (crashes, consecutive, moments) = match suspect {
         _ if was_blocked => (1, 1, 1),
         CrashSuspect::Caller(_) | CrashSuspect::Resource(_) if was_fine => (4, 3, usize::MAX),
-        CrashSuspect::Caller(_) | CrashSuspect::Resource(_) => (3, 2, 3),
         CrashSuspect::Segment(_) | CrashSuspect::Content(_) if was_fine => (8, 4, usize::MAX),
-        CrashSuspect::Segment(_) | CrashSuspect::Content(_) => (4, 3, 5),
+        CrashSuspect::Segment(_) => (4, 3, 5),
+        CrashSuspect::Content(_) | CrashSuspect::Resource(_) | CrashSuspect::Caller(_) => (3, 2, 3),
     };
-    BlockThreshold { crashes, consecutive, moments }
+    BlockThreshold { crashes, consecutive, moments, moment }
 }
 
 /// Crash of a target, or a connection that broke while its target lived on.
@@ -63,7 +72,8 @@
     fn reach(&self, needed: &BlockThreshold) -> bool {
         self.unexplained
             && self.uses.len() >= needed.crashes
-            && (self.consecutive() >= needed.consecutive || self.moments() >= needed.moments)
+            && (self.consecutive() >= needed.consecutive
+                || self.moments(needed.moment) >= needed.moments)
     }
 
     /// Returns the largest number of crashes of which each came under a request that was sent
@@ -84,11 +94,11 @@
     }
 
     /// Returns the number of moments at which there were crashes.
-    fn moments(&self) -> usize {
+    fn moments(&self, moment: Duration) -> usize {
         let times: BTreeSet<ClockTime> = self.uses.values().map(|(at, _)| *at).collect();
         let mut last: Option<ClockTime> = None;
         let is_later = |at: &ClockTime| {
-            let is_later = last.is_none_or(|last| *at >= last + CRASH_MOMENT);
+            let is_later = last.is_none_or(|last| *at >= last + moment);
             if is_later {
                 last = Some(*at);
             }
@@ -102,16 +112,21 @@
     }
 }
 
+/// Suspects that explain the same crashes, and the number of those.
+pub(super) struct CrashCauses {
+    pub(super) suspects: Vec<CrashSuspect>,
+    pub(super) crashes: usize,
+}
+
 impl SuspectTable {
-    /// Returns the suspect that most crashes are explained by and that no blocked one explains,
-    /// if there are enough, with their number.
-    pub(super) fn likeliest_cause(&self, now: ClockTime) -> Option<(CrashSuspect, usize)> {
+    /// Returns the suspects that most crashes are explained by and that no blocked one explains,
+    /// if there are enough, with their number. There are several if nothing tells them apart.
+    pub(super) fn likeliest_causes(&self, now: ClockTime) -> Option<CrashCauses> {
         let spans = self.crash_spans(now);
         let causes = spans.iter().filter(|(suspect, crashes)| {
             let was_fine = self.successes.contains_key(*suspect);
             let was_blocked = self.blocked.contains_key(*suspect);
             crashes.reach(&threshold(**suspect, was_fine, was_blocked))
-                && !self.is_tied(&spans, **suspect, crashes)
         });
         // A suspect that was fine before is less likely than one that never was, and one that
         // follows others in the prompt less likely shared by sound requests.
@@ -121,7 +136,17 @@
             (Reverse(success.is_some()), crashes.uses.len(), position, Reverse(*suspect))
         };
         let causes = causes.map(|(suspect, crashes)| (weight(suspect, crashes), *suspect));
-        causes.max_by_key(|(weight, _)| *weight).map(|(weight, suspect)| (suspect, weight.1))
+        let (weight, likeliest) = causes.max_by_key(|(weight, _)| *weight)?;
+        let crashes = &spans[&likeliest];
+        let others = spans.iter().filter(|(other, known)| {
+            **other != likeliest
+                && !matches!(likeliest, CrashSuspect::Segment(_))
+                && other.is_same_kind(&likeliest)
+                && !self.successes.contains_key(*other)
+                && known.is_same(crashes)
+        });
+        let suspects = others.map(|(other, _)| *other).chain([likeliest]).collect();
+        Some(CrashCauses { suspects, crashes: weight.1 })
     }
 
     /// Groups the crashes by suspect.
@@ -165,21 +190,4 @@
         }
         spans
     }
-
-    /// Returns whether a request's few crashes may as well be caused by another request that
-    /// was in just the same ones.
-    fn is_tied(
-        &self,
-        spans: &HashMap<CrashSuspect, CrashSpans<'_>>,
-        suspect: CrashSuspect,
-        crashes: &CrashSpans<'_>,
-    ) -> bool {
-        let may_be_cause = |other: &CrashSuspect| {
-            other.is_same_kind(&suspect) && *other != suspect && !self.successes.contains_key(other)
-        };
-        suspect.has_caller()
-            && crashes.uses.len() <= MAX_TIED_CRASHES
-            && !self.blocked.contains_key(&suspect)
-            && spans.iter().any(|(other, known)| may_be_cause(other) && known.is_same(crashes))
-    }
 }
--- a/src/direct/suspect_table.rs
+++ b/src/direct/suspect_table.rs
@@ -484,27 +484,33 @@
 
     /// Blocks the suspects that explain most crashes, one after the other.
     fn block_causes(&mut self, now: ClockTime) {
-        while let Some((suspect, crashes)) = self.likeliest_cause(now) {
-            let breaks = self.breaks.iter().filter(|(_, broken)| broken.suspect == suspect);
-            let saw_crash = self.crashes.values().any(|crash| crash.own.contains(&suspect))
-                || breaks.clone().any(|(id, _)| id.0 == self.instance);
-            let last = self.crashes.values().filter(|c| c.suspects.contains_key(&suspect));
-            let last = last.map(|crash| crash.at).chain(breaks.map(|(_, broken)| broken.at));
-            let last = last.max().unwrap_or(now);
-            let before = self.blocked.get(&suspect);
-            let block = BlockRecord {
-                crashes: before.map_or(0, |block| block.crashes) + crashes as u32,
-                repeats: before.map_or(0, |block| block.repeats + 1),
-                last,
-                stored: saw_crash || before.is_some_and(|block| block.stored),
-            };
-            if saw_crash {
-                self.changes.push(SuspectChange::Blocked(block.report(now, suspect)));
+        while let Some(causes) = self.likeliest_causes(now) {
+            for suspect in causes.suspects {
+                self.block(now, suspect, causes.crashes);
             }
-            self.blocked.insert(suspect, block);
         }
     }
 
+    fn block(&mut self, now: ClockTime, suspect: CrashSuspect, crashes: usize) {
+        let breaks = self.breaks.iter().filter(|(_, broken)| broken.suspect == suspect);
+        let saw_crash = self.crashes.values().any(|crash| crash.own.contains(&suspect))
+            || breaks.clone().any(|(id, _)| id.0 == self.instance);
+        let last = self.crashes.values().filter(|c| c.suspects.contains_key(&suspect));
+        let last = last.map(|crash| crash.at).chain(breaks.map(|(_, broken)| broken.at));
+        let last = last.max().unwrap_or(now);
+        let before = self.blocked.get(&suspect);
+        let block = BlockRecord {
+            crashes: before.map_or(0, |block| block.crashes) + crashes as u32,
+            repeats: before.map_or(0, |block| block.repeats + 1),
+            last,
+            stored: saw_crash || before.is_some_and(|block| block.stored),
+        };
+        if saw_crash {
+            self.changes.push(SuspectChange::Blocked(block.report(now, suspect)));
+        }
+        self.blocked.insert(suspect, block);
+    }
+
     fn drop_oldest_crash(&mut self) {
         let oldest = self.crashes.iter().min_by_key(|(start, crash)| (crash.at, *start));
         if let Some(oldest) = oldest.map(|(start, _)| start.clone()) {
