Divide the limits that targets state among the entries

What callers saw: in second1 engines that had named about 5 requests a second got 68 and 70 in 4 s (33 and 37 allowed), as before they named a limit. Ruled out: a limit that each entry keeps by itself, and arrivals that are left out of it; arrivals did not change at all. Lines, a metric and the state dump show limits. The rigs of decisions have names of their own now, as shares depend on them.

--- a/emulator/tests/target_got_more_than_its_limit.rs
+++ b/emulator/tests/target_got_more_than_its_limit.rs
@@ -266,6 +266,7 @@
         }
         let seconds = (to - first).as_secs_f64();
         let used = count(first, to) / seconds;
+        eprintln!("{}: most {most} in 4 s, {used:.1} a second of {limit}", runner.id);
         // Where one target of many is limited, the others may be the better choice.
         if case.targets.is_all() && used < MIN_USED * limit {
             violations.push(format!("{}: {used:.1} a second of {limit}", runner.id));
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -19,6 +19,8 @@
 mod ending;
 mod estimate;
 mod flow;
+mod limit;
+mod limited;
 mod load;
 mod machine;
 mod report;
@@ -35,6 +37,7 @@
 pub use authority::ClaimOutcome;
 pub use budget::RetryWindow;
 pub use flow::RequestTrace;
+pub use limit::{LimitStatement, LimitTable, RequestRate, ServiceDemand};
 pub use load::{CachedSegment, InFlight, LoadReport, PeerTable, TargetUsage};
 pub use machine::{DirectMachine, DirectSettings};
 pub use route::{
@@ -192,6 +195,15 @@
         /// Time for which it wants no requests from this process.
         time: Duration,
     },
+    /// A target responded, and stated a limit on its requests or none.
+    TargetResponded {
+        /// Target and start that responded.
+        start: TargetStart,
+        /// Requests a second that it takes from all entries, if it stated that.
+        limit: Option<RequestRate>,
+        /// Time since the call was sent.
+        called: Duration,
+    },
     /// A target stated in a response that it leaves.
     TargetLeaving(LeavingTarget),
     /// A configuration was read. Versions that are not newer are ignored.
@@ -259,6 +271,8 @@
     OutcomeUnknown,
     /// The route's timeout or the caller's deadline has passed.
     TimedOut,
+    /// Targets take no more requests a second.
+    TargetLimit,
     /// Earlier runs of the request crashed several targets.
     CrashesTargets,
     /// The entry is stopping, and the request would not end before it exits.
--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -68,7 +68,7 @@
                 if let Some(state) = self.fleet.get_mut(&source) {
                     state.record_failure();
                 }
-                self.drop_cache(id, out);
+                self.drop_cache(now, id, out);
             }
             _ => {
                 flow.tried.push(call.target.id.clone());
@@ -179,7 +179,7 @@
         flow.runs += 1;
         flow.may_have_run = true;
         flow.tried.push(call.target.id.clone());
-        self.drop_cache(id, out);
+        self.drop_cache(now, id, out);
         self.place(now, id, out);
     }
 
@@ -298,7 +298,8 @@
         {
             state.record_run(now.saturating_sub(call.started));
         }
-        self.drop_cache(id, out);
+        self.drop_cache(now, id, out);
+        self.release_reserved(id);
         if let Some(flow) = self.flows.remove(&id) {
             if complete {
                 let times = self.request_times.entry(flow.request.route.name.clone()).or_default();
@@ -322,10 +323,11 @@
         }
     }
 
-    fn drop_cache(&mut self, id: FlowId, out: &mut Vec<DirectAction>) {
+    fn drop_cache(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let Some(cache) = self.flows.get_mut(&id).and_then(|flow| flow.cache.take()) else {
             return;
         };
+        self.limits.spend(now, &cache.target.id);
         out.push(DirectAction::FreeCache { target: cache.target, handle: cache.handle });
     }
 }
--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -8,7 +8,7 @@
 use std::hash::{Hash, Hasher};
 
 use super::{
-    CallStep, EngineConfig, InFlight, Locality, PeerTable, PromptShape, ServiceName,
+    CallStep, EngineConfig, InFlight, LimitTable, Locality, PeerTable, PromptShape, ServiceName,
     SoftwareVersion,
     flow::StepKind,
     target::{CALL_OVERHEAD, TargetFleet, TargetStage, TargetState},
@@ -65,6 +65,8 @@
 pub(super) struct Placement {
     pub(super) target: TargetId,
     pub(super) step: StepKind,
+    /// Engine that is to decode after a separate prefill.
+    pub(super) decode: Option<TargetId>,
     /// Prompt tokens that the target has to prefill.
     pub(super) prefill_tokens: u32,
     /// Expected time to the first output, in seconds.
@@ -95,6 +97,7 @@
 pub(super) struct PlacementView<'a> {
     pub(super) fleet: &'a TargetFleet,
     pub(super) peers: &'a PeerTable,
+    pub(super) limits: &'a LimitTable,
     pub(super) now: ClockTime,
 }
 
@@ -166,6 +169,7 @@
             external_cost: prefill.external_cost + decode.external_cost,
             seconds: prefill.seconds + decode.seconds,
             own_seconds: prefill.own_seconds + decode.own_seconds,
+            decode: Some(decode.target),
             ..prefill
         };
         match run {
@@ -179,6 +183,7 @@
             state.target.service == *query.service
                 && !state.target.leaving
                 && !state.is_closed(self.now)
+                && self.limits.admits(self.now, &state.target.id)
                 && query.version.is_none_or(|version| state.target.version == *version)
                 && !query.tried.contains(&state.target.id)
         };
@@ -287,6 +292,7 @@
     Placement {
         target: state.target.id.clone(),
         step,
+        decode: None,
         prefill_tokens: 0,
         seconds: waiting + own_seconds,
         own_seconds,
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -88,6 +88,8 @@
     pub(super) tried: SmallVec<[TargetId; 4]>,
     pub(super) call: Option<OpenCall>,
     pub(super) cache: Option<HeldCache>,
+    /// Engine with a limit of which a request is kept back for the decode call.
+    pub(super) reserved: Option<TargetId>,
     pub(super) may_have_run: bool,
     /// Whether the response that is being delivered ends with its connection.
     pub(super) unframed: bool,
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{LeavingTarget, OrderFencingToken, PeerName, PromptSegment};
+use super::{
+    LeavingTarget, LimitStatement, OrderFencingToken, PeerName, PromptSegment, RequestRate,
+    ServiceDemand, ServiceName,
+};
 use crate::ids::{ClockTime, TargetId};
 
 /// Age after which a peer's load no longer counts; ten missed reports.
@@ -75,6 +78,12 @@
     /// Targets that stated lately that they leave.
     #[serde(default)]
     pub leaving: Vec<LeavingTarget>,
+    /// Limits that targets stated to the entry lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitStatement>,
+    /// Requests that come to the entry for services with limited targets.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub demand: Vec<ServiceDemand>,
     /// Engines that are switching stages and take no new work.
     #[serde(rename = "moving")]
     pub switching: Vec<TargetId>,
@@ -88,6 +97,7 @@
     claim: Option<OrderFencingToken>,
     #[serde(rename = "counts")]
     targets: HashMap<TargetId, TargetUsage>,
+    demand: Vec<ServiceDemand>,
 }
 
 /// Current load of each peer, by its reports.
@@ -111,6 +121,7 @@
             received: now,
             claim: None,
             targets: HashMap::new(),
+            demand: Vec::new(),
         });
         if report.full || load.instance != report.instance {
             load.targets.clear();
@@ -119,6 +130,7 @@
         load.sequence = report.sequence;
         load.received = now;
         load.claim = report.claim;
+        load.demand = report.demand;
         let targets = report.targets.into_iter().map(|usage| (usage.target.clone(), usage));
         load.targets.extend(targets);
     }
@@ -158,6 +170,17 @@
         self.usage(target).fold(InFlight::default(), |sum, usage| sum + usage.in_flight)
     }
 
+    /// Returns the rate of requests for a service that come to some of the peers.
+    pub fn demand(
+        &self,
+        service: &ServiceName,
+        is_counted: impl Fn(&PeerName) -> bool,
+    ) -> RequestRate {
+        let peers = self.peers.iter().filter(|(name, _)| is_counted(name));
+        let demands = peers.flat_map(|(_, peer)| &peer.demand);
+        demands.filter(|demand| demand.service == *service).map(|demand| demand.rate).sum()
+    }
+
     /// Returns the mean prefill rate that peers have measured, in tokens per second, and
     /// their number of samples. Both are 0 if no peer has measured one.
     pub fn prefill_rate(&self, target: &TargetId) -> (f32, u32) {
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -17,6 +17,7 @@
     authority::StageAuthority,
     estimate::{Placement, PlacementQuery, PlacementView, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
+    limit::LimitTable,
     stage_plan::StagePlanner,
     stop::{RequestTimes, StopPlan},
     stream::OriginTable,
@@ -77,6 +78,7 @@
     pub(super) max_entries: usize,
     #[serde(rename = "segments")]
     pub(super) suspects: SuspectTable,
+    pub(super) limits: LimitTable,
     budgets: HashMap<ServiceName, RetryWindow>,
     #[serde(skip)]
     pub(super) flows: HashMap<FlowId, DirectFlow>,
@@ -122,6 +124,7 @@
             fleet: TargetFleet::default(),
             peers: PeerTable::default(),
             max_entries: MIN_ENTRIES,
+            limits: LimitTable::default(),
             budgets: HashMap::new(),
             flows: HashMap::new(),
             timeouts: BTreeSet::new(),
@@ -215,6 +218,9 @@
                     state.close(now + time);
                 }
             }
+            DirectEvent::TargetResponded { start, limit, called } => {
+                self.limit_stated(now, start, limit, called);
+            }
             DirectEvent::TargetLeaving(leaving) => self.fleet.mark_leaving(now, leaving),
             DirectEvent::Routes(routes) => self.apply_routes(routes),
             DirectEvent::PeerLoad(report) => self.peer_load(now, report),
@@ -261,6 +267,7 @@
         let route = request.route.clone();
         let service = self.pick_service(&request);
         self.budget(&service).count_request(now);
+        self.limits.record_demand(now, &service);
         let timeout_at = now + route.timeout;
         let version = self.routes.as_ref().map_or(0, |routes| routes.version);
         let prompt = request.prompt.as_ref();
@@ -292,6 +299,7 @@
             tried: Default::default(),
             call: None,
             cache: None,
+            reserved: None,
             may_have_run: false,
             unframed: false,
             trace,
@@ -377,7 +385,8 @@
 
     fn choose(&mut self, now: ClockTime, id: FlowId) -> Option<Placement> {
         let flow = self.flows.get(&id)?;
-        let view = PlacementView { fleet: &self.fleet, peers: &self.peers, now };
+        let view =
+            PlacementView { fleet: &self.fleet, peers: &self.peers, limits: &self.limits, now };
         let query = query(flow, self.routes.as_ref(), &self.settings);
         view.choose(&mut self.rng, &query)
     }
@@ -390,8 +399,11 @@
         if flow.time_left(now) < MIN_CALL_TIME {
             return self.fail_request(id, FailureReason::TimedOut, Duration::ZERO, out);
         }
+        self.release_reserved(id);
+        let Some(flow) = self.flows.get(&id) else { return };
         let source = flow.cache.as_ref().and_then(|cache| self.fleet.get(&cache.target.id));
-        let view = PlacementView { fleet: &self.fleet, peers: &self.peers, now };
+        let view =
+            PlacementView { fleet: &self.fleet, peers: &self.peers, limits: &self.limits, now };
         let query = query(flow, self.routes.as_ref(), &self.settings);
         let chosen = source.and_then(|source| view.choose_decode(&mut self.rng, &query, source));
         match chosen {
@@ -406,7 +418,10 @@
         let Some(flow) = self.flows.get(&id) else { return };
         let (reason, wait) = match self.fleet.opens_in(now, &flow.service) {
             Some(wait) => (FailureReason::Declined, wait.div_f64(RETRY_SPREAD.0)),
-            None => (FailureReason::NoTarget, NO_TARGET_DELAY),
+            None => match self.limits.return_time(now, &flow.service) {
+                Some(wait) => (FailureReason::TargetLimit, wait),
+                None => (FailureReason::NoTarget, NO_TARGET_DELAY),
+            },
         };
         self.fail_request(id, reason, wait, out);
     }
@@ -415,6 +430,11 @@
         let Some(flow) = self.flows.get_mut(&id) else { return };
         let Some(state) = self.fleet.get_mut(&chosen.target) else { return };
         flow.calls += 1;
+        self.limits.spend(now, &chosen.target);
+        if let Some(decode) = &chosen.decode {
+            self.limits.spend(now, decode);
+        }
+        flow.reserved = chosen.decode.clone();
         let target = state.target.clone();
         let in_flight = state.in_flight + self.peers.in_flight_at(&chosen.target);
         let tokens_ahead = in_flight.tokens_ahead(flow.late);
@@ -490,6 +510,7 @@
     fn tick(&mut self, now: ClockTime, out: &mut Vec<DirectAction>) {
         self.peers.expire(now);
         self.fleet.drop_expired(now);
+        self.update_limits(now);
         self.continue_queries(now, out);
         self.continue_stop(now);
         if now >= self.next_expiry {
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -60,6 +60,8 @@
             cached: self.recent_segments.iter().map(|(_, cached)| cached.clone()).collect(),
             claim: self.authority.claim(),
             leaving: self.fleet.leaving_since(now.saturating_sub(LEAVING_REPORT_TIME)),
+            limits: self.limits.statements(now),
+            demand: self.limits.demands(now),
             switching: self.planner.switching(),
             suspects: Vec::new(),
         }
@@ -75,6 +77,9 @@
             for leaving in &report.leaving {
                 self.fleet.hear_leaving(now, leaving);
             }
+            for statement in &report.limits {
+                self.state_limit(now, statement, false);
+            }
             self.pause_switching(now, &report.switching);
             self.peers.apply(now, report);
             self.max_entries = self.max_entries.max(self.peers.len() + 1);
--- a/src/direct/stage_plan.rs
+++ b/src/direct/stage_plan.rs
@@ -204,7 +204,8 @@
         prefill_engines: &[&TargetState],
         decode_engines: &[&TargetState],
     ) -> StageLoad {
-        let view = PlacementView { fleet: &self.fleet, peers: &self.peers, now };
+        let view =
+            PlacementView { fleet: &self.fleet, peers: &self.peers, limits: &self.limits, now };
         let waits: f32 = prefill_engines.iter().map(|state| view.prefill_wait(state, true)).sum();
         let running = |state: &&TargetState| view.in_flight(state).running.min(state.target.slots);
         let slots: u32 = decode_engines.iter().map(|state| state.target.slots).sum();
@@ -232,7 +233,8 @@
         now: ClockTime,
         stage: TargetStage,
     ) -> Option<Arc<DirectTarget>> {
-        let view = PlacementView { fleet: &self.fleet, peers: &self.peers, now };
+        let view =
+            PlacementView { fleet: &self.fleet, peers: &self.peers, limits: &self.limits, now };
         let rate = |state: &&TargetState| view.rate(state);
         let mut excluded = self.planner.switching();
         excluded.extend(self.planner.refused.iter().map(|(id, _)| id.clone()));
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -18,6 +18,7 @@
 pub(super) static NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 pub(super) static SERVER_SIGNATURE: HeaderName = HeaderName::from_static("server-signature");
 pub(super) static SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+pub(super) static SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 pub(super) static KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Request headers that only this system may set; a caller's values are not forwarded.
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -18,11 +18,12 @@
     discovery::WireStage,
     header::{
         DEADLINE_MS, EXPECT_INSTANCE, KEEP_ALIVE, KV_SOURCE, NOT_EXECUTED, REQUEST_ID,
-        REQUEST_PRIORITY, SERVER_LEAVING, SERVER_SIGNATURE, SERVING_STAGE, strip_hop_by_hop,
+        REQUEST_PRIORITY, SERVER_LEAVING, SERVER_LIMIT, SERVER_SIGNATURE, SERVING_STAGE,
+        strip_hop_by_hop,
     },
 };
 use crate::{
-    direct::{CallStep, DirectTarget, StageOrder, TargetStage},
+    direct::{CallStep, DirectTarget, RequestRate, StageOrder, TargetStage},
     error::{Error, ErrorCode, Result},
 };
 
@@ -276,6 +277,15 @@
     valid.then(|| Duration::from_secs_f64(seconds.min(MAX_CLOSED_TIME.as_secs_f64())))
 }
 
+/// Returns how many requests a second a target states that it takes from all entries.
+///
+/// Anything but a number that is not negative counts as no statement.
+pub fn request_limit(headers: &HeaderMap) -> Option<RequestRate> {
+    let text = headers.get(&SERVER_LIMIT)?.to_str().ok()?;
+    let limit: RequestRate = text.trim().parse().ok()?;
+    (limit.is_finite() && limit >= 0.0).then_some(limit)
+}
+
 /// Returns whether a response states that its target leaves.
 pub fn is_leaving(headers: &HeaderMap) -> bool {
     headers.get(&SERVER_LEAVING).is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
--- a/src/process/direct/call.rs
+++ b/src/process/direct/call.rs
@@ -88,8 +88,9 @@
     target: &DirectTarget,
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<ReceivedBody>, ConnectionLease), CallOutcome> {
+    let called = Instant::now();
     let (response, lease) = send_once(driver, target, request).await?;
-    driver.record_statements(target, response.status(), response.headers());
+    driver.record_statements(target, called, response.status(), response.headers());
     Ok((response, lease))
 }
 
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -67,6 +67,8 @@
     pub(super) in_flight: usize,
     pub(super) targets: usize,
     pub(super) blocked: BlockedCounts,
+    /// Number of targets that state a limit on requests.
+    pub(super) limited_targets: usize,
     pub(super) peers: usize,
     pub(super) version: u64,
     pub(super) configuration_age: Duration,
@@ -92,6 +94,7 @@
     pub(super) store_seconds: Histogram,
     in_flight: Gauge,
     targets: Gauge,
+    limited_targets: Gauge,
     blocked_segments: Gauge,
     blocked_requests: Gauge,
     peers: Gauge,
@@ -115,6 +118,7 @@
             store_seconds: Histogram::new(DURATION_BUCKETS),
             in_flight: Gauge::default(),
             targets: Gauge::default(),
+            limited_targets: Gauge::default(),
             blocked_segments: Gauge::default(),
             blocked_requests: Gauge::default(),
             peers: Gauge::default(),
@@ -133,6 +137,7 @@
     pub(super) fn text(&self, state: StateGauges) -> String {
         self.in_flight.set(state.in_flight as i64);
         self.targets.set(state.targets as i64);
+        self.limited_targets.set(state.limited_targets as i64);
         self.blocked_segments.set(state.blocked.segments);
         self.blocked_requests.set(state.blocked.requests);
         self.peers.set(state.peers as i64);
@@ -179,6 +184,11 @@
         );
         registry.register("in_flight", "Requests without an end", self.in_flight.clone());
         registry.register("targets", "Known targets", self.targets.clone());
+        registry.register(
+            "limited_targets",
+            "Targets that state how many requests a second they take",
+            self.limited_targets.clone(),
+        );
         registry.register(
             "blocked_segments",
             "Prompt segments with which requests are rejected, as they crash targets",
--- a/src/process/direct/orders.rs
+++ b/src/process/direct/orders.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
 use rustix::time::{ClockId, clock_gettime};
+use tokio::time::Instant;
 
 use super::shell::DirectDriver;
 use crate::{
@@ -172,9 +173,10 @@
     let work = async {
         let mut connection = dial::connect(target.address, CALL_TIMEOUT).await?;
         let request = request.map(Full::new);
+        let called = Instant::now();
         let response = connection.sender.send_request(request).await.map_err(|e| failed(&e))?;
         let status = response.status();
-        driver.record_statements(target, status, response.headers());
+        driver.record_statements(target, called, status, response.headers());
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
         Ok((status, body.map_err(|e| failed(&e))?.to_bytes()))
     };
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -28,7 +28,7 @@
 use crate::{
     direct::{
         DirectAction, DirectEvent, DirectMachine, DirectTarget, FlowId, LeavingTarget, LoadReport,
-        PeerName, RequestTrace, RouteTable, StopPhase, SuspectReport,
+        PeerName, RequestRate, RequestTrace, RouteTable, StopPhase, SuspectReport,
     },
     ids::ClockTime,
     platform::{configuration, discovery, runner},
@@ -148,13 +148,19 @@
     }
 
     /// Records what the head of a target's response states about the target itself: that it
-    /// leaves, or wants no requests for a while.
+    /// leaves, wants no requests for a while, or takes so many a second. `called` is when the
+    /// call was sent.
     pub(super) fn record_statements(
         self: &Rc<Self>,
         target: &DirectTarget,
+        called: Instant,
         status: StatusCode,
         headers: &HeaderMap,
     ) {
+        // Another target answers there, which says nothing of this one.
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            self.record_limit(target, called, runner::request_limit(headers));
+        }
         if let Some(time) = runner::closed_time(status, headers) {
             log::info!(
                 target_id:% = target.id, time_ms:% = time.as_millis();
@@ -172,6 +178,28 @@
         self.step(DirectEvent::TargetLeaving(leaving));
     }
 
+    /// Records the limit on requests that a response states, or that it states none.
+    fn record_limit(
+        self: &Rc<Self>,
+        target: &DirectTarget,
+        called: Instant,
+        limit: Option<RequestRate>,
+    ) {
+        let start = (target.id.clone(), target.born_ms);
+        let before = self.machine.borrow().target_limit(&target.id);
+        if limit.is_none() && before.is_none() {
+            return;
+        }
+        self.step(DirectEvent::TargetResponded { start, limit, called: called.elapsed() });
+        let after = self.machine.borrow().target_limit(&target.id);
+        if before != after {
+            log::info!(
+                target_id:% = target.id, before:? = before, limit:? = after;
+                "request limit of target changed"
+            );
+        }
+    }
+
     /// Counts and logs a target's response that is given up.
     pub(super) fn record_fault(
         &self,
@@ -297,6 +325,7 @@
             in_flight: machine.in_flight(),
             targets: machine.fleet().len(),
             peers: machine.peer_count(),
+            limited_targets: machine.limited_targets(),
             blocked: BlockedCounts::of(machine.blocked_suspects(self.now())),
             version: machine.routes().map_or(0, |routes| routes.version),
             configuration_age: ages.configuration,
--- a/tests/leaving_statements.rs
+++ b/tests/leaving_statements.rs
@@ -28,6 +28,8 @@
         targets: Vec::new(),
         cached: Vec::new(),
         suspects: Vec::new(),
+        limits: Vec::new(),
+        demand: Vec::new(),
         claim: None,
         leaving: vec![leaving(born_ms)],
         switching: Vec::new(),
--- a/tests/load_reports.rs
+++ b/tests/load_reports.rs
@@ -30,6 +30,8 @@
         targets,
         cached: vec![],
         suspects: vec![],
+        limits: vec![],
+        demand: vec![],
         claim: None,
         leaving: vec![],
         switching: vec![],
--- a/tests/stage_orders.rs
+++ b/tests/stage_orders.rs
@@ -62,6 +62,8 @@
         targets: vec![],
         cached: vec![],
         suspects: vec![],
+        limits: vec![],
+        demand: vec![],
         claim,
         leaving: vec![],
         switching: vec![],
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -74,7 +74,7 @@
     /// Returns the rig of an entry that is told apart from others by its number.
     pub fn named(retry: RetryPolicy, number: u64) -> DirectRig {
         let machine = DirectMachine::new(DirectSettings {
-            name: "entry".into(),
+            name: format!("entry-{number}").into(),
             instance: number,
             seed: number,
             data_centre: "dc".into(),
@@ -272,6 +272,8 @@
             targets,
             cached: Vec::new(),
             suspects: Vec::new(),
+            limits: Vec::new(),
+            demand: Vec::new(),
             leaving: Vec::new(),
             claim: None,
             switching: Vec::new(),
