--- a/src/direct/limit.rs
+++ b/src/direct/limit.rs
@@ -38,7 +38,7 @@
 const MAX_REPORTED: usize = 64;
 /// Interval at which limits are divided again, that of the reports between few entries.
 const SHARE_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest time for which refusals count as callers who come back.
+/// Time for which a refusal counts towards the return times of later ones.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
 /// What one start of a target last stated of its limit.
@@ -286,8 +286,8 @@
             .retain(|_, refusals| refusals.last().is_some_and(|l| *l + REFUSAL_TIME >= now));
     }
 
-    /// Returns the newest statements that this entry heard itself, for reports to peers. Others
-    /// would come back for ever, and older ones after the limit has ended.
+    /// Returns the newest statements that this entry heard itself, for reports to peers. Those
+    /// of peers would circulate without end, and old ones would restore a limit that has ended.
     pub(super) fn statements(&self, now: ClockTime) -> Vec<LimitStatement> {
         let statements = self.limits.iter().filter_map(|(target, known)| {
             let heard = known.heard.filter(|heard| *heard + STATEMENT_LIFETIME >= now)?;
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -217,7 +217,7 @@
 }
 
 /// Hashes what stays the same when a caller sends a request again, which includes an empty
-/// body. The caller is told by its address, as no header names it.
+/// body. The caller is identified by its address, as no header names it.
 fn request_identity(parts: &Parts, body: &Bytes, caller: IpAddr) -> RequestIdentity {
     let mut hasher = SipHasher13::new();
     header_text(&parts.headers, &HOST).hash(&mut hasher);
