Block a crashing request also when its callers or queries change

Cause: a crash that a blocked request explained counted for no other request, not even for the same content of any caller, which contains it. Change: such crashes go on counting for what contains the blocked request and for what was in all of them; a path that was served before is blocked at its fourth crash unless rivals ran beside it.

--- a/emulator/src/platform_rig/caller.rs
+++ b/emulator/src/platform_rig/caller.rs
@@ -224,7 +224,8 @@
             RequestClass::Poison => u64::MAX,
             _ => attempt as u64,
         };
-        let identity = RequestIdentity { content, resource: content, caller: content };
+        let (path, resource, caller) = (content, content, content);
+        let identity = RequestIdentity { path, content, resource, caller };
         let time_left = record.deadline.saturating_sub(self.now);
         let ignored = self.settings.defect == Some(DriverDefect::ResumesIgnored);
         let resumes = record.resumes.filter(|_| !ignored);
--- a/emulator/tests/request_without_a_body_crashed_all_targets.rs
+++ b/emulator/tests/request_without_a_body_crashed_all_targets.rs
@@ -34,6 +34,8 @@
 const SOUND_PAUSE: Duration = Duration::from_millis(25);
 /// Pause between the sendings of one crashing request.
 const CRASHING_PAUSE: Duration = Duration::from_millis(140);
+/// Number of sendings after which another caller takes its turn.
+const SENDINGS_IN_TURN: usize = 10;
 /// Time from the third crash to the starts of entries.
 const START_DELAY: Duration = Duration::from_secs(1);
 /// Pause between crashes of targets by themselves, and their number.
@@ -56,6 +58,15 @@
     Body,
 }
 
+/// From which addresses the sendings of a crashing request come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallerChange {
+    Never,
+    EachSending,
+    /// After some sendings, in which one caller crashes all targets of a service.
+    InTurn,
+}
+
 /// What happens to the entries after the third crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum EntryStarts {
@@ -77,8 +88,7 @@
     resumed: bool,
     /// Whether each sending of a crashing request has another query.
     query_changes: bool,
-    /// Whether each sending of a crashing request comes from another address.
-    caller_changes: bool,
+    caller_change: CallerChange,
     starts: EntryStarts,
     prefill: usize,
 }
@@ -87,7 +97,7 @@
     const fn new(port: u16, kind: CallerKind, has_body: bool) -> RequestCase {
         let (difference, starts) = (Difference::Path, EntryStarts::Never);
         let (crashing, resumed, prefill) = (1, false, 2);
-        let (query_changes, caller_changes) = (false, false);
+        let (query_changes, caller_change) = (false, CallerChange::Never);
         RequestCase {
             port,
             kind,
@@ -96,7 +106,7 @@
             crashing,
             resumed,
             query_changes,
-            caller_changes,
+            caller_change,
             starts,
             prefill,
         }
@@ -113,7 +123,11 @@
         request.method = if self.kind == CallerKind::Lookup { Method::GET } else { Method::POST };
         let page = if self.query_changes { 1 + number } else { 1 };
         request.path_rest = format!("thing-{index}?page={page}");
-        let host = if self.caller_changes { 10 + (number % 200) as u8 } else { CALLER.octets()[3] };
+        let host = match self.caller_change {
+            CallerChange::Never => CALLER.octets()[3],
+            CallerChange::EachSending => 10 + (number % 200) as u8,
+            CallerChange::InTurn => 10 + (number / SENDINGS_IN_TURN % 200) as u8,
+        };
         request.source = Ipv4Addr::new(127, 0, 0, host);
         request.body = if self.has_body { Bytes::from_static(b"body") } else { Bytes::new() };
         request.resumed = self
@@ -168,7 +182,10 @@
     other_body = { RequestCase { difference: Difference::Body, ..RequestCase::new(24_210, TICKET, false) } },
     query_changes = { RequestCase { query_changes: true, ..RequestCase::new(24_315, LOOKUP, false) } },
     query_of_tickets_changes = { RequestCase { query_changes: true, ..RequestCase::new(24_330, TICKET, true) } },
-    caller_changes = { RequestCase { caller_changes: true, ..RequestCase::new(24_345, LOOKUP, false) } },
+    caller_changes = { RequestCase { caller_change: CallerChange::EachSending, ..RequestCase::new(24_345, LOOKUP, false) } },
+    callers_in_turn = { RequestCase { caller_change: CallerChange::InTurn, ..RequestCase::new(24_360, LOOKUP, false) } },
+    callers_of_tickets_in_turn = { RequestCase { caller_change: CallerChange::InTurn, ..RequestCase::new(24_375, TICKET, true) } },
+    query_and_caller_change = { RequestCase { query_changes: true, caller_change: CallerChange::EachSending, ..RequestCase::new(24_390, LOOKUP, false) } },
     two_at_once = { RequestCase { crashing: 2, ..RequestCase::new(24_225, LOOKUP, false) } },
     an_entry_starts_later = { RequestCase { starts: EntryStarts::One, ..RequestCase::new(24_240, LOOKUP, false) } },
     all_entries_start_again = { RequestCase { starts: EntryStarts::All, ..RequestCase::new(24_255, LOOKUP, false) } },
--- a/src/direct/suspect.rs
+++ b/src/direct/suspect.rs
@@ -15,7 +15,9 @@
 const CALLER_PREFIX: char = 'k';
 const RESOURCE_PREFIX: char = 'p';
 const CONTENT_PREFIX: char = 'q';
-/// Positions of a request's content in place of that of a segment, behind all of them.
+const PATH_PREFIX: char = 'r';
+/// Positions of a request's own suspects in place of that of a segment, behind all of them.
+const PATH_POSITION: u8 = 252;
 const CONTENT_POSITION: u8 = 253;
 const RESOURCE_POSITION: u8 = 254;
 const CALLER_POSITION: u8 = 255;
@@ -29,6 +31,8 @@
 pub enum CrashSuspect {
     /// Segment of a prompt that requests share.
     Segment(SegmentId),
+    /// Path and body of requests with any query, whoever sends them.
+    Path(ContentFingerprint),
     /// Content of a request, whoever sends it.
     Content(ContentFingerprint),
     /// Path and body of requests from one caller, with any query.
@@ -43,6 +47,11 @@
         matches!(self, CrashSuspect::Resource(_) | CrashSuspect::Caller(_))
     }
 
+    /// Returns whether it is a segment of prompts, and no request.
+    pub(super) fn is_segment(&self) -> bool {
+        matches!(self, CrashSuspect::Segment(_))
+    }
+
     /// Returns whether two suspects are of one kind.
     pub(super) fn is_same_kind(&self, other: &CrashSuspect) -> bool {
         std::mem::discriminant(self) == std::mem::discriminant(other)
@@ -53,6 +62,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             CrashSuspect::Segment(id) => write!(f, "{id:x}"),
+            CrashSuspect::Path(hash) => write!(f, "{PATH_PREFIX}{hash:x}"),
             CrashSuspect::Content(hash) => write!(f, "{CONTENT_PREFIX}{hash:x}"),
             CrashSuspect::Resource(hash) => write!(f, "{RESOURCE_PREFIX}{hash:x}"),
             CrashSuspect::Caller(hash) => write!(f, "{CALLER_PREFIX}{hash:x}"),
@@ -65,6 +75,9 @@
 
     fn from_str(text: &str) -> Result<CrashSuspect, ParseIntError> {
         let number = |text| u64::from_str_radix(text, 16);
+        if let Some(hash) = text.strip_prefix(PATH_PREFIX) {
+            return number(hash).map(CrashSuspect::Path);
+        }
         if let Some(hash) = text.strip_prefix(CONTENT_PREFIX) {
             return number(hash).map(CrashSuspect::Content);
         }
@@ -93,8 +106,11 @@
 }
 
 /// Hashes of what stays the same when a caller sends a request again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(from = "IdentityHashes", into = "IdentityHashes")]
 pub struct RequestIdentity {
+    /// Hash of host, path and body.
+    pub path: ContentFingerprint,
     /// Hash of the content: method, host, path, query and body, which may be empty.
     pub content: ContentFingerprint,
     /// Hash of host, path, body and caller. A caller may change the query between sendings.
@@ -103,19 +119,53 @@
     pub caller: ContentFingerprint,
 }
 
+/// Encoded form of a [`RequestIdentity`], as reports hold many: path, content, resource, caller.
+type IdentityHashes = [ContentFingerprint; 4];
+
+impl From<IdentityHashes> for RequestIdentity {
+    fn from([path, content, resource, caller]: IdentityHashes) -> RequestIdentity {
+        RequestIdentity { path, content, resource, caller }
+    }
+}
+
+impl From<RequestIdentity> for IdentityHashes {
+    fn from(identity: RequestIdentity) -> IdentityHashes {
+        [identity.path, identity.content, identity.resource, identity.caller]
+    }
+}
+
+impl RequestIdentity {
+    /// Returns the suspects of the request that stand for more requests than `narrow`, which is
+    /// another suspect of it; none if it is not.
+    pub(super) fn wider_suspects(&self, narrow: CrashSuspect) -> SmallVec<[CrashSuspect; 3]> {
+        let RequestIdentity { path, content, resource, caller } = *self;
+        let path = CrashSuspect::Path(path);
+        match narrow {
+            CrashSuspect::Caller(hash) if hash == caller => {
+                let wider = [CrashSuspect::Resource(resource), CrashSuspect::Content(content)];
+                wider.into_iter().chain([path]).collect()
+            }
+            CrashSuspect::Resource(hash) if hash == resource => SmallVec::from_slice(&[path]),
+            CrashSuspect::Content(hash) if hash == content => SmallVec::from_slice(&[path]),
+            _ => SmallVec::new(),
+        }
+    }
+}
+
 /// Suspects of one request, each with its position in the prompt.
-pub(super) type RequestSuspects = SmallVec<[(CrashSuspect, u8); 6]>;
+pub(super) type RequestSuspects = SmallVec<[(CrashSuspect, u8); 8]>;
 
 /// Returns what crashes of the targets that run a request may be blamed on.
 pub(super) fn request_suspects(request: &DirectRequest) -> RequestSuspects {
-    let RequestIdentity { content, resource, caller } = request.identity;
+    let RequestIdentity { path, content, resource, caller } = request.identity;
     let own = [
+        (CrashSuspect::Path(path), PATH_POSITION),
         (CrashSuspect::Content(content), CONTENT_POSITION),
         (CrashSuspect::Resource(resource), RESOURCE_POSITION),
         (CrashSuspect::Caller(caller), CALLER_POSITION),
     ];
     let shared = request.prompt.as_ref().map_or(&[][..], shared_segments);
-    let shared = shared.iter().zip(0..CONTENT_POSITION);
+    let shared = shared.iter().zip(0..PATH_POSITION);
     shared.map(|(segment, at)| (CrashSuspect::Segment(segment.id), at)).chain(own).collect()
 }
 
@@ -141,6 +191,9 @@
     pub age: Duration,
     /// Suspects that have not been in a whole response since.
     pub runs: Vec<SuspectRun>,
+    /// The requests that the entry had there, which tell whose suspects belong together.
+    #[serde(default)]
+    pub requests: Vec<RequestIdentity>,
 }
 
 /// Request whose connection broke while its target lived on.
@@ -216,5 +269,6 @@
 pub(super) struct TargetRun {
     pub(super) start: TargetStart,
     pub(super) sent: ClockTime,
+    pub(super) identity: RequestIdentity,
     pub(super) suspects: RequestSuspects,
 }
--- a/src/direct/suspect_table.rs
+++ b/src/direct/suspect_table.rs
@@ -16,9 +16,11 @@
 
 use super::{
     DirectRequest,
+    load::repeat_time,
     suspect::{
-        BlockedSuspect, BreakId, BrokenRun, CrashSuspect, RequestSuspects, SuspectChange,
-        SuspectReport, SuspectRun, TargetCrash, TargetRun, TargetStart, request_suspects,
+        BlockedSuspect, BreakId, BrokenRun, CrashSuspect, RequestIdentity, RequestSuspects,
+        SuspectChange, SuspectReport, SuspectRun, TargetCrash, TargetRun, TargetStart,
+        request_suspects,
     },
 };
 use crate::ids::ClockTime;
@@ -37,7 +39,7 @@
 /// Time after a supposed crash in which a response shows that the target lives on. A later
 /// one may come from its next start, which takes seconds.
 const SURVIVAL_TIME: Duration = Duration::from_secs(1);
-/// Time for which crashes and successes are repeated in reports, some of which may be lost.
+/// Shortest time for which crashes and successes are repeated in reports.
 const REPORT_TIME: Duration = Duration::from_secs(3);
 /// Largest number of crashes that are kept; the oldest are dropped first.
 const MAX_CRASHES: usize = 256;
@@ -67,6 +69,8 @@
     /// Suspects of the requests that this entry had at the target.
     own: HashSet<CrashSuspect>,
     pub(super) suspects: HashMap<CrashSuspect, SuspectUse>,
+    /// Requests that were at the target, and whether this entry sent them.
+    pub(super) requests: HashMap<RequestIdentity, bool>,
 }
 
 /// Request whose connection broke while its target lived on.
@@ -97,6 +101,7 @@
 struct UnconfirmedRun {
     ended: ClockTime,
     sent: ClockTime,
+    identity: RequestIdentity,
     suspects: RequestSuspects,
 }
 
@@ -163,7 +168,7 @@
     pub(super) fn run_broken(&mut self, now: ClockTime, run: TargetRun) -> bool {
         let is_new = !self.crashes.contains_key(&run.start);
         self.add_unconfirmed_runs(now, now, &run.start);
-        self.add_own_runs(now, &run.start, run.sent, &run.suspects);
+        self.add_own_runs(now, &run.start, run.sent, run.identity, &run.suspects);
         is_new && self.crashes.contains_key(&run.start)
     }
 
@@ -172,12 +177,16 @@
         at: ClockTime,
         start: &TargetStart,
         sent: ClockTime,
+        identity: RequestIdentity,
         suspects: &[(CrashSuspect, u8)],
     ) {
         for (suspect, position) in suspects {
             let used = SuspectUse { sent, position: *position };
             self.add_run(at, start, *suspect, used, true);
         }
+        if let Some(crash) = self.crashes.get_mut(start) {
+            crash.requests.insert(identity, true);
+        }
     }
 
     /// Adds the requests to a crash whose responses may have ended with it.
@@ -186,7 +195,7 @@
         let (ended, others): (Vec<_>, Vec<_>) =
             runs.into_iter().partition(|run| run.ended.abs_diff(at) <= UNCONFIRMED_TIME);
         for run in ended {
-            self.add_own_runs(at, start, run.sent, &run.suspects);
+            self.add_own_runs(at, start, run.sent, run.identity, &run.suspects);
         }
         let others: Vec<_> =
             others.into_iter().filter(|run| run.ended + UNCONFIRMED_TIME >= now).collect();
@@ -218,9 +227,9 @@
         if !runs.is_some_and(|runs| runs.iter().any(is_recent)) {
             return false;
         }
-        let suspects = RequestSuspects::new();
-        let run = TargetRun { start: start.clone(), sent: now, suspects };
-        self.run_broken(now, run)
+        let is_new = !self.crashes.contains_key(start);
+        self.add_unconfirmed_runs(now, now, start);
+        is_new && self.crashes.contains_key(start)
     }
 
     /// Records that a target responded to a call, which it can do only if it had not crashed
@@ -256,8 +265,9 @@
 
     /// Records a response that ended with its connection, whole or not.
     pub(super) fn run_ended_unconfirmed(&mut self, now: ClockTime, run: TargetRun) {
-        let ended = UnconfirmedRun { ended: now, sent: run.sent, suspects: run.suspects };
-        self.unconfirmed.entry(run.start).or_default().push(ended);
+        let TargetRun { start, sent, identity, suspects } = run;
+        let ended = UnconfirmedRun { ended: now, sent, identity, suspects };
+        self.unconfirmed.entry(start).or_default().push(ended);
     }
 
     /// Merges what a peer has seen.
@@ -286,6 +296,9 @@
             if let Some(known) = self.crashes.get_mut(&crash.start) {
                 self.has_new_evidence |= !known.confirmed || !crash.runs.is_empty();
                 known.confirmed = true;
+                for identity in &crash.requests {
+                    known.requests.entry(*identity).or_insert(false);
+                }
             }
         }
         for broken in &report.breaks {
@@ -325,9 +338,10 @@
         }
     }
 
-    /// Returns what peers have to know.
-    pub(super) fn report(&self, now: ClockTime) -> SuspectReport {
-        let is_recent = |at: &ClockTime| *at + REPORT_TIME >= now;
+    /// Returns what this many peers have to know.
+    pub(super) fn report(&self, now: ClockTime, peers: usize) -> SuspectReport {
+        let report_time = repeat_time(peers, REPORT_TIME);
+        let is_recent = |at: &ClockTime| *at + report_time >= now;
         let is_reported =
             |crash: &CrashRecord| crash.confirmed && is_recent(&crash.at) && !crash.own.is_empty();
         let crashes = self.crashes.iter().filter(|(_, crash)| is_reported(crash));
@@ -373,11 +387,12 @@
     }
 
     /// Drops what is older than its lifetime.
-    pub(super) fn expire(&mut self, now: ClockTime) {
+    pub(super) fn expire(&mut self, now: ClockTime, peers: usize) {
+        let report_time = repeat_time(peers, REPORT_TIME);
         self.crashes.retain(|_, crash| now <= crash.at + CRASH_LIFETIME);
         self.breaks.retain(|_, broken| now <= broken.at + CRASH_LIFETIME);
         self.successes.retain(|_, at| now <= *at + SUCCESS_LIFETIME);
-        self.own_successes.retain(|_, at| now <= *at + REPORT_TIME);
+        self.own_successes.retain(|_, at| now <= *at + report_time);
         self.survivors.retain(|_, (at, _)| now <= *at + CRASH_LIFETIME);
         self.responses.retain(|_, at| now <= *at + SUCCESS_LIFETIME);
         self.unconfirmed.retain(|_, runs| {
@@ -407,6 +422,7 @@
             confirmed: false,
             own: HashSet::new(),
             suspects: HashMap::new(),
+            requests: HashMap::new(),
         });
         if own {
             record.own.insert(suspect);
@@ -464,7 +480,7 @@
         *last = at.max(*last);
         if self.successes.len() > MAX_SUCCESSES {
             // Most requests are sent once, while segments are shared.
-            self.successes.retain(|suspect, _| matches!(suspect, CrashSuspect::Segment(_)));
+            self.successes.retain(|suspect, _| suspect.is_segment());
         }
         for crash in self.crashes.values_mut().filter(|crash| crash.at <= at) {
             crash.suspects.remove(&suspect);
@@ -484,7 +500,14 @@
 
     /// Blocks the suspects that explain most crashes, one after the other.
     fn block_causes(&mut self, now: ClockTime) {
+        let is_blocked = |table: &SuspectTable, suspect: &CrashSuspect| {
+            table.blocked.get(suspect).is_some_and(|block| now < block.ends())
+        };
         while let Some(causes) = self.likeliest_causes(now) {
+            // Nothing would change, and the search would not end.
+            if causes.suspects.iter().all(|suspect| is_blocked(self, suspect)) {
+                return;
+            }
             for suspect in causes.suspects {
                 self.block(now, suspect, causes.crashes);
             }
@@ -541,7 +564,10 @@
     });
     let mut runs: Vec<SuspectRun> = runs.collect();
     runs.sort_unstable();
-    TargetCrash { start: start.clone(), age: now.saturating_sub(crash.at), runs }
+    let requests = crash.requests.iter().filter(|(_, own)| **own);
+    let mut requests: Vec<RequestIdentity> = requests.map(|(identity, _)| *identity).collect();
+    requests.sort_unstable();
+    TargetCrash { start: start.clone(), age: now.saturating_sub(crash.at), runs, requests }
 }
 
 /// Returns whether a call to which a target responded was sent after its supposed crash.
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -223,6 +223,7 @@
     header_text(&parts.headers, &HOST).hash(&mut hasher);
     parts.uri.path().hash(&mut hasher);
     body.hash(&mut hasher);
+    let path = hasher.finish();
     let mut with_caller = hasher;
     caller.hash(&mut with_caller);
     let resource = with_caller.finish();
@@ -230,5 +231,5 @@
         parts.method.as_str().hash(hasher);
         parts.uri.query().hash(hasher);
     }
-    RequestIdentity { content: hasher.finish(), resource, caller: with_caller.finish() }
+    RequestIdentity { path, content: hasher.finish(), resource, caller: with_caller.finish() }
 }
--- a/src/process/direct/suspects.rs
+++ b/src/process/direct/suspects.rs
@@ -50,6 +50,7 @@
 fn noun(suspect: CrashSuspect) -> &'static str {
     match suspect {
         CrashSuspect::Segment(_) => "prompt segment",
+        CrashSuspect::Path(_) => "request of any caller with any query",
         CrashSuspect::Content(_) => "request of any caller",
         CrashSuspect::Resource(_) => "request with any query",
         CrashSuspect::Caller(_) => "request",
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -18,11 +18,23 @@
 /// The users' `stable_window_ms`.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 const BLOCK_TIME: Duration = Duration::from_secs(600);
+/// Largest number of sendings that may reach targets after the third crash.
+const MAX_REACHED: usize = 3;
 
 /// Content 1 of callers 1 and 2, and content 2 of caller 1.
-const FIRST: RequestIdentity = RequestIdentity { content: 1, resource: 31, caller: 11 };
-const OTHER_CALLER: RequestIdentity = RequestIdentity { content: 1, resource: 32, caller: 12 };
-const OTHER_CONTENT: RequestIdentity = RequestIdentity { content: 2, resource: 41, caller: 21 };
+const FIRST: RequestIdentity = identity(1, 0, 1);
+const OTHER_CALLER: RequestIdentity = identity(1, 0, 2);
+const OTHER_CONTENT: RequestIdentity = identity(2, 0, 1);
+
+/// Returns the identity of a request for a path, with a query, from a caller.
+const fn identity(path: u64, query: u64, caller: u64) -> RequestIdentity {
+    RequestIdentity {
+        path,
+        content: path + 1000 * query,
+        resource: path + 1_000_000 * caller,
+        caller: path + 1000 * query + 1_000_000 * caller,
+    }
+}
 
 /// Entries that report to each other, and targets that start again at once.
 struct Fleet {
@@ -178,7 +190,7 @@
 fn a_content_is_blocked_whoever_sends_it() {
     let mut fleet = Fleet::new(2, 6);
     let crashes = (0..20_u64).take_while(|number| {
-        let identity = RequestIdentity { caller: 100 + number, resource: 200 + number, ..FIRST };
+        let identity = identity(1, 0, 100 + number);
         fleet.crash(&[(*number as usize % 2, identity)]).is_ok()
     });
     assert_eq!(crashes.count(), 3);
@@ -190,8 +202,7 @@
     let mut fleet = Fleet::new(entries, 6);
     let crashes = (0..20_u64).take_while(|number| {
         let sent = (0..at_once).map(|other| {
-            let own = 100 + number * at_once + other;
-            let identity = RequestIdentity { content: own, resource: 31, caller: own };
+            let identity = identity(1, 100 + number * at_once + other, 1);
             ((number + other) as usize % entries, identity)
         });
         fleet.crash(&sent.collect::<Vec<_>>()).is_ok()
@@ -237,11 +248,7 @@
 #[parameterized(one_caller = { 1 }, a_caller_each = { 100 })]
 fn a_content_is_blocked_after_its_third_crash_at_several_targets(callers: u64) {
     let mut fleet = Fleet::new(3, 3);
-    let identity = |number| RequestIdentity {
-        caller: 100 + number % callers,
-        resource: 300 + number % callers,
-        ..FIRST
-    };
+    let identity = |number| identity(1, 0, 100 + number % callers);
     let sent: Vec<Sent> =
         (0..3).map(|number| fleet.send(number as usize, identity(number)).unwrap()).collect();
     for sent in sent {
@@ -281,8 +288,7 @@
     let mut fleet = Fleet::new(entries, 3);
     let mut breaks = 0;
     for number in 0..20_u64 {
-        let bystander =
-            RequestIdentity { content: 100 + number, resource: 300 + number, caller: 200 + number };
+        let bystander = identity(100 + number, 0, 1);
         let entry = number as usize % entries;
         for identity in [FIRST, bystander] {
             if let Ok(sent) = fleet.send(entry, identity) {
@@ -312,3 +318,223 @@
         assert_eq!(fleet.crash(&[(0, FIRST)]), Err(FailureReason::CrashesTargets));
     }
 }
+
+/// How the targets of a service end by a crashing request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CrashPattern {
+    /// One after the other.
+    Apart,
+    /// Each at a moment of its own, while the others run the request as well.
+    Overlapping,
+    /// All at the same moment.
+    Together,
+}
+
+/// What else there is of the crashing content.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ContentHistory {
+    Unknown,
+    /// Its first caller got a whole response a while before the crashes.
+    FineBefore,
+    /// Another caller did.
+    FineForOthersBefore,
+    /// Another request was at the same targets at the first three crashes.
+    BesideBystander,
+}
+
+/// Sends a request to three targets at once, which crash under it, and returns how many got it.
+fn crash_all(
+    fleet: &mut Fleet,
+    pattern: CrashPattern,
+    sent: impl Fn(u64) -> RequestIdentity,
+    bystander: Option<RequestIdentity>,
+) -> usize {
+    let mut reached = 0;
+    let crash = |fleet: &mut Fleet, running: Vec<Sent>| {
+        fleet.advance(RUN_TIME);
+        fleet.break_off(&running, true);
+        fleet.advance(RUN_TIME);
+    };
+    let mut running: Vec<Sent> = Vec::new();
+    for number in 0..3 {
+        let Ok(own) = fleet.send(number as usize, sent(number)) else { continue };
+        reached += 1;
+        running.push(own);
+        running.extend(bystander.and_then(|other| fleet.send(number as usize, other).ok()));
+        if pattern == CrashPattern::Apart {
+            crash(fleet, std::mem::take(&mut running));
+        }
+    }
+    if pattern == CrashPattern::Together {
+        crash(fleet, running);
+    } else {
+        let targets: Vec<TargetId> = running.iter().map(|sent| sent.target.clone()).collect();
+        for target in targets {
+            let (ended, others) = running.into_iter().partition(|sent| sent.target == target);
+            running = others;
+            crash(fleet, ended);
+        }
+    }
+    fleet.advance(Duration::from_secs(3));
+    reached
+}
+
+/// A request crashes all targets of a service at each of their starts, sent by one caller after
+/// the other.
+#[parameterized(
+    apart = { CrashPattern::Apart, ContentHistory::Unknown },
+    overlapping = { CrashPattern::Overlapping, ContentHistory::Unknown },
+    together = { CrashPattern::Together, ContentHistory::Unknown },
+    apart_fine_before = { CrashPattern::Apart, ContentHistory::FineBefore },
+    overlapping_fine_before = { CrashPattern::Overlapping, ContentHistory::FineBefore },
+    together_fine_before = { CrashPattern::Together, ContentHistory::FineBefore },
+    apart_fine_for_others = { CrashPattern::Apart, ContentHistory::FineForOthersBefore },
+    overlapping_fine_for_others = { CrashPattern::Overlapping, ContentHistory::FineForOthersBefore },
+    together_fine_for_others = { CrashPattern::Together, ContentHistory::FineForOthersBefore },
+    apart_beside_bystander = { CrashPattern::Apart, ContentHistory::BesideBystander },
+    overlapping_beside_bystander = { CrashPattern::Overlapping, ContentHistory::BesideBystander },
+)]
+fn a_content_is_blocked_whose_callers_take_turns(pattern: CrashPattern, history: ContentHistory) {
+    // Callers stay for all targets or for one, and send one query or one of their own each.
+    for (at_once, own_query) in [(true, false), (false, false), (true, true), (false, true)] {
+        let is_fine =
+            matches!(history, ContentHistory::FineBefore | ContentHistory::FineForOthersBefore);
+        let is_path_fine = is_fine && own_query;
+        if !is_path_fine {
+            assert_bounded_crashes(pattern, history, at_once, own_query);
+        }
+    }
+}
+
+/// Each caller has a query of its own, and callers were served on the path before.
+#[parameterized(
+    apart = { CrashPattern::Apart },
+    overlapping = { CrashPattern::Overlapping },
+    together = { CrashPattern::Together },
+)]
+fn a_path_that_was_fine_before_is_blocked_whose_queries_and_callers_change(pattern: CrashPattern) {
+    for history in [ContentHistory::FineBefore, ContentHistory::FineForOthersBefore] {
+        for at_once in [true, false] {
+            assert_bounded_crashes(pattern, history, at_once, true);
+        }
+    }
+}
+
+/// Checks how many sendings of a request reach targets after its third crash.
+fn assert_bounded_crashes(
+    pattern: CrashPattern,
+    history: ContentHistory,
+    at_once: bool,
+    own_query: bool,
+) {
+    let mut fleet = Fleet::new(3, 3);
+    let fine_caller = match history {
+        ContentHistory::FineBefore => Some(10),
+        ContentHistory::FineForOthersBefore => Some(2),
+        ContentHistory::Unknown | ContentHistory::BesideBystander => None,
+    };
+    if let Some(caller) = fine_caller {
+        // Entries do not report responses without crashes, so each has to see one.
+        (0..3).for_each(|entry| fleet.succeed(entry, identity(1, 0, caller)));
+    }
+    let mut reached = 0;
+    for round in 0..6 {
+        let sent = |number| {
+            let caller = 10 + if at_once { round } else { 3 * round + number };
+            identity(1, if own_query { caller } else { 0 }, caller)
+        };
+        let is_first = round == 0 && history == ContentHistory::BesideBystander;
+        let bystander = is_first.then_some(OTHER_CONTENT);
+        reached += crash_all(&mut fleet, pattern, sent, bystander);
+    }
+    assert!(
+        reached <= 3 + MAX_REACHED,
+        "{} sent after the third crash, one caller at all targets: {at_once}, \
+         query changes: {own_query}",
+        reached - 3
+    );
+}
+
+/// Requests like one that crashes targets are served, which is blocked beside them.
+#[parameterized(
+    other_caller = { OTHER_CALLER, false },
+    other_query = { identity(1, 7, 1), false },
+    other_query_of_other_caller = { identity(1, 7, 2), false },
+    other_caller_in_between = { OTHER_CALLER, true },
+    other_query_in_between = { identity(1, 7, 1), true },
+    other_query_of_other_caller_in_between = { identity(1, 7, 2), true },
+)]
+fn requests_like_a_crashing_one_are_served(similar: RequestIdentity, in_between: bool) {
+    let mut fleet = Fleet::new(3, 3);
+    let mut crashes = 0;
+    while fleet.crash(&[(crashes % 3, FIRST)]).is_ok() {
+        crashes += 1;
+        assert!(crashes <= 4, "still sent");
+        if in_between {
+            fleet.succeed(crashes % 3, similar);
+        }
+    }
+    for entry in 0..3 {
+        fleet.succeed(entry, similar);
+        assert!(fleet.crash(&[(entry, FIRST)]).is_err());
+    }
+    // Crashes of their own targets do not block them either, as they succeed afterwards.
+    for entry in 0..3 {
+        fleet.crash(&[(entry, similar)]).unwrap();
+        fleet.succeed(entry, similar);
+    }
+}
+
+/// Requests with other queries of the same path run beside two requests of another path, each of
+/// which crashes all targets at each of their starts until it is blocked.
+#[parameterized(
+    one_request = { 1, true },
+    two_requests = { 2, true },
+    one_request_beside_an_unknown_path = { 1, false },
+)]
+fn a_path_beside_crashing_requests_is_served(crashing: u64, was_fine: bool) {
+    let mut fleet = Fleet::new(3, 3);
+    let sound = |number| identity(1, number, number);
+    if was_fine {
+        (0..3).for_each(|entry| fleet.succeed(entry, sound(500 + entry as u64)));
+    }
+    for number in 0..crashing {
+        let deadly = identity(2 + number, 0, 50);
+        for round in 0..6 {
+            let query = 100 + 10 * (6 * number + round);
+            let mut running = Vec::new();
+            for target in 0..3 {
+                running.extend(fleet.send(target as usize, deadly).ok());
+                running.extend(fleet.send(target as usize, sound(query + target)).ok());
+            }
+            let (ended, whole) =
+                if running.len() > 3 { (running, vec![]) } else { (vec![], running) };
+            fleet.advance(RUN_TIME);
+            fleet.break_off(&ended, true);
+            whole.iter().for_each(|sent| fleet.end_whole(sent));
+            fleet.advance(STABLE_WINDOW);
+        }
+    }
+    for entry in 0..3 {
+        fleet.succeed(entry, sound(900 + entry as u64));
+    }
+}
+
+/// Requests of other paths crash a target, which always runs a sound query as well.
+#[parameterized(
+    two_in_turn = { 2, 1 },
+    three_one_after_the_other = { 3, 3 },
+)]
+fn a_path_beside_several_crashing_requests_is_served(requests: u64, in_a_row: u64) {
+    let mut fleet = Fleet::new(1, 1);
+    let sound = |number| identity(1, number, number);
+    fleet.succeed(0, sound(500));
+    let mut sent = 0;
+    for number in 0..12 {
+        let caller = 50 + (number / in_a_row) % requests;
+        let pair = [(0, identity(caller, 0, caller)), (0, sound(100 + number))];
+        sent += u64::from(fleet.crash(&pair).is_ok());
+    }
+    assert!(sent <= 3 * requests, "{sent} sent");
+    fleet.succeed(0, sound(900));
+}
