Read the store by its bounds, and refuse numbers out of range

Cause: the pauses between reads were constants of one deployment, and times or weights that a configuration, a peer's report or the settings state out of range ended the process. Change: ReadSchedule takes a share of the bound in the settings; times are cut at a year, weights at what can be summed, settings out of range are errors.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -80,6 +80,10 @@
 
 /// Steps per unit of weight: weights may be fractional and are cut to three decimals.
 const WEIGHT_SCALE: f64 = 1000.0;
+/// Largest scaled weight, so that their sum can be counted.
+const MAX_WEIGHT: f64 = 1.0e8;
+/// Longest time that a configuration can state: a year, which clocks can add.
+const MAX_TIME: Duration = Duration::from_secs(365 * 24 * 3600);
 
 /// Decodes a configuration document.
 ///
@@ -97,7 +101,7 @@
         limits: RequestLimits {
             head_bytes: config.limits.max_header_bytes,
             body_bytes: config.limits.max_body_bytes,
-            idle_time: Duration::from_millis(config.limits.idle_timeout_ms),
+            idle_time: Duration::from_millis(config.limits.idle_timeout_ms).min(MAX_TIME),
         },
     })
 }
@@ -111,7 +115,7 @@
     };
     let split = route.traffic_split.into_iter().map(|split| WeightedService {
         service: split.service,
-        weight: (split.weight * WEIGHT_SCALE) as u32,
+        weight: (split.weight * WEIGHT_SCALE).min(MAX_WEIGHT) as u32,
     });
     let single = route.service.into_iter().map(|service| WeightedService { service, weight: 1 });
     let services = single.chain(split).filter(|weighted| weighted.weight > 0).collect();
@@ -139,6 +143,7 @@
     ServiceConfig { max_connections: service.max_connections, engine }
 }
 
+/// Returns a time that is given in milliseconds; one beyond [`MAX_TIME`] is cut.
 fn duration_from_millis(value: f64) -> Duration {
-    Duration::from_secs_f64(value.max(0.0) / 1000.0)
+    Duration::from_secs_f64((value.max(0.0) / 1000.0).min(MAX_TIME.as_secs_f64()))
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -14,6 +14,8 @@
 
 /// Environment variable that holds the path of the settings file.
 pub const PATH_VARIABLE: &str = "SAPPHIREWELL_CONFIG";
+/// In seconds.
+const MILLISECOND: f64 = 0.001;
 
 /// Validated settings of a direct entry on the platform.
 #[derive(Debug, Clone, PartialEq)]
@@ -47,6 +49,11 @@
     pub retry_window: Duration,
     /// Shortest time between orders of two processes to the same engine.
     pub lease: Duration,
+    /// Time within which a configuration that the store accepted must be in force.
+    pub configuration_bound: Duration,
+    /// Time within which nothing may be sent any more to a target whose leaving the store
+    /// accepted.
+    pub drain_bound: Duration,
 }
 
 /// Parses the text of a settings file; unknown settings are ignored.
@@ -67,11 +74,13 @@
         seeds: reader.address_list("seeds"),
         peer_port: reader.parse_value("internal_ports", &first_port, 0),
         store: reader.required_or("platform.address", SocketAddr::from(([0, 0, 0, 0], 0))),
-        stop_grace: Duration::from_secs_f64(reader.number_or("bounds.grace_s", 8.0)),
+        stop_grace: reader.seconds_or("bounds.grace_s", 1.0, 8.0),
         retry_ratio: reader.number_or("bounds.retry_budget_ratio", 0.2),
         retry_slack: reader.number_or("bounds.retry_slack", 20.0),
-        retry_window: Duration::from_secs_f64(reader.number_or("bounds.budget_window_s", 10.0)),
-        lease: Duration::from_secs_f64(reader.number_or("bounds.lease_ms", 3000.0) / 1000.0),
+        retry_window: reader.seconds_or("bounds.budget_window_s", 1.0, 10.0),
+        lease: reader.seconds_or("bounds.lease_ms", MILLISECOND, 3000.0),
+        configuration_bound: reader.seconds_or("bounds.config_apply_ms", MILLISECOND, 2000.0),
+        drain_bound: reader.seconds_or("bounds.drain_ms", MILLISECOND, 2000.0),
     };
     if reader.errors.is_empty() { Ok(settings) } else { Err(reader.errors) }
 }
@@ -137,6 +146,16 @@
         addresses
     }
 
+    /// Returns a time that is given in units of this many seconds, or `default` units if the
+    /// setting is absent.
+    fn seconds_or(&mut self, name: &str, unit: f64, default: f64) -> Duration {
+        let number = self.number_or(name, default);
+        Duration::try_from_secs_f64(number * unit).unwrap_or_else(|_| {
+            self.errors.push(Error::new(ErrorCode::OutOfRange, format!("{name} {number}")));
+            Duration::ZERO
+        })
+    }
+
     /// Returns a non-negative number, or `default` if the setting is absent.
     fn number_or(&mut self, name: &str, default: f64) -> f64 {
         let Some(text) = self.values.get(name).cloned().filter(|text| !text.is_empty()) else {
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -6,7 +6,7 @@
 
 use super::shell::{DirectDriver, STORE_READ_OK};
 use crate::{
-    direct::{DirectEvent, DirectTarget, TargetChange},
+    direct::{DirectEvent, DirectTarget, ReadSchedule, TargetChange},
     ids::TargetId,
     platform::{
         configuration, discovery,
@@ -15,17 +15,6 @@
     },
 };
 
-/// Pause between reads of the configuration, and the wait of each long poll.
-///
-/// Their sum stays below the 2 s within which a new configuration must be in force: the
-/// store does not always answer a long poll at the first new record, and a dead
-/// connection is noticed only when the poll times out.
-const CONFIGURATION_READ_PAUSE: Duration = Duration::from_millis(250);
-const CONFIGURATION_POLL_WAIT: Duration = Duration::from_millis(1500);
-/// The same for the targets. The longer pause lets one read take several records; a
-/// draining target must be known within 2 s.
-const TARGET_READ_PAUSE: Duration = Duration::from_millis(700);
-const TARGET_POLL_WAIT: Duration = Duration::from_millis(1100);
 /// Initial and maximum backoff after a failed read.
 const RETRY_BACKOFF: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
@@ -33,23 +22,18 @@
 /// Starts to follow the configuration and the targets.
 pub(super) fn spawn(settings: &PlatformSettings, driver: &Rc<DirectDriver>) {
     let store = settings.store;
+    let (configuration_bound, drain_bound) = (settings.configuration_bound, settings.drain_bound);
     let (configuration_driver, target_driver) = (driver.clone(), driver.clone());
     tokio::task::spawn_local(async move {
         let follower = ConfigurationFollower { driver: configuration_driver.clone() };
-        let topic = FollowedTopic {
-            name: configuration::TOPIC,
-            pause: CONFIGURATION_READ_PAUSE,
-            poll_wait: CONFIGURATION_POLL_WAIT,
-        };
+        let schedule = ReadSchedule::of_configuration(configuration_bound);
+        let topic = FollowedTopic { name: configuration::TOPIC, schedule };
         follow(&configuration_driver, StoreClient::new(store), topic, follower).await;
     });
     tokio::task::spawn_local(async move {
         let follower = TargetFollower::new(target_driver.clone());
-        let topic = FollowedTopic {
-            name: discovery::TOPIC,
-            pause: TARGET_READ_PAUSE,
-            poll_wait: TARGET_POLL_WAIT,
-        };
+        let schedule = ReadSchedule::of_targets(drain_bound);
+        let topic = FollowedTopic { name: discovery::TOPIC, schedule };
         follow(&target_driver, StoreClient::new(store), topic, follower).await;
     });
 }
@@ -58,10 +42,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct FollowedTopic {
     pub(super) name: &'static str,
-    /// Pause between reads.
-    pub(super) pause: Duration,
-    /// Time for which the store holds a read that finds no new record.
-    pub(super) poll_wait: Duration,
+    pub(super) schedule: ReadSchedule,
 }
 
 /// Consumer of the records of a topic.
@@ -85,7 +66,7 @@
     followed: FollowedTopic,
     mut follower: impl TopicFollower,
 ) {
-    let FollowedTopic { name: topic, pause, poll_wait } = followed;
+    let FollowedTopic { name: topic, schedule: ReadSchedule { pause, poll_wait } } = followed;
     let mut next: Option<u64> = None;
     let mut backoff = RETRY_BACKOFF.0;
     let mut reachable = true;
