Estimate engines' queues by priority, and returning requests by the rejections there were

Cause: callers wait for times of their own, but whoever waited for less than the longest counted as one that came back; engines take the most urgent prompt first, while the books summed all tokens. Change: ReturnEstimator, PrefillBacklog, cost of overtaking, waits up to the objective, reports each 30 ms to few peers with segments in three of them; emulator calibrate prints the errors of estimates.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate is for tests and measurements only and is not shipped. The models are pure
 //! state machines; [`serve`] exposes them over HTTP.
 
+pub mod calibration;
 pub mod capacity;
 pub mod cells;
 pub mod demo;
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -3,7 +3,7 @@
 use std::{process::ExitCode, time::Duration};
 
 use emulator::{
-    capacity, demo, matrix, path, platform_matrix,
+    calibration, capacity, demo, matrix, path, platform_matrix,
     serve::{self, ServeSettings},
     sweep,
     workload::Deployment,
@@ -35,6 +35,8 @@
     Shift(ShiftArguments),
     #[options(help = "measure the slopes of docs/CAPACITY.md")]
     Capacity(CapacityArguments),
+    #[options(help = "compare estimates with what became of them, by entries' logs")]
+    Calibrate(CalibrateArguments),
     #[options(help = "run the fault matrix")]
     Matrix(MatrixArguments),
 }
@@ -128,6 +130,7 @@
         Some(Command::Path(arguments)) => runtime.block_on(measure_path(arguments)),
         Some(Command::Shift(arguments)) => sweep::run(&arguments.into()),
         Some(Command::Capacity(_)) => measure_capacity(),
+        Some(Command::Calibrate(arguments)) => calibrate(&arguments),
         Some(Command::Matrix(arguments)) => run_matrix(&arguments),
         None => {
             eprintln!("{}", Arguments::usage());
@@ -218,6 +221,37 @@
     ExitCode::SUCCESS
 }
 
+#[derive(Debug, Options)]
+struct CalibrateArguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "file for a plot of the errors, as SVG")]
+    plot: Option<std::path::PathBuf>,
+    #[options(free, help = "files with the output of entries")]
+    files: Vec<std::path::PathBuf>,
+}
+
+fn calibrate(arguments: &CalibrateArguments) -> ExitCode {
+    if arguments.files.is_empty() {
+        eprintln!("emulator: calibrate needs files with the output of entries");
+        return ExitCode::from(2);
+    }
+    let table = match calibration::read(&arguments.files) {
+        Ok(table) => table,
+        Err(error) => {
+            eprintln!("emulator: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    print!("{table}");
+    let written = arguments.plot.as_ref().map(|file| std::fs::write(file, table.plot()));
+    if let Some(Err(error)) = written {
+        eprintln!("emulator: {error}");
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
+
 #[derive(Debug, Options)]
 struct MatrixArguments {
     #[options(help = "print this help")]
--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -153,6 +153,7 @@
             retry_slack: RETRY_SLACK * factor,
             retry_window: RETRY_WINDOW,
             lease: Duration::from_secs(3),
+            drain_bound: Duration::from_secs(2),
         })
     }
 
--- a/emulator/src/platform_rig/target.rs
+++ b/emulator/src/platform_rig/target.rs
@@ -235,6 +235,7 @@
         for run in running {
             self.break_call(run.call, run.events > 0, NETWORK_DELAY);
         }
+        self.admit(target);
     }
 
     fn break_call(&mut self, call: SimCall, answered: bool, delay: Duration) {
--- a/emulator/tests/platform_matrix.rs
+++ b/emulator/tests/platform_matrix.rs
@@ -39,6 +39,15 @@
     assert_no_failed_cell(&cells.step_by(step).collect::<Vec<_>>());
 }
 
+/// The third crash of a request comes at an engine that also runs a crashing segment, after the
+/// entries have lost what they knew of the first.
+#[test]
+fn a_crashing_request_is_blocked_beside_a_crashing_segment() {
+    let faults = vec![PlatformFault::AllLosePower, PlatformFault::CrashingSegment];
+    let step = PlatformStep::CacheFetched;
+    assert_no_failed_cell(&[PlatformCell { faults, step, seed: 1, defect: None }]);
+}
+
 fn has_crashing_segment(cell: &PlatformCell) -> bool {
     cell.faults.contains(&PlatformFault::CrashingSegment)
 }
@@ -67,6 +76,14 @@
     assert_no_failed_cell(&[PlatformCell { faults, step, seed: 1, defect: None }]);
 }
 
+/// All entries lose power, and connections are reset, as a target declines a call.
+#[test]
+fn requests_are_served_again_after_a_power_loss_with_reset_connections() {
+    let faults = vec![PlatformFault::AllLosePower, PlatformFault::ResetConnections];
+    let step = PlatformStep::CallDeclined;
+    assert_no_failed_cell(&[PlatformCell { faults, step, seed: 1, defect: None }]);
+}
+
 /// Guards against rules that never fail: each defect must break its rule in some cell.
 #[parameterized(
     lost_as_unreachable = { DriverDefect::LostAsUnreachable, PlatformRule::RunsOnce },
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -14,6 +14,7 @@
 use crate::ids::{DataCentreId, TargetId};
 
 mod authority;
+mod backlog;
 mod budget;
 mod crash_cause;
 mod ending;
@@ -23,8 +24,10 @@
 mod limited;
 mod load;
 mod machine;
+mod reading;
 mod report;
 mod resume;
+mod returning;
 mod route;
 mod stage_plan;
 mod stop;
@@ -35,11 +38,13 @@
 mod waiting;
 
 pub use authority::ClaimOutcome;
+pub use backlog::PrefillBacklog;
 pub use budget::RetryWindow;
 pub use flow::RequestTrace;
 pub use limit::{LimitStatement, LimitTable, RequestRate, ServiceDemand};
-pub use load::{CachedSegment, InFlight, LoadReport, PeerTable, TargetUsage};
+pub use load::{CachedSegment, InFlight, LoadReport, PeerTable, TargetUsage, report_interval};
 pub use machine::{DirectMachine, DirectSettings};
+pub use reading::{ReadSchedule, expiry_grace};
 pub use route::{
     EngineConfig, ModelName, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ServiceConfig,
     ServiceName, WeightedService,
--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -10,6 +10,7 @@
     flow::{DirectFlow, HeldCache, OpenCall, StepKind},
     machine::{MIN_CALL_TIME, TIMEOUT_GRACE, memory_tokens},
     report::record_cached_segments,
+    waiting::priority,
 };
 use crate::ids::ClockTime;
 
@@ -20,7 +21,7 @@
         let call = flow.call.take()?;
         flow.trace.calls.push(call.describe(now, ending));
         if let Some(state) = self.fleet.get_mut(&call.target.id) {
-            state.in_flight.remove_prefill_tokens(flow.late, call.remaining_tokens);
+            state.in_flight.backlog.remove(priority(flow), call.remaining_tokens);
             if call.step != StepKind::Prefill {
                 state.in_flight.running = state.in_flight.running.saturating_sub(1);
             }
@@ -137,7 +138,12 @@
             );
             if let Some(prompt) = &flow.request.prompt {
                 state.add_cached(now, prompt, memory_tokens(self.routes.as_ref(), &flow.service));
-                record_cached_segments(&mut self.recent_segments, now, &call.target.id, prompt);
+                record_cached_segments(
+                    &mut self.recent_segments,
+                    self.report_count,
+                    &call.target.id,
+                    prompt,
+                );
             }
         }
         flow.cache = Some(HeldCache { target: call.target, handle });
@@ -243,13 +249,20 @@
         self.stream_began(now, id, out);
         let Some(flow) = self.flows.get_mut(&id) else { return };
         flow.trace.first_ms = Some(now.saturating_sub(flow.arrived).as_millis() as u64);
+        let priority = priority(flow);
         let Some(call) = &mut flow.call else { return };
+        call.first_output = Some(now.saturating_sub(call.started));
         let Some(state) = self.fleet.get_mut(&call.target.id) else { return };
-        state.in_flight.remove_prefill_tokens(flow.late, call.remaining_tokens);
+        state.in_flight.backlog.remove(priority, call.remaining_tokens);
         call.remaining_tokens = 0;
         if let Some(prompt) = &flow.request.prompt {
             state.add_cached(now, prompt, memory_tokens(self.routes.as_ref(), &flow.service));
-            record_cached_segments(&mut self.recent_segments, now, &call.target.id, prompt);
+            record_cached_segments(
+                &mut self.recent_segments,
+                self.report_count,
+                &call.target.id,
+                prompt,
+            );
         }
         if call.step == StepKind::Run {
             state.record_prefill(
--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -47,6 +47,9 @@
 /// all choosing the same target.
 const TIE_BREAK_SECONDS: f32 = 0.002;
 
+/// Longest estimate, in seconds.
+const MAX_ESTIMATE_SECONDS: f32 = 3600.0;
+
 /// Properties of a request that determine its placement.
 pub(super) struct PlacementQuery<'a> {
     pub(super) service: &'a ServiceName,
@@ -56,8 +59,8 @@
     pub(super) version: Option<&'a SoftwareVersion>,
     pub(super) tried: &'a [TargetId],
     pub(super) data_centre: &'a DataCentreId,
-    /// Whether the request was late on arrival.
-    pub(super) late: bool,
+    /// Priority of the request at targets.
+    pub(super) priority: u8,
 }
 
 /// Target for the next call of a request, with the estimates behind the choice.
@@ -71,6 +74,8 @@
     pub(super) prefill_tokens: u32,
     /// Expected time to the first output, in seconds.
     pub(super) seconds: f32,
+    /// Part of that time until the next call has its first output or ends, in seconds.
+    call_seconds: f32,
     /// Share of that time that the request itself needs, in seconds.
     pub(super) own_seconds: f32,
     /// Estimated cost of the placement to other requests, in seconds.
@@ -83,6 +88,12 @@
         duration(self.seconds)
     }
 
+    /// Returns the expected time to the first output of the next call, or to the end of its
+    /// prefill.
+    pub(super) fn expected_call(&self) -> Duration {
+        duration(self.call_seconds)
+    }
+
     /// Returns the expected queueing time.
     pub(super) fn waiting(&self) -> Duration {
         duration(self.seconds - self.own_seconds)
@@ -208,15 +219,17 @@
     ) -> Placement {
         let rate = self.rate(state);
         let tokens = uncached_tokens(state, prompt);
-        let waiting = self.prefill_wait(state, query.late) + self.slot_wait(state);
+        let waiting = self.prefill_wait(state, query.priority) + self.slot_wait(state);
         let own = tokens as f32 / rate + self.call_overhead(state, query);
         let displacing = displacing_tokens(state, prompt, is_home) as f32 / rate;
         let event_gap = EVENT_TOKENS * DECODE_CHUNK_TOKENS / rate;
         let delays_streams = tokens > SHORT_PREFILL_TOKENS && event_gap > MAX_EVENT_GAP_SECONDS;
         let stream_cost = if delays_streams { LATE_STREAM_COST_SECONDS } else { 0.0 };
         let placed = placement(state, StepKind::Run, waiting, own);
-        let external_cost =
-            placed.external_cost + displacing * DECODE_PREFILL_COST_FACTOR + stream_cost;
+        let external_cost = placed.external_cost
+            + displacing * DECODE_PREFILL_COST_FACTOR
+            + self.overtaking_cost(state, query, tokens)
+            + stream_cost;
         Placement { prefill_tokens: tokens, external_cost, ..placed }
     }
 
@@ -230,9 +243,12 @@
         let rate = self.rate(state);
         let tokens = uncached_tokens(state, prompt);
         let own = tokens as f32 / rate + self.call_overhead(state, query);
-        let placed = placement(state, StepKind::Prefill, self.prefill_wait(state, query.late), own);
+        let placed =
+            placement(state, StepKind::Prefill, self.prefill_wait(state, query.priority), own);
         let displacing = displacing_tokens(state, prompt, is_home) as f32 / rate;
-        let external_cost = placed.external_cost + displacing * PREFILL_COST_FACTOR;
+        let external_cost = placed.external_cost
+            + displacing * PREFILL_COST_FACTOR
+            + self.overtaking_cost(state, query, tokens);
         Placement { prefill_tokens: tokens, external_cost, ..placed }
     }
 
@@ -254,9 +270,16 @@
         placement(state, StepKind::Decode, self.slot_wait(state), own)
     }
 
-    /// Returns the time until the queued prompt tokens at a target are prefilled, in seconds.
-    pub(super) fn prefill_wait(&self, state: &TargetState, late: bool) -> f32 {
-        self.in_flight(state).tokens_ahead(late) as f32 / self.rate(state)
+    /// Returns the time until a target begins a prompt of a priority, in seconds.
+    pub(super) fn prefill_wait(&self, state: &TargetState, priority: u8) -> f32 {
+        self.in_flight(state).backlog.tokens_ahead(priority) as f32 / self.rate(state)
+    }
+
+    /// Returns by how much a prefill delays the less urgent prompts that wait at a target, in
+    /// seconds.
+    fn overtaking_cost(&self, state: &TargetState, query: &PlacementQuery<'_>, tokens: u32) -> f32 {
+        let overtaken = self.in_flight(state).backlog.prompts_behind(query.priority);
+        overtaken as f32 * tokens as f32 / self.rate(state)
     }
 
     /// Returns the work that all entries have in flight at a target.
@@ -275,7 +298,7 @@
         let run = if state.run_seconds > 0.0 { state.run_seconds } else { INITIAL_RUN_SECONDS };
         // A larger batch is slower, so load counts even while a slot is free.
         let crowding = 0.1 * run * running.min(slots) as f32 / slots as f32;
-        let rounds = (running + 1).saturating_sub(slots) as f32 / slots as f32;
+        let rounds = running.saturating_add(1).saturating_sub(slots) as f32 / slots as f32;
         crowding + rounds * run
     }
 
@@ -295,13 +318,16 @@
         decode: None,
         prefill_tokens: 0,
         seconds: waiting + own_seconds,
+        call_seconds: waiting + own_seconds,
         own_seconds,
         external_cost: state.failure_rate * FAILURE_COST_SECONDS,
     }
 }
 
 fn duration(seconds: f32) -> Duration {
-    Duration::from_secs_f32(seconds.clamp(0.0, 3600.0))
+    // A configuration without a link speed leads to no number.
+    let seconds = if seconds.is_nan() { MAX_ESTIMATE_SECONDS } else { seconds };
+    Duration::from_secs_f32(seconds.clamp(0.0, MAX_ESTIMATE_SECONDS))
 }
 
 fn cheapest(rng: &mut SmallRng, placements: impl Iterator<Item = Placement>) -> Option<Placement> {
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -36,6 +36,10 @@
     pub(super) prefill_tokens: u32,
     /// Prompt tokens of other requests that were queued ahead of it.
     pub(super) tokens_ahead: u32,
+    /// Expected time to its first output, or to the end of a prefill.
+    pub(super) estimate: Duration,
+    /// Time to its first output; `None` before that, and of a prefill.
+    pub(super) first_output: Option<Duration>,
     pub(super) answered: bool,
     /// Whether the target answered with a success.
     pub(super) succeeded: bool,
@@ -47,13 +51,20 @@
         (self.target.id.clone(), self.target.born_ms)
     }
 
-    /// Formats the call for a log line: target, its software version, operation, result, duration, and the
-    /// prompt tokens that it had to prefill and that were queued ahead of it.
+    /// Formats the call for a log line: target, its software version, operation, result, duration, the
+    /// prompt tokens that it had to prefill and that were queued ahead of it, and the expected
+    /// and actual time to its first output.
     pub(super) fn describe(&self, now: ClockTime, ending: &str) -> String {
         let took = now.saturating_sub(self.started).as_millis();
         let (id, version, step) = (&self.target.id, &self.target.version, self.step);
         let (own, ahead) = (self.prefill_tokens, self.tokens_ahead);
-        format!("{id} {version} {step} {ending} {took}ms {own}+{ahead}")
+        let estimate = self.estimate.as_millis();
+        let mut text =
+            format!("{id} {version} {step} {ending} {took}ms {own}+{ahead} estimated {estimate}ms");
+        if let Some(first) = self.first_output {
+            text.push_str(&format!(" first {}ms", first.as_millis()));
+        }
+        text
     }
 }
 
@@ -105,6 +116,8 @@
     pub calls: Vec<String>,
     /// Version of the configuration in force when the request arrived.
     pub version: u64,
+    /// Time from arrival within which the response is in time, in milliseconds.
+    pub objective_ms: u64,
     /// Time from arrival to the first output, in milliseconds; `None` before that.
     pub first_ms: Option<u64>,
     /// Reason of a failure that the entry itself reported.
@@ -136,7 +149,7 @@
         if let Some(prompt) = &self.request.prompt {
             trace.segments = shared_segment_names(prompt);
         }
-        let RequestIdentity { content, resource, caller } = self.request.identity;
+        let RequestIdentity { content, resource, caller, .. } = self.request.identity;
         trace.content = CrashSuspect::Content(content).to_string();
         trace.resource = CrashSuspect::Resource(resource).to_string();
         trace.caller = CrashSuspect::Caller(caller).to_string();
@@ -152,7 +165,8 @@
     pub(super) fn target_run(&self) -> Option<TargetRun> {
         let call = self.call.as_ref().filter(|call| call.step != StepKind::Prefill)?;
         let suspects = request_suspects(&self.request);
-        Some(TargetRun { start: call.target_start(), sent: call.started, suspects })
+        let identity = self.request.identity;
+        Some(TargetRun { start: call.target_start(), sent: call.started, identity, suspects })
     }
 
     pub(super) fn time_left(&self, now: ClockTime) -> Duration {
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -5,26 +5,56 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    LeavingTarget, LimitStatement, OrderFencingToken, PeerName, PromptSegment, RequestRate,
-    ServiceDemand, ServiceName,
+    LeavingTarget, LimitStatement, OrderFencingToken, PeerName, PrefillBacklog, PromptSegment,
+    RequestRate, ServiceDemand, ServiceName,
+    backlog::{FIRST_LATE_PRIORITY, PRIORITY_COUNT},
 };
 use crate::ids::{ClockTime, TargetId};
 
-/// Age after which a peer's load no longer counts; ten missed reports.
-pub const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Shortest age after which a peer's load no longer counts, as several of its reports are missing.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Number of reports in which news is repeated, and after which a peer without one counts as gone.
+const REPEATED_REPORTS: u32 = 3;
+
+/// Shortest interval between reports. What peers place in it is unknown to an entry.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(30);
+/// Limit on the datagrams that an entry sends per second. With many peers the interval
+/// between reports grows to stay within it.
+const MAX_DATAGRAMS_PER_SECOND: u32 = 120;
+
+/// Returns the interval at which an entry reports to each of its peers.
+pub fn report_interval(peers: usize) -> Duration {
+    let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+    MIN_REPORT_INTERVAL.max(Duration::from_secs(1).saturating_mul(peers) / MAX_DATAGRAMS_PER_SECOND)
+}
+
+/// Returns the time for which news is repeated in reports to this many peers, `shortest` at
+/// least, so that a lost report does no harm.
+pub(super) fn repeat_time(peers: usize, shortest: Duration) -> Duration {
+    shortest.max(report_interval(peers) * REPEATED_REPORTS)
+}
 
 /// Work in flight at a target.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "InFlightRecord", into = "InFlightRecord")]
 pub struct InFlight {
     /// Requests that run or wait to run, without those that are only in prefill.
     pub running: u32,
-    /// Prompt tokens that await prefill for requests that were not late on arrival.
-    #[serde(rename = "fresh")]
-    pub on_time_tokens: u32,
-    /// Prompt tokens that await prefill for requests that were late on arrival. Targets
-    /// prefill them after the others.
-    #[serde(rename = "late")]
-    pub late_tokens: u32,
+    /// Prompts that await prefill.
+    pub backlog: PrefillBacklog,
+}
+
+/// Encoded form of [`InFlight`]. Entries of earlier versions know two sums in place of the backlog.
+#[derive(Serialize, Deserialize)]
+struct InFlightRecord {
+    running: u32,
+    /// Tokens of requests that were not late on arrival.
+    fresh: u32,
+    /// Tokens of requests that were late on arrival.
+    late: u32,
+    /// Left out if it is empty.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    backlog: Option<PrefillBacklog>,
 }
 
 /// One entry's work in flight at one target, and its estimate of the target's speed.
@@ -89,6 +119,20 @@
     pub switching: Vec<TargetId>,
 }
 
+impl LoadReport {
+    /// Returns whether estimates can be made with its numbers. Others come from a faulty process
+    /// or a damaged datagram.
+    pub fn has_valid_numbers(&self) -> bool {
+        let is_rate = |rate: f32| rate.is_finite() && rate >= 0.0;
+        let is_measured = |usage: &TargetUsage| {
+            is_rate(usage.prefill_rate) && (usage.samples == 0 || usage.prefill_rate > 0.0)
+        };
+        self.targets.iter().all(is_measured)
+            && self.demand.iter().all(|demand| is_rate(demand.rate))
+            && self.limits.iter().all(|statement| is_rate(statement.limit))
+    }
+}
+
 #[derive(Debug, Clone, Serialize)]
 struct PeerLoad {
     instance: u64,
@@ -135,9 +179,16 @@
         load.targets.extend(targets);
     }
 
-    /// Removes peers that have not reported within [`PEER_TIMEOUT`].
+    /// Returns the time after which a peer without a report counts as gone. It grows with their
+    /// number, as the interval between reports does.
+    pub fn timeout(&self) -> Duration {
+        repeat_time(self.peers.len(), PEER_TIMEOUT)
+    }
+
+    /// Removes peers that have not reported within [`PeerTable::timeout`].
     pub fn expire(&mut self, now: ClockTime) {
-        self.peers.retain(|_, peer| now <= peer.received + PEER_TIMEOUT);
+        let timeout = self.timeout();
+        self.peers.retain(|_, peer| now <= peer.received + timeout);
     }
 
     /// Returns the newest claim on ordering engines among live peers.
@@ -185,8 +236,8 @@
     /// their number of samples. Both are 0 if no peer has measured one.
     pub fn prefill_rate(&self, target: &TargetId) -> (f32, u32) {
         let timed = self.usage(target).map(|usage| (usage.prefill_rate, usage.samples));
-        let (sum, samples) = timed.fold((0.0, 0), |(sum, total), (rate, samples)| {
-            (sum + rate * samples as f32, total + samples)
+        let (sum, samples) = timed.fold((0.0, 0_u32), |(sum, total), (rate, samples)| {
+            (sum + rate * samples as f32, total.saturating_add(samples))
         });
         (if samples == 0 { 0.0 } else { sum / samples as f32 }, samples)
     }
@@ -201,33 +252,37 @@
 
     fn add(self, other: InFlight) -> InFlight {
         InFlight {
-            running: self.running + other.running,
-            on_time_tokens: self.on_time_tokens + other.on_time_tokens,
-            late_tokens: self.late_tokens + other.late_tokens,
+            running: self.running.saturating_add(other.running),
+            backlog: self.backlog + other.backlog,
         }
     }
 }
 
 impl InFlight {
-    /// Adds prompt tokens that await prefill.
-    pub fn add_prefill_tokens(&mut self, late: bool, tokens: u32) {
-        let tokens_left = if late { &mut self.late_tokens } else { &mut self.on_time_tokens };
-        *tokens_left += tokens;
-    }
-
-    /// Removes prompt tokens whose prefill is done or was abandoned.
-    pub fn remove_prefill_tokens(&mut self, late: bool, tokens: u32) {
-        let tokens_left = if late { &mut self.late_tokens } else { &mut self.on_time_tokens };
-        *tokens_left = tokens_left.saturating_sub(tokens);
+    /// Returns whether nothing is in flight.
+    pub fn is_idle(&self) -> bool {
+        *self == InFlight::default()
     }
+}
 
-    /// Returns how many prompt tokens are prefilled before those of a new request.
-    pub fn tokens_ahead(&self, late: bool) -> u32 {
-        if late { self.on_time_tokens + self.late_tokens } else { self.on_time_tokens }
+impl From<InFlightRecord> for InFlight {
+    fn from(record: InFlightRecord) -> InFlight {
+        let backlog = record.backlog.unwrap_or_else(|| {
+            let mut backlog = PrefillBacklog::default();
+            backlog.add(0, record.fresh);
+            backlog.add(FIRST_LATE_PRIORITY, record.late);
+            backlog
+        });
+        InFlight { running: record.running, backlog }
     }
+}
 
-    /// Returns whether nothing is in flight.
-    pub fn is_idle(&self) -> bool {
-        *self == InFlight::default()
+impl From<InFlight> for InFlightRecord {
+    fn from(in_flight: InFlight) -> InFlightRecord {
+        let InFlight { running, backlog } = in_flight;
+        let fresh = backlog.tokens(0..FIRST_LATE_PRIORITY);
+        let late = backlog.tokens(FIRST_LATE_PRIORITY..PRIORITY_COUNT);
+        let backlog = (backlog != PrefillBacklog::default()).then_some(backlog);
+        InFlightRecord { running, fresh, late, backlog }
     }
 }
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -1,7 +1,7 @@
 //! State machine of an entry that calls targets directly.
 
 use std::{
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, HashSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -18,6 +18,7 @@
     estimate::{Placement, PlacementQuery, PlacementView, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
     limit::LimitTable,
+    returning::ReturnEstimator,
     stage_plan::StagePlanner,
     stop::{RequestTimes, StopPlan},
     stream::OriginTable,
@@ -63,6 +64,8 @@
     pub retry_window: Duration,
     /// Time within which no two processes may alternate in ordering an engine.
     pub lease: Duration,
+    /// Time within which nothing may be sent any more to a target whose leaving was recorded.
+    pub drain_bound: Duration,
 }
 
 /// State machine of an entry that calls targets directly.
@@ -84,12 +87,14 @@
     pub(super) flows: HashMap<FlowId, DirectFlow>,
     #[serde(skip)]
     pub(super) timeouts: BTreeSet<(ClockTime, FlowId)>,
+    /// Times left to the requests of each route, by its name.
     #[serde(skip)]
-    pub(super) longest_deadlines: HashMap<Arc<str>, Duration>,
+    pub(super) returns: HashMap<Arc<str>, ReturnEstimator>,
     #[serde(rename = "reports")]
     pub(super) report_count: u64,
+    /// Segments that targets have cached lately, each with the number of reports before.
     #[serde(skip)]
-    pub(super) recent_segments: VecDeque<(ClockTime, CachedSegment)>,
+    pub(super) recent_segments: VecDeque<(u64, CachedSegment)>,
     /// Targets in the previous load report.
     #[serde(skip)]
     pub(super) last_reported: HashMap<TargetId, TargetUsage>,
@@ -119,16 +124,16 @@
             authority: StageAuthority::new(settings.lease),
             suspects: SuspectTable::new(settings.instance),
             planner: StagePlanner::default(),
+            fleet: TargetFleet::new(settings.drain_bound),
             settings,
             routes: None,
-            fleet: TargetFleet::default(),
             peers: PeerTable::default(),
             max_entries: MIN_ENTRIES,
             limits: LimitTable::default(),
             budgets: HashMap::new(),
             flows: HashMap::new(),
             timeouts: BTreeSet::new(),
-            longest_deadlines: HashMap::new(),
+            returns: HashMap::new(),
             report_count: 0,
             recent_segments: VecDeque::new(),
             last_reported: HashMap::new(),
@@ -181,7 +186,7 @@
 
     /// Returns what peers have to know of suspects that may crash targets.
     pub fn suspect_report(&self, now: ClockTime) -> SuspectReport {
-        self.suspects.report(now)
+        self.suspects.report(now, self.peers.len())
     }
 
     /// Returns the suspects with which requests are not sent.
@@ -253,6 +258,8 @@
     fn apply_routes(&mut self, routes: Arc<RouteTable>) {
         let newer = self.routes.as_ref().is_none_or(|known| known.version < routes.version);
         if newer {
+            let names: HashSet<&Arc<str>> = routes.routes.iter().map(|route| &route.name).collect();
+            self.returns.retain(|name, _| names.contains(name));
             self.routes = Some(routes);
         }
     }
@@ -270,6 +277,8 @@
         self.limits.record_demand(now, &service);
         let timeout_at = now + route.timeout;
         let version = self.routes.as_ref().map_or(0, |routes| routes.version);
+        let returns = self.returns.entry(route.name.clone()).or_default();
+        let waited = returns.request_arrived(request.time_left);
         let prompt = request.prompt.as_ref();
         let shared_segment = prompt.map_or_else(String::new, longest_shared_segment);
         let trace = RequestTrace {
@@ -280,9 +289,9 @@
                 .map(|resume| resume.stream.clone().unwrap_or_default()),
             version,
             shared_segment,
+            objective_ms: route.objective.saturating_sub(waited).as_millis() as u64,
             ..RequestTrace::default()
         };
-        let waited = self.time_waited(&request);
         let resumes = request.resumes.is_some();
         let flow = DirectFlow {
             late: waited >= route.objective,
@@ -313,16 +322,6 @@
         }
     }
 
-    /// Estimates how long the caller had waited before this request.
-    ///
-    /// A caller that retries after a rejection sends its remaining time, while a new
-    /// request has the longest time left that was seen on its route.
-    fn time_waited(&mut self, request: &DirectRequest) -> Duration {
-        let longest = self.longest_deadlines.entry(request.route.name.clone()).or_default();
-        *longest = request.time_left.max(*longest);
-        *longest - request.time_left
-    }
-
     fn pick_service(&mut self, request: &DirectRequest) -> ServiceName {
         let services = &request.route.services;
         let total: u32 = services.iter().map(|s| s.weight).sum();
@@ -367,7 +366,7 @@
         let Some(flow) = self.flows.get_mut(&id) else { return };
         flow.trace.estimate_ms = placement.expected().as_millis() as u64;
         flow.trace.waiting_ms = placement.waiting().as_millis() as u64;
-        let allowed = allowed_wait(now, flow, &placement);
+        let allowed = allowed_wait(now, flow);
         if placement.expected() >= left || placement.waiting() > allowed {
             let excess = placement.waiting().saturating_sub(allowed);
             return self.fail_request(id, FailureReason::CannotMeetDeadline, excess, out);
@@ -437,8 +436,9 @@
         flow.reserved = chosen.decode.clone();
         let target = state.target.clone();
         let in_flight = state.in_flight + self.peers.in_flight_at(&chosen.target);
-        let tokens_ahead = in_flight.tokens_ahead(flow.late);
-        state.in_flight.add_prefill_tokens(flow.late, chosen.prefill_tokens);
+        let priority = priority(flow);
+        let tokens_ahead = in_flight.backlog.tokens_ahead(priority);
+        state.in_flight.backlog.add(priority, chosen.prefill_tokens);
         if chosen.step != StepKind::Prefill {
             state.in_flight.running += 1;
         }
@@ -454,6 +454,8 @@
             remaining_tokens: chosen.prefill_tokens,
             prefill_tokens: chosen.prefill_tokens,
             tokens_ahead,
+            estimate: chosen.expected_call(),
+            first_output: None,
             answered: false,
             succeeded: false,
         });
@@ -463,7 +465,7 @@
             target,
             step: call_step(chosen.step, cache),
             time_left: flow.time_left(now),
-            priority: priority(flow),
+            priority,
         });
     }
 
@@ -478,6 +480,9 @@
         let running = flow.call.as_ref().is_some_and(|call| call.step != StepKind::Prefill);
         let not_run = !flow.may_have_run && !running;
         flow.trace.reason = Some(reason);
+        if let Some(returns) = self.returns.get_mut(&flow.request.route.name) {
+            returns.request_rejected();
+        }
         let (low, high) = RETRY_AFTER_BOUNDS;
         // Spreads the retries of callers that were rejected at the same time.
         let spread = self.rng.random_range(RETRY_SPREAD.0..RETRY_SPREAD.1);
@@ -515,7 +520,7 @@
         self.continue_stop(now);
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
-            self.suspects.expire(now);
+            self.suspects.expire(now, self.peers.len());
             self.origins.expire(now);
         }
         let changes = self.suspects.take_changes(now);
@@ -551,7 +556,7 @@
         version: flow.version.as_ref(),
         tried: &flow.tried,
         data_centre: &settings.data_centre,
-        late: flow.late,
+        priority: priority(flow),
     }
 }
 
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -8,15 +8,16 @@
 use super::{
     CachedSegment, DirectMachine, LoadReport, PromptShape, TargetUsage,
     estimate::{MIN_AFFINITY_TOKENS, shared_tokens},
+    load::repeat_time,
     machine::memory_tokens,
 };
 use crate::ids::{ClockTime, TargetId};
 
-/// Time for which a cached segment is reported. It spans three reports, so a lost one does no harm.
-const SEGMENT_REPORT_TIME: Duration = Duration::from_millis(350);
+/// Number of reports that name a cached segment, so that a lost one does no harm. The interval
+/// between reports depends on the number of peers.
+const SEGMENT_REPORTS: u64 = 3;
 
-/// Time for which a target's statement that it leaves is reported, so that some reports may be
-/// lost.
+/// Shortest time for which a target's statement that it leaves is reported.
 const LEAVING_REPORT_TIME: Duration = Duration::from_secs(2);
 
 impl DirectMachine {
@@ -47,10 +48,11 @@
         while self
             .recent_segments
             .front()
-            .is_some_and(|(recorded, _)| *recorded + SEGMENT_REPORT_TIME < now)
+            .is_some_and(|(recorded, _)| *recorded + SEGMENT_REPORTS < self.report_count)
         {
             self.recent_segments.pop_front();
         }
+        let leaving_time = repeat_time(self.peers.len(), LEAVING_REPORT_TIME);
         LoadReport {
             peer: self.settings.name.clone(),
             instance: self.settings.instance,
@@ -59,7 +61,7 @@
             targets: usages,
             cached: self.recent_segments.iter().map(|(_, cached)| cached.clone()).collect(),
             claim: self.authority.claim(),
-            leaving: self.fleet.leaving_since(now.saturating_sub(LEAVING_REPORT_TIME)),
+            leaving: self.fleet.leaving_since(now.saturating_sub(leaving_time)),
             limits: self.limits.statements(now),
             demand: self.limits.demands(now),
             switching: self.planner.switching(),
@@ -68,7 +70,7 @@
     }
 
     pub(super) fn peer_load(&mut self, now: ClockTime, report: LoadReport) {
-        if report.peer != self.settings.name {
+        if report.peer != self.settings.name && report.has_valid_numbers() {
             for cached in &report.cached {
                 let Some(state) = self.fleet.get_mut(&cached.target) else { continue };
                 let memory = memory_tokens(self.routes.as_ref(), &state.target.service);
@@ -96,10 +98,10 @@
     }
 }
 
-/// Records the segments of a long shared prefix, which are reported to peers.
+/// Records the segments of a long shared prefix, which the reports after `report` name.
 pub(super) fn record_cached_segments(
-    recent: &mut VecDeque<(ClockTime, CachedSegment)>,
-    now: ClockTime,
+    recent: &mut VecDeque<(u64, CachedSegment)>,
+    report: u64,
     target: &TargetId,
     prompt: &PromptShape,
 ) {
@@ -108,6 +110,14 @@
     }
     let shared = prompt.segments.len().saturating_sub(1);
     for segment in &prompt.segments[..shared] {
-        recent.push_back((now, CachedSegment { target: target.clone(), segment: *segment }));
+        let is_same = |(_, known): &(u64, CachedSegment)| {
+            known.segment == *segment && known.target == *target
+        };
+        // What an earlier report names is recorded again, at its end of the queue.
+        let is_recorded = recent.iter().rev().take_while(|(at, _)| *at == report).any(is_same);
+        if !is_recorded {
+            let cached = CachedSegment { target: target.clone(), segment: *segment };
+            recent.push_back((report, cached));
+        }
     }
 }
--- a/src/direct/resume.rs
+++ b/src/direct/resume.rs
@@ -5,7 +5,6 @@
 use super::{
     DirectAction, DirectMachine, FailureReason, FlowId, PeerName, RetryPolicy, SoftwareVersion,
     StreamId, StreamMessage, StreamOrigin,
-    load::PEER_TIMEOUT,
     machine::NO_TARGET_DELAY,
     stream::{
         ORIGIN_QUERY_TIMEOUT, OriginQuery, PeerNames, STARTING_QUERY_TIMEOUT, origin_holders,
@@ -57,7 +56,7 @@
 
     /// Returns whether peers may exist that this process has not heard of yet.
     fn is_starting(&self, now: ClockTime) -> bool {
-        self.started.is_none_or(|started| now < started + PEER_TIMEOUT)
+        self.started.is_none_or(|started| now < started + self.peers.timeout())
     }
 
     /// Places a request that goes on with a stream of known origin.
@@ -94,7 +93,7 @@
     /// Returns the software version of all targets that a stream of a route can have run at.
     fn only_version(&self, now: ClockTime, id: FlowId) -> Option<SoftwareVersion> {
         let route = &self.flows.get(&id)?.request.route;
-        let longest = self.longest_deadlines.get(&route.name).copied().unwrap_or_default();
+        let longest = self.returns.get(&route.name).map_or(Duration::ZERO, |known| known.longest());
         let since = now.saturating_sub(longest.max(route.timeout));
         match route.services.as_slice() {
             [weighted] => self.fleet.only_version_since(now, since, &weighted.service),
--- a/src/direct/stage_plan.rs
+++ b/src/direct/stage_plan.rs
@@ -8,8 +8,8 @@
 use serde::Serialize;
 
 use super::{
-    DirectMachine, DirectTarget, OrderFencingToken, TargetStage, estimate::PlacementView,
-    target::TargetState,
+    DirectMachine, DirectTarget, OrderFencingToken, TargetStage, backlog::PRIORITY_COUNT,
+    estimate::PlacementView, target::TargetState,
 };
 use crate::ids::{ClockTime, TargetId};
 
@@ -206,7 +206,8 @@
     ) -> StageLoad {
         let view =
             PlacementView { fleet: &self.fleet, peers: &self.peers, limits: &self.limits, now };
-        let waits: f32 = prefill_engines.iter().map(|state| view.prefill_wait(state, true)).sum();
+        let waits: f32 =
+            prefill_engines.iter().map(|state| view.prefill_wait(state, PRIORITY_COUNT)).sum();
         let running = |state: &&TargetState| view.in_flight(state).running.min(state.target.slots);
         let slots: u32 = decode_engines.iter().map(|state| state.target.slots).sum();
         StageLoad {
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -10,7 +10,9 @@
 use serde::{Deserialize, Serialize};
 use strum::Display;
 
-use super::{InFlight, PromptSegment, PromptShape, ServiceName, SoftwareVersion};
+use super::{
+    InFlight, PromptSegment, PromptShape, ServiceName, SoftwareVersion, reading::expiry_grace,
+};
 use crate::ids::{ClockTime, DataCentreId, TargetId};
 
 /// Prefill rate that is assumed before any call to an engine was timed, in tokens per
@@ -43,10 +45,6 @@
 /// Time after a store outage in which expired registrations are written again, which takes
 /// about two seconds.
 const RELIST_TIME: Duration = Duration::from_millis(2500);
-/// How long a target is still used after its registration expired in a store outage. Together
-/// with the read interval this stays below the 2 s limit for leaving targets.
-const EXPIRY_GRACE: Duration = Duration::from_millis(800);
-
 /// Age of the last change up to which the list counts as complete. Targets renew their
 /// registrations several times in it.
 const FRESH_TIME: Duration = Duration::from_secs(3);
@@ -160,6 +158,9 @@
 /// All known targets.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct TargetFleet {
+    /// How long a target is still used after its registration expired in a store outage.
+    #[serde(skip)]
+    expiry_grace: Duration,
     targets: BTreeMap<TargetId, TargetState>,
     #[serde(rename = "lapsing")]
     expiring: BTreeMap<TargetId, ClockTime>,
@@ -255,7 +256,7 @@
 
     /// Returns the mean rate of this process's and its peers' samples, weighted by number.
     pub(super) fn combined_rate(&self, (peer_rate, peer_samples): (f32, u32)) -> f32 {
-        let samples = (self.samples + peer_samples) as f32;
+        let samples = self.samples.saturating_add(peer_samples) as f32;
         if samples == 0.0 {
             return self.prefill_rate;
         }
@@ -310,6 +311,11 @@
 }
 
 impl TargetFleet {
+    /// Creates an empty list of targets that use a leaving one no longer than `drain_bound`.
+    pub(super) fn new(drain_bound: Duration) -> TargetFleet {
+        TargetFleet { expiry_grace: expiry_grace(drain_bound), ..TargetFleet::default() }
+    }
+
     /// Applies a change of the list.
     pub(super) fn apply(&mut self, now: ClockTime, change: TargetChange) {
         if change != TargetChange::ReadFailed {
@@ -339,7 +345,7 @@
         }
         let may_return = self.last_read_failure.is_some_and(|failed| now < failed + RELIST_TIME);
         if may_return {
-            self.expiring.entry(id).or_insert(now + EXPIRY_GRACE);
+            self.expiring.entry(id).or_insert(now + self.expiry_grace);
         } else {
             self.remove(now, &id);
         }
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -70,6 +70,7 @@
         retry_slack: settings.retry_slack,
         retry_window: settings.retry_window,
         lease: settings.lease,
+        drain_bound: settings.drain_bound,
     });
     let driver = Rc::new(DirectDriver::new(machine, settings.store));
     let callers = serve::bind(settings.caller_listen).await?;
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -146,6 +146,7 @@
             content:% = content,
             resource:% = resource,
             caller:% = caller,
+            objective_ms:% = trace.objective_ms,
             estimate_ms:% = trace.estimate_ms,
             waiting_ms:% = trace.waiting_ms,
             first_ms:% = display_option(trace.first_ms),
--- a/src/process/direct/gossip.rs
+++ b/src/process/direct/gossip.rs
@@ -19,7 +19,10 @@
     shell::DirectDriver,
 };
 use crate::{
-    direct::{DirectEvent, LoadReport, PeerName, StreamMessage, SuspectReport},
+    direct::{
+        DirectEvent, LoadReport, PeerName, ReadSchedule, StreamMessage, SuspectReport,
+        report_interval,
+    },
     error::{Error, ErrorCode, Result},
     platform::{
         settings::PlatformSettings,
@@ -29,16 +32,12 @@
 
 /// Topic in which entries publish their addresses.
 const PEER_TOPIC: &str = "keyed.entries";
-/// Interval between reports.
-const REPORT_INTERVAL: Duration = Duration::from_millis(100);
-/// Limit on the datagrams that a process sends per second. With many peers the interval
-/// between reports grows to stay within it.
-const MAX_DATAGRAMS_PER_SECOND: usize = 120;
-/// Pause between reads of the peers' addresses. It may be long, as a new peer becomes
-/// known by its own reports before the next read.
-const PEER_READ_PAUSE: Duration = Duration::from_secs(8);
-/// Wait of each long poll for peers' addresses.
-const PEER_POLL_WAIT: Duration = Duration::from_secs(3);
+/// Delay before datagrams are received again after an error.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// How the peers' addresses are read. The pause may be long, as a new peer becomes known by its
+/// own reports before the next read.
+const PEER_SCHEDULE: ReadSchedule =
+    ReadSchedule { pause: Duration::from_secs(8), poll_wait: Duration::from_secs(3) };
 /// Number of reports after which one holds all counts instead of the changed ones, so
 /// that a lost datagram has no lasting effect.
 const FULL_REPORT_PERIOD: u64 = 8;
@@ -124,8 +123,7 @@
     let driver = driver.clone();
     tokio::task::spawn_local(async move {
         publish_address(store, &key, address).await;
-        let topic =
-            FollowedTopic { name: PEER_TOPIC, pause: PEER_READ_PAUSE, poll_wait: PEER_POLL_WAIT };
+        let topic = FollowedTopic { name: PEER_TOPIC, schedule: PEER_SCHEDULE };
         follow::follow(&driver, StoreClient::new(store), topic, follower).await;
     });
     log::debug!(instance:% = instance, address:% = address; "exchanging reports with peers");
@@ -147,9 +145,7 @@
     for number in 0_u64.. {
         // The same address may be present under a peer's name and as a seed.
         let addresses: BTreeSet<SocketAddr> = peers.borrow().values().copied().collect();
-        let interval =
-            Duration::from_secs(1) * addresses.len() as u32 / MAX_DATAGRAMS_PER_SECOND as u32;
-        tokio::time::sleep(REPORT_INTERVAL.max(interval)).await;
+        tokio::time::sleep(report_interval(addresses.len())).await;
         if addresses.is_empty() {
             continue;
         }
@@ -177,13 +173,17 @@
             Ok(received) => received,
             Err(error) => {
                 log::debug!(error:% = error; "failed to receive report");
-                tokio::time::sleep(REPORT_INTERVAL).await;
+                tokio::time::sleep(RECEIVE_RETRY_DELAY).await;
                 continue;
             }
         };
         match ciborium::from_reader::<PeerDatagram, _>(&buffer[..length]) {
             Ok(datagram) => {
                 if let Some(load) = datagram.load {
+                    if !load.has_valid_numbers() {
+                        log::info!(peer:% = load.peer; "report with invalid numbers ignored");
+                        continue;
+                    }
                     peers.borrow_mut().insert(load.peer.to_string(), sender);
                     driver.step(DirectEvent::PeerLoad(load));
                 }
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -52,9 +52,10 @@
         for suspect in blocked {
             match suspect {
                 CrashSuspect::Segment(_) => counts.segments += 1,
-                CrashSuspect::Content(_) | CrashSuspect::Resource(_) | CrashSuspect::Caller(_) => {
-                    counts.requests += 1
-                }
+                CrashSuspect::Path(_)
+                | CrashSuspect::Content(_)
+                | CrashSuspect::Resource(_)
+                | CrashSuspect::Caller(_) => counts.requests += 1,
             }
         }
         counts
