Keep streams from targets that may have started again under their own name

Cause: a crashed target is back within seconds under its own name, and until its new registration is read entries took it for the start that they knew, with that start's version. Change: a sign that a start has ended (a broken or refused connection that a probe confirms, or a peer's report) keeps streams that may be taken up away, until a new start is registered or the known one is renewed in two reads. Other requests are not affected. Where no other target is left, streams begin there but do not go on. Asking each target for its report before a stream was ruled out: a priced call and a round trip for each.

--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -10,6 +10,7 @@
     flow::{DirectFlow, HeldCache, OpenCall, StepKind},
     machine::{MIN_CALL_TIME, TIMEOUT_GRACE, memory_tokens},
     report::record_cached_segments,
+    target::TargetState,
     waiting::priority,
 };
 use crate::ids::ClockTime;
@@ -45,11 +46,7 @@
             CallOutcome::Declined => self.call_declined(now, id, out),
             CallOutcome::WrongTarget => self.call_not_run(now, id, "wrong_target", true, out),
             CallOutcome::Unreachable => {
-                if let Some(call) = self.flows.get(&id).and_then(|flow| flow.call.as_ref())
-                    && self.suspects.target_unreachable(now, &call.target_start())
-                {
-                    out.push(DirectAction::ProbeTarget(call.target.clone()));
-                }
+                self.probe_unreachable(now, id, out);
                 self.call_not_run(now, id, "unreachable", false, out);
             }
             CallOutcome::Prefilled { handle } => self.call_prefilled(now, id, handle, out),
@@ -58,6 +55,19 @@
         }
     }
 
+    /// Finds out whether a target is gone that took no connection, if that matters: it may have
+    /// crashed under a response without framing, or come back with another software version.
+    fn probe_unreachable(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
+        let Some(flow) = self.flows.get(&id) else { return };
+        let Some(call) = &flow.call else { return };
+        let state = self.fleet.get(&call.target.id);
+        let has_new_doubt = flow.request.route.retry == RetryPolicy::Resume
+            && state.is_some_and(TargetState::is_same_start);
+        if self.suspects.target_unreachable(now, &call.target_start()) || has_new_doubt {
+            out.push(DirectAction::ProbeTarget(call.target.clone()));
+        }
+    }
+
     fn call_declined(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let Some(call) = self.close_call(now, id, "declined") else { return };
         self.suspects.target_responded(&call.target_start(), call.started);
--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -50,6 +50,17 @@
 /// Longest estimate, in seconds.
 const MAX_ESTIMATE_SECONDS: f32 = 3600.0;
 
+/// Whether a request's response is part of a stream that may go on at another target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StreamPart {
+    /// It is none.
+    None,
+    /// It begins one, whose version has to be known later.
+    Begins,
+    /// It goes on with one, at the version that began it.
+    GoesOn,
+}
+
 /// Properties of a request that determine its placement.
 pub(super) struct PlacementQuery<'a> {
     pub(super) service: &'a ServiceName,
@@ -58,6 +69,7 @@
     /// Software version that the target must have; `None` for any.
     pub(super) version: Option<&'a SoftwareVersion>,
     pub(super) tried: &'a [TargetId],
+    pub(super) stream: StreamPart,
     pub(super) data_centre: &'a DataCentreId,
     /// Priority of the request at targets.
     pub(super) priority: u8,
@@ -199,7 +211,16 @@
                 && !query.tried.contains(&state.target.id)
         };
         let not_paused = |state: &&TargetState| state.paused_until <= self.now;
-        let all: SmallVec<_> = self.fleet.iter().filter(allowed).collect();
+        let is_certain = |state: &&TargetState| match query.stream {
+            StreamPart::None => true,
+            StreamPart::Begins | StreamPart::GoesOn => state.is_same_start(),
+        };
+        let allowed: SmallVec<[_; 32]> = self.fleet.iter().filter(allowed).collect();
+        let certain: SmallVec<_> = allowed.iter().copied().filter(is_certain).collect();
+        let all = match query.stream {
+            StreamPart::None | StreamPart::Begins if certain.is_empty() => allowed,
+            _ => certain,
+        };
         let ready: SmallVec<_> = all.iter().copied().filter(not_paused).collect();
         if ready.is_empty() { all } else { ready }
     }
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -12,10 +12,10 @@
 use super::{
     CachedSegment, CallNumber, ClaimOutcome, CrashSuspect, DirectAction, DirectEvent,
     DirectRequest, EngineConfig, FailureReason, FlowId, PeerName, PeerTable, RequestFailure,
-    RequestTrace, RetryWindow, RouteTable, ServiceName, StreamId, SuspectReport, TargetFleet,
-    TargetUsage,
+    RequestTrace, RetryPolicy, RetryWindow, RouteTable, ServiceName, StreamId, SuspectReport,
+    TargetFleet, TargetUsage,
     authority::StageAuthority,
-    estimate::{Placement, PlacementQuery, PlacementView, call_step},
+    estimate::{Placement, PlacementQuery, PlacementView, StreamPart, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
     limit::LimitTable,
     returning::ReturnEstimator,
@@ -229,11 +229,18 @@
             DirectEvent::TargetLeaving(leaving) => self.fleet.mark_leaving(now, leaving),
             DirectEvent::Routes(routes) => self.apply_routes(routes),
             DirectEvent::PeerLoad(report) => self.peer_load(now, report),
-            DirectEvent::Suspects(report) => self.suspects.apply(now, &report),
+            DirectEvent::Suspects(report) => {
+                report.crashes.iter().for_each(|crash| self.fleet.doubt_start(&crash.start));
+                report.survivors.iter().for_each(|(start, _)| self.fleet.confirm_start(start));
+                self.suspects.apply(now, &report);
+            }
             DirectEvent::StoredSuspects(blocked) => {
                 blocked.iter().for_each(|block| self.suspects.adopt_block(now, block, true));
             }
             DirectEvent::TargetProbed { start, age, gone } => {
+                if gone {
+                    self.fleet.doubt_start(&start);
+                }
                 self.suspects.target_probed(&start, now.saturating_sub(age), gone);
             }
             DirectEvent::UnframedAnswer { flow } => {
@@ -555,11 +562,20 @@
         prompt: flow.request.prompt.as_ref(),
         version: flow.version.as_ref(),
         tried: &flow.tried,
+        stream: stream_part(flow),
         data_centre: &settings.data_centre,
         priority: priority(flow),
     }
 }
 
+fn stream_part(flow: &DirectFlow) -> StreamPart {
+    match (flow.request.route.retry, &flow.request.resumes) {
+        (RetryPolicy::Never | RetryPolicy::Always, _) => StreamPart::None,
+        (RetryPolicy::Resume, None) => StreamPart::Begins,
+        (RetryPolicy::Resume, Some(_)) => StreamPart::GoesOn,
+    }
+}
+
 fn engine_config<'a>(
     routes: Option<&'a Arc<RouteTable>>,
     service: &ServiceName,
--- a/src/direct/reading.rs
+++ b/src/direct/reading.rs
@@ -12,7 +12,7 @@
 /// The same for the targets. The longer pause lets one read take several records.
 const TARGET_SHARES: (f64, f64) = (0.35, 0.55);
 /// Shortest pause, whatever the bound is.
-const MIN_PAUSE: Duration = Duration::from_millis(100);
+pub(super) const MIN_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait of a long poll that the store accepts.
 const MAX_POLL_WAIT: Duration = Duration::from_secs(30);
 
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -11,7 +11,8 @@
 use strum::Display;
 
 use super::{
-    InFlight, PromptSegment, PromptShape, ServiceName, SoftwareVersion, reading::expiry_grace,
+    InFlight, PromptSegment, PromptShape, ServiceName, SoftwareVersion, TargetStart,
+    reading::{MIN_PAUSE, expiry_grace},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
 
@@ -136,6 +137,8 @@
     pub(super) paused_until: ClockTime,
     /// Time until which the target wants no requests, by its own statement.
     closed_until: ClockTime,
+    /// Doubt whether the start that is registered still runs.
+    doubt: Option<StartDoubt>,
     #[serde(rename = "pause")]
     failure_backoff: Duration,
     #[serde(rename = "decline_pause")]
@@ -149,6 +152,17 @@
     cached_tokens: u32,
 }
 
+/// Sign that a start of a target has ended, which its registration does not show yet.
+///
+/// The next start under the same name may run another software version. A registration
+/// that is read right after the end may have been written before it, but one of a later read
+/// was written after the first read.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+struct StartDoubt {
+    /// When a renewed registration of the start was first read since.
+    renewed: Option<ClockTime>,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct SegmentUse {
     used: ClockTime,
@@ -187,6 +201,7 @@
             run_seconds: 0.0,
             paused_until: ClockTime::ZERO,
             closed_until: ClockTime::ZERO,
+            doubt: None,
             failure_backoff: MIN_FAILURE_BACKOFF,
             decline_backoff: MIN_DECLINE_BACKOFF,
             failure_rate: 0.0,
@@ -290,6 +305,19 @@
         self.closed_until > now
     }
 
+    /// Returns whether the start that is registered still runs, as far as is known.
+    pub(super) fn is_same_start(&self) -> bool {
+        self.doubt.is_none()
+    }
+
+    fn registration_renewed(&mut self, now: ClockTime) {
+        let Some(doubt) = &mut self.doubt else { return };
+        let first = *doubt.renewed.get_or_insert(now);
+        if now >= first + MIN_PAUSE {
+            self.doubt = None;
+        }
+    }
+
     /// Pauses an engine that is switching stages; repeated reports extend the pause.
     pub(super) fn pause_switching(&mut self, now: ClockTime) {
         self.paused_until = self.paused_until.max(now + SWITCH_PAUSE);
@@ -404,6 +432,24 @@
         recent.map(|(_, leaving)| leaving.clone()).collect()
     }
 
+    /// Records a sign that a start of a target has ended.
+    pub(super) fn doubt_start(&mut self, start: &TargetStart) {
+        if let Some(state) = self.targets.get_mut(&start.0)
+            && state.target.born_ms == start.1
+        {
+            state.doubt = Some(StartDoubt::default());
+        }
+    }
+
+    /// Records that a start of a target has not ended.
+    pub(super) fn confirm_start(&mut self, start: &TargetStart) {
+        if let Some(state) = self.targets.get_mut(&start.0)
+            && state.target.born_ms == start.1
+        {
+            state.doubt = None;
+        }
+    }
+
     fn has_stated_leaving(&self, target: &DirectTarget) -> bool {
         let stated = self.leaving.get(&target.id);
         stated.is_some_and(|(_, leaving)| leaving.born_ms == target.born_ms)
@@ -430,6 +476,9 @@
         if target.born_ms != known.target.born_ms {
             known.paused_until = ClockTime::ZERO;
             known.closed_until = ClockTime::ZERO;
+            known.doubt = None;
+        } else if target.sequence != known.target.sequence {
+            known.registration_renewed(now);
         }
         known.target = Arc::new(target);
     }
