Let engines in other data centres cost as much as reports are old

Cause: with 68 entries the reports are 0.57 s apart. All entries know the same ones and choose the same engines until the next; in a test of decisions all of 70 entries placed their requests at one engine. Change: an engine in another data centre costs half of the interval between reports, which is their mean age, and half of the objective at most. Entries of a data centre share its engines with few others; with a few entries the cost is some milliseconds. Plain services are placed as before.

--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -11,12 +11,22 @@
     CallStep, EngineConfig, InFlight, LimitTable, Locality, PeerTable, PromptShape, ServiceName,
     SoftwareVersion,
     flow::StepKind,
+    load::report_interval,
     target::{CALL_OVERHEAD, TargetFleet, TargetStage, TargetState},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
 
 /// Additional time of a call to another data centre, in seconds.
 const REMOTE_CALL_SECONDS: f32 = 0.003;
+/// Cost of an engine in another data centre, relative to the interval between peers' reports:
+/// their mean age.
+///
+/// All entries know the same reports and would choose the same engines until the next ones.
+/// Those of a data centre that prefer its engines share each with few others.
+const STALE_REPORT_COST_SHARE: f32 = 0.5;
+/// Largest such cost, relative to the request's latency objective, so that a wait for a local
+/// engine does not use up the objective while remote ones are idle.
+const MAX_STALE_COST_SHARE: f32 = 0.5;
 /// Transfer time of a KV cache between data centres, relative to one within a data centre.
 const REMOTE_TRANSFER_FACTOR: f32 = 2.0;
 /// Assumed run time before any run was timed, in seconds.
@@ -71,6 +81,8 @@
     pub(super) tried: &'a [TargetId],
     pub(super) stream: StreamPart,
     pub(super) data_centre: &'a DataCentreId,
+    /// Latency objective of the request's route.
+    pub(super) objective: Duration,
     /// Priority of the request at targets.
     pub(super) priority: u8,
 }
@@ -250,6 +262,7 @@
         let external_cost = placed.external_cost
             + displacing * DECODE_PREFILL_COST_FACTOR
             + self.overtaking_cost(state, query, tokens)
+            + self.stale_report_cost(state, query)
             + stream_cost;
         Placement { prefill_tokens: tokens, external_cost, ..placed }
     }
@@ -269,7 +282,8 @@
         let displacing = displacing_tokens(state, prompt, is_home) as f32 / rate;
         let external_cost = placed.external_cost
             + displacing * PREFILL_COST_FACTOR
-            + self.overtaking_cost(state, query, tokens);
+            + self.overtaking_cost(state, query, tokens)
+            + self.stale_report_cost(state, query);
         Placement { prefill_tokens: tokens, external_cost, ..placed }
     }
 
@@ -288,7 +302,22 @@
         let bits = query.engine.map_or(0.0, |config| config.token_bytes * 8.0 / config.link_bits);
         let transfer = prompt.tokens as f32 * bits as f32 * factor;
         let own = transfer + self.call_overhead(state, query);
-        placement(state, StepKind::Decode, self.slot_wait(state), own)
+        let placed = placement(state, StepKind::Decode, self.slot_wait(state), own);
+        let external_cost = placed.external_cost + self.stale_report_cost(state, query);
+        Placement { external_cost, ..placed }
+    }
+
+    /// Returns the cost of an engine in another data centre, which grows with the age of what is
+    /// known of its load, in seconds.
+    fn stale_report_cost(&self, state: &TargetState, query: &PlacementQuery<'_>) -> f32 {
+        match Locality::between(query.data_centre, &state.target.data_centre) {
+            Locality::Local => 0.0,
+            Locality::Remote => {
+                let interval = report_interval(self.peers.len()).as_secs_f32();
+                let limit = query.objective.as_secs_f32() * MAX_STALE_COST_SHARE;
+                (interval * STALE_REPORT_COST_SHARE).min(limit)
+            }
+        }
     }
 
     /// Returns the time until a target begins a prompt of a priority, in seconds.
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -564,6 +564,7 @@
         tried: &flow.tried,
         stream: stream_part(flow),
         data_centre: &settings.data_centre,
+        objective: flow.request.route.objective,
         priority: priority(flow),
     }
 }
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -73,11 +73,16 @@
 
     /// Returns the rig of an entry that is told apart from others by its number.
     pub fn named(retry: RetryPolicy, number: u64) -> DirectRig {
+        DirectRig::at(retry, number, "dc")
+    }
+
+    /// Returns the same for an entry in a data centre. Targets are in "dc" unless they are changed.
+    pub fn at(retry: RetryPolicy, number: u64, data_centre: &str) -> DirectRig {
         let machine = DirectMachine::new(DirectSettings {
             name: format!("entry-{number}").into(),
             instance: number,
             seed: number,
-            data_centre: "dc".into(),
+            data_centre: data_centre.into(),
             retry_ratio: 0.2,
             retry_slack: 56.0,
             retry_window: Duration::from_secs(10),
