Do not doubt a target again by a report that is repeated

Each repetition began the doubt anew, so that a live target that renewed its registration meanwhile stayed without streams until two renewals after the last one. The time of the crash is compared now with the time at which the start is known to have run.

--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -230,18 +230,23 @@
             DirectEvent::Routes(routes) => self.apply_routes(routes),
             DirectEvent::PeerLoad(report) => self.peer_load(now, report),
             DirectEvent::Suspects(report) => {
-                report.crashes.iter().for_each(|crash| self.fleet.doubt_start(&crash.start));
-                report.survivors.iter().for_each(|(start, _)| self.fleet.confirm_start(start));
+                for crash in &report.crashes {
+                    self.fleet.doubt_start(now.saturating_sub(crash.age), &crash.start);
+                }
+                for (start, age) in &report.survivors {
+                    self.fleet.confirm_start(now.saturating_sub(*age), start);
+                }
                 self.suspects.apply(now, &report);
             }
             DirectEvent::StoredSuspects(blocked) => {
                 blocked.iter().for_each(|block| self.suspects.adopt_block(now, block, true));
             }
             DirectEvent::TargetProbed { start, age, gone } => {
+                let asked = now.saturating_sub(age);
                 if gone {
-                    self.fleet.doubt_start(&start);
+                    self.fleet.doubt_start(asked, &start);
                 }
-                self.suspects.target_probed(&start, now.saturating_sub(age), gone);
+                self.suspects.target_probed(&start, asked, gone);
             }
             DirectEvent::UnframedAnswer { flow } => {
                 if let Some(flow) = self.flows.get_mut(&flow) {
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -139,6 +139,8 @@
     closed_until: ClockTime,
     /// Doubt whether the start that is registered still runs.
     doubt: Option<StartDoubt>,
+    /// Time at which that start is known to have run.
+    alive_at: ClockTime,
     #[serde(rename = "pause")]
     failure_backoff: Duration,
     #[serde(rename = "decline_pause")]
@@ -157,8 +159,10 @@
 /// The next start under the same name may run another software version. A registration
 /// that is read right after the end may have been written before it, but one of a later read
 /// was written after the first read.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 struct StartDoubt {
+    /// When it may have ended.
+    since: ClockTime,
     /// When a renewed registration of the start was first read since.
     renewed: Option<ClockTime>,
 }
@@ -202,6 +206,7 @@
             paused_until: ClockTime::ZERO,
             closed_until: ClockTime::ZERO,
             doubt: None,
+            alive_at: ClockTime::ZERO,
             failure_backoff: MIN_FAILURE_BACKOFF,
             decline_backoff: MIN_DECLINE_BACKOFF,
             failure_rate: 0.0,
@@ -314,10 +319,23 @@
         let Some(doubt) = &mut self.doubt else { return };
         let first = *doubt.renewed.get_or_insert(now);
         if now >= first + MIN_PAUSE {
-            self.doubt = None;
+            self.confirm_start(first);
         }
     }
 
+    /// Records a sign that the start ended at a time. Peers repeat what they report.
+    fn doubt_start(&mut self, at: ClockTime) {
+        if at > self.alive_at && self.doubt.is_none() {
+            self.doubt = Some(StartDoubt { since: at, renewed: None });
+        }
+    }
+
+    /// Records that the start ran at a time.
+    fn confirm_start(&mut self, at: ClockTime) {
+        self.alive_at = self.alive_at.max(at);
+        self.doubt.take_if(|doubt| doubt.since <= at);
+    }
+
     /// Pauses an engine that is switching stages; repeated reports extend the pause.
     pub(super) fn pause_switching(&mut self, now: ClockTime) {
         self.paused_until = self.paused_until.max(now + SWITCH_PAUSE);
@@ -432,24 +450,25 @@
         recent.map(|(_, leaving)| leaving.clone()).collect()
     }
 
-    /// Records a sign that a start of a target has ended.
-    pub(super) fn doubt_start(&mut self, start: &TargetStart) {
-        if let Some(state) = self.targets.get_mut(&start.0)
-            && state.target.born_ms == start.1
-        {
-            state.doubt = Some(StartDoubt::default());
+    /// Records a sign that a start of a target ended at a time.
+    pub(super) fn doubt_start(&mut self, at: ClockTime, start: &TargetStart) {
+        if let Some(state) = self.registered_start(start) {
+            state.doubt_start(at);
         }
     }
 
-    /// Records that a start of a target has not ended.
-    pub(super) fn confirm_start(&mut self, start: &TargetStart) {
-        if let Some(state) = self.targets.get_mut(&start.0)
-            && state.target.born_ms == start.1
-        {
-            state.doubt = None;
+    /// Records that a start of a target ran at a time.
+    pub(super) fn confirm_start(&mut self, at: ClockTime, start: &TargetStart) {
+        if let Some(state) = self.registered_start(start) {
+            state.confirm_start(at);
         }
     }
 
+    /// Returns the target, if this start of it is the one that is registered.
+    fn registered_start(&mut self, (target, born_ms): &TargetStart) -> Option<&mut TargetState> {
+        self.targets.get_mut(target).filter(|state| state.target.born_ms == *born_ms)
+    }
+
     fn has_stated_leaving(&self, target: &DirectTarget) -> bool {
         let stated = self.leaving.get(&target.id);
         stated.is_some_and(|(_, leaving)| leaving.born_ms == target.born_ms)
@@ -477,6 +496,7 @@
             known.paused_until = ClockTime::ZERO;
             known.closed_until = ClockTime::ZERO;
             known.doubt = None;
+            known.alive_at = ClockTime::ZERO;
         } else if target.sequence != known.target.sequence {
             known.registration_renewed(now);
         }
--- a/tests/stream_at_a_target_that_may_have_started_again.rs
+++ b/tests/stream_at_a_target_that_may_have_started_again.rs
@@ -23,6 +23,8 @@
     PeersReport,
     /// The connection broke, but the target takes new ones.
     BrokenConnectionToLiveTarget,
+    /// The peer repeats its report until after the registrations.
+    RepeatedReport,
     /// The target refused a request that may run at any version.
     None,
 }
@@ -61,7 +63,6 @@
     }
 
     fn show(&mut self, sign: Sign) {
-        let start = (self.crashed.id.clone(), self.crashed.born_ms);
         match sign {
             Sign::BrokenConnection | Sign::BrokenConnectionToLiveTarget => {
                 let gone = matches!(sign, Sign::BrokenConnection);
@@ -77,18 +78,20 @@
                 let actions = self.rig.end(1, call.number, CallOutcome::Unreachable);
                 self.rig.answer_probes(actions, true);
             }
-            Sign::PeersReport => {
-                let age = Duration::from_millis(50);
-                let crash = TargetCrash { start, age, runs: Vec::new(), requests: Vec::new() };
-                let report = SuspectReport { crashes: vec![crash], ..SuspectReport::default() };
-                self.rig.step(DirectEvent::Suspects(report));
-            }
+            Sign::PeersReport | Sign::RepeatedReport => self.report(Duration::from_millis(50)),
             Sign::None => {}
         }
         // The pause after a failed call would keep requests away by itself.
         self.rig.advance(Duration::from_millis(400));
     }
 
+    fn report(&mut self, age: Duration) {
+        let start = (self.crashed.id.clone(), self.crashed.born_ms);
+        let crash = TargetCrash { start, age, runs: Vec::new(), requests: Vec::new() };
+        let report = SuspectReport { crashes: vec![crash], ..SuspectReport::default() };
+        self.rig.step(DirectEvent::Suspects(report));
+    }
+
     fn register(&mut self, registration: Registration) {
         let (born, renewals, time): (u64, u64, _) = match registration {
             Registration::None => return,
@@ -132,6 +135,8 @@
     renewed_once = { DoubtCase { sign: Sign::PeersReport, registration: Registration::RenewedOnce, is_used: false } },
     renewed_in_one_read = { DoubtCase { sign: Sign::PeersReport, registration: Registration::RenewedTwiceInOneRead, is_used: false } },
     renewed_in_two_reads = { DoubtCase { sign: Sign::PeersReport, registration: Registration::RenewedInTwoReads, is_used: true } },
+    repeated_report = { DoubtCase { sign: Sign::RepeatedReport, registration: Registration::RenewedInTwoReads, is_used: true } },
+    repeated_before_two_reads = { DoubtCase { sign: Sign::RepeatedReport, registration: Registration::RenewedOnce, is_used: false } },
     started_again = { DoubtCase { sign: Sign::BrokenConnection, registration: Registration::NewStart, is_used: true } },
     lives_on = { DoubtCase { sign: Sign::BrokenConnectionToLiveTarget, registration: Registration::None, is_used: true } },
     no_sign = { DoubtCase { sign: Sign::None, registration: Registration::None, is_used: true } },
@@ -142,7 +147,12 @@
         let mut fleet = Fleet::new(RetryPolicy::Resume);
         fleet.rig.step(began());
         fleet.show(case.sign);
+        let shown = fleet.rig.now();
         fleet.register(case.registration);
+        if matches!(case.sign, Sign::RepeatedReport) {
+            // The report was 50 ms old 400 ms before.
+            fleet.report(fleet.rig.now() - shown + Duration::from_millis(450));
+        }
         assert_eq!(fleet.next_target(stream).as_deref(), Some(expected), "{stream:?}");
     }
 }
