--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -56,7 +56,7 @@
     }
 
     /// Finds out whether a target is gone that took no connection, if that matters: it may have
-    /// crashed under a response without framing, or come back with another software version.
+    /// crashed under a response without framing, or may restart with another software version.
     fn probe_unreachable(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let Some(flow) = self.flows.get(&id) else { return };
         let Some(call) = &flow.call else { return };
--- a/src/direct/returning.rs
+++ b/src/direct/returning.rs
@@ -1,6 +1,6 @@
 //! Estimates how long the caller of a request has waited since its first attempt.
 //!
-//! It serves loads under which callers come back after a rejection, beside callers that wait
+//! It serves loads under which callers retry after a rejection, beside callers that wait
 //! for times of their own. No request names its first attempt.
 
 use std::{collections::VecDeque, time::Duration};
@@ -10,12 +10,12 @@
 /// Number of recent requests of a route that are compared.
 const RECENT_REQUESTS: usize = 128;
 
-/// Times left to recent requests of one route, and the share of them that come back.
+/// Times left to recent requests of one route, and the share of them that are retries.
 ///
-/// A request that comes back has less time left than a new one. New ones differ too, as each
+/// A retry has less time left than a new request. New ones differ too, as each
 /// caller has a time of its own. So only as many of the requests with the least time left are
 /// taken for returning ones as this entry has rejected lately, and a standard deviation more:
-/// callers come back at other entries, which reject about as many.
+/// callers retry at other entries, which reject about as many.
 #[derive(Debug, Clone, Default, Serialize)]
 pub(super) struct ReturnEstimator {
     /// Times left on arrival, the latest last.
@@ -38,7 +38,7 @@
         waited
     }
 
-    /// Records that a request was rejected, whose caller may come back.
+    /// Records that a request was rejected, whose caller may retry.
     pub(super) fn request_rejected(&mut self) {
         self.rejected_share = (self.rejected_share + 1.0 / RECENT_REQUESTS as f32).min(1.0);
     }
--- a/src/direct/stage_plan.rs
+++ b/src/direct/stage_plan.rs
@@ -21,8 +21,7 @@
 /// Minimum number of samples before the first order.
 const MIN_SAMPLES: u32 = 5;
 /// Mean prefill wait at which another prefill engine is needed, and at which one can be
-/// spared, in seconds. On a site's days it was 0.2 to 0.9 s while half of the slots were
-/// free; see docs/BENCH.md.
+/// spared, in seconds. See docs/BENCH.md.
 const LONG_WAIT_SECONDS: f32 = 0.15;
 const SHORT_WAIT_SECONDS: f32 = 0.02;
 /// Maximum slot use of the remaining decode engines after one of them is taken away.
