Place a stream of unknown origin only by a list read after it came, and keep versions in the store

Callers' streams (ORDER) of a version whose last target had left went on at the version that was left, where all entries had started since; and an entry that had heard of nothing for up to 3 s let streams of a version that it did not know go on at the one it knew.

Cause: an entry took the versions that it had seen since its start, by a list up to 3 s old, for all there were. Now a request whose stream's origin nobody knows makes the entry read the registrations, and is placed only if a read that began after it came shows one version; versions are recorded in keyed.versions, written by three entries when the set changes and read at a start or after a gap.

Why it works: whatever began the stream had read a registration of its version before, so a later read shows it, or its record does. Waiting takes a read's time (at most 600 ms) and only for streams that no peer knows.

The check the_only_version_is_known_from_fresh_registrations::fresh asserted the fault; it is replaced by four cases by when the read began.

--- a/emulator/src/platform_rig.rs
+++ b/emulator/src/platform_rig.rs
@@ -10,6 +10,7 @@
 use sapphirewell::{
     direct::{
         CallNumber, CallOutcome, DirectEvent, FlowId, StageOrder, SuspectChange, TargetStage,
+        VersionChange,
     },
     ids::ClockTime,
 };
@@ -119,6 +120,15 @@
         process: u64,
         change: SuspectChange,
     },
+    ReadVersions {
+        entry: EntryId,
+        process: u64,
+    },
+    PersistVersion {
+        entry: EntryId,
+        process: u64,
+        change: VersionChange,
+    },
     Report {
         entry: EntryId,
         process: u64,
@@ -275,6 +285,10 @@
             RigEvent::PersistSuspect { entry, process, change } => {
                 self.persist_suspect(entry, process, change);
             }
+            RigEvent::ReadVersions { entry, process } => self.read_versions(entry, process),
+            RigEvent::PersistVersion { entry, process, change } => {
+                self.persist_version(entry, process, change);
+            }
             RigEvent::Report { entry, process } => self.send_reports(entry, process),
             RigEvent::Machine { entry, process, event } => {
                 if self.is_process(entry, process) {
@@ -311,6 +325,8 @@
             | RigEvent::ReadRoutes { entry, .. }
             | RigEvent::ReadSuspects { entry, .. }
             | RigEvent::PersistSuspect { entry, .. }
+            | RigEvent::ReadVersions { entry, .. }
+            | RigEvent::PersistVersion { entry, .. }
             | RigEvent::Report { entry, .. }
             | RigEvent::Machine { entry, .. }
             | RigEvent::AnswerTimeout { entry, .. } => *entry,
--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -316,6 +316,18 @@
                 let process = self.entries[entry].process;
                 self.persist_suspect(entry, process, change);
             }
+            DirectAction::ReadTargets => {
+                let process = self.entries[entry].process;
+                self.read_targets_now(entry, process);
+            }
+            DirectAction::ReadVersions => {
+                let process = self.entries[entry].process;
+                self.read_versions(entry, process);
+            }
+            DirectAction::PersistVersion(change) => {
+                let process = self.entries[entry].process;
+                self.persist_version(entry, process, change);
+            }
             DirectAction::ProbeTarget(target) => {
                 self.probe_target(entry, &target);
                 self.record_step(PlatformStep::CrashDetected, PlatformSite { entry, target: 0 });
--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -6,8 +6,8 @@
 use sapphirewell::{
     direct::{
         BlockedSuspect, CrashSuspect, DirectEvent, DirectTarget, EngineConfig, RequestLimits,
-        RetryPolicy, RouteConfig, RouteTable, ServiceConfig, SuspectChange, SuspectReport,
-        TargetChange, WeightedService,
+        RetryPolicy, RouteConfig, RouteTable, ServiceConfig, ServiceVersion, SuspectChange,
+        SuspectReport, TargetChange, VersionChange, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -50,6 +50,8 @@
     first: u64,
     /// Suspects that entries block.
     pub(crate) suspects: BTreeMap<CrashSuspect, BlockedSuspect>,
+    /// Software versions that entries recorded.
+    pub(crate) versions: Vec<ServiceVersion>,
     /// Entries that claimed the right to order engines, in the order of their claims.
     pub(crate) claims: Vec<EntryId>,
     /// Configurations with the times at which the store accepted them.
@@ -129,6 +131,21 @@
         if changes.is_empty() {
             return self.schedule_after(LONG_POLL_INTERVAL, again);
         }
+        self.pass_on_targets(entry, changes);
+        self.schedule_after(self.response_time() + TARGET_READ_PAUSE, again);
+    }
+
+    /// Reads the targets once more, beside the reads that follow each other.
+    pub(super) fn read_targets_now(&mut self, entry: EntryId, process: u64) {
+        if !self.is_process(entry, process) || self.store_fails(entry) {
+            return;
+        }
+        let (changes, _) = self.store.changes(self.entries[entry].next_record);
+        self.entries[entry].next_record = Some(self.store.next);
+        self.pass_on_targets(entry, changes);
+    }
+
+    fn pass_on_targets(&mut self, entry: EntryId, changes: Vec<TargetChange>) {
         let answer = self.response_time();
         for change in changes {
             let ignored = self.settings.defect == Some(DriverDefect::LeavingIgnored)
@@ -137,7 +154,41 @@
                 self.schedule_after(answer, self.machine_event(entry, DirectEvent::Target(change)));
             }
         }
-        self.schedule_after(answer + TARGET_READ_PAUSE, again);
+        let read = DirectEvent::TargetsRead { age: answer };
+        self.schedule_after(answer, self.machine_event(entry, read));
+    }
+
+    /// Reads the software versions that entries recorded.
+    pub(super) fn read_versions(&mut self, entry: EntryId, process: u64) {
+        if !self.is_process(entry, process) {
+            return;
+        }
+        if self.store_fails(entry) {
+            let again = RigEvent::ReadVersions { entry, process };
+            return self.schedule_after(READ_TIMEOUT + FAILURE_PAUSE, again);
+        }
+        let versions = self.store.versions.clone();
+        self.schedule_after(
+            self.response_time(),
+            self.machine_event(entry, DirectEvent::StoredVersions(versions)),
+        );
+    }
+
+    /// Writes a change of the recorded software versions to the store, with retries.
+    pub(super) fn persist_version(&mut self, entry: EntryId, process: u64, change: VersionChange) {
+        if !self.is_process(entry, process) {
+            return;
+        }
+        if self.store_fails(entry) {
+            let again = RigEvent::PersistVersion { entry, process, change };
+            return self.schedule_after(READ_TIMEOUT + FAILURE_PAUSE, again);
+        }
+        let versions = &mut self.store.versions;
+        match change {
+            VersionChange::Serves(known) if !versions.contains(&known) => versions.push(known),
+            VersionChange::Serves(_) => {}
+            VersionChange::Gone(known) => versions.retain(|version| *version != known),
+        }
     }
 
     pub(super) fn read_routes(&mut self, entry: EntryId, process: u64) {
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -35,6 +35,7 @@
 mod suspect;
 mod suspect_table;
 mod target;
+mod version;
 mod waiting;
 
 pub use authority::ClaimOutcome;
@@ -58,6 +59,7 @@
 };
 pub use suspect_table::SuspectTable;
 pub use target::{DirectTarget, LeavingTarget, TargetChange, TargetFleet, TargetStage};
+pub use version::{ServiceVersion, VersionChange};
 
 /// Identifies a request within one process.
 pub type FlowId = u64;
@@ -193,6 +195,13 @@
     },
     /// The list of targets changed.
     Target(TargetChange),
+    /// The list of targets was read to its end, and its changes were passed on.
+    TargetsRead {
+        /// Time since the read began.
+        age: Duration,
+    },
+    /// Versions of targets' software that the store has records of.
+    StoredVersions(Vec<ServiceVersion>),
     /// A target turned a request away and stated for how long it wants no more.
     TargetClosed {
         /// Name of the target.
@@ -354,6 +363,12 @@
     /// Write to the store that a suspect crashes targets, or remove that record. The store
     /// serves entries that start when no peer is left that knows.
     PersistSuspect(SuspectChange),
+    /// Read the list of targets to its end now, since a request waits for that.
+    ReadTargets,
+    /// Read the store's records of software versions.
+    ReadVersions,
+    /// Write to the store that targets of a software version serve, or remove that record.
+    PersistVersion(VersionChange),
     /// Write a claim on ordering engines to the store.
     Claim,
     /// Order an engine to switch its stage, unless the store holds a newer claim.
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -13,7 +13,7 @@
     CachedSegment, CallNumber, ClaimOutcome, CrashSuspect, DirectAction, DirectEvent,
     DirectRequest, EngineConfig, FailureReason, FlowId, PeerName, PeerTable, RequestFailure,
     RequestTrace, RetryPolicy, RetryWindow, RouteTable, ServiceName, StreamId, SuspectReport,
-    TargetFleet, TargetUsage,
+    TargetChange, TargetFleet, TargetUsage,
     authority::StageAuthority,
     estimate::{Placement, PlacementQuery, PlacementView, StreamPart, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
@@ -100,6 +100,8 @@
     pub(super) last_reported: HashMap<TargetId, TargetUsage>,
     #[serde(rename = "next_forget")]
     next_expiry: ClockTime,
+    #[serde(skip)]
+    pub(super) next_version_check: ClockTime,
     /// Time of the first event.
     pub(super) started: Option<ClockTime>,
     #[serde(skip)]
@@ -138,6 +140,7 @@
             recent_segments: VecDeque::new(),
             last_reported: HashMap::new(),
             next_expiry: ClockTime::ZERO,
+            next_version_check: ClockTime::ZERO,
             started: None,
             origins: OriginTable::default(),
             querying: Vec::new(),
@@ -217,7 +220,20 @@
             DirectEvent::AnswerInterrupted { flow } => self.answer_interrupted(now, flow, out),
             DirectEvent::AnswerMalformed { flow } => self.answer_malformed(flow),
             DirectEvent::FlowEnded { flow, complete } => self.flow_ended(now, flow, complete, out),
-            DirectEvent::Target(change) => self.fleet.apply(now, change),
+            DirectEvent::Target(change) => {
+                if matches!(change, TargetChange::Snapshot { .. }) {
+                    out.push(DirectAction::ReadVersions);
+                }
+                self.fleet.apply(now, change);
+            }
+            DirectEvent::TargetsRead { age } => {
+                self.fleet.list_read(now.saturating_sub(age));
+                self.continue_waiting(now, out);
+            }
+            DirectEvent::StoredVersions(records) => {
+                self.fleet.versions.load(now, records);
+                self.continue_waiting(now, out);
+            }
             DirectEvent::TargetClosed { target, time } => {
                 if let Some(state) = self.fleet.get_mut(&target) {
                     state.close(now + time);
@@ -529,6 +545,7 @@
         self.fleet.drop_expired(now);
         self.update_limits(now);
         self.continue_queries(now, out);
+        self.keep_versions(now, out);
         self.continue_stop(now);
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
--- a/src/direct/stream.rs
+++ b/src/direct/stream.rs
@@ -36,6 +36,8 @@
 /// The same while a starting process has yet to hear of its peers, which report several times
 /// a second.
 pub(super) const STARTING_QUERY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a request waits for the list of targets to be read.
+pub(super) const LIST_READ_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Part of a request that goes on with an earlier stream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -74,14 +76,25 @@
 /// Query for the origin of a stream that a request goes on with.
 #[derive(Debug, Clone)]
 pub(super) struct OriginQuery {
-    pub(super) stream: StreamId,
+    /// The stream; `None` if the caller does not name it.
+    pub(super) stream: Option<StreamId>,
     /// Peers that were asked.
     pub(super) asked: PeerNames,
     /// Those of them that have not answered.
     pub(super) unanswered: PeerNames,
+    pub(super) stage: QueryStage,
     pub(super) until: ClockTime,
 }
 
+/// What a request waits for whose stream's origin is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum QueryStage {
+    /// The answers of the peers that hold the origin.
+    Peers,
+    /// A read of the targets, which shows whether there are several versions.
+    TargetList,
+}
+
 /// Known origins of streams that may still be taken up.
 #[derive(Debug, Clone, Default)]
 pub(super) struct OriginTable {
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -1,7 +1,7 @@
 //! Known targets with their load, speed, cached prefixes and backoff.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -11,8 +11,9 @@
 use strum::Display;
 
 use super::{
-    InFlight, PromptSegment, PromptShape, ServiceName, SoftwareVersion, TargetStart,
+    InFlight, PromptSegment, PromptShape, ServiceName, SoftwareVersion, TargetStart, VersionChange,
     reading::{MIN_PAUSE, expiry_grace},
+    version::{ServiceVersion, VersionSet, VersionTable},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
 
@@ -46,13 +47,6 @@
 /// Time after a store outage in which expired registrations are written again, which takes
 /// about two seconds.
 const RELIST_TIME: Duration = Duration::from_millis(2500);
-/// Age of the last change up to which the list counts as complete. Targets renew their
-/// registrations several times in it.
-const FRESH_TIME: Duration = Duration::from_secs(3);
-/// Time for which a software version is remembered after it was last seen. It is longer than
-/// a stream can be taken up.
-const VERSION_MEMORY: Duration = Duration::from_secs(300);
-
 /// Time for which a target's statement that it leaves is remembered; it is longer than targets
 /// take to leave.
 const LEAVING_MEMORY: Duration = Duration::from_secs(600);
@@ -184,11 +178,9 @@
     expiring: BTreeMap<TargetId, ClockTime>,
     /// Targets that stated that they leave, which their registrations may not say yet.
     leaving: BTreeMap<TargetId, (ClockTime, LeavingTarget)>,
-    /// When each software version of a service was last seen in a registration.
-    #[serde(rename = "versions")]
-    version_sightings: HashMap<ServiceName, HashMap<SoftwareVersion, ClockTime>>,
-    /// Time of the last change that was read.
-    last_change: ClockTime,
+    pub(super) versions: VersionTable,
+    /// Begin of the last read to the end of the list.
+    read_at: Option<ClockTime>,
     /// Time of the last failed read of the list.
     #[serde(rename = "unread")]
     last_read_failure: Option<ClockTime>,
@@ -364,13 +356,11 @@
 
     /// Applies a change of the list.
     pub(super) fn apply(&mut self, now: ClockTime, change: TargetChange) {
-        if change != TargetChange::ReadFailed {
-            self.last_change = now;
-        }
         match change {
             TargetChange::Listed(target) => self.upsert(now, target),
             TargetChange::Removed(id) => self.expire(now, id),
             TargetChange::Snapshot { present, targets } => {
+                self.versions.gap_noticed();
                 let missing = self.targets.keys().filter(|id| !present.contains(id)).cloned();
                 for id in missing.collect::<Vec<TargetId>>() {
                     self.expire(now, id);
@@ -400,7 +390,7 @@
     fn remove(&mut self, now: ClockTime, id: &TargetId) {
         self.expiring.remove(id);
         if let Some(state) = self.targets.remove(id) {
-            self.record_version(now, &state.target);
+            self.versions.record(now, &state.target);
         }
     }
 
@@ -477,7 +467,7 @@
     fn upsert(&mut self, now: ClockTime, mut target: DirectTarget) {
         target.leaving |= self.has_stated_leaving(&target);
         self.expiring.remove(&target.id);
-        self.record_version(now, &target);
+        self.versions.record(now, &target);
         let Some(known) = self.targets.get_mut(&target.id) else {
             self.targets.insert(target.id.clone(), TargetState::new(target));
             return;
@@ -493,6 +483,8 @@
             known.samples = 0;
         }
         if target.born_ms != known.target.born_ms {
+            // It may have run since its last registration was read.
+            self.versions.record(now, &known.target);
             known.paused_until = ClockTime::ZERO;
             known.closed_until = ClockTime::ZERO;
             known.doubt = None;
@@ -503,32 +495,34 @@
         known.target = Arc::new(target);
     }
 
-    fn record_version(&mut self, now: ClockTime, target: &DirectTarget) {
-        let sightings = self.version_sightings.entry(target.service.clone()).or_default();
-        sightings.retain(|_, seen| *seen + VERSION_MEMORY >= now);
-        sightings.insert(target.version.clone(), now);
+    /// Records that the list was read to its end, by a read that began at a time.
+    pub(super) fn list_read(&mut self, began: ClockTime) {
+        self.read_at = self.read_at.max(Some(began));
     }
 
-    /// Returns the software version that all targets of a service had that were known since
-    /// a time; `None` if there were several, or if the last read was too long ago to tell.
-    ///
-    /// What this process knew before its start is nothing: a target of another version that
-    /// left before then goes unnoticed.
-    pub(super) fn only_version_since(
-        &self,
-        now: ClockTime,
+    /// Returns whether the list shows all registrations that were written before a time.
+    pub(super) fn is_list_current(&self, at: ClockTime) -> bool {
+        self.read_at.is_some_and(|read| read >= at)
+    }
+
+    /// Returns the software versions that targets of a service had since a time.
+    pub(super) fn versions_since(&self, since: ClockTime, service: &ServiceName) -> VersionSet {
+        let listed = self.targets.values().filter(|state| state.target.service == *service);
+        let seen = self.versions.seen_since(since, service);
+        listed.fold(seen, |versions, state| versions.add(&state.target.version))
+    }
+
+    /// Returns how the store's records of these services' versions have to change, of which
+    /// those that were not seen since a time are gone.
+    pub(super) fn version_changes(
+        &mut self,
         since: ClockTime,
-        service: &ServiceName,
-    ) -> Option<SoftwareVersion> {
-        if self.last_change + FRESH_TIME < now {
-            return None;
-        }
-        let sightings = self.version_sightings.get(service)?;
-        let seen = sightings.iter().filter(|(_, seen)| **seen >= since).map(|(version, _)| version);
-        let targets = self.targets.values().filter(|state| state.target.service == *service);
-        let mut versions = seen.chain(targets.map(|state| &state.target.version));
-        let only = versions.next()?;
-        versions.all(|version| version == only).then(|| only.clone())
+        services: &HashSet<&ServiceName>,
+    ) -> Vec<VersionChange> {
+        let targets = &self.targets;
+        self.versions.take_changes(since, services, |known| {
+            targets.values().any(|state| ServiceVersion::of(&state.target) == *known)
+        })
     }
 
     pub(super) fn get_mut(&mut self, id: &TargetId) -> Option<&mut TargetState> {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -76,6 +76,8 @@
     pub records: Vec<KeyedRecord>,
     /// Offset from which to read on.
     pub next: u64,
+    /// Whether no record that was written before the read is missing.
+    pub reached_end: bool,
 }
 
 /// Client with one connection to the store, which is reopened after a failure.
@@ -115,6 +117,11 @@
         StoreClient { address, connection: None }
     }
 
+    /// Closes the connection, after a call that was abandoned before its response.
+    pub fn disconnect(&mut self) {
+        self.connection = None;
+    }
+
     /// Returns the newest record of each key of a topic.
     ///
     /// The offset is the one that came with the first page, so that reading on from it
@@ -142,7 +149,8 @@
                 records.push(KeyedRecord { key: item.key, value: Some(value) });
             }
             if !more {
-                return Ok(RecordPage { records, next: first_end.unwrap_or(0) });
+                let next = first_end.unwrap_or(0);
+                return Ok(RecordPage { records, next, reached_end: true });
             }
         }
     }
@@ -168,14 +176,15 @@
         if body.remaining() < 16 {
             return Err(StoreError::Malformed);
         }
-        let _end = body.get_u64();
+        let end = body.get_u64();
         let _first = body.get_u64();
-        let mut page = RecordPage { records: Vec::new(), next: from };
+        let mut page = RecordPage { records: Vec::new(), next: from, reached_end: false };
         while body.has_remaining() {
             let record = decode_record(&mut body).ok_or(StoreError::Malformed)?;
             page.next += 1;
             page.records.push(record);
         }
+        page.reached_end = page.next >= end;
         Ok(page)
     }
 
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -32,6 +32,7 @@
 mod serve;
 mod shell;
 mod suspects;
+mod versions;
 
 use shell::DirectDriver;
 
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, rc::Rc, sync::Arc, time::Duration};
 
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use super::shell::{DirectDriver, STORE_READ_OK};
 use crate::{
@@ -18,6 +18,8 @@
 /// Initial and maximum backoff after a failed read.
 const RETRY_BACKOFF: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(800));
+/// Shortest pause before a read that a request waits for, so that many requests share one.
+const DEMAND_PAUSE: Duration = Duration::from_millis(100);
 
 /// Starts to follow the configuration and the targets.
 pub(super) fn spawn(settings: &PlatformSettings, driver: &Rc<DirectDriver>) {
@@ -55,6 +57,12 @@
     fn store_unavailable(&mut self);
     /// Called after each read, for periodic work.
     fn after_read(&mut self);
+    /// Called after a read that reached the end of the topic and began `age` ago.
+    fn read_to_end(&mut self, _age: Duration) {}
+    /// Returns what is notified when the topic has to be read at once.
+    fn demand(&self) -> Rc<Notify> {
+        Rc::default()
+    }
 }
 
 /// Reads a snapshot of a topic and then its changes, without end. Starts again from a
@@ -67,6 +75,8 @@
     mut follower: impl TopicFollower,
 ) {
     let FollowedTopic { name: topic, schedule: ReadSchedule { pause, poll_wait } } = followed;
+    let demand = follower.demand();
+    let mut is_demanded = false;
     let mut next: Option<u64> = None;
     let mut backoff = RETRY_BACKOFF.0;
     let mut reachable = true;
@@ -74,8 +84,22 @@
         let started = Instant::now();
         let result = match next {
             None => store.read_newest(topic).await.map(|page| (true, page)),
-            Some(from) => store.read_from(topic, from, poll_wait).await.map(|page| (false, page)),
+            Some(from) => {
+                let wait = if is_demanded { Duration::ZERO } else { poll_wait };
+                let read = tokio::select! {
+                    biased;
+                    result = store.read_from(topic, from, wait) => Some(result),
+                    () = demand.notified(), if !is_demanded => None,
+                };
+                let Some(result) = read else {
+                    store.disconnect();
+                    is_demanded = true;
+                    continue;
+                };
+                result.map(|page| (false, page))
+            }
         };
+        is_demanded = false;
         let label = result.as_ref().map_or_else(StoreError::label, |_| STORE_READ_OK);
         driver.record_store_read(topic, label, started.elapsed());
         match result {
@@ -86,9 +110,13 @@
                 reachable = true;
                 backoff = RETRY_BACKOFF.0;
                 next = Some(page.next);
+                let reached_end = page.reached_end;
                 apply(&mut follower, is_snapshot, page);
+                if reached_end {
+                    follower.read_to_end(started.elapsed());
+                }
                 follower.after_read();
-                tokio::time::sleep(pause).await;
+                is_demanded = pause_unless_demanded(&demand, pause).await;
             }
             Err(StoreError::Deleted { first }) => {
                 log::info!(
@@ -114,6 +142,17 @@
     }
 }
 
+/// Waits between two reads, and returns whether the next one is demanded before the time is over.
+async fn pause_unless_demanded(demand: &Notify, pause: Duration) -> bool {
+    let shortest = DEMAND_PAUSE.min(pause);
+    tokio::time::sleep(shortest).await;
+    tokio::select! {
+        biased;
+        () = demand.notified() => true,
+        () = tokio::time::sleep(pause - shortest) => false,
+    }
+}
+
 fn apply(follower: &mut impl TopicFollower, is_snapshot: bool, page: RecordPage) {
     if is_snapshot {
         follower.apply_snapshot(page.records);
@@ -234,4 +273,12 @@
     fn after_read(&mut self) {
         self.driver.pools.close_expired();
     }
+
+    fn read_to_end(&mut self, age: Duration) {
+        self.driver.step(DirectEvent::TargetsRead { age });
+    }
+
+    fn demand(&self) -> Rc<Notify> {
+        self.driver.target_demand.clone()
+    }
 }
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -293,6 +293,9 @@
                 | DirectAction::PersistSuspect(_)
                 | DirectAction::ProbeTarget(_)
                 | DirectAction::SendToPeers { .. }
+                | DirectAction::ReadTargets
+                | DirectAction::ReadVersions
+                | DirectAction::PersistVersion(_)
                 | DirectAction::Claim
                 | DirectAction::Order(_),
             ) => {
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -11,7 +11,7 @@
 
 use hyper::{StatusCode, header::HeaderMap};
 use tokio::{
-    sync::{mpsc, watch},
+    sync::{Mutex, Notify, mpsc, watch},
     time::Instant,
 };
 
@@ -23,7 +23,7 @@
     metrics::{BlockedCounts, DirectMetrics, FaultLabels, StateGauges, StoreLabels},
     orders,
     pool::TargetPools,
-    suspects,
+    suspects, versions,
 };
 use crate::{
     direct::{
@@ -31,7 +31,7 @@
         PeerName, RequestRate, RequestTrace, RouteTable, StopPhase, SuspectReport,
     },
     ids::ClockTime,
-    platform::{configuration, discovery, runner},
+    platform::{configuration, discovery, runner, store::StoreClient},
     process::logging,
 };
 
@@ -91,6 +91,10 @@
     /// Sends messages to peers once their port is open.
     pub(super) peer_link: RefCell<Option<PeerLink>>,
     pub(super) store: SocketAddr,
+    /// Notified when a request waits for the list of targets.
+    pub(super) target_demand: Rc<Notify>,
+    /// Connection for writing software versions, one after the other.
+    pub(super) version_store: Mutex<StoreClient>,
     name: PeerName,
     started: Instant,
     /// When the stop signal came, if it has.
@@ -113,6 +117,8 @@
             last_reads: RefCell::default(),
             peer_link: RefCell::default(),
             store,
+            target_demand: Rc::default(),
+            version_store: Mutex::new(StoreClient::new(store)),
             started: Instant::now(),
             stop_started: Cell::default(),
             busy_connections: Cell::default(),
@@ -238,6 +244,13 @@
                     link.send(&self.name, &peers, message);
                 }
             }
+            DirectAction::ReadTargets => self.target_demand.notify_one(),
+            DirectAction::ReadVersions => {
+                tokio::task::spawn_local(versions::read(self.store, self.clone()));
+            }
+            DirectAction::PersistVersion(change) => {
+                tokio::task::spawn_local(versions::write(self.clone(), change));
+            }
             DirectAction::Claim => {
                 tokio::task::spawn_local(orders::claim(self.clone()));
             }
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -6,7 +6,7 @@
 
 use sapphirewell::direct::{
     CallOutcome, DirectAction, DirectEvent, DirectTarget, FailureReason, PeerName, RetryPolicy,
-    StreamMessage, StreamOrigin, TargetChange, TargetStage,
+    ServiceVersion, StreamMessage, StreamOrigin, TargetChange, TargetStage, VersionChange,
 };
 use support::direct::{DirectRig, SERVICE};
 use yare::parameterized;
@@ -17,12 +17,28 @@
 /// can last and has just read their registrations.
 fn rig(versions: &[&str]) -> DirectRig {
     let mut rig = DirectRig::new(RetryPolicy::Resume);
+    rig.read_versions(&[]);
     list_all(&mut rig, versions);
     rig.advance(Duration::from_secs(6));
     list_all(&mut rig, versions);
+    rig.read_targets(Duration::ZERO);
     rig
 }
 
+/// Submits a request that takes a stream up, and reads the targets if it waits for that.
+fn submit_and_read(rig: &mut DirectRig, stream: Option<&str>) -> Vec<DirectAction> {
+    let mut actions = rig.submit_resumed(1, stream).actions();
+    read_if_demanded(rig, &mut actions);
+    actions
+}
+
+fn read_if_demanded(rig: &mut DirectRig, actions: &mut Vec<DirectAction>) {
+    if actions.contains(&DirectAction::ReadTargets) {
+        rig.advance(Duration::from_millis(10));
+        actions.extend(rig.read_targets(Duration::from_millis(5)));
+    }
+}
+
 fn list_all(rig: &mut DirectRig, versions: &[&str]) {
     for version in versions {
         for number in 0..2 {
@@ -145,7 +161,7 @@
 )]
 fn without_peers_a_stream_of_unknown_origin_goes_on_only_at_the_only_version(case: UnknownCase) {
     let mut rig = rig(case.versions);
-    let actions = rig.submit_resumed(1, case.stream).actions();
+    let actions = submit_and_read(&mut rig, case.stream);
     assert_eq!(placed(&actions), case.placed);
 }
 
@@ -165,23 +181,164 @@
     }
     rig.advance(gone);
     list(&mut rig, "v2-0", "v2");
-    let actions = rig.submit_resumed(1, Some(STREAM)).actions();
+    let actions = submit_and_read(&mut rig, Some(STREAM));
     assert_eq!(placed(&actions), expected);
 }
 
+/// What an entry reads of the targets while a stream of unknown origin waits.
+#[derive(Debug, Clone, Copy)]
+enum ListRead {
+    /// A read that began after the request came.
+    After,
+    /// The same, which shows an engine of another version.
+    AfterWithOther,
+    /// A read that began before the request came.
+    Before,
+    None,
+}
+
 /// An entry that is cut off from the store may not know that engines of another version serve,
 /// at which other entries begin streams.
 #[parameterized(
-    fresh = { Duration::from_secs(2), Placed::At("v1".to_owned()) },
-    stale = { Duration::from_secs(4), Placed::Refused(FailureReason::StreamVersionUnknown) },
+    read = { ListRead::After, Placed::At("v1".to_owned()) },
+    other_version_read = { ListRead::AfterWithOther, Placed::Refused(FailureReason::StreamVersionUnknown) },
+    read_before = { ListRead::Before, Placed::Refused(FailureReason::StreamVersionUnknown) },
+    not_read = { ListRead::None, Placed::Refused(FailureReason::StreamVersionUnknown) },
 )]
-fn the_only_version_is_known_from_fresh_registrations(age: Duration, expected: Placed) {
+fn the_only_version_is_known_by_a_read_after_the_request(read: ListRead, expected: Placed) {
     let mut rig = rig(&["v1"]);
-    rig.advance(age);
-    let actions = rig.submit_resumed(1, Some(STREAM)).actions();
+    rig.advance(Duration::from_millis(200));
+    let mut actions = rig.submit_resumed(1, Some(STREAM)).actions();
+    assert_eq!(placed(&actions), Placed::Waits);
+    assert!(actions.contains(&DirectAction::ReadTargets));
+    rig.advance(Duration::from_millis(10));
+    match read {
+        ListRead::After => actions.extend(rig.read_targets(Duration::from_millis(10))),
+        ListRead::AfterWithOther => {
+            list(&mut rig, "v2-0", "v2");
+            actions.extend(rig.read_targets(Duration::from_millis(10)));
+        }
+        ListRead::Before => actions.extend(rig.read_targets(Duration::from_millis(11))),
+        ListRead::None => {}
+    }
+    rig.advance(Duration::from_millis(600));
+    actions.extend(rig.step(DirectEvent::Tick));
     assert_eq!(placed(&actions), expected);
 }
 
+/// The peers may be heard of only while a stream waits, as after an entry stood still.
+#[test]
+fn a_peers_answer_ends_the_wait_for_the_targets() {
+    let mut rig = rig(&["v1"]);
+    rig.advance(Duration::from_millis(200));
+    rig.submit_resumed(1, Some(STREAM));
+    hear_of(&mut rig, "peer");
+    let query = (vec!["peer".into()], StreamMessage::Query(STREAM.into()));
+    assert_eq!(sent(&rig.step(DirectEvent::Tick)), [query]);
+    let actions = rig.step(message("peer", StreamMessage::Began(origin("v1"))));
+    assert_eq!(placed(&actions), Placed::At("v1".to_owned()));
+}
+
+struct StoredCase {
+    stored: Option<&'static [&'static str]>,
+    age: Duration,
+    placed: Placed,
+}
+
+/// What a process knew of versions before its start is in the store.
+#[parameterized(
+    same_version = { StoredCase { stored: Some(&["v1"]), age: Duration::from_millis(200), placed: Placed::At("v1".to_owned()) } },
+    first_start_of_all = { StoredCase { stored: Some(&[]), age: Duration::from_millis(200), placed: Placed::At("v1".to_owned()) } },
+    other_version = { StoredCase { stored: Some(&["v0", "v1"]), age: Duration::from_secs(3), placed: Placed::Refused(FailureReason::StreamVersionUnknown) } },
+    other_version_longer_than_a_stream_ago = { StoredCase { stored: Some(&["v0", "v1"]), age: Duration::from_secs(6), placed: Placed::At("v1".to_owned()) } },
+    not_read = { StoredCase { stored: None, age: Duration::from_secs(3), placed: Placed::Refused(FailureReason::StreamVersionUnknown) } },
+)]
+fn versions_from_before_the_start_count(case: StoredCase) {
+    let mut rig = DirectRig::new(RetryPolicy::Resume);
+    list_all(&mut rig, &["v1"]);
+    if let Some(stored) = case.stored {
+        rig.read_versions(stored);
+    }
+    rig.advance(case.age);
+    list_all(&mut rig, &["v1"]);
+    let mut actions = rig.submit_resumed(1, Some(STREAM)).actions();
+    for _ in 0..15 {
+        read_if_demanded(&mut rig, &mut actions);
+        rig.advance(Duration::from_millis(100));
+        actions.extend(rig.step(DirectEvent::Tick));
+    }
+    assert_eq!(placed(&actions), case.placed);
+}
+
+/// Targets may have been registered and removed between two snapshots.
+#[test]
+fn a_snapshot_asks_for_the_stored_versions() {
+    let mut rig = rig(&["v1"]);
+    let target = rig.target("v1-9", TargetStage::Decode);
+    let present = vec![target.id.clone()];
+    let snapshot = TargetChange::Snapshot { present, targets: vec![target] };
+    assert_eq!(rig.step(DirectEvent::Target(snapshot)), [DirectAction::ReadVersions]);
+    let actions = submit_and_read(&mut rig, Some(STREAM));
+    assert_eq!(placed(&actions), Placed::Waits);
+    let actions = rig.read_versions(&["v1", "v2"]);
+    assert_eq!(placed(&actions), Placed::Refused(FailureReason::StreamVersionUnknown));
+}
+
+fn version_changes(rig: &mut DirectRig) -> Vec<VersionChange> {
+    rig.read_targets(Duration::ZERO);
+    let actions = rig.step(DirectEvent::Tick).into_iter();
+    let changes = actions.filter_map(|action| match action {
+        DirectAction::PersistVersion(change) => Some(change),
+        _ => None,
+    });
+    changes.collect()
+}
+
+fn of_service(version: &str) -> ServiceVersion {
+    ServiceVersion { service: SERVICE.into(), version: version.into() }
+}
+
+#[test]
+fn a_version_is_recorded_once_and_removed_after_a_streams_time() {
+    let mut rig = rig(&["v1"]);
+    assert_eq!(version_changes(&mut rig), [VersionChange::Serves(of_service("v1"))]);
+    rig.advance(Duration::from_secs(2));
+    list_all(&mut rig, &["v2"]);
+    assert_eq!(version_changes(&mut rig), [VersionChange::Serves(of_service("v2"))]);
+    for name in ["v1-0", "v1-1"] {
+        rig.step(DirectEvent::Target(TargetChange::Removed(name.into())));
+    }
+    rig.advance(Duration::from_secs(3));
+    assert_eq!(version_changes(&mut rig), []);
+    rig.advance(Duration::from_secs(3));
+    list_all(&mut rig, &["v2"]);
+    assert_eq!(version_changes(&mut rig), [VersionChange::Gone(of_service("v1"))]);
+}
+
+/// Registrations are not renewed while the store is away.
+#[test]
+fn a_version_whose_targets_are_listed_stays_recorded() {
+    let mut rig = rig(&["v1"]);
+    version_changes(&mut rig);
+    rig.advance(Duration::from_secs(60));
+    assert_eq!(version_changes(&mut rig), []);
+}
+
+#[parameterized(
+    first = { 0, true },
+    third = { 2, true },
+    fourth = { 3, false },
+)]
+fn a_few_entries_record_versions(earlier: u64, writes: bool) {
+    let mut rig = rig(&["v1"]);
+    // The rig's entry is "entry-7".
+    for number in 0..earlier {
+        hear_of(&mut rig, &format!("entry-{number}"));
+    }
+    hear_of(&mut rig, "entry-8");
+    assert_eq!(!version_changes(&mut rig).is_empty(), writes);
+}
+
 #[derive(Debug, Clone, Copy)]
 enum PeerAnswer {
     Began(&'static str),
@@ -208,7 +365,7 @@
     let query = (vec!["peer".into()], StreamMessage::Query(STREAM.into()));
     assert_eq!(sent(&actions), [query]);
     rig.advance(Duration::from_millis(10));
-    let after = match answer {
+    let mut after = match answer {
         PeerAnswer::Began(version) => {
             rig.step(message("peer", StreamMessage::Began(origin(version))))
         }
@@ -219,6 +376,7 @@
             rig.step(DirectEvent::Tick)
         }
     };
+    read_if_demanded(&mut rig, &mut after);
     assert_eq!(placed(&after), expected);
 }
 
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -7,8 +7,8 @@
         CallOutcome, CallStep, DirectAction, DirectEvent, DirectMachine, DirectRequest,
         DirectSettings, DirectTarget, EngineConfig, InFlight, LoadReport, PromptSegment,
         PromptShape, RequestIdentity, RequestLimits, RetryPolicy, RouteConfig, RouteTable,
-        ServiceConfig, StreamResume, SuspectChange, SuspectReport, TargetChange, TargetStage,
-        TargetUsage, WeightedService,
+        ServiceConfig, ServiceVersion, StreamResume, SuspectChange, SuspectReport, TargetChange,
+        TargetStage, TargetUsage, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -168,6 +168,20 @@
         self.machine.suspect_report(self.now)
     }
 
+    /// Tells the entry that the list of targets was read to its end, by a read that began `age`
+    /// ago.
+    pub fn read_targets(&mut self, age: Duration) -> Vec<DirectAction> {
+        self.step(DirectEvent::TargetsRead { age })
+    }
+
+    /// Tells the entry which software versions of the service the store has records of.
+    pub fn read_versions(&mut self, versions: &[&str]) -> Vec<DirectAction> {
+        let stored = versions
+            .iter()
+            .map(|version| ServiceVersion { service: SERVICE.into(), version: (*version).into() });
+        self.step(DirectEvent::StoredVersions(stored.collect()))
+    }
+
     /// Answers the probes of targets to which connections broke.
     pub fn answer_probes(&mut self, actions: Vec<DirectAction>, gone: bool) {
         for action in actions {
