Keep crashes with a request in common in the store before it is blocked

What callers saw (BUDGET): a request under which three targets had ended was sent to targets again and again, where all entries lost power in between. Cause: crashes were known to running entries alone until a suspect was blocked, and so was which wider request (the content of any caller) was in the crashes of a blocked one. An entry that starts counted from the beginning.

Change: crashes under one path or segment are written to keyed.crashes from the second on, with all requests of the path in them, and read at a start; a whole response or the end of the count removes them. Ordinary crashes have nothing in common and are not written.

The fleet of crashing_requests moved to tests/support, unchanged but for its store.

--- a/emulator/src/platform_rig.rs
+++ b/emulator/src/platform_rig.rs
@@ -9,8 +9,8 @@
 use rand::{SeedableRng, rngs::StdRng};
 use sapphirewell::{
     direct::{
-        CallNumber, CallOutcome, DirectEvent, FlowId, StageOrder, SuspectChange, TargetStage,
-        VersionChange,
+        CallNumber, CallOutcome, DirectEvent, EvidenceChange, FlowId, StageOrder, SuspectChange,
+        TargetStage, VersionChange,
     },
     ids::ClockTime,
 };
@@ -120,6 +120,11 @@
         process: u64,
         change: SuspectChange,
     },
+    PersistEvidence {
+        entry: EntryId,
+        process: u64,
+        change: EvidenceChange,
+    },
     ReadVersions {
         entry: EntryId,
         process: u64,
@@ -285,6 +290,9 @@
             RigEvent::PersistSuspect { entry, process, change } => {
                 self.persist_suspect(entry, process, change);
             }
+            RigEvent::PersistEvidence { entry, process, change } => {
+                self.persist_evidence(entry, process, change);
+            }
             RigEvent::ReadVersions { entry, process } => self.read_versions(entry, process),
             RigEvent::PersistVersion { entry, process, change } => {
                 self.persist_version(entry, process, change);
@@ -325,6 +333,7 @@
             | RigEvent::ReadRoutes { entry, .. }
             | RigEvent::ReadSuspects { entry, .. }
             | RigEvent::PersistSuspect { entry, .. }
+            | RigEvent::PersistEvidence { entry, .. }
             | RigEvent::ReadVersions { entry, .. }
             | RigEvent::PersistVersion { entry, .. }
             | RigEvent::Report { entry, .. }
--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -316,6 +316,10 @@
                 let process = self.entries[entry].process;
                 self.persist_suspect(entry, process, change);
             }
+            DirectAction::PersistEvidence(change) => {
+                let process = self.entries[entry].process;
+                self.persist_evidence(entry, process, change);
+            }
             DirectAction::ReadTargets => {
                 let process = self.entries[entry].process;
                 self.read_targets_now(entry, process);
--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -5,9 +5,9 @@
 use rand::RngExt;
 use sapphirewell::{
     direct::{
-        BlockedSuspect, CrashSuspect, DirectEvent, DirectTarget, EngineConfig, RequestLimits,
-        RetryPolicy, RouteConfig, RouteTable, ServiceConfig, ServiceVersion, SuspectChange,
-        SuspectReport, TargetChange, VersionChange, WeightedService,
+        BlockedSuspect, CrashEvidence, CrashSuspect, DirectEvent, DirectTarget, EngineConfig,
+        EvidenceChange, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ServiceConfig,
+        ServiceVersion, SuspectChange, SuspectReport, TargetChange, VersionChange, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -50,6 +50,8 @@
     first: u64,
     /// Suspects that entries block.
     pub(crate) suspects: BTreeMap<CrashSuspect, BlockedSuspect>,
+    /// Crashes that entries keep, by what they have in common.
+    evidence: BTreeMap<CrashSuspect, CrashEvidence>,
     /// Software versions that entries recorded.
     pub(crate) versions: Vec<ServiceVersion>,
     /// Entries that claimed the right to order engines, in the order of their claims.
@@ -227,6 +229,35 @@
             self.response_time(),
             self.machine_event(entry, DirectEvent::StoredSuspects(blocked.collect())),
         );
+        let evidence = self.store.evidence.values().cloned().collect();
+        self.schedule_after(
+            self.response_time() * 2,
+            self.machine_event(entry, DirectEvent::StoredEvidence(evidence)),
+        );
+    }
+
+    /// Writes a change of the crashes that are kept to the store, with retries.
+    pub(super) fn persist_evidence(
+        &mut self,
+        entry: EntryId,
+        process: u64,
+        change: EvidenceChange,
+    ) {
+        if !self.is_process(entry, process) {
+            return;
+        }
+        if self.store_fails(entry) {
+            let again = RigEvent::PersistEvidence { entry, process, change };
+            return self.schedule_after(READ_TIMEOUT + FAILURE_PAUSE, again);
+        }
+        match change {
+            EvidenceChange::Added(evidence) => {
+                self.store.evidence.insert(evidence.suspect, evidence);
+            }
+            EvidenceChange::Removed(suspect) => {
+                self.store.evidence.remove(&suspect);
+            }
+        }
     }
 
     /// Writes a change of the blocked suspects to the store, with retries.
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -17,6 +17,7 @@
 mod backlog;
 mod budget;
 mod crash_cause;
+mod crash_evidence;
 mod ending;
 mod estimate;
 mod flow;
@@ -41,6 +42,7 @@
 pub use authority::ClaimOutcome;
 pub use backlog::PrefillBacklog;
 pub use budget::RetryWindow;
+pub use crash_evidence::{CrashEvidence, EvidenceChange};
 pub use flow::RequestTrace;
 pub use limit::{LimitStatement, LimitTable, RequestRate, ServiceDemand};
 pub use load::{CachedSegment, InFlight, LoadReport, PeerTable, TargetUsage, report_interval};
@@ -228,6 +230,8 @@
     Suspects(SuspectReport),
     /// Suspects that the store says crash targets.
     StoredSuspects(Vec<BlockedSuspect>),
+    /// Crashes that the store keeps.
+    StoredEvidence(Vec<CrashEvidence>),
     /// It was found out whether a target is gone.
     TargetProbed {
         /// Target and start that were asked.
@@ -363,6 +367,8 @@
     /// Write to the store that a suspect crashes targets, or remove that record. The store
     /// serves entries that start when no peer is left that knows.
     PersistSuspect(SuspectChange),
+    /// Write crashes under a suspect to the store, or remove them there.
+    PersistEvidence(EvidenceChange),
     /// Read the list of targets to its end now, since a request waits for that.
     ReadTargets,
     /// Read the store's records of software versions.
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -257,6 +257,7 @@
             DirectEvent::StoredSuspects(blocked) => {
                 blocked.iter().for_each(|block| self.suspects.adopt_block(now, block, true));
             }
+            DirectEvent::StoredEvidence(evidence) => self.suspects.load_evidence(now, evidence),
             DirectEvent::TargetProbed { start, age, gone } => {
                 let asked = now.saturating_sub(age);
                 if gone {
@@ -554,6 +555,8 @@
         }
         let changes = self.suspects.take_changes(now);
         out.extend(changes.into_iter().map(DirectAction::PersistSuspect));
+        let evidence = self.suspects.take_evidence();
+        out.extend(evidence.into_iter().map(DirectAction::PersistEvidence));
         self.manage_stages(now, out);
         while let Some((expires, id)) = self.timeouts.first().copied() {
             if expires > now {
--- a/src/direct/suspect.rs
+++ b/src/direct/suspect.rs
@@ -18,8 +18,6 @@
 const PATH_PREFIX: char = 'r';
 /// Positions of a request's own suspects in place of that of a segment, behind all of them.
 const PATH_POSITION: u8 = 252;
-const CONTENT_POSITION: u8 = 253;
-const RESOURCE_POSITION: u8 = 254;
 const CALLER_POSITION: u8 = 255;
 
 /// Something in a request that may crash the target that runs it.
@@ -135,6 +133,16 @@
 }
 
 impl RequestIdentity {
+    /// Returns what stands for the request by itself, from wide to narrow.
+    pub(super) fn suspects(&self) -> [CrashSuspect; 4] {
+        [
+            CrashSuspect::Path(self.path),
+            CrashSuspect::Content(self.content),
+            CrashSuspect::Resource(self.resource),
+            CrashSuspect::Caller(self.caller),
+        ]
+    }
+
     /// Returns the suspects of the request that stand for more requests than `narrow`, which is
     /// another suspect of it; none if it is not.
     pub(super) fn wider_suspects(&self, narrow: CrashSuspect) -> SmallVec<[CrashSuspect; 3]> {
@@ -157,13 +165,7 @@
 
 /// Returns what crashes of the targets that run a request may be blamed on.
 pub(super) fn request_suspects(request: &DirectRequest) -> RequestSuspects {
-    let RequestIdentity { path, content, resource, caller } = request.identity;
-    let own = [
-        (CrashSuspect::Path(path), PATH_POSITION),
-        (CrashSuspect::Content(content), CONTENT_POSITION),
-        (CrashSuspect::Resource(resource), RESOURCE_POSITION),
-        (CrashSuspect::Caller(caller), CALLER_POSITION),
-    ];
+    let own = request.identity.suspects().into_iter().zip(PATH_POSITION..=CALLER_POSITION);
     let shared = request.prompt.as_ref().map_or(&[][..], shared_segments);
     let shared = shared.iter().zip(0..PATH_POSITION);
     shared.map(|(segment, at)| (CrashSuspect::Segment(segment.id), at)).chain(own).collect()
--- a/src/direct/suspect_table.rs
+++ b/src/direct/suspect_table.rs
@@ -16,6 +16,7 @@
 
 use super::{
     DirectRequest,
+    crash_evidence::EvidenceChange,
     load::repeat_time,
     suspect::{
         BlockedSuspect, BreakId, BrokenRun, CrashSuspect, RequestIdentity, RequestSuspects,
@@ -140,6 +141,19 @@
     /// Whether there is new evidence since causes were last looked for.
     #[serde(skip)]
     has_new_evidence: bool,
+    /// Paths and segments under which crashes are kept in the store, with their number.
+    #[serde(skip)]
+    pub(super) stored_evidence: HashMap<CrashSuspect, usize>,
+    /// Whether crashes were added or dropped since the store's evidence was last compared.
+    #[serde(skip)]
+    has_changed: bool,
+}
+
+impl CrashRecord {
+    /// Returns whether this entry had a request with the suspect at the target.
+    pub(super) fn is_own(&self, suspect: &CrashSuspect) -> bool {
+        self.own.contains(suspect)
+    }
 }
 
 impl SuspectTable {
@@ -381,15 +395,26 @@
     /// that this entry writes to the store.
     pub(super) fn take_changes(&mut self, now: ClockTime) -> Vec<SuspectChange> {
         if std::mem::take(&mut self.has_new_evidence) {
+            self.has_changed = true;
             self.block_causes(now);
         }
         std::mem::take(&mut self.changes)
     }
 
+    /// Returns how the crashes in the store have to change.
+    pub(super) fn take_evidence(&mut self) -> Vec<EvidenceChange> {
+        if std::mem::take(&mut self.has_changed) {
+            self.take_evidence_changes()
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Drops what is older than its lifetime.
     pub(super) fn expire(&mut self, now: ClockTime, peers: usize) {
         let report_time = repeat_time(peers, REPORT_TIME);
         self.crashes.retain(|_, crash| now <= crash.at + CRASH_LIFETIME);
+        self.has_changed |= !self.stored_evidence.is_empty();
         self.breaks.retain(|_, broken| now <= broken.at + CRASH_LIFETIME);
         self.successes.retain(|_, at| now <= *at + SUCCESS_LIFETIME);
         self.own_successes.retain(|_, at| now <= *at + report_time);
@@ -482,6 +507,7 @@
             // Most requests are sent once, while segments are shared.
             self.successes.retain(|suspect, _| suspect.is_segment());
         }
+        self.has_changed |= self.stored_evidence.contains_key(&suspect);
         for crash in self.crashes.values_mut().filter(|crash| crash.at <= at) {
             crash.suspects.remove(&suspect);
             crash.own.remove(&suspect);
@@ -558,10 +584,7 @@
 
 fn report_crash(now: ClockTime, start: &TargetStart, crash: &CrashRecord) -> TargetCrash {
     let own = crash.suspects.iter().filter(|(suspect, _)| crash.own.contains(*suspect));
-    let runs = own.map(|(suspect, used)| {
-        let running = crash.at.saturating_sub(used.sent).as_millis();
-        (*suspect, used.position, u32::try_from(running).unwrap_or(u32::MAX))
-    });
+    let runs = own.map(|(suspect, used)| suspect_run(crash, *suspect, used));
     let mut runs: Vec<SuspectRun> = runs.collect();
     runs.sort_unstable();
     let requests = crash.requests.iter().filter(|(_, own)| **own);
@@ -570,6 +593,16 @@
     TargetCrash { start: start.clone(), age: now.saturating_sub(crash.at), runs, requests }
 }
 
+/// Returns the use of a suspect in a crash, as reports hold it.
+pub(super) fn suspect_run(
+    crash: &CrashRecord,
+    suspect: CrashSuspect,
+    used: &SuspectUse,
+) -> SuspectRun {
+    let running = crash.at.saturating_sub(used.sent).as_millis();
+    (suspect, used.position, u32::try_from(running).unwrap_or(u32::MAX))
+}
+
 /// Returns whether a call to which a target responded was sent after its supposed crash.
 fn shows_survival(crashed: ClockTime, called: ClockTime) -> bool {
     called > crashed && called <= crashed + SURVIVAL_TIME
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -291,6 +291,7 @@
                 DirectAction::BreakOff { .. }
                 | DirectAction::FreeCache { .. }
                 | DirectAction::PersistSuspect(_)
+                | DirectAction::PersistEvidence(_)
                 | DirectAction::ProbeTarget(_)
                 | DirectAction::SendToPeers { .. }
                 | DirectAction::ReadTargets
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -260,6 +260,9 @@
             DirectAction::PersistSuspect(change) => {
                 tokio::task::spawn_local(suspects::write(self.store, change));
             }
+            DirectAction::PersistEvidence(change) => {
+                tokio::task::spawn_local(suspects::write_evidence(self.store, change));
+            }
             DirectAction::ProbeTarget(target) => {
                 tokio::task::spawn_local(call::probe(self.clone(), target));
             }
--- a/src/process/direct/suspects.rs
+++ b/src/process/direct/suspects.rs
@@ -9,12 +9,17 @@
 
 use super::shell::DirectDriver;
 use crate::{
-    direct::{BlockedSuspect, CrashSuspect, DirectEvent, SuspectChange},
+    direct::{
+        BlockedSuspect, CrashEvidence, CrashSuspect, DirectEvent, EvidenceChange, SuspectChange,
+        TargetCrash,
+    },
     platform::store::{KeyedRecord, StoreClient, StoreError},
 };
 
 /// Topic of the blocked suspects, keyed by their text form.
 const TOPIC: &str = "keyed.segments";
+/// Topic of crashes by the path or segment that they have in common, keyed by its text form.
+const EVIDENCE_TOPIC: &str = "keyed.crashes";
 /// Delay before a failed call is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Attempts to write one change, after which it is dropped.
@@ -46,6 +51,22 @@
     put(store, TOPIC, &suspect.to_string(), &value).await;
 }
 
+/// Writes crashes under a suspect to the store, or removes them.
+pub(super) async fn write_evidence(store: SocketAddr, change: EvidenceChange) {
+    let (suspect, value) = match &change {
+        EvidenceChange::Added(CrashEvidence { suspect, crashes }) => {
+            log::info!(
+                suspect:% = suspect, crashes:% = crashes.len();
+                "targets crashed under {}; kept for entries that start", noun(*suspect)
+            );
+            // Serializing numbers and texts cannot fail.
+            (suspect, serde_json::to_vec(crashes).unwrap_or_default())
+        }
+        EvidenceChange::Removed(suspect) => (suspect, Vec::new()),
+    };
+    put(store, EVIDENCE_TOPIC, &suspect.to_string(), &value).await;
+}
+
 /// Names the kind of a suspect in a log line.
 fn noun(suspect: CrashSuspect) -> &'static str {
     match suspect {
@@ -79,6 +100,13 @@
     if !blocked.is_empty() {
         driver.step(DirectEvent::StoredSuspects(blocked));
     }
+    let records = read_topic(&mut client, EVIDENCE_TOPIC).await;
+    let evidence: Vec<CrashEvidence> = records.iter().filter_map(decode_evidence).collect();
+    if !evidence.is_empty() {
+        let crashes: usize = evidence.iter().map(|evidence| evidence.crashes.len()).sum();
+        log::info!(suspects:% = evidence.len(), crashes:% = crashes; "crashes of targets read");
+        driver.step(DirectEvent::StoredEvidence(evidence));
+    }
 }
 
 async fn read_topic(client: &mut StoreClient, topic: &str) -> Vec<KeyedRecord> {
@@ -104,3 +132,14 @@
     let StoredSuspect { crashes, repeats } = stored;
     Some(BlockedSuspect { suspect, crashes, repeats, age: Duration::ZERO })
 }
+
+fn decode_evidence(record: &KeyedRecord) -> Option<CrashEvidence> {
+    let value = record.value.as_ref()?;
+    let suspect: Option<CrashSuspect> = record.key.parse().ok();
+    let crashes: Option<Vec<TargetCrash>> = serde_json::from_slice(value).ok();
+    let (Some(suspect), Some(crashes)) = (suspect, crashes) else {
+        log::warn!(key:% = record.key, error:% = StoreError::Malformed; "malformed crashes ignored");
+        return None;
+    };
+    Some(CrashEvidence { suspect, crashes })
+}
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -2,19 +2,15 @@
 
 mod support;
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
 use sapphirewell::{
-    direct::{
-        CallOutcome, DirectAction, DirectEvent, DirectTarget, FailureReason, RequestIdentity,
-        RetryPolicy, TargetChange, TargetStage,
-    },
+    direct::{FailureReason, RequestIdentity},
     ids::TargetId,
 };
-use support::direct::DirectRig;
+use support::crashes::{CrashFleet, RUN_TIME, SentRequest, identity};
 use yare::parameterized;
 
-const RUN_TIME: Duration = Duration::from_millis(80);
 /// The users' `stable_window_ms`.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 const BLOCK_TIME: Duration = Duration::from_secs(600);
@@ -26,131 +22,6 @@
 const OTHER_CALLER: RequestIdentity = identity(1, 0, 2);
 const OTHER_CONTENT: RequestIdentity = identity(2, 0, 1);
 
-/// Returns the identity of a request for a path, with a query, from a caller.
-const fn identity(path: u64, query: u64, caller: u64) -> RequestIdentity {
-    RequestIdentity {
-        path,
-        content: path + 1000 * query,
-        resource: path + 1_000_000 * caller,
-        caller: path + 1000 * query + 1_000_000 * caller,
-    }
-}
-
-/// Entries that report to each other, and targets that start again at once.
-struct Fleet {
-    entries: Vec<DirectRig>,
-    targets: HashMap<TargetId, DirectTarget>,
-    flows: u64,
-}
-
-/// Request that an entry has sent.
-struct Sent {
-    entry: usize,
-    flow: u64,
-    call: u32,
-    target: TargetId,
-}
-
-impl Fleet {
-    fn new(entries: usize, targets: usize) -> Fleet {
-        let named = |number| DirectRig::named(RetryPolicy::Never, number as u64 + 1);
-        let mut entries: Vec<DirectRig> = (0..entries).map(named).collect();
-        let new_target = |number| entries[0].target(&format!("t{number}"), TargetStage::Plain);
-        let targets: Vec<DirectTarget> = (0..targets).map(new_target).collect();
-        let targets = targets.into_iter().map(|target| (target.id.clone(), target)).collect();
-        let mut fleet = Fleet { entries, targets, flows: 0 };
-        let ids: Vec<TargetId> = fleet.targets.keys().cloned().collect();
-        ids.iter().for_each(|id| fleet.list(id));
-        fleet
-    }
-
-    fn list(&mut self, id: &TargetId) {
-        let target = self.targets[id].clone();
-        for entry in &mut self.entries {
-            entry.step(DirectEvent::Target(TargetChange::Listed(target.clone())));
-        }
-    }
-
-    fn advance(&mut self, time: Duration) {
-        for entry in &mut self.entries {
-            entry.advance(time);
-            entry.step(DirectEvent::Tick);
-        }
-        for from in 0..self.entries.len() {
-            let report = self.entries[from].suspect_report();
-            for to in (0..self.entries.len()).filter(|to| *to != from) {
-                self.entries[to].step(DirectEvent::Suspects(report.clone()));
-            }
-        }
-        for entry in &mut self.entries {
-            entry.step(DirectEvent::Tick);
-        }
-    }
-
-    fn send(&mut self, entry: usize, identity: RequestIdentity) -> Result<Sent, FailureReason> {
-        self.flows += 1;
-        let flow = self.flows;
-        let actions = self.entries[entry].submit_identity(flow, None, identity).actions();
-        for action in &actions {
-            match action {
-                DirectAction::Call { call, target, .. } => {
-                    return Ok(Sent { entry, flow, call: *call, target: target.id.clone() });
-                }
-                DirectAction::Fail { failure, .. } => {
-                    self.entries[entry].step(DirectEvent::FlowEnded { flow, complete: false });
-                    return Err(failure.reason);
-                }
-                _ => {}
-            }
-        }
-        panic!("neither sent nor rejected: {actions:?}");
-    }
-
-    fn end_whole(&mut self, sent: &Sent) {
-        let entry = &mut self.entries[sent.entry];
-        entry.end(sent.flow, sent.call, CallOutcome::Answered { success: true });
-        entry.step(DirectEvent::FlowEnded { flow: sent.flow, complete: true });
-    }
-
-    /// Breaks the connections of requests off, while their targets live on or crash.
-    fn break_off(&mut self, running: &[Sent], crashed: bool) {
-        for sent in running {
-            let entry = &mut self.entries[sent.entry];
-            let actions = entry.end(sent.flow, sent.call, CallOutcome::Lost { closed: true });
-            entry.answer_probes(actions, crashed);
-            entry.step(DirectEvent::FlowEnded { flow: sent.flow, complete: false });
-        }
-        if !crashed {
-            return;
-        }
-        for sent in running {
-            let id = &sent.target;
-            let target = self.targets.get_mut(id).unwrap();
-            target.born_ms += 1;
-            target.sequence += 1;
-            self.list(id);
-        }
-    }
-
-    /// Sends requests at the same moment and crashes all their targets.
-    fn crash(&mut self, requests: &[(usize, RequestIdentity)]) -> Result<(), FailureReason> {
-        let sent: Result<Vec<Sent>, _> =
-            requests.iter().map(|(entry, identity)| self.send(*entry, *identity)).collect();
-        let sent = sent?;
-        self.advance(RUN_TIME);
-        self.break_off(&sent, true);
-        self.advance(Duration::from_secs(1));
-        Ok(())
-    }
-
-    fn succeed(&mut self, entry: usize, identity: RequestIdentity) {
-        let sent = self.send(entry, identity).unwrap();
-        self.advance(RUN_TIME);
-        self.end_whole(&sent);
-        self.advance(RUN_TIME);
-    }
-}
-
 /// A request that crashes each target, at one entry or several, alone or with others.
 #[parameterized(
     one_entry = { 1, false, false },
@@ -163,7 +34,7 @@
     beside_other_caller: bool,
     was_fine: bool,
 ) {
-    let mut fleet = Fleet::new(entries, 6);
+    let mut fleet = CrashFleet::new(entries, 6);
     if was_fine {
         fleet.succeed(0, FIRST);
     }
@@ -188,7 +59,7 @@
 /// Many callers send one content, each only once or twice.
 #[test]
 fn a_content_is_blocked_whoever_sends_it() {
-    let mut fleet = Fleet::new(2, 6);
+    let mut fleet = CrashFleet::new(2, 6);
     let crashes = (0..20_u64).take_while(|number| {
         let identity = identity(1, 0, 100 + number);
         fleet.crash(&[(*number as usize % 2, identity)]).is_ok()
@@ -199,7 +70,7 @@
 /// One caller sends a path with another query each time.
 #[parameterized(three_entries = { 3, 1 }, two_at_once = { 3, 2 })]
 fn a_request_whose_query_changes_is_blocked(entries: usize, at_once: u64) {
-    let mut fleet = Fleet::new(entries, 6);
+    let mut fleet = CrashFleet::new(entries, 6);
     let crashes = (0..20_u64).take_while(|number| {
         let sent = (0..at_once).map(|other| {
             let identity = identity(1, 100 + number * at_once + other, 1);
@@ -217,14 +88,14 @@
 #[test]
 fn bystanders_are_not_blocked() {
     let polling = OTHER_CONTENT;
-    let mut fleet = Fleet::new(1, 1);
+    let mut fleet = CrashFleet::new(1, 1);
     fleet.succeed(0, polling);
     for _ in 0..6 {
         let result = fleet.crash(&[(0, FIRST), (0, polling)]);
         if result.is_err() {
             break;
         }
-        // Sent alone, it ends whole.
+        // SentRequest alone, it ends whole.
         fleet.succeed(0, polling);
     }
     assert_eq!(fleet.crash(&[(0, FIRST)]), Err(FailureReason::CrashesTargets));
@@ -234,7 +105,7 @@
 /// The cause is in one crash more than a request that was mostly sent beside it.
 #[test]
 fn the_one_that_is_also_sent_alone_is_the_cause() {
-    let mut fleet = Fleet::new(1, 1);
+    let mut fleet = CrashFleet::new(1, 1);
     fleet.crash(&[(0, FIRST)]).unwrap();
     for _ in 0..2 {
         fleet.crash(&[(0, FIRST), (0, OTHER_CONTENT)]).unwrap();
@@ -247,9 +118,9 @@
 /// crash within moments, each under another caller.
 #[parameterized(one_caller = { 1 }, a_caller_each = { 100 })]
 fn a_content_is_blocked_after_its_third_crash_at_several_targets(callers: u64) {
-    let mut fleet = Fleet::new(3, 3);
+    let mut fleet = CrashFleet::new(3, 3);
     let identity = |number| identity(1, 0, 100 + number % callers);
-    let sent: Vec<Sent> =
+    let sent: Vec<SentRequest> =
         (0..3).map(|number| fleet.send(number as usize, identity(number)).unwrap()).collect();
     for sent in sent {
         fleet.advance(RUN_TIME);
@@ -264,7 +135,7 @@
 
 #[test]
 fn two_requests_that_crash_targets_together_are_both_blocked() {
-    let mut fleet = Fleet::new(1, 1);
+    let mut fleet = CrashFleet::new(1, 1);
     let crashes = (0..20).take_while(|_| fleet.crash(&[(0, FIRST), (0, OTHER_CONTENT)]).is_ok());
     assert!(crashes.count() <= 5);
     let mut alone =
@@ -275,7 +146,7 @@
 /// All targets lose power at once, again and again, under a request that each of them runs.
 #[test]
 fn power_losses_block_nothing_that_succeeds_in_between() {
-    let mut fleet = Fleet::new(3, 3);
+    let mut fleet = CrashFleet::new(3, 3);
     for _ in 0..6 {
         fleet.crash(&[(0, FIRST), (1, FIRST), (2, FIRST)]).unwrap();
         fleet.succeed(0, FIRST);
@@ -285,7 +156,7 @@
 /// Connections break while the targets live on: by chance, or always under one request.
 #[parameterized(one_entry = { 1 }, three_entries = { 3 })]
 fn only_a_request_that_always_breaks_off_is_blocked_by_broken_connections(entries: usize) {
-    let mut fleet = Fleet::new(entries, 3);
+    let mut fleet = CrashFleet::new(entries, 3);
     let mut breaks = 0;
     for number in 0..20_u64 {
         let bystander = identity(100 + number, 0, 1);
@@ -308,7 +179,7 @@
 /// After its time is over, one crash blocks a request again, for longer.
 #[test]
 fn a_request_that_crashes_again_after_its_block_is_blocked_at_once() {
-    let mut fleet = Fleet::new(2, 3);
+    let mut fleet = CrashFleet::new(2, 3);
     while fleet.crash(&[(0, FIRST)]).is_ok() {}
     for block_time in [BLOCK_TIME, 2 * BLOCK_TIME] {
         fleet.advance(block_time - STABLE_WINDOW);
@@ -344,18 +215,18 @@
 
 /// Sends a request to three targets at once, which crash under it, and returns how many got it.
 fn crash_all(
-    fleet: &mut Fleet,
+    fleet: &mut CrashFleet,
     pattern: CrashPattern,
     sent: impl Fn(u64) -> RequestIdentity,
     bystander: Option<RequestIdentity>,
 ) -> usize {
     let mut reached = 0;
-    let crash = |fleet: &mut Fleet, running: Vec<Sent>| {
+    let crash = |fleet: &mut CrashFleet, running: Vec<SentRequest>| {
         fleet.advance(RUN_TIME);
         fleet.break_off(&running, true);
         fleet.advance(RUN_TIME);
     };
-    let mut running: Vec<Sent> = Vec::new();
+    let mut running: Vec<SentRequest> = Vec::new();
     for number in 0..3 {
         let Ok(own) = fleet.send(number as usize, sent(number)) else { continue };
         reached += 1;
@@ -427,7 +298,7 @@
     at_once: bool,
     own_query: bool,
 ) {
-    let mut fleet = Fleet::new(3, 3);
+    let mut fleet = CrashFleet::new(3, 3);
     let fine_caller = match history {
         ContentHistory::FineBefore => Some(10),
         ContentHistory::FineForOthersBefore => Some(2),
@@ -465,7 +336,7 @@
     other_query_of_other_caller_in_between = { identity(1, 7, 2), true },
 )]
 fn requests_like_a_crashing_one_are_served(similar: RequestIdentity, in_between: bool) {
-    let mut fleet = Fleet::new(3, 3);
+    let mut fleet = CrashFleet::new(3, 3);
     let mut crashes = 0;
     while fleet.crash(&[(crashes % 3, FIRST)]).is_ok() {
         crashes += 1;
@@ -493,7 +364,7 @@
     one_request_beside_an_unknown_path = { 1, false },
 )]
 fn a_path_beside_crashing_requests_is_served(crashing: u64, was_fine: bool) {
-    let mut fleet = Fleet::new(3, 3);
+    let mut fleet = CrashFleet::new(3, 3);
     let sound = |number| identity(1, number, number);
     if was_fine {
         (0..3).for_each(|entry| fleet.succeed(entry, sound(500 + entry as u64)));
@@ -526,7 +397,7 @@
     three_one_after_the_other = { 3, 3 },
 )]
 fn a_path_beside_several_crashing_requests_is_served(requests: u64, in_a_row: u64) {
-    let mut fleet = Fleet::new(1, 1);
+    let mut fleet = CrashFleet::new(1, 1);
     let sound = |number| identity(1, number, number);
     fleet.succeed(0, sound(500));
     let mut sent = 0;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Test harness: a side machine with one target, an in-memory log and a manual clock.
 #![allow(dead_code)]
 
+pub mod crashes;
 pub mod direct;
 
 use std::time::Duration;
