Do not let one odd registration hide a target's later ones

Here, a start or sequence number of 2^64 - 1 under the key of a living target made all its later registrations look older, so that its leaving was not noticed; slots of 2^32 - 1 overflowed a sum; names that fit no header, port 0 and base64 that is none were not held against the record alone.

Change: a registration that is older by its numbers counts once it is renewed (a late write comes once); a start that leaves does not come back.

--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -91,6 +91,8 @@
     pub(super) store_cut_until: ClockTime,
     pub(super) target_cut: Option<(TargetIndex, ClockTime)>,
     pub(super) next_record: Option<u64>,
+    /// When the last read of the targets is passed on.
+    pub(super) targets_read_at: ClockTime,
     /// Spans of time in which rules with time limits are not checked for this entry.
     pub(super) disturbances: Vec<(ClockTime, ClockTime)>,
     pub(super) shown_version: u64,
@@ -131,6 +133,7 @@
             store_cut_until: ClockTime::ZERO,
             target_cut: None,
             next_record: None,
+            targets_read_at: ClockTime::ZERO,
             disturbances: Vec::new(),
             shown_version: 0,
             flows: BTreeMap::new(),
--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -133,8 +133,8 @@
         if changes.is_empty() {
             return self.schedule_after(LONG_POLL_INTERVAL, again);
         }
-        self.pass_on_targets(entry, changes);
-        self.schedule_after(self.response_time() + TARGET_READ_PAUSE, again);
+        let answer = self.pass_on_targets(entry, changes);
+        self.schedule_after(answer + TARGET_READ_PAUSE, again);
     }
 
     /// Reads the targets once more, beside the reads that follow each other.
@@ -147,8 +147,12 @@
         self.pass_on_targets(entry, changes);
     }
 
-    fn pass_on_targets(&mut self, entry: EntryId, changes: Vec<TargetChange>) {
-        let answer = self.response_time();
+    /// Passes on what a read returned, after earlier reads, and returns the time until then.
+    fn pass_on_targets(&mut self, entry: EntryId, changes: Vec<TargetChange>) -> Duration {
+        let (now, response_time) = (self.now, self.response_time());
+        let sim = &mut self.entries[entry];
+        sim.targets_read_at = sim.targets_read_at.max(now + response_time);
+        let answer = sim.targets_read_at - now;
         for change in changes {
             let ignored = self.settings.defect == Some(DriverDefect::LeavingIgnored)
                 && matches!(&change, TargetChange::Listed(target) if target.leaving);
@@ -158,6 +162,7 @@
         }
         let read = DirectEvent::TargetsRead { age: answer };
         self.schedule_after(answer, self.machine_event(entry, read));
+        answer
     }
 
     /// Reads the software versions that entries recorded.
--- a/src/direct/stage_plan.rs
+++ b/src/direct/stage_plan.rs
@@ -207,11 +207,12 @@
             PlacementView { fleet: &self.fleet, peers: &self.peers, limits: &self.limits, now };
         let waits: f32 =
             prefill_engines.iter().map(|state| view.prefill_wait(state, PRIORITY_COUNT)).sum();
-        let running = |state: &&TargetState| view.in_flight(state).running.min(state.target.slots);
-        let slots: u32 = decode_engines.iter().map(|state| state.target.slots).sum();
+        let running =
+            |state: &&TargetState| u64::from(view.in_flight(state).running.min(state.target.slots));
+        let slots: u64 = decode_engines.iter().map(|state| u64::from(state.target.slots)).sum();
         StageLoad {
             prefill_wait: waits / (prefill_engines.len() as f32).max(1.0),
-            slot_use: decode_engines.iter().map(running).sum::<u32>() as f32
+            slot_use: decode_engines.iter().map(running).sum::<u64>() as f32
                 / (slots as f32).max(1.0),
         }
     }
--- a/src/direct/suspect_table.rs
+++ b/src/direct/suspect_table.rs
@@ -549,8 +549,8 @@
         let last = last.max().unwrap_or(now);
         let before = self.blocked.get(&suspect);
         let block = BlockRecord {
-            crashes: before.map_or(0, |block| block.crashes) + crashes as u32,
-            repeats: before.map_or(0, |block| block.repeats + 1),
+            crashes: before.map_or(0, |block| block.crashes).saturating_add(crashes as u32),
+            repeats: before.map_or(0, |block| block.repeats.saturating_add(1)),
             last,
             stored: saw_crash || before.is_some_and(|block| block.stored),
         };
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -135,6 +135,9 @@
     doubt: Option<StartDoubt>,
     /// Time at which that start is known to have run.
     alive_at: ClockTime,
+    /// Start and sequence number of the last registration that was ignored as an older one.
+    #[serde(skip)]
+    older: Option<(u64, u64)>,
     #[serde(rename = "pause")]
     failure_backoff: Duration,
     #[serde(rename = "decline_pause")]
@@ -199,6 +202,7 @@
             closed_until: ClockTime::ZERO,
             doubt: None,
             alive_at: ClockTime::ZERO,
+            older: None,
             failure_backoff: MIN_FAILURE_BACKOFF,
             decline_backoff: MIN_DECLINE_BACKOFF,
             failure_rate: 0.0,
@@ -307,6 +311,23 @@
         self.doubt.is_none()
     }
 
+    /// Returns whether a registration replaces the known one.
+    ///
+    /// One that is older by its numbers may have been written late, and comes once then. If it is
+    /// renewed, its target runs, and the numbers of the known one were no target's, or its VM's
+    /// clock was ahead. A start that leaves does not come back.
+    fn accepts(&mut self, target: &DirectTarget) -> bool {
+        let number = (target.born_ms, target.sequence);
+        let known = (self.target.born_ms, self.target.sequence);
+        let comes_back = self.target.leaving && !target.leaving && number.0 == known.0;
+        let is_renewed = self
+            .older
+            .is_some_and(|(born_ms, sequence)| born_ms == number.0 && sequence < number.1);
+        let accepted = number >= known || (is_renewed && !comes_back);
+        self.older = (!accepted).then_some(number);
+        accepted
+    }
+
     fn registration_renewed(&mut self, now: ClockTime) {
         let Some(doubt) = &mut self.doubt else { return };
         let first = *doubt.renewed.get_or_insert(now);
@@ -472,9 +493,7 @@
             self.targets.insert(target.id.clone(), TargetState::new(target));
             return;
         };
-        let order = (target.born_ms, target.sequence);
-        let known_order = (known.target.born_ms, known.target.sequence);
-        if order < known_order {
+        if !known.accepts(&target) {
             return;
         }
         if target.born_ms != known.target.born_ms || target.stage != known.target.stage {
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -12,6 +12,10 @@
 /// Topic that holds one registration per target, keyed by target id.
 pub const TOPIC: &str = "keyed.servers";
 
+/// Largest number of slots that is accepted. A larger one is no target's, and would outweigh all
+/// others.
+const MAX_SLOTS: u32 = 65_536;
+
 #[derive(Deserialize)]
 struct WireRegistration {
     service: Arc<str>,
@@ -52,12 +56,24 @@
 /// Decodes a target's registration.
 ///
 /// # Errors
-/// Returns [`ErrorCode::Malformed`] if it is not valid JSON, or a field is missing or has
-/// an invalid value.
+/// Returns [`ErrorCode::Malformed`] if it is not valid JSON, a field is missing or has
+/// an invalid value, or nothing can be called by its id or address.
 pub fn decode(id: &str, value: &[u8]) -> Result<DirectTarget> {
-    let registration: WireRegistration = serde_json::from_slice(value).map_err(|e| {
-        Error::new(ErrorCode::Malformed, format!("registration of target {id:?} ({e})"))
-    })?;
+    let malformed = |reason: &dyn std::fmt::Display| {
+        Error::new(ErrorCode::Malformed, format!("registration of target {id:?} ({reason})"))
+    };
+    let registration: WireRegistration =
+        serde_json::from_slice(value).map_err(|e| malformed(&e))?;
+    // Calls name their target by its id, in a header.
+    if id.is_empty() || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(malformed(&"its id is no name"));
+    }
+    if registration.address.port() == 0 || registration.address.ip().is_unspecified() {
+        return Err(malformed(&"its address is none"));
+    }
+    if registration.slots > MAX_SLOTS {
+        return Err(malformed(&"too many slots"));
+    }
     let stage = registration.stage.map_or(TargetStage::Plain, TargetStage::from);
     Ok(DirectTarget {
         id: id.into(),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -67,6 +67,8 @@
     pub key: String,
     /// Value of the record; `None` if the key was removed.
     pub value: Option<Bytes>,
+    /// Offset of the record in its topic.
+    pub offset: u64,
 }
 
 /// Records that were read, and the offset to continue from.
@@ -99,6 +101,8 @@
 struct NewestItem {
     key: String,
     value: String,
+    #[serde(default)]
+    offset: u64,
 }
 
 #[derive(Deserialize)]
@@ -145,8 +149,10 @@
             after = page.items.last().map(|item| item.key.clone());
             let more = page.has_more && after.is_some();
             for item in page.items {
-                let value = base64_decode(&item.value).ok_or(StoreError::Malformed)?;
-                records.push(KeyedRecord { key: item.key, value: Some(value) });
+                // One that cannot be decoded is there, but holds nothing; the others count.
+                let value = base64_decode(&item.value).unwrap_or_default();
+                let NewestItem { key, offset, .. } = item;
+                records.push(KeyedRecord { key, value: Some(value), offset });
             }
             if !more {
                 let next = first_end.unwrap_or(0);
@@ -180,9 +186,14 @@
         let _first = body.get_u64();
         let mut page = RecordPage { records: Vec::new(), next: from, reached_end: false };
         while body.has_remaining() {
-            let record = decode_record(&mut body).ok_or(StoreError::Malformed)?;
+            let content = take_record(&mut body).ok_or(StoreError::Malformed)?;
+            match decode_record(content, page.next) {
+                Some(record) => page.records.push(record),
+                None => {
+                    log::info!(topic:% = topic, offset:% = page.next; "malformed record ignored")
+                }
+            }
             page.next += 1;
-            page.records.push(record);
         }
         page.reached_end = page.next >= end;
         Ok(page)
@@ -279,21 +290,21 @@
     serde_json::from_slice(body).map_err(|_| StoreError::Malformed)
 }
 
-/// Decodes one record: its length (4 bytes), the length of its key (1 byte), the key and
-/// the value.
-fn decode_record(body: &mut Bytes) -> Option<KeyedRecord> {
+/// Takes the content of one record, which its length (4 bytes) precedes.
+fn take_record(body: &mut Bytes) -> Option<Bytes> {
     let length = body.try_get_u32().ok()? as usize;
-    if body.remaining() < length || length == 0 {
-        return None;
-    }
-    let mut content = body.split_to(length);
-    let key_length = content.get_u8() as usize;
+    (body.remaining() >= length).then(|| body.split_to(length))
+}
+
+/// Decodes the content of a record: the length of its key (1 byte), the key and the value.
+fn decode_record(mut content: Bytes, offset: u64) -> Option<KeyedRecord> {
+    let key_length = content.try_get_u8().ok()? as usize;
     if content.remaining() < key_length {
         return None;
     }
     let key = content.split_to(key_length);
     let value = (!content.is_empty()).then_some(content);
-    Some(KeyedRecord { key: String::from_utf8_lossy(&key).into_owned(), value })
+    Some(KeyedRecord { key: String::from_utf8_lossy(&key).into_owned(), value, offset })
 }
 
 fn percent_encode(text: &str) -> String {
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -1,6 +1,11 @@
 //! Follows topics of the platform's store: the configuration and the targets.
 
-use std::{collections::HashSet, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use tokio::{sync::Notify, time::Instant};
 
@@ -194,11 +199,14 @@
     driver: Rc<DirectDriver>,
     /// Targets whose registration was logged.
     registered: HashSet<TargetId>,
+    /// Offsets of the records in the last snapshot. Its pages are not of one moment, so that
+    /// changes which follow it may be older than what it held.
+    offsets: HashMap<TargetId, u64>,
 }
 
 impl TargetFollower {
     fn new(driver: Rc<DirectDriver>) -> TargetFollower {
-        TargetFollower { driver, registered: HashSet::new() }
+        TargetFollower { driver, registered: HashSet::new(), offsets: HashMap::new() }
     }
 
     fn decode(&self, record: &KeyedRecord) -> Option<DirectTarget> {
@@ -240,6 +248,8 @@
 
 impl TopicFollower for TargetFollower {
     fn apply_snapshot(&mut self, records: Vec<KeyedRecord>) {
+        let offsets = records.iter().map(|record| (record.key.as_str().into(), record.offset));
+        self.offsets = offsets.collect();
         let present: Vec<TargetId> =
             records.iter().map(|record| record.key.as_str().into()).collect();
         let is_present = |id: &str| present.iter().any(|present| &**present == id);
@@ -254,6 +264,9 @@
 
     fn apply_changes(&mut self, records: Vec<KeyedRecord>) {
         for record in &records {
+            if self.offsets.get(record.key.as_str()).is_some_and(|known| record.offset < *known) {
+                continue;
+            }
             if record.value.is_none() {
                 let id: TargetId = record.key.as_str().into();
                 self.log_removal(&id);
--- a/tests/platform_documents.rs
+++ b/tests/platform_documents.rs
@@ -35,6 +35,39 @@
     assert_eq!(target.is_ok(), case.accepted, "{target:?}");
 }
 
+/// Another writer may leave anything among the registrations.
+#[parameterized(
+    deeply_nested_where_nobody_reads = { RegistrationCase { find: "{}", replace: "NESTED", accepted: true } },
+    deeply_nested = { RegistrationCase { find: "\"slots\":4", replace: "\"slots\":NESTED", accepted: false } },
+    number_beyond_floats = { RegistrationCase { find: "\"slots\":4", replace: "\"slots\":1e400", accepted: false } },
+    number_beyond_slots = { RegistrationCase { find: "\"slots\":4", replace: "\"slots\":4294967296", accepted: false } },
+    more_slots_than_any_target = { RegistrationCase { find: "\"slots\":4", replace: "\"slots\":4294967295", accepted: false } },
+    fractional_slots = { RegistrationCase { find: "\"slots\":4", replace: "\"slots\":1e23", accepted: false } },
+    largest_numbers = { RegistrationCase { find: "\"sequence\":3,\"born\":17", replace: "\"sequence\":18446744073709551615,\"born\":18446744073709551615", accepted: true } },
+    number_beyond_born = { RegistrationCase { find: "17", replace: "18446744073709551616", accepted: false } },
+    port_out_of_range = { RegistrationCase { find: ":80", replace: ":99999", accepted: false } },
+    no_port = { RegistrationCase { find: ":80", replace: ":0", accepted: false } },
+    no_host = { RegistrationCase { find: "127.0.0.1", replace: "0.0.0.0", accepted: false } },
+    other_host = { RegistrationCase { find: "127.0.0.1", replace: "999.0.0.1", accepted: false } },
+    cut_short = { RegistrationCase { find: "\"sequence\":3,\"born\":17,\"new_field\":{}}", replace: "\"seq", accepted: false } },
+)]
+fn odd_registrations_are_errors_or_taken(case: RegistrationCase) {
+    let nested = "[".repeat(200_000) + &"]".repeat(200_000);
+    let text = REGISTRATION.replace(case.find, &case.replace.replace("NESTED", &nested));
+    let target = discovery::decode("t", text.as_bytes());
+    assert_eq!(target.is_ok(), case.accepted, "{target:?}");
+}
+
+#[parameterized(
+    empty = { "" },
+    with_space = { "a b" },
+    with_line_end = { "a\r\nb" },
+    not_ascii = { "a\u{fffd}" },
+)]
+fn a_target_whose_name_fits_no_header_is_an_error(id: &str) {
+    assert!(discovery::decode(id, REGISTRATION.as_bytes()).is_err());
+}
+
 #[test]
 fn a_registration_keeps_its_sequence_and_stage() {
     let target = discovery::decode("t", REGISTRATION.as_bytes()).unwrap();
