--- a/emulator/tests/stream_went_on_at_another_version.rs
+++ b/emulator/tests/stream_went_on_at_another_version.rs
@@ -20,6 +20,8 @@
 const BEGIN_TIME: Duration = Duration::from_millis(500);
 /// Time in which entries read a registration.
 const READ_TIME: Duration = Duration::from_millis(1500);
+/// Time from the start of entries in which they have recorded the versions that serve.
+const RECORD_TIME: Duration = Duration::from_millis(4000);
 
 /// What breaks streams off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -181,6 +183,42 @@
     });
 }
 
+/// All entries are killed and start again, before which the engines may have got another version.
+#[parameterized(
+    after_the_version_has_left = { 22_490, true },
+    while_the_version_serves = { 22_860, false },
+)]
+fn a_stream_from_before_a_start_of_all_goes_on_only_at_its_version(port: u16, left: bool) {
+    run(async {
+        let sizes = PlatformSizes { port, entries: 2, prefill: 1, decode: 2, plain: 1 };
+        let mut fleet = PlatformFleet::spawn(sizes).await.unwrap();
+        tokio::time::sleep(RECORD_TIME).await;
+        for index in 0..2 {
+            fleet.entries[index].signal("KILL").unwrap();
+            fleet.entries[index].wait(Duration::from_secs(2)).ok();
+        }
+        if left {
+            for index in 0..3 {
+                fleet.runners[index].restart_with_version(&fleet.store, "v2");
+            }
+        }
+        for index in 0..2 {
+            fleet.entries[index] = fleet.start_entry(index).unwrap();
+        }
+        let mut outcomes = Vec::new();
+        for index in 0..2 {
+            fleet.wait_until_ready(index).await.unwrap();
+            let mut request = CallerRequest::new(format!("again-{index}"), CallerKind::Dossier, 1);
+            request.resumed =
+                Some(ResumedStream { first_request: "before".to_owned(), last_event: 2 });
+            outcomes.push(send(fleet.entry(index), request).await.outcome);
+        }
+        let refused = CallerOutcome::Own { status: 503, retry_after: true };
+        let expected = if left { refused } else { CallerOutcome::Whole };
+        assert_eq!(outcomes, [expected.clone(), expected], "{}", fleet.folder().display());
+    });
+}
+
 #[test]
 fn engines_of_two_versions_serve_new_requests() {
     run(async {
