Keep the crashes of a request whose path other requests acquit

Callers' crashing request was still sent after each power loss of all entries, where sound requests of its path, with another query or of another caller, ended whole in between: crashes were kept by the guilt of the path, and went with it. Now the path only groups what is kept; each crash holds the suspects that no whole response has acquitted, and a response takes out what it acquits.

Further: an entry cut off for two seconds knows the crashes (held before, too), and numbers at their limit in a stored block.

--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -256,7 +256,7 @@
             return self.schedule_after(READ_TIMEOUT + FAILURE_PAUSE, again);
         }
         match change {
-            EvidenceChange::Added(evidence) => {
+            EvidenceChange::Written(evidence) => {
                 self.store.evidence.insert(evidence.suspect, evidence);
             }
             EvidenceChange::Removed(suspect) => {
--- a/emulator/tests/crashes_forgotten_at_a_power_loss.rs
+++ b/emulator/tests/crashes_forgotten_at_a_power_loss.rs
@@ -13,7 +13,7 @@
 
 const NAME: &str = "crashing";
 const PAUSE: Duration = Duration::from_millis(150);
-/// Time in which entries confirm a crash, tell each other and write it to the store.
+/// Time in which entries confirm a crash, report it to each other and write it to the store.
 const KEEP_TIME: Duration = Duration::from_millis(800);
 /// Number of power losses, and of sendings and crashes before each.
 const POWER_LOSSES: usize = 4;
--- a/src/direct/suspect_table.rs
+++ b/src/direct/suspect_table.rs
@@ -141,7 +141,7 @@
     /// Whether there is new evidence since causes were last looked for.
     #[serde(skip)]
     has_new_evidence: bool,
-    /// Paths and segments under which crashes are kept in the store, with their number.
+    /// Paths and segments whose crashes are kept in the store, with the number of uses in them.
     #[serde(skip)]
     pub(super) stored_evidence: HashMap<CrashSuspect, usize>,
     /// Whether crashes were added or dropped since the store's evidence was last compared.
@@ -507,9 +507,8 @@
             // Most requests are sent once, while segments are shared.
             self.successes.retain(|suspect, _| suspect.is_segment());
         }
-        self.has_changed |= self.stored_evidence.contains_key(&suspect);
         for crash in self.crashes.values_mut().filter(|crash| crash.at <= at) {
-            crash.suspects.remove(&suspect);
+            self.has_changed |= crash.suspects.remove(&suspect).is_some();
             crash.own.remove(&suspect);
         }
         self.crashes.retain(|_, crash| !crash.suspects.is_empty());
--- a/src/process/direct/suspects.rs
+++ b/src/process/direct/suspects.rs
@@ -54,7 +54,7 @@
 /// Writes crashes under a suspect to the store, or removes them.
 pub(super) async fn write_evidence(store: SocketAddr, change: EvidenceChange) {
     let (suspect, value) = match &change {
-        EvidenceChange::Added(CrashEvidence { suspect, crashes }) => {
+        EvidenceChange::Written(CrashEvidence { suspect, crashes }) => {
             log::info!(
                 suspect:% = suspect, crashes:% = crashes.len();
                 "targets crashed under {}; kept for entries that start", noun(*suspect)
--- a/tests/crashes_forgotten_at_a_power_loss.rs
+++ b/tests/crashes_forgotten_at_a_power_loss.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use sapphirewell::direct::{FailureReason, RequestIdentity};
+use sapphirewell::direct::{BlockedSuspect, CrashSuspect, FailureReason, RequestIdentity};
 use support::crashes::{CrashFleet, RUN_TIME, identity};
 use yare::parameterized;
 
@@ -72,6 +72,59 @@
     }
 }
 
+/// What looks like the crashing request, as far as paths, queries and callers go.
+#[parameterized(
+    other_query = { identity(1, 7, 1) },
+    other_query_and_caller = { identity(1, 7, 9) },
+    other_caller = { identity(1, 0, 9) },
+    other_path_of_the_caller = { identity(2, 0, 1) },
+)]
+fn a_sound_look_alike_is_sent_after_each_power_loss(sound: RequestIdentity) {
+    let crashing = identity(1, 0, 1);
+    let mut fleet = CrashFleet::new(3, 6);
+    fleet.succeed(0, sound);
+    for round in 0..4 {
+        for entry in 0..2 {
+            // It is blocked from the third crash on, which is not judged here.
+            fleet.crash(&[(entry, crashing)]).ok();
+            fleet.succeed(entry, sound);
+        }
+        fleet.restart_all();
+        fleet.succeed(round % 3, sound);
+    }
+    assert_eq!(fleet.crash(&[(0, crashing)]), Err(FailureReason::CrashesTargets));
+}
+
+/// Reports are repeated for longer than that.
+#[test]
+fn an_entry_that_was_cut_off_for_two_seconds_knows_the_crashes() {
+    let crashing = identity(1, 0, 1);
+    let mut fleet = CrashFleet::new(3, 6);
+    fleet.cut_off = Some(2);
+    for entry in 0..2 {
+        fleet.crash(&[(entry, crashing)]).unwrap();
+    }
+    fleet.cut_off = None;
+    fleet.advance(RUN_TIME);
+    fleet.crash(&[(2, crashing)]).unwrap();
+    assert_eq!(fleet.crash(&[(2, crashing)]), Err(FailureReason::CrashesTargets));
+}
+
+/// A record of another writer may hold any numbers; the next block adds to them.
+#[test]
+fn numbers_at_their_limit_in_a_stored_block_do_not_end_the_process() {
+    let request = identity(1, 0, 1);
+    let suspect = CrashSuspect::Caller(request.caller);
+    let mut fleet = CrashFleet::new(1, 6);
+    let age = Duration::ZERO;
+    fleet.store_block(BlockedSuspect { suspect, crashes: u32::MAX, repeats: 0, age });
+    fleet.restart_all();
+    assert_eq!(fleet.crash(&[(0, request)]), Err(FailureReason::CrashesTargets));
+    fleet.advance(Duration::from_secs(610));
+    fleet.crash(&[(0, request)]).unwrap();
+    assert_eq!(fleet.crash(&[(0, request)]), Err(FailureReason::CrashesTargets));
+}
+
 /// Targets that end at one moment have popular requests in common, which end whole afterwards.
 #[test]
 fn a_sound_request_is_sent_after_a_power_loss() {
--- a/tests/support/crashes.rs
+++ b/tests/support/crashes.rs
@@ -33,6 +33,8 @@
     flows: u64,
     blocked: HashMap<CrashSuspect, BlockedSuspect>,
     evidence: HashMap<CrashSuspect, CrashEvidence>,
+    /// Entry that neither sends nor receives reports.
+    pub cut_off: Option<usize>,
 }
 
 /// Request that an entry has sent.
@@ -56,6 +58,7 @@
             flows: 0,
             blocked: HashMap::new(),
             evidence: HashMap::new(),
+            cut_off: None,
         };
         let ids: Vec<TargetId> = fleet.targets.keys().cloned().collect();
         ids.iter().for_each(|id| fleet.list(id));
@@ -74,9 +77,11 @@
             entry.advance(time);
         }
         self.tick();
-        for from in 0..self.entries.len() {
+        let in_touch = (0..self.entries.len()).filter(|entry| Some(*entry) != self.cut_off);
+        let in_touch: Vec<usize> = in_touch.collect();
+        for &from in &in_touch {
             let report = self.entries[from].suspect_report();
-            for to in (0..self.entries.len()).filter(|to| *to != from) {
+            for &to in in_touch.iter().filter(|to| **to != from) {
                 self.entries[to].step(DirectEvent::Suspects(report.clone()));
             }
         }
@@ -93,7 +98,7 @@
                     DirectAction::PersistSuspect(SuspectChange::Cleared(suspect)) => {
                         self.blocked.remove(&suspect);
                     }
-                    DirectAction::PersistEvidence(EvidenceChange::Added(evidence)) => {
+                    DirectAction::PersistEvidence(EvidenceChange::Written(evidence)) => {
                         self.evidence.insert(evidence.suspect, evidence);
                     }
                     DirectAction::PersistEvidence(EvidenceChange::Removed(suspect)) => {
@@ -110,6 +115,11 @@
         self.evidence.len()
     }
 
+    /// Puts a record of a block into the store, as another writer might.
+    pub fn store_block(&mut self, block: BlockedSuspect) {
+        self.blocked.insert(block.suspect, block);
+    }
+
     /// Ends all entries and starts them again, which then know what the store has.
     pub fn restart_all(&mut self) {
         for (index, entry) in self.entries.iter_mut().enumerate() {
