Use a target again that an odd registration said to leave

A registration of another writer with the numbers of a living start, a higher sequence number and 'draining' hid the target until its next start, as a start that leaves was never put back. It is now, after three renewals without an announcement in between; a leaving target announces it with each renewal, so that late ones do not undo it.

--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -51,6 +51,10 @@
 /// take to leave.
 const LEAVING_MEMORY: Duration = Duration::from_secs(600);
 
+/// Renewals of a registration after which its target is used again, although a registration with
+/// higher numbers of the same start announced that it leaves.
+const RENEWALS_AFTER_LEAVING: u32 = 3;
+
 /// Stage of inference that an engine is assigned to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -135,9 +139,9 @@
     doubt: Option<StartDoubt>,
     /// Time at which that start is known to have run.
     alive_at: ClockTime,
-    /// Start and sequence number of the last registration that was ignored as an older one.
+    /// The last registration that was ignored as an older one.
     #[serde(skip)]
-    older: Option<(u64, u64)>,
+    older: Option<OlderRegistration>,
     #[serde(rename = "pause")]
     failure_backoff: Duration,
     #[serde(rename = "decline_pause")]
@@ -164,6 +168,21 @@
     renewed: Option<ClockTime>,
 }
 
+/// Registration that is older than the known one by its numbers.
+#[derive(Debug, Clone, Copy)]
+struct OlderRegistration {
+    born_ms: u64,
+    sequence: u64,
+    /// Number of such registrations before it, of the same start and in order.
+    renewals: u32,
+}
+
+impl OlderRegistration {
+    fn is_renewed_by(&self, target: &DirectTarget) -> bool {
+        self.born_ms == target.born_ms && self.sequence < target.sequence
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct SegmentUse {
     used: ClockTime,
@@ -313,18 +332,26 @@
 
     /// Returns whether a registration replaces the known one.
     ///
-    /// One that is older by its numbers may have been written late, and comes once then. If it is
-    /// renewed, its target runs, and the numbers of the known one were no target's, or its VM's
-    /// clock was ahead. A start that leaves does not come back.
+    /// One that is older by its numbers may have been written late, and is then read once. If it
+    /// is renewed, its target runs, and the known numbers were no target's, or its VM's clock was
+    /// ahead. A start that announced that it leaves goes on to announce it, so that several
+    /// late registrations without that between two of its own do not undo it.
     fn accepts(&mut self, target: &DirectTarget) -> bool {
-        let number = (target.born_ms, target.sequence);
         let known = (self.target.born_ms, self.target.sequence);
-        let comes_back = self.target.leaving && !target.leaving && number.0 == known.0;
-        let is_renewed = self
-            .older
-            .is_some_and(|(born_ms, sequence)| born_ms == number.0 && sequence < number.1);
-        let accepted = number >= known || (is_renewed && !comes_back);
-        self.older = (!accepted).then_some(number);
+        if (target.born_ms, target.sequence) >= known {
+            self.older = None;
+            return true;
+        }
+        let undoes_leaving =
+            self.target.leaving && !target.leaving && target.born_ms == self.target.born_ms;
+        let needed = if undoes_leaving { RENEWALS_AFTER_LEAVING } else { 1 };
+        let renewals = match &self.older {
+            Some(older) if older.is_renewed_by(target) => older.renewals + 1,
+            _ => 0,
+        };
+        let accepted = renewals >= needed;
+        let (born_ms, sequence) = (target.born_ms, target.sequence);
+        self.older = (!accepted).then_some(OlderRegistration { born_ms, sequence, renewals });
         accepted
     }
 
