--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -8,6 +8,7 @@
 mod fence;
 mod http;
 mod json;
+mod limits;
 mod load;
 mod record;
 mod runner;
@@ -56,6 +57,7 @@
     });
     let verdict = match scenario.as_str() {
         "fence" => fence::play(&context),
+        "limits" => limits::play(&context),
         "streams" => streams::play(&context),
         "version" => version::play(&context),
         _ => Verdict::CannotRun("no such scenario".to_owned()),
