--- a/review/stand_in/client.rs
+++ b/review/stand_in/client.rs
@@ -41,8 +41,7 @@
     Reader::new(stream).head().ok()
 }
 
-/// Sends a request and reads its answer until the deadline. A stream ends early, as by a
-/// connection that broke, when `stop` says so of the events that came.
+/// Sends a request and reads its answer until the deadline.
 pub fn send(address: SocketAddr, call: &Call) -> Answer {
     let mut answer = Answer::default();
     send_inner(address, call, &mut answer);
--- a/review/stand_in/entry.rs
+++ b/review/stand_in/entry.rs
@@ -12,11 +12,9 @@
 
 use crate::{record::Record, store::Store};
 
-pub const SIGTERM: i32 = 15;
-pub const SIGKILL: i32 = 9;
+const SIGKILL: u64 = 9;
 
 unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
 }
 
@@ -118,7 +116,7 @@
         // SAFETY: the call neither allocates nor touches the memory of the parent.
         unsafe {
             command.pre_exec(|| {
-                prctl(PARENT_DEATH_SIGNAL, SIGKILL as u64);
+                prctl(PARENT_DEATH_SIGNAL, SIGKILL);
                 Ok(())
             });
         }
@@ -139,28 +137,6 @@
         crate::client::get(self.ready(), "/ready").is_some_and(|message| message.status() == 200)
     }
 
-    pub fn signal(&self, signal: i32) {
-        let Some(child) = &self.child else { return };
-        self.record.line(&format!("{}: signal {signal}", self.name));
-        // SAFETY: the process is a child that was not waited for yet.
-        unsafe { kill(child.id() as i32, signal) };
-    }
-
-    /// Returns whether the process ends within the time.
-    pub fn ends_within(&mut self, time: Duration) -> bool {
-        let until = Instant::now() + time;
-        while Instant::now() < until {
-            let ended = self.child.as_mut().is_none_or(|c| matches!(c.try_wait(), Ok(Some(_))));
-            if ended {
-                self.child = None;
-                self.record.line(&format!("{}: ended", self.name));
-                return true;
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        false
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             child.kill().ok();
--- a/review/stand_in/fence.rs
+++ b/review/stand_in/fence.rs
@@ -44,9 +44,8 @@
         .map(|profile| Runner::open(profile, &store, &handles, record))
         .collect();
     let ports = Ports::find(2);
-    let new = |name, number| {
-        Entry::new(name, number, ports, &[1, 2], &store, &context.folder, record)
-    };
+    let new =
+        |name, number| Entry::new(name, number, ports, &[1, 2], &store, &context.folder, record);
     let (mut first, mut second) = (new("front-a-1", 1), new("front-b-1", 2));
     if !second.start(Duration::from_secs(5)) {
         return Verdict::CannotRun("front-b-1 does not get ready".to_owned());
--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -46,7 +46,7 @@
         exit(2);
     };
     let record = Record::open(&PathBuf::from(folder));
-    let trouble = std::env::var("TROUBLE").is_none_or(|value| value != "0");
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let context = Context { record: record.clone(), folder: PathBuf::from(temporary), trouble };
     record.line(&format!("scenario {scenario}, trouble: {trouble}"));
     let watched = record.clone();
@@ -71,13 +71,3 @@
     println!("{text}");
     exit(code);
 }
-
-trait IsNoneOr<T> {
-    fn is_none_or(self, test: impl FnOnce(T) -> bool) -> bool;
-}
-
-impl<T, E> IsNoneOr<T> for Result<T, E> {
-    fn is_none_or(self, test: impl FnOnce(T) -> bool) -> bool {
-        self.map_or(true, test)
-    }
-}
--- a/review/stand_in/runner.rs
+++ b/review/stand_in/runner.rs
@@ -46,17 +46,12 @@
     pub holder: String,
     pub fence: u64,
     pub at: Instant,
-    pub stage: String,
-    pub status: u16,
 }
 
 /// Run of a request.
 #[derive(Debug, Clone)]
 pub struct Run {
     pub request: String,
-    pub version: String,
-    pub path: String,
-    pub at: Instant,
 }
 
 struct State {
@@ -152,10 +147,6 @@
         self.inner.state.lock().unwrap().runs.clone()
     }
 
-    pub fn stage(&self) -> String {
-        self.inner.state.lock().unwrap().stage.clone()
-    }
-
     /// Writes its registration, if the store is there.
     pub fn register(&self) -> bool {
         let inner = &self.inner;
@@ -213,10 +204,9 @@
         self.inner.start.store(start, Ordering::SeqCst);
         self.listen(listener, start);
         let registered = self.register();
-        self.inner.record.line(&format!(
-            "{}: starts again as {version}, registered: {registered}",
-            self.id()
-        ));
+        self.inner
+            .record
+            .line(&format!("{}: starts again as {version}, registered: {registered}", self.id()));
     }
 
     fn listen(&self, listener: TcpListener, start: u64) {
@@ -332,7 +322,7 @@
             "{}: order stage={stage} holder={holder} fence={fence} answered {status}",
             self.id()
         ));
-        state.orders.push(Order { holder, fence, at: Instant::now(), stage, status });
+        state.orders.push(Order { holder, fence, at: Instant::now() });
         drop(state);
         respond(writer, status, &[], b"").ok()
     }
@@ -392,13 +382,8 @@
             }
         }
         inner.running.fetch_add(1, Ordering::SeqCst);
-        let path = request.target().to_owned();
-        let run = Run {
-            request: id.to_owned(),
-            version: version.clone(),
-            path: path.clone(),
-            at: Instant::now(),
-        };
+        let path = request.target();
+        let run = Run { request: id.to_owned() };
         inner.state.lock().unwrap().runs.push(run);
         let from = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
         inner.record.line(&format!(
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -104,10 +104,8 @@
         drop(state);
         let era = self.era.fetch_add(1, Ordering::SeqCst) + 1;
         self.away.store(false, Ordering::SeqCst);
-        self.record.line(&format!(
-            "store: back from a copy {} ms old, Store-Era {era}",
-            age.as_millis()
-        ));
+        self.record
+            .line(&format!("store: back from a copy {} ms old, Store-Era {era}", age.as_millis()));
     }
 
     fn append(&self, topic: &str, content: Vec<u8>) -> u64 {
