Order engines with fencing tokens that rise across a restore of the store

Cause: the token was the offset of the claim's record, and a restored store gives offsets out again. The check before an order compared only the end of the topic, which another entry's claim brings back to the same number.

Change: the store's client reads the generation that each response states, and keeps the highest one for the whole process. A token has the generation above the offset. A claim of an earlier generation is dropped on the first response of a later one, peers' claims of earlier generations are ignored, and the check wants this entry's name at the claim's offset in its generation. Why it works: two claims differ in their generation or in their offset, and an order needs a response of the token's own generation that shows the claim as the newest.

--- a/emulator/src/stand_in/store.rs
+++ b/emulator/src/stand_in/store.rs
@@ -3,13 +3,13 @@
 use std::{
     collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue};
 use serde_json::json;
 use tokio::sync::Notify;
 
@@ -32,13 +32,78 @@
     pub delay_long_polls: bool,
     /// Delay before each call is handled.
     pub delay: Duration,
+    /// Closes connections without a response, held long polls included.
+    pub away: bool,
+    /// Does not state its generation.
+    pub hides_generation: bool,
+}
+
+/// Restore of the store from an older copy.
+#[derive(Debug, Clone, Copy)]
+pub struct StoreRestore {
+    /// Age of the copy as the store goes away. Records written since are lost.
+    pub copy_age: Duration,
+    /// Time for which the store is away.
+    pub away: Duration,
+    /// Whether connections stay open and long polls are held over the restore. The store does
+    /// not respond meanwhile.
+    pub holds_polls: bool,
+    /// Time from its return until lost records of the operator and the targets are written again.
+    pub rewrite_delay: Duration,
+}
+
+/// Topics that the operator and the targets write.
+const FOREIGN_TOPICS: [&str; 2] = ["keyed.op", "keyed.servers"];
+
+#[derive(Debug, Clone)]
+struct Record {
+    at: Instant,
+    content: Bytes,
 }
 
 #[derive(Debug, Default)]
 struct Topic {
-    first: u64,
-    records: Vec<Bytes>,
-    newest: BTreeMap<String, (Bytes, u64)>,
+    /// All records, also those that readers cannot get any more.
+    records: Vec<Record>,
+    /// Number of records that were deleted.
+    first: usize,
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        self.records.len() as u64
+    }
+
+    /// Returns the newest value of each key, with its offset. Removed keys are left out.
+    fn newest(&self) -> BTreeMap<String, (Bytes, u64)> {
+        let mut newest = BTreeMap::new();
+        for (offset, record) in self.records.iter().enumerate() {
+            let (key, value) = split(&record.content);
+            match value.is_empty() {
+                true => newest.remove(&key),
+                false => newest.insert(key, (value, offset as u64)),
+            };
+        }
+        newest
+    }
+
+    /// Drops the records written after a time, and returns the contents of the newest of each key
+    /// among them.
+    fn truncate(&mut self, copied: Instant) -> Vec<Bytes> {
+        let kept = self.records.partition_point(|record| record.at <= copied);
+        let lost = self.records.split_off(kept);
+        self.first = self.first.min(kept);
+        let newest: BTreeMap<String, Bytes> =
+            lost.into_iter().map(|record| (split(&record.content).0, record.content)).collect();
+        newest.into_values().collect()
+    }
+}
+
+/// Splits the content of a record into its key and value.
+fn split(content: &Bytes) -> (String, Bytes) {
+    let mut rest = content.clone();
+    let length = rest.get_u8() as usize;
+    (String::from_utf8_lossy(&rest.split_to(length)).into_owned(), rest)
 }
 
 #[derive(Debug, Default)]
@@ -46,6 +111,8 @@
     topics: HashMap<String, Topic>,
     faults: StoreFaults,
     calls: u64,
+    /// Number of restores from an older copy.
+    restores: u64,
 }
 
 /// Store that tests and targets write to directly and processes access over HTTP.
@@ -63,6 +130,7 @@
     /// Replaces the injected faults.
     pub fn set_faults(&self, faults: StoreFaults) {
         self.state().faults = faults;
+        self.changed.notify_waiters();
     }
 
     /// Returns the number of calls received over HTTP.
@@ -83,23 +151,66 @@
     pub fn compact(&self, topic: &str) {
         let mut state = self.state();
         let Some(topic) = state.topics.get_mut(topic) else { return };
-        topic.first += topic.records.len() as u64;
-        topic.records.clear();
+        topic.first = topic.records.len();
+    }
+
+    /// Returns the keys of a topic that have a value, with it.
+    pub fn values(&self, topic: &str) -> BTreeMap<String, Bytes> {
+        let state = self.state();
+        let newest = state.topics.get(topic).map(Topic::newest).unwrap_or_default();
+        newest.into_iter().map(|(key, (value, _))| (key, value)).collect()
+    }
+
+    /// Takes the store away and brings it back from an older copy, which loses what was written
+    /// since. The operator and the targets then write theirs again.
+    pub async fn restore(&self, restore: StoreRestore) {
+        let left = Instant::now();
+        let set_away = |away| {
+            let faults = &mut self.state().faults;
+            if restore.holds_polls {
+                faults.silent = away;
+            } else {
+                faults.away = away;
+            }
+        };
+        set_away(true);
+        self.changed.notify_waiters();
+        tokio::time::sleep(restore.away).await;
+        let copied = left.checked_sub(restore.copy_age).unwrap_or(left);
+        let mut lost = Vec::new();
+        {
+            let mut state = self.state();
+            state.restores += 1;
+            for (name, topic) in &mut state.topics {
+                let contents = topic.truncate(copied);
+                if FOREIGN_TOPICS.contains(&name.as_str()) {
+                    lost.extend(contents.into_iter().map(|content| (name.clone(), content)));
+                }
+            }
+        }
+        set_away(false);
+        self.changed.notify_waiters();
+        tokio::time::sleep(restore.rewrite_delay).await;
+        for (topic, content) in lost {
+            // What was written since the return is newer.
+            if !self.has_newer(&topic, &content, left) {
+                self.append(&topic, content);
+            }
+        }
+    }
+
+    fn has_newer(&self, topic: &str, content: &Bytes, since: Instant) -> bool {
+        let key = split(content).0;
+        let state = self.state();
+        let records = state.topics.get(topic).map_or(&[][..], |topic| &topic.records);
+        records.iter().any(|record| record.at > since && split(&record.content).0 == key)
     }
 
     fn append(&self, topic: &str, content: Bytes) -> u64 {
         let mut state = self.state();
         let topic = state.topics.entry(topic.to_owned()).or_default();
-        let offset = topic.first + topic.records.len() as u64;
-        let mut rest = content.clone();
-        let length = rest.get_u8() as usize;
-        let key = String::from_utf8_lossy(&rest.split_to(length)).into_owned();
-        if rest.is_empty() {
-            topic.newest.remove(&key);
-        } else {
-            topic.newest.insert(key, (rest, offset));
-        }
-        topic.records.push(content);
+        let offset = topic.end();
+        topic.records.push(Record { at: Instant::now(), content });
         drop(state);
         self.changed.notify_waiters();
         offset
@@ -113,11 +224,27 @@
         self,
         request: Request<Incoming>,
     ) -> Result<Response<StandInBody>, BrokenOff> {
+        let response = self.clone().answer(request).await?;
+        let state = self.state();
+        if state.faults.away {
+            return Err(BrokenOff::Closed);
+        }
+        let mut response = response;
+        if !state.faults.hides_generation {
+            response.headers_mut().insert("store-era", HeaderValue::from(1 + state.restores));
+        }
+        Ok(response)
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Result<Response<StandInBody>, BrokenOff> {
         let (faults, calls) = {
             let mut state = self.state();
             state.calls += 1;
             (state.faults, state.calls)
         };
+        if faults.away {
+            return Err(BrokenOff::Closed);
+        }
         if faults.silent {
             std::future::pending::<()>().await;
         }
@@ -164,15 +291,12 @@
     fn newest(&self, topic: &str) -> Response<StandInBody> {
         let mut state = self.state();
         let topic = state.topics.entry(topic.to_owned()).or_default();
-        let items: Vec<_> = topic
-            .newest
-            .iter()
-            .map(|(key, (value, offset))| {
-                json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
-            })
-            .collect();
-        let end = topic.first + topic.records.len() as u64;
-        let answer = json!({ "items": items, "has_more": false, "end": end });
+        let newest = topic.newest();
+        let items = newest.iter().map(|(key, (value, offset))| {
+            json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
+        });
+        let items: Vec<_> = items.collect();
+        let answer = json!({ "items": items, "has_more": false, "end": topic.end() });
         response(StatusCode::OK, answer.to_string())
     }
 
@@ -184,6 +308,13 @@
         let deadline = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
+            if self.state().faults.silent {
+                changed.await;
+                continue;
+            }
+            if self.state().faults.away {
+                return response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+            }
             if let Some(answer) = self.read_now(topic, from) {
                 return answer;
             }
@@ -199,23 +330,22 @@
     fn read_now(&self, topic: &str, from: u64) -> Option<Response<StandInBody>> {
         let mut state = self.state();
         let topic = state.topics.entry(topic.to_owned()).or_default();
-        if from < topic.first {
-            let answer = json!({ "first": topic.first }).to_string();
-            return Some(response(StatusCode::GONE, answer));
+        let first = topic.first as u64;
+        if from < first || from > topic.end() {
+            return Some(response(StatusCode::GONE, json!({ "first": first }).to_string()));
         }
-        let records = topic.records.get((from - topic.first) as usize..).unwrap_or_default();
-        let end = topic.first + topic.records.len() as u64;
-        (!records.is_empty()).then(|| page(end, topic.first, records))
+        let records = &topic.records[from as usize..];
+        (!records.is_empty()).then(|| page(topic.end(), first, records))
     }
 }
 
-fn page(end: u64, first: u64, records: &[Bytes]) -> Response<StandInBody> {
+fn page(end: u64, first: u64, records: &[Record]) -> Response<StandInBody> {
     let mut body = BytesMut::new();
     body.put_u64(end);
     body.put_u64(first);
     for record in records {
-        body.put_u32(record.len() as u32);
-        body.put_slice(record);
+        body.put_u32(record.content.len() as u32);
+        body.put_slice(&record.content);
     }
     response(StatusCode::OK, body.freeze())
 }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -27,6 +27,7 @@
 mod machine;
 mod reading;
 mod report;
+mod restore;
 mod resume;
 mod returning;
 mod route;
@@ -39,7 +40,7 @@
 mod version;
 mod waiting;
 
-pub use authority::ClaimOutcome;
+pub use authority::{ClaimOutcome, fencing_token};
 pub use backlog::PrefillBacklog;
 pub use budget::RetryWindow;
 pub use crash_evidence::{CrashEvidence, EvidenceChange};
@@ -67,8 +68,9 @@
 pub type FlowId = u64;
 /// Numbers the calls for one request, from 1.
 pub type CallNumber = u32;
-/// Fencing token of a claim on ordering engines. It rises with each claim, as it is
-/// taken from the offset of the claim's record in the store.
+/// Number of times that the store was restored from an older copy, from wherever it counts.
+pub type StoreGeneration = u64;
+/// Fencing token of a claim on ordering engines. It rises with each claim; see [`fencing_token`].
 pub type OrderFencingToken = u64;
 /// Names a peer entry.
 pub type PeerName = Arc<str>;
@@ -254,6 +256,8 @@
         /// Its content.
         message: StreamMessage,
     },
+    /// The store was restored from an older copy, which made this its generation.
+    StoreRestored(StoreGeneration),
     /// A claim on ordering engines ended.
     ClaimEnded(ClaimOutcome),
     /// An order ended.
--- a/src/direct/authority.rs
+++ b/src/direct/authority.rs
@@ -1,15 +1,18 @@
 //! Authority to order engines: at most one entry holds it, without an election.
 //!
-//! An entry claims the authority with a record in the store, whose offset gives the fencing
+//! An entry claims the authority with a record in the store, whose position gives the fencing
 //! token. It sends no order before a lease has passed since the claim, and checks before
-//! each order that the store holds no newer claim. So no two entries alternate within a
-//! lease, even if their load reports are lost.
+//! each order that the store holds its claim and no newer one. So no two entries alternate
+//! within a lease, even if their load reports are lost.
+//!
+//! A store that was restored from an older copy may have lost claims, and gives out their offsets
+//! again. Claims from before do not hold any more, and tokens of later generations are higher.
 
 use std::time::Duration;
 
 use serde::Serialize;
 
-use super::{OrderFencingToken, PeerName, PeerTable};
+use super::{OrderFencingToken, PeerName, PeerTable, StoreGeneration};
 use crate::ids::ClockTime;
 
 /// Time without a report from the claim's holder after which another entry claims. It is
@@ -18,6 +21,29 @@
 /// Maximum time between the check of the store and the arrival of the order that it allowed.
 const ORDER_DELIVERY_TIME: Duration = Duration::from_secs(2);
 
+/// Bits of a fencing token that hold the end of the topic; the generation is above them.
+const OFFSET_BITS: u32 = 32;
+/// Bits of a fencing token. Engines read it as a JSON number, which may have the precision of a
+/// double.
+const TOKEN_BITS: u32 = 53;
+
+/// Returns the fencing token of the claim with which its topic ends at `end`.
+///
+/// Tokens of a later generation of the store are higher than all of an earlier one. Returns
+/// `None` if a number is too large for a token.
+///
+/// ```
+/// # use sapphirewell::direct::fencing_token;
+/// let last_before = fencing_token(Some(1), 40).unwrap();
+/// let first_after = fencing_token(Some(2), 1).unwrap();
+/// assert!(first_after > last_before);
+/// ```
+pub fn fencing_token(generation: Option<StoreGeneration>, end: u64) -> Option<OrderFencingToken> {
+    let generation = generation.unwrap_or(0);
+    let fits = end >> OFFSET_BITS == 0 && generation >> (TOKEN_BITS - OFFSET_BITS) == 0;
+    fits.then_some(generation << OFFSET_BITS | end)
+}
+
 /// Result of a claim, or of a later check of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ClaimOutcome {
@@ -44,13 +70,15 @@
 pub(super) struct StageAuthority {
     lease: Duration,
     state: AuthorityState,
+    /// Lowest token of the store's generation. Claims with lower ones do not hold.
+    lowest: OrderFencingToken,
     /// Last time a claim was known or ended, or when this process started.
     heard: Option<ClockTime>,
 }
 
 impl StageAuthority {
     pub(super) fn new(lease: Duration) -> StageAuthority {
-        StageAuthority { lease, state: AuthorityState::None, heard: None }
+        StageAuthority { lease, state: AuthorityState::None, lowest: 0, heard: None }
     }
 
     /// Returns the fencing token of the recorded claim, for load reports.
@@ -77,7 +105,8 @@
         peers: &PeerTable,
     ) -> bool {
         let heard = *self.heard.get_or_insert(now);
-        if let Some(newest) = peers.newest_claim() {
+        // A peer that has not noticed a restore of the store reports a claim that does not hold.
+        if let Some(newest) = peers.newest_claim().filter(|newest| *newest >= self.lowest) {
             self.heard = Some(now);
             if self.claim().is_some_and(|fence| fence < newest) {
                 self.state = AuthorityState::None;
@@ -95,10 +124,25 @@
     pub(super) fn claim_ended(&mut self, now: ClockTime, outcome: ClaimOutcome) {
         self.heard = Some(now);
         self.state = match outcome {
-            ClaimOutcome::Taken(fence) => {
+            ClaimOutcome::Taken(fence) if fence >= self.lowest => {
                 AuthorityState::Held { fence, from: now + self.lease + ORDER_DELIVERY_TIME }
             }
-            ClaimOutcome::Failed | ClaimOutcome::Superseded => AuthorityState::None,
+            ClaimOutcome::Taken(_) | ClaimOutcome::Failed | ClaimOutcome::Superseded => {
+                AuthorityState::None
+            }
         };
     }
+
+    /// Drops a claim from before the store was restored, and returns whether there was one.
+    pub(super) fn store_restored(&mut self, now: ClockTime, generation: StoreGeneration) -> bool {
+        // Claims of a generation that is too large for a token fail.
+        let lowest = fencing_token(Some(generation), 0).unwrap_or(OrderFencingToken::MAX);
+        self.lowest = self.lowest.max(lowest);
+        let is_lost = self.claim().is_some_and(|fence| fence < self.lowest);
+        if is_lost {
+            self.state = AuthorityState::None;
+            self.heard = Some(now);
+        }
+        is_lost
+    }
 }
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -273,6 +273,7 @@
             DirectEvent::StreamMessage { peer, message } => {
                 self.stream_message(now, peer, message, out);
             }
+            DirectEvent::StoreRestored(generation) => self.store_restored(now, generation),
             DirectEvent::ClaimEnded(outcome) => self.claim_ended(now, outcome),
             DirectEvent::OrderEnded { target, outcome } => {
                 self.planner.order_ended(now, &target, outcome);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,7 +8,11 @@
 use serde::{Deserialize, de::DeserializeOwned};
 use snafu::Snafu;
 
-use crate::process::dial::{self, RequestSender};
+use super::generation::{GenerationWatch, stated_generation};
+use crate::{
+    direct::StoreGeneration,
+    process::dial::{self, RequestSender},
+};
 
 /// Timeout of a call other than a long poll.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -43,6 +47,10 @@
         /// Offset of the oldest record that is left.
         first: u64,
     },
+    /// The store was restored from an older copy since the call's position was read or before
+    /// the call ended. Its result does not hold for the restored store.
+    #[snafu(display("the store was restored from an older copy"))]
+    Restored,
     /// The response could not be decoded.
     #[snafu(display("malformed response"))]
     Malformed,
@@ -55,6 +63,7 @@
             StoreError::NoAnswer { .. } => "no_answer",
             StoreError::Refused { .. } => "refused",
             StoreError::Deleted { .. } => "deleted",
+            StoreError::Restored => "restored",
             StoreError::Malformed => "malformed",
         }
     }
@@ -71,13 +80,23 @@
     pub offset: u64,
 }
 
-/// Records that were read, and the offset to continue from.
+/// Position in a topic. Offsets of different generations are not comparable, as a store that is
+/// restored from an older copy gives out those of lost records again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TopicPosition {
+    /// Generation of the store that the offset is from, if the store stated it.
+    pub generation: Option<StoreGeneration>,
+    /// Offset in the topic.
+    pub offset: u64,
+}
+
+/// Records that were read, and the position to continue from.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordPage {
     /// Records in the order of the store.
     pub records: Vec<KeyedRecord>,
-    /// Offset from which to read on.
-    pub next: u64,
+    /// Position from which to read on.
+    pub next: TopicPosition,
     /// Whether no record that was written before the read is missing.
     pub reached_end: bool,
 }
@@ -86,9 +105,16 @@
 #[derive(Debug)]
 pub struct StoreClient {
     address: SocketAddr,
+    generations: GenerationWatch,
     connection: Option<RequestSender>,
 }
 
+/// Body of a successful response, and the generation that the response states.
+struct StoreResponse {
+    generation: Option<StoreGeneration>,
+    body: Bytes,
+}
+
 #[derive(Deserialize)]
 struct NewestResponse {
     items: Vec<NewestItem>,
@@ -116,9 +142,14 @@
 }
 
 impl StoreClient {
-    /// Creates a client; the first call connects it.
-    pub fn new(address: SocketAddr) -> StoreClient {
-        StoreClient { address, connection: None }
+    /// Creates a client; the first call connects it. All clients of a process share `generations`.
+    pub fn new(address: SocketAddr, generations: GenerationWatch) -> StoreClient {
+        StoreClient { address, generations, connection: None }
+    }
+
+    /// Returns the generations that this client and others of the process have seen.
+    pub fn generations(&self) -> &GenerationWatch {
+        &self.generations
     }
 
     /// Closes the connection, after a call that was abandoned before its response.
@@ -128,14 +159,15 @@
 
     /// Returns the newest record of each key of a topic.
     ///
-    /// The offset is the one that came with the first page, so that reading on from it
+    /// The position is the one that came with the first page, so that reading on from it
     /// misses no change made between pages.
     ///
     /// # Errors
-    /// Returns why a call failed.
+    /// Returns [`StoreError::Restored`] if the pages are from different generations, or why a
+    /// call failed.
     pub async fn read_newest(&mut self, topic: &str) -> Result<RecordPage, StoreError> {
         let mut records = Vec::new();
-        let mut first_end = None;
+        let mut first_end: Option<TopicPosition> = None;
         let mut after: Option<String> = None;
         loop {
             let mut path = format!("/log-newest?topic={topic}&part={PARTITION}");
@@ -143,9 +175,13 @@
                 path.push_str("&after=");
                 path.push_str(&percent_encode(key));
             }
-            let page: NewestResponse =
-                decode_json(&self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?)?;
-            first_end.get_or_insert(page.end);
+            let response = self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
+            let page: NewestResponse = decode_json(&response.body)?;
+            let end = TopicPosition { generation: response.generation, offset: page.end };
+            let next = *first_end.get_or_insert(end);
+            if next.generation != end.generation {
+                return Err(StoreError::Restored);
+            }
             after = page.items.last().map(|item| item.key.clone());
             let more = page.has_more && after.is_some();
             for item in page.items {
@@ -155,30 +191,31 @@
                 records.push(KeyedRecord { key, value: Some(value), offset });
             }
             if !more {
-                let next = first_end.unwrap_or(0);
                 return Ok(RecordPage { records, next, reached_end: true });
             }
         }
     }
 
-    /// Reads the records of a keyed topic from an offset on.
+    /// Reads the records of a keyed topic from a position on.
     ///
     /// If there are none, the store holds the read for up to `wait` until one is written.
     ///
     /// # Errors
-    /// Returns [`StoreError::Deleted`] if records from the offset on were deleted, or why
-    /// the call failed.
+    /// Returns [`StoreError::Deleted`] if records from the position on were deleted,
+    /// [`StoreError::Restored`] if it is from an earlier generation, or why the call failed.
     pub async fn read_from(
         &mut self,
         topic: &str,
-        from: u64,
+        from: TopicPosition,
         wait: Duration,
     ) -> Result<RecordPage, StoreError> {
+        let offset = from.offset;
         let path = format!(
-            "/log-read?topic={topic}&part={PARTITION}&from={from}&wait_ms={}",
+            "/log-read?topic={topic}&part={PARTITION}&from={offset}&wait_ms={}",
             wait.as_millis()
         );
-        let mut body = self.call(Method::GET, &path, Bytes::new(), wait + LONG_POLL_MARGIN).await?;
+        let response = self.call(Method::GET, &path, Bytes::new(), wait + LONG_POLL_MARGIN).await?;
+        let mut body = response.body;
         if body.remaining() < 16 {
             return Err(StoreError::Malformed);
         }
@@ -187,24 +224,28 @@
         let mut page = RecordPage { records: Vec::new(), next: from, reached_end: false };
         while body.has_remaining() {
             let content = take_record(&mut body).ok_or(StoreError::Malformed)?;
-            match decode_record(content, page.next) {
+            let offset = page.next.offset;
+            match decode_record(content, offset) {
                 Some(record) => page.records.push(record),
-                None => {
-                    log::info!(topic:% = topic, offset:% = page.next; "malformed record ignored")
-                }
+                None => log::info!(topic:% = topic, offset:% = offset; "malformed record ignored"),
             }
-            page.next += 1;
+            page.next.offset += 1;
         }
-        page.reached_end = page.next >= end;
+        page.reached_end = page.next.offset >= end;
         Ok(page)
     }
 
-    /// Appends a record for a key and returns its offset. An empty value removes the key.
+    /// Appends a record for a key and returns its position. An empty value removes the key.
     ///
     /// # Errors
-    /// Returns why the call failed; after [`StoreError::NoAnswer`] the record may have been
-    /// written.
-    pub async fn put(&mut self, topic: &str, key: &str, value: &[u8]) -> Result<u64, StoreError> {
+    /// Returns why the call failed. After [`StoreError::NoAnswer`] the record may have been
+    /// written, and after [`StoreError::Restored`] it was and may be lost.
+    pub async fn put(
+        &mut self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+    ) -> Result<TopicPosition, StoreError> {
         let path = format!("/log-append?topic={topic}&part={PARTITION}");
         let content = 1 + key.len() + value.len();
         let mut record = BytesMut::with_capacity(4 + content);
@@ -212,8 +253,9 @@
         record.put_u8(key.len() as u8);
         record.put_slice(key.as_bytes());
         record.put_slice(value);
-        let body = self.call(Method::POST, &path, record.freeze(), CALL_TIMEOUT).await?;
-        Ok(decode_json::<AppendResponse>(&body)?.offset)
+        let response = self.call(Method::POST, &path, record.freeze(), CALL_TIMEOUT).await?;
+        let AppendResponse { offset } = decode_json(&response.body)?;
+        Ok(TopicPosition { generation: response.generation, offset })
     }
 
     async fn call(
@@ -222,7 +264,7 @@
         path: &str,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<StoreResponse, StoreError> {
         let exchange = self.exchange(method, path, body);
         let result = match tokio::time::timeout(timeout, exchange).await {
             Ok(result) => result,
@@ -239,7 +281,7 @@
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<StoreResponse, StoreError> {
         let host = self.address.to_string();
         let connection = self.connection().await?;
         let request = Request::builder()
@@ -250,10 +292,13 @@
             .map_err(|_| StoreError::Malformed)?;
         let response = connection.send_request(request).await.map_err(no_answer)?;
         let status = response.status();
+        let generation = stated_generation(response.headers());
+        let is_current = self.generations.observe(generation);
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
         let body = body.map_err(|e| StoreError::NoAnswer { reason: e.to_string() })?.to_bytes();
         match status {
-            StatusCode::OK => Ok(body),
+            _ if !is_current => Err(StoreError::Restored),
+            StatusCode::OK => Ok(StoreResponse { generation, body }),
             StatusCode::GONE => {
                 Err(StoreError::Deleted { first: decode_json::<DeletedResponse>(&body)?.first })
             }
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    direct::{DirectMachine, DirectSettings, StopPhase},
+    direct::{DirectEvent, DirectMachine, DirectSettings, StopPhase},
     error::{Error, ErrorCode, Result},
     platform::settings::{self, PlatformSettings},
 };
@@ -79,8 +79,9 @@
     tokio::task::spawn_local(serve::serve_readiness(readiness, driver.clone()));
     let accepting = tokio::task::spawn_local(serve::serve_callers(callers, driver.clone()));
     tokio::task::spawn_local(tick(driver.clone()));
+    tokio::task::spawn_local(watch_store(driver.clone()));
     follow::spawn(&settings, &driver);
-    tokio::task::spawn_local(suspects::read(settings.store, driver.clone()));
+    tokio::task::spawn_local(suspects::read(driver.clone()));
     gossip::spawn(&settings, instance, &driver).await?;
     if let Some(address) = settings.inspection_listen {
         let listener = serve::bind(address).await?;
@@ -140,6 +141,19 @@
     }
 }
 
+/// Tells the state machine each time that the store was restored from an older copy.
+async fn watch_store(driver: Rc<DirectDriver>) {
+    let mut known = None;
+    loop {
+        let generation = driver.generations.wait_for_restore(known).await;
+        // The first statement of a generation is no restore.
+        if known.replace(generation).is_some() {
+            log::warn!(generation:% = generation; "store restored from an older copy");
+            driver.step(DirectEvent::StoreRestored(generation));
+        }
+    }
+}
+
 /// Signals that the platform sends to a process.
 struct ProcessSignals {
     terminate: Signal,
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -16,7 +16,7 @@
     platform::{
         configuration, discovery,
         settings::PlatformSettings,
-        store::{KeyedRecord, RecordPage, StoreClient, StoreError},
+        store::{KeyedRecord, RecordPage, StoreError, TopicPosition},
     },
 };
 
@@ -28,20 +28,19 @@
 
 /// Starts to follow the configuration and the targets.
 pub(super) fn spawn(settings: &PlatformSettings, driver: &Rc<DirectDriver>) {
-    let store = settings.store;
     let (configuration_bound, drain_bound) = (settings.configuration_bound, settings.drain_bound);
     let (configuration_driver, target_driver) = (driver.clone(), driver.clone());
     tokio::task::spawn_local(async move {
         let follower = ConfigurationFollower { driver: configuration_driver.clone() };
         let schedule = ReadSchedule::of_configuration(configuration_bound);
         let topic = FollowedTopic { name: configuration::TOPIC, schedule };
-        follow(&configuration_driver, StoreClient::new(store), topic, follower).await;
+        follow(&configuration_driver, topic, follower).await;
     });
     tokio::task::spawn_local(async move {
         let follower = TargetFollower::new(target_driver.clone());
         let schedule = ReadSchedule::of_targets(drain_bound);
         let topic = FollowedTopic { name: discovery::TOPIC, schedule };
-        follow(&target_driver, StoreClient::new(store), topic, follower).await;
+        follow(&target_driver, topic, follower).await;
     });
 }
 
@@ -75,14 +74,14 @@
 /// malformed response.
 pub(super) async fn follow(
     driver: &DirectDriver,
-    mut store: StoreClient,
     followed: FollowedTopic,
     mut follower: impl TopicFollower,
 ) {
+    let mut store = driver.store_client();
     let FollowedTopic { name: topic, schedule: ReadSchedule { pause, poll_wait } } = followed;
     let demand = follower.demand();
     let mut is_demanded = false;
-    let mut next: Option<u64> = None;
+    let mut next: Option<TopicPosition> = None;
     let mut backoff = RETRY_BACKOFF.0;
     let mut reachable = true;
     loop {
--- a/src/process/direct/gossip.rs
+++ b/src/process/direct/gossip.rs
@@ -24,10 +24,7 @@
         report_interval,
     },
     error::{Error, ErrorCode, Result},
-    platform::{
-        settings::PlatformSettings,
-        store::{KeyedRecord, StoreClient},
-    },
+    platform::{settings::PlatformSettings, store::KeyedRecord},
 };
 
 /// Topic in which entries publish their addresses.
@@ -119,23 +116,22 @@
     tokio::task::spawn_local(send_reports(driver.clone(), socket.clone(), peers.clone()));
     tokio::task::spawn_local(receive_reports(driver.clone(), socket, peers.clone()));
     let follower = PeerFollower { own: address, peers };
-    let (store, key) = (settings.store, settings.vm.to_string());
     let driver = driver.clone();
     tokio::task::spawn_local(async move {
-        publish_address(store, &key, address).await;
+        publish_address(driver.clone(), address).await;
         let topic = FollowedTopic { name: PEER_TOPIC, schedule: PEER_SCHEDULE };
-        follow::follow(&driver, StoreClient::new(store), topic, follower).await;
+        follow::follow(&driver, topic, follower).await;
     });
     log::debug!(instance:% = instance, address:% = address; "exchanging reports with peers");
     Ok(())
 }
 
 /// Writes this process's address to the store, with retries until it succeeds.
-async fn publish_address(store: SocketAddr, key: &str, address: SocketAddr) {
-    let mut store = StoreClient::new(store);
+async fn publish_address(driver: Rc<DirectDriver>, address: SocketAddr) {
+    let mut store = driver.store_client();
     // Serializing an address cannot fail.
     let value = serde_json::to_vec(&PublishedAddress { address }).unwrap_or_default();
-    while let Err(error) = store.put(PEER_TOPIC, key, &value).await {
+    while let Err(error) = store.put(PEER_TOPIC, driver.name(), &value).await {
         log::warn!(error:% = error; "failed to publish own address");
         tokio::time::sleep(WRITE_RETRY_DELAY).await;
     }
--- a/src/process/direct/orders.rs
+++ b/src/process/direct/orders.rs
@@ -12,9 +12,10 @@
 use crate::{
     direct::{
         ClaimOutcome, DirectEvent, DirectTarget, OrderFencingToken, OrderOutcome, StageOrder,
+        fencing_token,
     },
     error::{Error, ErrorCode, Result},
-    platform::{runner, store::StoreClient},
+    platform::{runner, store::TopicPosition},
     process::dial,
 };
 
@@ -48,10 +49,12 @@
 
 /// Claims the authority over engines with a record in the store.
 pub(super) async fn claim(driver: Rc<DirectDriver>) {
-    let mut store = StoreClient::new(driver.store);
+    let mut store = driver.store_client();
     let outcome = match store.put(TOPIC, KEY, driver.name().as_bytes()).await {
-        // Offsets start at 0, but engines accept fencing tokens from 1 on.
-        Ok(offset) => ClaimOutcome::Taken(offset + 1),
+        Ok(position) => {
+            let end = TopicPosition { offset: position.offset + 1, ..position };
+            token_at(end).map_or(ClaimOutcome::Failed, ClaimOutcome::Taken)
+        }
         Err(error) => {
             log::info!(error:% = error; "failed to write claim on engines");
             ClaimOutcome::Failed
@@ -142,12 +145,22 @@
     }
 }
 
-/// Returns whether the newest claim in the store is the one with this fencing token.
+/// Returns the fencing token of the claim with which the topic ends here. Engines accept tokens
+/// from 1 on, as the end of a topic with a claim is.
+fn token_at(end: TopicPosition) -> Option<OrderFencingToken> {
+    fencing_token(end.generation, end.offset)
+}
+
+/// Returns whether the newest claim in the store is this entry's, with this fencing token.
+///
+/// If the store lost the claim as its response was under way, another entry may have a claim at
+/// its position.
 async fn is_newest_claim(driver: &DirectDriver, fence: OrderFencingToken) -> Result<bool> {
-    let mut store = StoreClient::new(driver.store);
-    let page = store.read_newest(TOPIC).await;
+    let page = driver.store_client().read_newest(TOPIC).await;
     let page = page.map_err(|e| Error::new(ErrorCode::Network, e.to_string()))?;
-    Ok(page.next == fence)
+    let holder = page.records.iter().find(|record| record.key == KEY);
+    let holder = holder.and_then(|record| record.value.as_deref());
+    Ok(token_at(page.next) == Some(fence) && holder == Some(driver.name().as_bytes()))
 }
 
 async fn fetch_report(
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -31,7 +31,7 @@
         PeerName, RequestRate, RequestTrace, RouteTable, StopPhase, SuspectReport,
     },
     ids::ClockTime,
-    platform::{configuration, discovery, runner, store::StoreClient},
+    platform::{configuration, discovery, generation::GenerationWatch, runner, store::StoreClient},
     process::logging,
 };
 
@@ -90,7 +90,9 @@
     last_reads: RefCell<HashMap<&'static str, Instant>>,
     /// Sends messages to peers once their port is open.
     pub(super) peer_link: RefCell<Option<PeerLink>>,
-    pub(super) store: SocketAddr,
+    store: SocketAddr,
+    /// Generations of the store that any of this process's calls has seen.
+    pub(super) generations: GenerationWatch,
     /// Notified when a request waits for the list of targets.
     pub(super) target_demand: Rc<Notify>,
     /// Connection for writing software versions, one after the other.
@@ -106,6 +108,8 @@
 
 impl DirectDriver {
     pub(super) fn new(machine: DirectMachine, store: SocketAddr) -> DirectDriver {
+        let generations = GenerationWatch::default();
+        let version_store = Mutex::new(StoreClient::new(store, generations.clone()));
         DirectDriver {
             name: machine.name().clone(),
             machine: RefCell::new(machine),
@@ -117,8 +121,9 @@
             last_reads: RefCell::default(),
             peer_link: RefCell::default(),
             store,
+            generations,
             target_demand: Rc::default(),
-            version_store: Mutex::new(StoreClient::new(store)),
+            version_store,
             started: Instant::now(),
             stop_started: Cell::default(),
             busy_connections: Cell::default(),
@@ -130,6 +135,11 @@
         self.started.elapsed()
     }
 
+    /// Returns a new client of the store, which connects with its first call.
+    pub(super) fn store_client(&self) -> StoreClient {
+        StoreClient::new(self.store, self.generations.clone())
+    }
+
     /// Registers a new request and returns the receiver of its actions.
     pub(super) fn open_flow(&self) -> (FlowId, mpsc::UnboundedReceiver<DirectAction>) {
         let flow = self.next_flow.get() + 1;
@@ -246,7 +256,7 @@
             }
             DirectAction::ReadTargets => self.target_demand.notify_one(),
             DirectAction::ReadVersions => {
-                tokio::task::spawn_local(versions::read(self.store, self.clone()));
+                tokio::task::spawn_local(versions::read(self.clone()));
             }
             DirectAction::PersistVersion(change) => {
                 tokio::task::spawn_local(versions::write(self.clone(), change));
@@ -258,10 +268,10 @@
                 tokio::task::spawn_local(orders::order(self.clone(), order));
             }
             DirectAction::PersistSuspect(change) => {
-                tokio::task::spawn_local(suspects::write(self.store, change));
+                tokio::task::spawn_local(suspects::write(self.clone(), change));
             }
             DirectAction::PersistEvidence(change) => {
-                tokio::task::spawn_local(suspects::write_evidence(self.store, change));
+                tokio::task::spawn_local(suspects::write_evidence(self.clone(), change));
             }
             DirectAction::ProbeTarget(target) => {
                 tokio::task::spawn_local(call::probe(self.clone(), target));
--- a/src/process/direct/suspects.rs
+++ b/src/process/direct/suspects.rs
@@ -3,7 +3,7 @@
 //! Running entries learn of them from each other's reports. The store serves entries that
 //! start when no running one knows, as after all of them lost power.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -32,7 +32,7 @@
 }
 
 /// Writes a suspect that crashes targets to the store, or removes it.
-pub(super) async fn write(store: SocketAddr, change: SuspectChange) {
+pub(super) async fn write(driver: Rc<DirectDriver>, change: SuspectChange) {
     let (suspect, value) = match &change {
         SuspectChange::Cleared(suspect) => {
             log::info!(suspect:% = suspect; "{} is no longer blocked", noun(*suspect));
@@ -48,11 +48,11 @@
             (block.suspect, serde_json::to_vec(&stored).unwrap_or_default())
         }
     };
-    put(store, TOPIC, &suspect.to_string(), &value).await;
+    put(&driver, TOPIC, &suspect.to_string(), &value).await;
 }
 
 /// Writes crashes under a suspect to the store, or removes them.
-pub(super) async fn write_evidence(store: SocketAddr, change: EvidenceChange) {
+pub(super) async fn write_evidence(driver: Rc<DirectDriver>, change: EvidenceChange) {
     let (suspect, value) = match &change {
         EvidenceChange::Written(CrashEvidence { suspect, crashes }) => {
             log::info!(
@@ -64,7 +64,7 @@
         }
         EvidenceChange::Removed(suspect) => (suspect, Vec::new()),
     };
-    put(store, EVIDENCE_TOPIC, &suspect.to_string(), &value).await;
+    put(&driver, EVIDENCE_TOPIC, &suspect.to_string(), &value).await;
 }
 
 /// Names the kind of a suspect in a log line.
@@ -79,8 +79,8 @@
 }
 
 /// Writes a record, with retries.
-async fn put(store: SocketAddr, topic: &str, key: &str, value: &[u8]) {
-    let mut client = StoreClient::new(store);
+async fn put(driver: &DirectDriver, topic: &str, key: &str, value: &[u8]) {
+    let mut client = driver.store_client();
     for _ in 0..MAX_WRITE_ATTEMPTS {
         match client.put(topic, key, value).await {
             Ok(_) => return,
@@ -93,8 +93,8 @@
 }
 
 /// Reads all suspects once at the start, with retries until the store answers.
-pub(super) async fn read(store: SocketAddr, driver: Rc<DirectDriver>) {
-    let mut client = StoreClient::new(store);
+pub(super) async fn read(driver: Rc<DirectDriver>) {
+    let mut client = driver.store_client();
     let records = read_topic(&mut client, TOPIC).await;
     let blocked: Vec<BlockedSuspect> = records.iter().filter_map(decode).collect();
     if !blocked.is_empty() {
--- a/src/process/direct/versions.rs
+++ b/src/process/direct/versions.rs
@@ -5,7 +5,6 @@
 
 use std::{
     hash::{Hash, Hasher},
-    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -15,7 +14,7 @@
 use super::shell::DirectDriver;
 use crate::{
     direct::{DirectEvent, ServiceVersion, VersionChange},
-    platform::store::{KeyedRecord, StoreClient, StoreError},
+    platform::store::{KeyedRecord, StoreError},
 };
 
 /// Topic of the versions. Keys are hashes, as names may be longer than a key.
@@ -49,8 +48,8 @@
 }
 
 /// Reads all versions, with retries until the store answers.
-pub(super) async fn read(store: SocketAddr, driver: Rc<DirectDriver>) {
-    let mut client = StoreClient::new(store);
+pub(super) async fn read(driver: Rc<DirectDriver>) {
+    let mut client = driver.store_client();
     loop {
         match client.read_newest(TOPIC).await {
             Ok(page) => {
