Read followed topics anew after the store was restored from an older copy

Cause: readers went on from the offset behind what they had read, and a restored store gives offsets out again. It is the same in all followed topics.

Change: a position is an offset with the store's generation. The first call that sees a later generation ends the held reads and pauses of the others. A read after a failed one is not held. Why it works: no offset meets a store of another generation, whatever the order of events.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -209,12 +209,18 @@
         from: TopicPosition,
         wait: Duration,
     ) -> Result<RecordPage, StoreError> {
-        let offset = from.offset;
+        let TopicPosition { generation, offset } = from;
+        if generation != self.generations.highest() {
+            return Err(StoreError::Restored);
+        }
         let path = format!(
             "/log-read?topic={topic}&part={PARTITION}&from={offset}&wait_ms={}",
             wait.as_millis()
         );
         let response = self.call(Method::GET, &path, Bytes::new(), wait + LONG_POLL_MARGIN).await?;
+        if response.generation != generation {
+            return Err(StoreError::Restored);
+        }
         let mut body = response.body;
         if body.remaining() < 16 {
             return Err(StoreError::Malformed);
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -11,12 +11,12 @@
 
 use super::shell::{DirectDriver, STORE_READ_OK};
 use crate::{
-    direct::{DirectEvent, DirectTarget, ReadSchedule, TargetChange},
+    direct::{DirectEvent, DirectTarget, ReadSchedule, StoreGeneration, TargetChange},
     ids::TargetId,
     platform::{
         configuration, discovery,
         settings::PlatformSettings,
-        store::{KeyedRecord, RecordPage, StoreError, TopicPosition},
+        store::{KeyedRecord, RecordPage, StoreClient, StoreError, TopicPosition},
     },
 };
 
@@ -70,64 +70,63 @@
 }
 
 /// Reads a snapshot of a topic and then its changes, without end. Starts again from a
-/// snapshot if the store has deleted changes that were not read yet, or after a
-/// malformed response.
+/// snapshot if the store has deleted changes that were not read yet or was restored from an
+/// older copy, or after a malformed response.
 pub(super) async fn follow(
     driver: &DirectDriver,
     followed: FollowedTopic,
     mut follower: impl TopicFollower,
 ) {
-    let mut store = driver.store_client();
     let FollowedTopic { name: topic, schedule: ReadSchedule { pause, poll_wait } } = followed;
+    let mut reader = TopicReader::new(topic, driver.store_client());
     let demand = follower.demand();
     let mut is_demanded = false;
-    let mut next: Option<TopicPosition> = None;
     let mut backoff = RETRY_BACKOFF.0;
     let mut reachable = true;
     loop {
         let started = Instant::now();
-        let result = match next {
-            None => store.read_newest(topic).await.map(|page| (true, page)),
-            Some(from) => {
-                let wait = if is_demanded { Duration::ZERO } else { poll_wait };
-                let read = tokio::select! {
-                    biased;
-                    result = store.read_from(topic, from, wait) => Some(result),
-                    () = demand.notified(), if !is_demanded => None,
-                };
-                let Some(result) = read else {
-                    store.disconnect();
-                    is_demanded = true;
-                    continue;
-                };
-                result.map(|page| (false, page))
-            }
+        // After a failure the store may be another copy, which the response shows at once.
+        let wait = if is_demanded || !reachable { Duration::ZERO } else { poll_wait };
+        let holds_read = reader.next.is_some();
+        let read = tokio::select! {
+            biased;
+            result = reader.read(wait) => Some(result),
+            () = demand.notified(), if holds_read && !is_demanded => None,
+        };
+        let Some(result) = read else {
+            reader.store.disconnect();
+            is_demanded = true;
+            continue;
         };
         is_demanded = false;
         let label = result.as_ref().map_or_else(StoreError::label, |_| STORE_READ_OK);
         driver.record_store_read(topic, label, started.elapsed());
         match result {
-            Ok((is_snapshot, page)) => {
+            Ok(read) => {
                 if !reachable {
                     log::info!(topic:% = topic; "store reachable again");
                 }
                 reachable = true;
                 backoff = RETRY_BACKOFF.0;
-                next = Some(page.next);
-                let reached_end = page.reached_end;
-                apply(&mut follower, is_snapshot, page);
+                let reached_end = read.page.reached_end;
+                apply(&mut follower, read);
                 if reached_end {
                     follower.read_to_end(started.elapsed());
                 }
                 follower.after_read();
-                is_demanded = pause_unless_demanded(&demand, pause).await;
+                is_demanded = reader.pause(&demand, pause).await;
             }
             Err(StoreError::Deleted { first }) => {
                 log::info!(
                     topic:% = topic, first:% = first;
                     "unread records were deleted; reading the topic from a snapshot"
                 );
-                next = None;
+                reader.next = None;
+            }
+            Err(StoreError::Restored) if reader.next.is_some() => {
+                log::info!(topic:% = topic; "store restored; reading the topic from a snapshot");
+                reader.store.disconnect();
+                reader.next = None;
             }
             Err(error) => {
                 if reachable {
@@ -135,7 +134,7 @@
                 }
                 reachable = false;
                 if error == StoreError::Malformed {
-                    next = None;
+                    reader.next = None;
                 }
                 follower.store_unavailable();
                 follower.after_read();
@@ -146,18 +145,63 @@
     }
 }
 
-/// Waits between two reads, and returns whether the next one is demanded before the time is over.
-async fn pause_unless_demanded(demand: &Notify, pause: Duration) -> bool {
-    let shortest = DEMAND_PAUSE.min(pause);
-    tokio::time::sleep(shortest).await;
-    tokio::select! {
-        biased;
-        () = demand.notified() => true,
-        () = tokio::time::sleep(pause - shortest) => false,
+/// Reader of one topic, with the position of the next read.
+struct TopicReader {
+    topic: &'static str,
+    store: StoreClient,
+    /// `None` if the next read is a snapshot.
+    next: Option<TopicPosition>,
+    /// Generation of the last snapshot, if the store stated it.
+    generation: Option<StoreGeneration>,
+}
+
+/// Records of one read.
+struct TopicRead {
+    page: RecordPage,
+    is_snapshot: bool,
+}
+
+impl TopicReader {
+    fn new(topic: &'static str, store: StoreClient) -> TopicReader {
+        TopicReader { topic, store, next: None, generation: None }
+    }
+
+    /// Reads a snapshot or the next changes, which the store waits for.
+    async fn read(&mut self, wait: Duration) -> Result<TopicRead, StoreError> {
+        let Some(from) = self.next else { return self.read_snapshot().await };
+        let generations = self.store.generations().clone();
+        let page = tokio::select! {
+            biased;
+            result = self.store.read_from(self.topic, from, wait) => result?,
+            _ = generations.wait_for_restore(from.generation) => return Err(StoreError::Restored),
+        };
+        self.next = Some(page.next);
+        Ok(TopicRead { page, is_snapshot: false })
+    }
+
+    async fn read_snapshot(&mut self) -> Result<TopicRead, StoreError> {
+        let page = self.store.read_newest(self.topic).await?;
+        self.generation = page.next.generation;
+        self.next = Some(page.next);
+        Ok(TopicRead { page, is_snapshot: true })
+    }
+
+    /// Waits between two reads, and returns whether the next one is demanded before the time is
+    /// over. A restore of the store ends the wait.
+    async fn pause(&self, demand: &Notify, pause: Duration) -> bool {
+        let shortest = DEMAND_PAUSE.min(pause);
+        tokio::time::sleep(shortest).await;
+        tokio::select! {
+            biased;
+            () = demand.notified() => true,
+            _ = self.store.generations().wait_for_restore(self.generation) => false,
+            () = tokio::time::sleep(pause - shortest) => false,
+        }
     }
 }
 
-fn apply(follower: &mut impl TopicFollower, is_snapshot: bool, page: RecordPage) {
+fn apply(follower: &mut impl TopicFollower, read: TopicRead) {
+    let TopicRead { page, is_snapshot } = read;
     if is_snapshot {
         follower.apply_snapshot(page.records);
     } else if !page.records.is_empty() {
