Keep removed targets away when a restored store lists them again

Callers would see requests go to a target that had left (rule DRAIN binds whoever has read that), and, the other way round, a target out of use that had registered just before the restore.

Cause: a target is forgotten when its registration is removed. A copy from before the removal lists it again, as ready. A target that the copy lacks counted as gone at once unless a read had failed.

Change: the last registration of a removed target is kept for 120 s. After a restore it counts only once it is renewed by its sequence number, or for a new start of the target. What a restored store lacks is used for the grace time of an outage. Why it works: a living target writes with a higher number at each heartbeat, and one that left writes none.

--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -47,6 +47,9 @@
 /// Time after a store outage in which expired registrations are written again, which takes
 /// about two seconds.
 const RELIST_TIME: Duration = Duration::from_millis(2500);
+/// Time for which a removed target is remembered. It is longer than a copy that the store is
+/// restored from is old.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(120);
 /// Time for which a target's statement that it leaves is remembered; it is longer than targets
 /// take to leave.
 const LEAVING_MEMORY: Duration = Duration::from_secs(600);
@@ -117,6 +120,9 @@
     },
     /// The list could not be read.
     ReadFailed,
+    /// The store was restored from an older copy. The snapshot that follows may lack new
+    /// registrations, and hold older ones and removed ones.
+    StoreRestored,
 }
 
 /// What this process knows and estimates about one target.
@@ -206,6 +212,18 @@
     /// Time of the last failed read of the list.
     #[serde(rename = "unread")]
     last_read_failure: Option<ClockTime>,
+    /// When the store was last restored from an older copy.
+    restored_at: Option<ClockTime>,
+    /// Targets that were removed lately, which a restored store may list again.
+    #[serde(skip)]
+    removed: HashMap<TargetId, RemovedTarget>,
+}
+
+/// Last registration of a target that was removed.
+#[derive(Debug, Clone, Copy)]
+struct RemovedTarget {
+    at: ClockTime,
+    registration: OlderRegistration,
 }
 
 impl TargetState {
@@ -416,6 +434,10 @@
                 targets.into_iter().for_each(|target| self.upsert(now, target));
             }
             TargetChange::ReadFailed => self.last_read_failure = Some(now),
+            TargetChange::StoreRestored => {
+                self.last_read_failure = Some(now);
+                self.restored_at = Some(now);
+            }
         }
     }
 
@@ -439,9 +461,26 @@
         self.expiring.remove(id);
         if let Some(state) = self.targets.remove(id) {
             self.versions.record(now, &state.target);
+            let DirectTarget { born_ms, sequence, .. } = *state.target;
+            let registration = OlderRegistration { born_ms, sequence, renewals: 0 };
+            self.removed.retain(|_, removed| removed.at + REMOVAL_MEMORY >= now);
+            self.removed.insert(id.clone(), RemovedTarget { at: now, registration });
         }
     }
 
+    /// Returns whether a registration is one that was removed, which a store that was restored
+    /// from an older copy lists again. If it is renewed, its target runs.
+    fn is_removed(&mut self, target: &DirectTarget) -> bool {
+        let Some(removed) = self.removed.get(&target.id) else { return false };
+        let is_back = self.restored_at.is_some_and(|restored| restored >= removed.at)
+            && removed.registration.born_ms == target.born_ms
+            && !removed.registration.is_renewed_by(target);
+        if !is_back {
+            self.removed.remove(&target.id);
+        }
+        is_back
+    }
+
     /// Removes targets whose grace time ended without a new registration.
     pub(super) fn drop_expired(&mut self, now: ClockTime) {
         let due = |at: &ClockTime| *at <= now;
@@ -516,6 +555,9 @@
         target.leaving |= self.has_stated_leaving(&target);
         self.expiring.remove(&target.id);
         self.versions.record(now, &target);
+        if !self.targets.contains_key(&target.id) && self.is_removed(&target) {
+            return;
+        }
         let Some(known) = self.targets.get_mut(&target.id) else {
             self.targets.insert(target.id.clone(), TargetState::new(target));
             return;
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -59,6 +59,9 @@
     fn apply_changes(&mut self, records: Vec<KeyedRecord>);
     /// Called after a failed read, except when records were deleted.
     fn store_unavailable(&mut self);
+    /// Called before a snapshot of a store that was restored from an older copy: records may be
+    /// missing that are written again, and removed ones present.
+    fn store_restored(&mut self) {}
     /// Called after each read, for periodic work.
     fn after_read(&mut self);
     /// Called after a read that reached the end of the topic and began `age` ago.
@@ -159,6 +162,8 @@
 struct TopicRead {
     page: RecordPage,
     is_snapshot: bool,
+    /// Whether it is the first snapshot since the store was restored from an older copy.
+    is_restored: bool,
 }
 
 impl TopicReader {
@@ -176,14 +181,16 @@
             _ = generations.wait_for_restore(from.generation) => return Err(StoreError::Restored),
         };
         self.next = Some(page.next);
-        Ok(TopicRead { page, is_snapshot: false })
+        Ok(TopicRead { page, is_snapshot: false, is_restored: false })
     }
 
     async fn read_snapshot(&mut self) -> Result<TopicRead, StoreError> {
         let page = self.store.read_newest(self.topic).await?;
-        self.generation = page.next.generation;
+        let generation = page.next.generation;
+        let before = std::mem::replace(&mut self.generation, generation);
+        let is_restored = before.is_some() && before < generation;
         self.next = Some(page.next);
-        Ok(TopicRead { page, is_snapshot: true })
+        Ok(TopicRead { page, is_snapshot: true, is_restored })
     }
 
     /// Waits between two reads, and returns whether the next one is demanded before the time is
@@ -201,7 +208,10 @@
 }
 
 fn apply(follower: &mut impl TopicFollower, read: TopicRead) {
-    let TopicRead { page, is_snapshot } = read;
+    let TopicRead { page, is_snapshot, is_restored } = read;
+    if is_restored {
+        follower.store_restored();
+    }
     if is_snapshot {
         follower.apply_snapshot(page.records);
     } else if !page.records.is_empty() {
@@ -326,6 +336,10 @@
         self.apply(TargetChange::ReadFailed);
     }
 
+    fn store_restored(&mut self) {
+        self.apply(TargetChange::StoreRestored);
+    }
+
     fn after_read(&mut self) {
         self.driver.pools.close_expired();
     }
