Publish an entry's address again after a restore of the store

Entries that start after a restore knew nothing of those whose address it had lost, until these read of the newcomers: reports, origins of streams and crashes reached them late.

Cause: an address was written once, at the start.

--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -62,6 +62,10 @@
     /// Called before a snapshot of a store that was restored from an older copy: records may be
     /// missing that are written again, and removed ones present.
     fn store_restored(&mut self) {}
+    /// Returns the time from a restore of the store to the snapshot.
+    fn restore_delay(&self) -> Duration {
+        Duration::ZERO
+    }
     /// Called after each read, for periodic work.
     fn after_read(&mut self);
     /// Called after a read that reached the end of the topic and began `age` ago.
@@ -130,6 +134,7 @@
                 log::info!(topic:% = topic; "store restored; reading the topic from a snapshot");
                 reader.store.disconnect();
                 reader.next = None;
+                tokio::time::sleep(follower.restore_delay()).await;
             }
             Err(error) => {
                 if reachable {
--- a/src/process/direct/gossip.rs
+++ b/src/process/direct/gossip.rs
@@ -115,7 +115,7 @@
     driver.peer_link.replace(Some(link));
     tokio::task::spawn_local(send_reports(driver.clone(), socket.clone(), peers.clone()));
     tokio::task::spawn_local(receive_reports(driver.clone(), socket, peers.clone()));
-    let follower = PeerFollower { own: address, peers };
+    let follower = PeerFollower { driver: driver.clone(), own: address, peers };
     let driver = driver.clone();
     tokio::task::spawn_local(async move {
         publish_address(driver.clone(), address).await;
@@ -196,8 +196,9 @@
     }
 }
 
-/// Keeps the peers' addresses in step with the store.
+/// Keeps the peers' addresses in step with the store, and this process's own address there.
 struct PeerFollower {
+    driver: Rc<DirectDriver>,
     own: SocketAddr,
     peers: PeerAddresses,
 }
@@ -222,13 +223,26 @@
 
 impl TopicFollower for PeerFollower {
     fn apply_snapshot(&mut self, records: Vec<KeyedRecord>) {
-        records.into_iter().for_each(|record| self.apply_record(record));
+        let is_own = |record: &KeyedRecord| {
+            let published = record.value.as_deref().map(serde_json::from_slice::<PublishedAddress>);
+            let address = published.and_then(std::result::Result::ok).map(|peer| peer.address);
+            record.key == self.driver.name() && address == Some(self.own)
+        };
+        if !records.iter().any(is_own) {
+            log::info!(address:% = self.own; "own address is missing in the store; publishing it");
+            tokio::task::spawn_local(publish_address(self.driver.clone(), self.own));
+        }
+        self.apply_changes(records);
     }
 
     fn apply_changes(&mut self, records: Vec<KeyedRecord>) {
         records.into_iter().for_each(|record| self.apply_record(record));
     }
 
+    fn restore_delay(&self) -> Duration {
+        self.driver.restore_delay()
+    }
+
     fn store_unavailable(&mut self) {}
 
     fn after_read(&mut self) {}
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -296,6 +296,11 @@
         self.machine.borrow_mut().load_report(self.now(), full)
     }
 
+    /// Returns the time from a restore of the store to this process's turn to write what it lost.
+    pub(super) fn restore_delay(&self) -> Duration {
+        self.machine.borrow().restore_delay()
+    }
+
     pub(super) fn suspect_report(&self) -> SuspectReport {
         self.machine.borrow().suspect_report(self.now())
     }
