Write blocks and crashes again that a restored store has lost

Callers: a request or prompt segment that crashes targets could reach them again from entries that start after a restore (rule BUDGET), and requests whose block had been lifted could be rejected by them for ten minutes (rule LOST).

Cause: blocks and crashes are written once, when they change, and what a restored store lacks or has kept was not compared with what entries know.

Change: after a restore each entry reads both topics in its turn, as at its start, and writes what is missing or has lower counts, also where the entry that wrote it first has ended. A block or evidence that was removed within the last 60 s is removed again; entries that have read it meanwhile are told with the reports, and a block from a peer that was lifted here without a crash since is not taken over.

What remains: if nobody is left who knows, crashes count from what the copy has.

--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -232,12 +232,15 @@
         let blocked = blocked.map(|block| BlockedSuspect { age: Duration::ZERO, ..block.clone() });
         self.schedule_after(
             self.response_time(),
-            self.machine_event(entry, DirectEvent::StoredSuspects(blocked.collect())),
+            self.machine_event(
+                entry,
+                DirectEvent::StoredSuspects { blocked: blocked.collect(), is_restored: false },
+            ),
         );
         let evidence = self.store.evidence.values().cloned().collect();
         self.schedule_after(
             self.response_time() * 2,
-            self.machine_event(entry, DirectEvent::StoredEvidence(evidence)),
+            self.machine_event(entry, DirectEvent::StoredEvidence { evidence, is_restored: false }),
         );
     }
 
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -230,10 +230,20 @@
     PeerLoad(LoadReport),
     /// A peer reported suspects that may crash targets.
     Suspects(SuspectReport),
-    /// Suspects that the store says crash targets.
-    StoredSuspects(Vec<BlockedSuspect>),
-    /// Crashes that the store keeps.
-    StoredEvidence(Vec<CrashEvidence>),
+    /// All suspects that the store says crash targets.
+    StoredSuspects {
+        /// The suspects.
+        blocked: Vec<BlockedSuspect>,
+        /// Whether the store was restored from an older copy since they were read before.
+        is_restored: bool,
+    },
+    /// All crashes that the store keeps.
+    StoredEvidence {
+        /// The crashes, by what they have in common.
+        evidence: Vec<CrashEvidence>,
+        /// Whether the store was restored from an older copy since they were read before.
+        is_restored: bool,
+    },
     /// It was found out whether a target is gone.
     TargetProbed {
         /// Target and start that were asked.
--- a/src/direct/crash_evidence.rs
+++ b/src/direct/crash_evidence.rs
@@ -67,14 +67,16 @@
     ///
     /// Those who had a request at one of the targets add to it, and all who know of the record
     /// take from it.
-    pub(super) fn take_evidence_changes(&mut self) -> Vec<EvidenceChange> {
+    pub(super) fn take_evidence_changes(&mut self, now: ClockTime) -> Vec<EvidenceChange> {
         let mut changes = Vec::new();
         let mut written = Vec::new();
         let groups = self.crash_groups();
         for (suspect, group) in &groups {
             let uses = group.uses();
             let before = self.stored_evidence.get(suspect).copied();
-            let has_more = group.is_own && self.has_crashes_in_common(group) && Some(uses) > before;
+            // The entry that had the request may be gone when the store has lost its record.
+            let writes = group.is_own || self.rewrites_evidence;
+            let has_more = writes && self.has_crashes_in_common(group) && Some(uses) > before;
             if has_more || before.is_some_and(|before| uses < before) {
                 changes.push(EvidenceChange::Written(self.evidence(*suspect)));
                 written.push((*suspect, uses));
@@ -86,17 +88,36 @@
         self.stored_evidence.extend(written);
         for suspect in over {
             self.stored_evidence.remove(&suspect);
+            self.removed_evidence.insert(suspect, now);
             changes.push(EvidenceChange::Removed(suspect));
         }
+        self.rewrites_evidence = false;
         changes
     }
 
+    /// Forgets what the store held before it was restored from an older copy, so that
+    /// [`SuspectTable::load_evidence`] finds out what it has lost.
+    pub(super) fn forget_stored_evidence(&mut self) {
+        self.stored_evidence.clear();
+        self.rewrites_evidence = true;
+        self.has_changed = true;
+    }
+
     /// Adds what earlier processes knew. Times since the last crash are not known, so that it
     /// counts as one of now.
     pub(super) fn load_evidence(&mut self, now: ClockTime, evidence: Vec<CrashEvidence>) {
         for CrashEvidence { suspect, mut crashes } in evidence {
             let uses = crashes.iter().map(|crash| crash.runs.len()).sum();
             self.stored_evidence.insert(suspect, uses);
+            self.has_changed = true;
+            // A store that was restored from an older copy has records that were removed since.
+            if self.removed_evidence.contains_key(&suspect) {
+                continue;
+            }
+            crashes.retain(|crash| {
+                let lives_on = self.survivors.contains_key(&crash.start);
+                !lives_on || self.crashes.contains_key(&crash.start)
+            });
             // A response since the start may be a later one than the crashes.
             for crash in &mut crashes {
                 crash.runs.retain(|(suspect, ..)| !self.successes.contains_key(suspect));
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -254,10 +254,18 @@
                 }
                 self.suspects.apply(now, &report);
             }
-            DirectEvent::StoredSuspects(blocked) => {
+            DirectEvent::StoredSuspects { blocked, is_restored: true } => {
+                self.suspects.restore_blocks(now, &blocked);
+            }
+            DirectEvent::StoredSuspects { blocked, is_restored: false } => {
                 blocked.iter().for_each(|block| self.suspects.adopt_block(now, block, true));
             }
-            DirectEvent::StoredEvidence(evidence) => self.suspects.load_evidence(now, evidence),
+            DirectEvent::StoredEvidence { evidence, is_restored } => {
+                if is_restored {
+                    self.suspects.forget_stored_evidence();
+                }
+                self.suspects.load_evidence(now, evidence);
+            }
             DirectEvent::TargetProbed { start, age, gone } => {
                 let asked = now.saturating_sub(age);
                 if gone {
@@ -556,7 +564,7 @@
         }
         let changes = self.suspects.take_changes(now);
         out.extend(changes.into_iter().map(DirectAction::PersistSuspect));
-        let evidence = self.suspects.take_evidence();
+        let evidence = self.suspects.take_evidence(now);
         out.extend(evidence.into_iter().map(DirectAction::PersistEvidence));
         self.manage_stages(now, out);
         while let Some((expires, id)) = self.timeouts.first().copied() {
--- a/src/direct/suspect_table.rs
+++ b/src/direct/suspect_table.rs
@@ -54,6 +54,9 @@
 const MAX_BLOCKED: usize = 4096;
 /// Largest number of suspects with a known success.
 const MAX_SUCCESSES: usize = 65_536;
+/// Time for which removed records of the store are remembered. It is longer than a copy that the
+/// store is restored from is old.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
 
 #[derive(Debug, Clone, Serialize)]
 pub(super) struct SuspectUse {
@@ -128,7 +131,7 @@
     /// When a call was sent to which a target responded after a supposed crash, and whether
     /// this entry sent it.
     #[serde(skip)]
-    survivors: HashMap<TargetStart, (ClockTime, bool)>,
+    pub(super) survivors: HashMap<TargetStart, (ClockTime, bool)>,
     /// When the latest call to which a target responded was sent.
     #[serde(skip)]
     responses: HashMap<TargetStart, ClockTime>,
@@ -146,7 +149,16 @@
     pub(super) stored_evidence: HashMap<CrashSuspect, usize>,
     /// Whether crashes were added or dropped since the store's evidence was last compared.
     #[serde(skip)]
-    has_changed: bool,
+    pub(super) has_changed: bool,
+    /// Whether evidence of other entries is written, too, when it is next compared.
+    #[serde(skip)]
+    pub(super) rewrites_evidence: bool,
+    /// Suspects that are no longer blocked and without a crash since, with the time of that.
+    #[serde(skip)]
+    unblocked: HashMap<CrashSuspect, ClockTime>,
+    /// Evidence that was removed from the store, with the time of that.
+    #[serde(skip)]
+    pub(super) removed_evidence: HashMap<CrashSuspect, ClockTime>,
 }
 
 impl CrashRecord {
@@ -340,6 +352,11 @@
             self.own_successes.insert(block.suspect, *at);
             return;
         }
+        // Its peer may have read it from a store that was restored from an older copy. All entries
+        // hear of the crashes for which it would be blocked again.
+        if !stored && self.unblocked.contains_key(&block.suspect) {
+            return;
+        }
         let new = BlockRecord { crashes: 0, repeats: 0, last, stored };
         let known = self.blocked.entry(block.suspect).or_insert(new);
         known.stored |= stored;
@@ -352,6 +369,30 @@
         }
     }
 
+    /// Compares the blocks with those of a store that was restored from an older copy. Lost ones
+    /// are written again, and those that were removed since are removed again.
+    pub(super) fn restore_blocks(&mut self, now: ClockTime, stored: &[BlockedSuspect]) {
+        let numbers = |block: &BlockedSuspect| (block.suspect, (block.repeats, block.crashes));
+        let held: HashMap<CrashSuspect, (u32, u32)> = stored.iter().map(numbers).collect();
+        for (suspect, block) in &mut self.blocked {
+            if held.get(suspect).is_none_or(|held| *held < (block.repeats, block.crashes)) {
+                block.stored = true;
+                self.changes.push(SuspectChange::Blocked(block.report(now, *suspect)));
+            }
+        }
+        for block in stored {
+            if self.blocked.contains_key(&block.suspect)
+                || !self.unblocked.contains_key(&block.suspect)
+            {
+                self.adopt_block(now, block, true);
+                continue;
+            }
+            // An entry that starts meanwhile may have read the record.
+            self.own_successes.insert(block.suspect, now);
+            self.changes.push(SuspectChange::Cleared(block.suspect));
+        }
+    }
+
     /// Returns what this many peers have to know.
     pub(super) fn report(&self, now: ClockTime, peers: usize) -> SuspectReport {
         let report_time = repeat_time(peers, REPORT_TIME);
@@ -402,9 +443,9 @@
     }
 
     /// Returns how the crashes in the store have to change.
-    pub(super) fn take_evidence(&mut self) -> Vec<EvidenceChange> {
+    pub(super) fn take_evidence(&mut self, now: ClockTime) -> Vec<EvidenceChange> {
         if std::mem::take(&mut self.has_changed) {
-            self.take_evidence_changes()
+            self.take_evidence_changes(now)
         } else {
             Vec::new()
         }
@@ -427,7 +468,11 @@
         let is_over = |block: &BlockRecord| now > block.ends() + BLOCK_TIME;
         let over = self.blocked.iter().filter(|(_, block)| is_over(block) && block.stored);
         self.changes.extend(over.map(|(suspect, _)| SuspectChange::Cleared(*suspect)));
+        let over = self.blocked.iter().filter(|(_, block)| is_over(block));
+        self.unblocked.extend(over.map(|(suspect, _)| (*suspect, now)));
         self.blocked.retain(|_, block| !is_over(block));
+        self.unblocked.retain(|_, at| now <= *at + REMOVAL_MEMORY);
+        self.removed_evidence.retain(|_, at| now <= *at + REMOVAL_MEMORY);
     }
 
     fn add_run(
@@ -452,6 +497,7 @@
         if own {
             record.own.insert(suspect);
         }
+        self.unblocked.remove(&suspect);
         let known = record.suspects.entry(suspect).or_insert_with(|| used.clone());
         known.sent = known.sent.max(used.sent);
         known.position = known.position.min(used.position);
@@ -520,6 +566,7 @@
                 self.changes.push(SuspectChange::Cleared(suspect));
             }
             self.blocked.remove(&suspect);
+            self.unblocked.insert(suspect, at);
         }
     }
 
--- a/src/process/direct/suspects.rs
+++ b/src/process/direct/suspects.rs
@@ -10,10 +10,10 @@
 use super::shell::DirectDriver;
 use crate::{
     direct::{
-        BlockedSuspect, CrashEvidence, CrashSuspect, DirectEvent, EvidenceChange, SuspectChange,
-        TargetCrash,
+        BlockedSuspect, CrashEvidence, CrashSuspect, DirectEvent, EvidenceChange, StoreGeneration,
+        SuspectChange, TargetCrash,
     },
-    platform::store::{KeyedRecord, StoreClient, StoreError},
+    platform::store::{KeyedRecord, RecordPage, StoreClient, StoreError},
 };
 
 /// Topic of the blocked suspects, keyed by their text form.
@@ -92,27 +92,43 @@
     }
 }
 
-/// Reads all suspects once at the start, with retries until the store answers.
+/// Reads all suspects at the start, with retries until the store answers, and again each time
+/// that the store was restored from an older copy.
 pub(super) async fn read(driver: Rc<DirectDriver>) {
-    let mut client = driver.store_client();
-    let records = read_topic(&mut client, TOPIC).await;
-    let blocked: Vec<BlockedSuspect> = records.iter().filter_map(decode).collect();
-    if !blocked.is_empty() {
-        driver.step(DirectEvent::StoredSuspects(blocked));
+    let mut generation = read_all(&driver, false).await;
+    loop {
+        let highest = driver.generations.wait_for_restore(generation).await;
+        if generation.is_none() {
+            // The store begins to state its generation.
+            generation = Some(highest);
+            continue;
+        }
+        tokio::time::sleep(driver.restore_delay()).await;
+        generation = read_all(&driver, true).await;
     }
-    let records = read_topic(&mut client, EVIDENCE_TOPIC).await;
-    let evidence: Vec<CrashEvidence> = records.iter().filter_map(decode_evidence).collect();
+}
+
+/// Reads both topics, and returns the generation of the store that they were read from, the
+/// earlier one if it was restored in between.
+async fn read_all(driver: &Rc<DirectDriver>, is_restored: bool) -> Option<StoreGeneration> {
+    let mut client = driver.store_client();
+    let blocks = read_topic(&mut client, TOPIC).await;
+    let blocked: Vec<BlockedSuspect> = blocks.records.iter().filter_map(decode).collect();
+    driver.step(DirectEvent::StoredSuspects { blocked, is_restored });
+    let crashes = read_topic(&mut client, EVIDENCE_TOPIC).await;
+    let evidence: Vec<CrashEvidence> = crashes.records.iter().filter_map(decode_evidence).collect();
     if !evidence.is_empty() {
         let crashes: usize = evidence.iter().map(|evidence| evidence.crashes.len()).sum();
         log::info!(suspects:% = evidence.len(), crashes:% = crashes; "crashes of targets read");
-        driver.step(DirectEvent::StoredEvidence(evidence));
     }
+    driver.step(DirectEvent::StoredEvidence { evidence, is_restored });
+    blocks.next.generation.min(crashes.next.generation)
 }
 
-async fn read_topic(client: &mut StoreClient, topic: &str) -> Vec<KeyedRecord> {
+async fn read_topic(client: &mut StoreClient, topic: &str) -> RecordPage {
     loop {
         match client.read_newest(topic).await {
-            Ok(page) => return page.records,
+            Ok(page) => return page,
             Err(error) => {
                 log::warn!(topic:% = topic, error:% = error; "failed to read suspects")
             }
--- a/tests/support/crashes.rs
+++ b/tests/support/crashes.rs
@@ -6,7 +6,7 @@
     direct::{
         BlockedSuspect, CallOutcome, CrashEvidence, CrashSuspect, DirectAction, DirectEvent,
         DirectTarget, EvidenceChange, FailureReason, RequestIdentity, RetryPolicy, SuspectChange,
-        TargetChange, TargetStage,
+        SuspectReport, TargetChange, TargetStage,
     },
     ids::TargetId,
 };
@@ -120,21 +120,61 @@
         self.blocked.insert(block.suspect, block);
     }
 
+    /// Returns the number of blocks in the store.
+    pub fn stored_blocks(&self) -> usize {
+        self.blocked.len()
+    }
+
     /// Ends all entries and starts them again, which then know what the store has.
     pub fn restart_all(&mut self) {
-        for (index, entry) in self.entries.iter_mut().enumerate() {
-            let now = entry.now();
-            *entry = DirectRig::named(RetryPolicy::Never, index as u64 + 1);
-            entry.advance(now.saturating_sub(entry.now()));
-            let age = Duration::ZERO;
-            let blocked =
-                self.blocked.values().map(|block| BlockedSuspect { age, ..block.clone() });
-            entry.step(DirectEvent::StoredSuspects(blocked.collect()));
-            let evidence = self.evidence.values().cloned().collect();
-            entry.step(DirectEvent::StoredEvidence(evidence));
+        (0..self.entries.len()).for_each(|entry| self.start(entry));
+        self.advance(RUN_TIME);
+    }
+
+    /// Ends an entry and starts it again, without a report from the others yet.
+    pub fn restart(&mut self, entry: usize) {
+        self.start(entry);
+    }
+
+    fn start(&mut self, entry: usize) {
+        let mut rig = DirectRig::named(RetryPolicy::Never, entry as u64 + 1);
+        rig.advance(self.entries[entry].now().saturating_sub(rig.now()));
+        self.entries[entry] = rig;
+        self.read_store(entry, false);
+        let targets: Vec<DirectTarget> = self.targets.values().cloned().collect();
+        for target in targets {
+            self.entries[entry].step(DirectEvent::Target(TargetChange::Listed(target)));
+        }
+    }
+
+    fn read_store(&mut self, entry: usize, is_restored: bool) {
+        let age = Duration::ZERO;
+        let blocked = self.blocked.values().map(|block| BlockedSuspect { age, ..block.clone() });
+        let blocked = blocked.collect();
+        let entry = &mut self.entries[entry];
+        entry.step(DirectEvent::StoredSuspects { blocked, is_restored });
+        let evidence = self.evidence.values().cloned().collect();
+        entry.step(DirectEvent::StoredEvidence { evidence, is_restored });
+    }
+
+    /// Restores the store from a copy that has the blocks and crashes of some suspects only, and
+    /// lets each entry compare them in its turn.
+    pub fn restore_store(&mut self, is_kept: impl Fn(&CrashSuspect) -> bool) {
+        self.blocked.retain(|suspect, _| is_kept(suspect));
+        self.evidence.retain(|suspect, _| is_kept(suspect));
+        for entry in 0..self.entries.len() {
+            self.read_store(entry, true);
+            self.tick();
+        }
+    }
+
+    /// Lets a request with a blocked suspect end whole, which an entry had sent before the block.
+    pub fn lift(&mut self, suspect: CrashSuspect) {
+        let successes = vec![(suspect, Duration::ZERO)];
+        let report = SuspectReport { successes, ..SuspectReport::default() };
+        for entry in &mut self.entries {
+            entry.step(DirectEvent::Suspects(report.clone()));
         }
-        let ids: Vec<TargetId> = self.targets.keys().cloned().collect();
-        ids.iter().for_each(|id| self.list(id));
         self.advance(RUN_TIME);
     }
 
