Call a software version the only one by complete records only

Callers: a stream that broke off could go on at another software version (rule ORDER), through an entry that started after a restore had lost the record of the version that the stream began at, and before the others had written it again. A list of targets that lacks the last registrations showed one version, too.

Cause: the records of versions that a start reads were taken for complete, and so was any list that was read to its end.

Change: the entries that keep the records state in which generation of the store none is missing, once targets have had 2.5 s to register again. An entry relies on them only with that statement for the present generation, or after it has seen the targets itself for as long as a stream can last; until then a stream that nobody knows is refused as not run. A list counts as current only from 2.5 s after a restore on. Stores that state no generation, and those without any record, are used as before.

--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -7,7 +7,8 @@
     direct::{
         BlockedSuspect, CrashEvidence, CrashSuspect, DirectEvent, DirectTarget, EngineConfig,
         EvidenceChange, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ServiceConfig,
-        ServiceVersion, SuspectChange, SuspectReport, TargetChange, VersionChange, WeightedService,
+        ServiceVersion, StoredVersions, SuspectChange, SuspectReport, TargetChange, VersionChange,
+        WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -174,7 +175,8 @@
             let again = RigEvent::ReadVersions { entry, process };
             return self.schedule_after(READ_TIMEOUT + FAILURE_PAUSE, again);
         }
-        let versions = self.store.versions.clone();
+        let versions =
+            StoredVersions { versions: self.store.versions.clone(), ..StoredVersions::default() };
         self.schedule_after(
             self.response_time(),
             self.machine_event(entry, DirectEvent::StoredVersions(versions)),
@@ -195,6 +197,7 @@
             VersionChange::Serves(known) if !versions.contains(&known) => versions.push(known),
             VersionChange::Serves(_) => {}
             VersionChange::Gone(known) => versions.retain(|version| *version != known),
+            VersionChange::Complete(_) => {}
         }
     }
 
--- a/emulator/tests/records_lost_by_a_restored_store.rs
+++ b/emulator/tests/records_lost_by_a_restored_store.rs
@@ -10,8 +10,8 @@
 use tokio::time::{Instant, sleep};
 use yare::parameterized;
 
-/// Topics of which every entry writes one record.
-const TOPICS: [&str; 1] = ["keyed.entries"];
+/// Topics of which every entry writes one record, or any entry writes the same.
+const TOPICS: [&str; 2] = ["keyed.entries", "keyed.versions"];
 /// Time in which targets register again, with the next reads after it.
 const WHOLE_TIME: Duration = Duration::from_secs(6);
 
@@ -36,7 +36,7 @@
         let fleet = PlatformFleet::spawn(sizes).await.unwrap();
         let keys = |topic: &str| fleet.store.values(topic).into_keys().collect::<Vec<String>>();
         let started = Instant::now();
-        while keys("keyed.entries").len() < 4 {
+        while keys("keyed.versions").is_empty() || keys("keyed.entries").len() < 4 {
             assert!(started.elapsed() < Duration::from_secs(10), "{:?}", TOPICS.map(keys));
             sleep(Duration::from_millis(100)).await;
         }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -62,7 +62,7 @@
 };
 pub use suspect_table::SuspectTable;
 pub use target::{DirectTarget, LeavingTarget, TargetChange, TargetFleet, TargetStage};
-pub use version::{ServiceVersion, VersionChange};
+pub use version::{ServiceVersion, StoredVersions, VersionChange};
 
 /// Identifies a request within one process.
 pub type FlowId = u64;
@@ -205,7 +205,7 @@
         age: Duration,
     },
     /// Versions of targets' software that the store has records of.
-    StoredVersions(Vec<ServiceVersion>),
+    StoredVersions(StoredVersions),
     /// A target turned a request away and stated for how long it wants no more.
     TargetClosed {
         /// Name of the target.
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -13,7 +13,7 @@
 use super::{
     InFlight, PromptSegment, PromptShape, ServiceName, SoftwareVersion, TargetStart, VersionChange,
     reading::{MIN_PAUSE, expiry_grace},
-    version::{ServiceVersion, VersionSet, VersionTable},
+    version::{MAX_LIST_AGE, ServiceVersion, VersionSet, VersionTable},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
 
@@ -435,6 +435,9 @@
             }
             TargetChange::ReadFailed => self.last_read_failure = Some(now),
             TargetChange::StoreRestored => {
+                if !self.is_list_current(now.saturating_sub(MAX_LIST_AGE)) {
+                    self.versions.records_lost();
+                }
                 self.last_read_failure = Some(now);
                 self.restored_at = Some(now);
             }
@@ -585,9 +588,19 @@
 
     /// Records that the list was read to its end, by a read that began at a time.
     pub(super) fn list_read(&mut self, began: ClockTime) {
+        // Until then, registrations that a restored store has lost are written again.
+        if self.restored_at.is_some_and(|restored| began < restored + RELIST_TIME) {
+            return;
+        }
         self.read_at = self.read_at.max(Some(began));
     }
 
+    /// Returns whether the list was read after the targets had time to register again, if the
+    /// store was restored from an older copy.
+    pub(super) fn is_relisted(&self) -> bool {
+        self.restored_at.is_none_or(|restored| self.is_list_current(restored + RELIST_TIME))
+    }
+
     /// Returns whether the list shows all registrations that were written before a time.
     pub(super) fn is_list_current(&self, at: ClockTime) -> bool {
         self.read_at.is_some_and(|read| read >= at)
--- a/src/direct/version.rs
+++ b/src/direct/version.rs
@@ -12,7 +12,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{DirectAction, DirectMachine, DirectTarget, RetryPolicy, ServiceName, SoftwareVersion};
+use super::{
+    DirectAction, DirectMachine, DirectTarget, RetryPolicy, ServiceName, SoftwareVersion,
+    StoreGeneration,
+};
 use crate::ids::ClockTime;
 
 /// Time for which a software version is remembered after it was last seen. It is longer than
@@ -23,7 +26,7 @@
 /// Number of entries that write a version to the store: one of them may be cut off from it.
 const WRITER_COUNT: usize = 3;
 /// Age of the list of targets up to which it shows that a version has left.
-const MAX_LIST_AGE: Duration = Duration::from_secs(5);
+pub(super) const MAX_LIST_AGE: Duration = Duration::from_secs(5);
 
 /// Software version that targets of a service have.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -48,6 +51,29 @@
     Serves(ServiceVersion),
     /// Its last target left longer ago than a stream can last.
     Gone(ServiceVersion),
+    /// The store lacks no record in this generation.
+    Complete(StoreGeneration),
+}
+
+/// The store's records of software versions.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StoredVersions {
+    /// Versions of targets that serve, or served lately.
+    pub versions: Vec<ServiceVersion>,
+    /// Generation of the store that they were read from, if it states one.
+    pub generation: Option<StoreGeneration>,
+    /// Last generation in which an entry found that the store lacked no record.
+    pub complete_in: Option<StoreGeneration>,
+}
+
+impl StoredVersions {
+    /// Returns whether no record was lost when the store was restored from an older copy.
+    ///
+    /// A store without any record is that of a system that starts for the first time.
+    fn is_complete(&self) -> bool {
+        let is_new = self.versions.is_empty() && self.complete_in.is_none();
+        self.complete_in == self.generation || self.generation.is_none() || is_new
+    }
 }
 
 /// Versions at which a stream may have begun.
@@ -81,6 +107,13 @@
     stored: HashSet<ServiceVersion>,
     /// Whether the records were read since the last gap in what was read of the targets.
     is_loaded: bool,
+    /// Whether this process knows all versions at which a stream may have begun, by complete
+    /// records or because it has seen the targets for that long.
+    knows_all: bool,
+    /// Whether the records may lack some.
+    awaits_others: bool,
+    /// Generation of the store in which no entry has stated yet that the records are complete.
+    unconfirmed: Option<StoreGeneration>,
 }
 
 impl VersionTable {
@@ -100,14 +133,30 @@
         self.is_loaded = false;
     }
 
+    /// Records that targets may have been registered and removed without being noticed, while
+    /// the store lost records of that.
+    pub(super) fn records_lost(&mut self) {
+        self.knows_all = false;
+    }
+
+    /// Records that this process has seen the targets for as long as a stream can last.
+    fn all_seen(&mut self) {
+        self.knows_all = true;
+        self.is_loaded |= std::mem::take(&mut self.awaits_others);
+    }
+
     /// Adds the store's records. Since they do not say how long ago a version left, it counts as
-    /// seen now.
-    pub(super) fn load(&mut self, now: ClockTime, records: Vec<ServiceVersion>) {
-        for ServiceVersion { service, version } in records.iter().cloned() {
+    /// seen now. Those of a restored store count only once an entry that knew all of them has
+    /// written the lost ones again.
+    pub(super) fn load(&mut self, now: ClockTime, stored: StoredVersions) {
+        self.knows_all |= stored.is_complete();
+        self.is_loaded = self.knows_all;
+        self.awaits_others = !self.knows_all;
+        self.unconfirmed = stored.generation.filter(|_| stored.complete_in != stored.generation);
+        for ServiceVersion { service, version } in stored.versions.iter().cloned() {
             self.insert(now, service, version);
         }
-        self.stored = records.into_iter().collect();
-        self.is_loaded = true;
+        self.stored = stored.versions.into_iter().collect();
     }
 
     /// Returns whether the versions of earlier processes are known.
@@ -162,19 +211,32 @@
             return;
         }
         self.next_version_check = now + CHECK_INTERVAL;
-        if !self.fleet.versions.is_loaded() {
-            return;
-        }
-        let Some(routes) = &self.routes else { return };
+        let Some(routes) = self.routes.clone() else { return };
         let resumed = routes.routes.iter().filter(|route| route.retry == RetryPolicy::Resume);
         let services = resumed.clone().flat_map(|route| &route.services);
         let services: HashSet<&ServiceName> = services.map(|weighted| &weighted.service).collect();
         let longest = resumed.map(|route| self.longest_stream(route)).max().unwrap_or_default();
+        if self.started.is_some_and(|started| now >= started + longest) {
+            self.fleet.versions.all_seen();
+        }
+        if !self.fleet.versions.is_loaded() {
+            if self.fleet.versions.awaits_others {
+                out.push(DirectAction::ReadVersions);
+            }
+            return;
+        }
         let changes = self.fleet.version_changes(now.saturating_sub(longest), &services);
         let own = &self.settings.name;
         let writes = self.peers.names().filter(|peer| *peer < own).count() < WRITER_COUNT;
-        if writes {
-            out.extend(changes.into_iter().map(DirectAction::PersistVersion));
+        if !writes {
+            return;
+        }
+        out.extend(changes.into_iter().map(DirectAction::PersistVersion));
+        // Versions are known once the targets have registered again.
+        if self.fleet.is_relisted()
+            && let Some(generation) = self.fleet.versions.unconfirmed.take()
+        {
+            out.push(DirectAction::PersistVersion(VersionChange::Complete(generation)));
         }
     }
 }
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -7,8 +7,8 @@
         CallOutcome, CallStep, DirectAction, DirectEvent, DirectMachine, DirectRequest,
         DirectSettings, DirectTarget, EngineConfig, InFlight, LoadReport, PromptSegment,
         PromptShape, RequestIdentity, RequestLimits, RetryPolicy, RouteConfig, RouteTable,
-        ServiceConfig, ServiceVersion, StreamResume, SuspectChange, SuspectReport, TargetChange,
-        TargetStage, TargetUsage, WeightedService,
+        ServiceConfig, ServiceVersion, StoredVersions, StreamResume, SuspectChange, SuspectReport,
+        TargetChange, TargetStage, TargetUsage, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -179,7 +179,8 @@
         let stored = versions
             .iter()
             .map(|version| ServiceVersion { service: SERVICE.into(), version: (*version).into() });
-        self.step(DirectEvent::StoredVersions(stored.collect()))
+        let stored = StoredVersions { versions: stored.collect(), ..StoredVersions::default() };
+        self.step(DirectEvent::StoredVersions(stored))
     }
 
     /// Answers the probes of targets to which connections broke.
