Add the restore of the store as a fault of the platform's matrix

Cause of the gap: the matrix's store kept all that it had accepted. Now it is away for 0.6 s and comes back from a copy 0.5 to 9 s old, at every step and with every other fault; targets write again 1.5 s later.

--- a/emulator/src/platform_rig.rs
+++ b/emulator/src/platform_rig.rs
@@ -114,6 +114,11 @@
     ReadSuspects {
         entry: EntryId,
         process: u64,
+        is_restored: bool,
+    },
+    CopyStore,
+    StoreReturns {
+        copied: ClockTime,
     },
     PersistSuspect {
         entry: EntryId,
@@ -212,6 +217,7 @@
         for _ in 0..rig.settings.entries {
             rig.add_entry();
         }
+        rig.schedule_after(store::COPY_INTERVAL, RigEvent::CopyStore);
         rig
     }
 
@@ -286,7 +292,17 @@
             RigEvent::Tick { entry, process } => self.handle_tick(entry, process),
             RigEvent::ReadTargets { entry, process } => self.read_targets(entry, process),
             RigEvent::ReadRoutes { entry, process } => self.read_routes(entry, process),
-            RigEvent::ReadSuspects { entry, process } => self.read_suspects(entry, process),
+            RigEvent::ReadSuspects { entry, process, is_restored } => {
+                self.read_suspects(entry, process, is_restored);
+            }
+            RigEvent::CopyStore => {
+                self.store.copy(self.now);
+                self.schedule_after(store::COPY_INTERVAL, RigEvent::CopyStore);
+            }
+            RigEvent::StoreReturns { copied } => {
+                self.store.restore(copied);
+                self.store.add_disturbance(self.now);
+            }
             RigEvent::PersistSuspect { entry, process, change } => {
                 self.persist_suspect(entry, process, change);
             }
--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -6,9 +6,9 @@
 use sapphirewell::{
     direct::{
         CallNumber, CallOutcome, DirectAction, DirectEvent, DirectMachine, DirectSettings,
-        DirectTarget, FlowId, PeerName, StopPhase, StreamMessage,
+        DirectTarget, FlowId, PeerName, StopPhase, StoreGeneration, StreamMessage,
     },
-    ids::ClockTime,
+    ids::{ClockTime, TargetId},
 };
 use strum::{Display, EnumIter, EnumString};
 
@@ -61,6 +61,8 @@
     NoTicks,
     /// Orders are sent without checking the newest claim in the store.
     ClaimsUnchecked,
+    /// Restores of the store from an older copy are not noticed.
+    RestoresIgnored,
     /// The stream that a request takes up is not passed on to the state machine.
     ResumesIgnored,
     /// An interrupted answer is passed on as complete.
@@ -90,7 +92,12 @@
     pub(super) frozen_until: ClockTime,
     pub(super) store_cut_until: ClockTime,
     pub(super) target_cut: Option<(TargetIndex, ClockTime)>,
-    pub(super) next_record: Option<u64>,
+    /// Highest generation of the store that the process has seen.
+    pub(super) generation: Option<StoreGeneration>,
+    /// Generation and offset from which the targets are read on.
+    pub(super) next_record: Option<(Option<StoreGeneration>, u64)>,
+    /// Targets that the process has read to be leaving or gone, with the time of that.
+    pub(super) known_leaving: BTreeMap<TargetId, ClockTime>,
     /// When the last read of the targets is passed on.
     pub(super) targets_read_at: ClockTime,
     /// Spans of time in which rules with time limits are not checked for this entry.
@@ -132,7 +139,9 @@
             frozen_until: ClockTime::ZERO,
             store_cut_until: ClockTime::ZERO,
             target_cut: None,
+            generation: None,
             next_record: None,
+            known_leaving: BTreeMap::new(),
             targets_read_at: ClockTime::ZERO,
             disturbances: Vec::new(),
             shown_version: 0,
@@ -173,7 +182,9 @@
         sim.alive = true;
         sim.draining = false;
         sim.stopping = false;
+        sim.generation = None;
         sim.next_record = None;
+        sim.known_leaving.clear();
         sim.shown_version = 0;
         sim.add_disturbance(now, now);
         let process = sim.process;
@@ -181,7 +192,7 @@
             RigEvent::Tick { entry, process },
             RigEvent::ReadTargets { entry, process },
             RigEvent::ReadRoutes { entry, process },
-            RigEvent::ReadSuspects { entry, process },
+            RigEvent::ReadSuspects { entry, process, is_restored: false },
         ] {
             self.schedule(now, event);
         }
--- a/emulator/src/platform_rig/fault.rs
+++ b/emulator/src/platform_rig/fault.rs
@@ -3,13 +3,16 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use sapphirewell::direct::{DirectEvent, StopPhase, TargetStage};
+use sapphirewell::{
+    direct::{DirectEvent, DirectTarget, StopPhase, TargetStage},
+    ids::TargetId,
+};
 use strum::{Display, EnumIter, EnumString};
 
 use super::{
     EntryId, PlatformRig, PlatformRule, PlatformStep, RigEvent, TargetIndex, TargetPlan,
     caller::{AttemptAnswer, OfferedRequest, RequestClass},
-    target::TargetState,
+    target::{SimTarget, TargetState},
 };
 
 /// Kind of fault, or of planned change, that the rig can inject.
@@ -78,6 +81,8 @@
     /// The store loses its history, so that readers need a new snapshot.
     #[strum(serialize = "store_forgets")]
     StoreLosesHistory,
+    /// The store is away for a moment and comes back from an older copy.
+    StoreRestored,
     /// The operator changes the configuration.
     ChangeConfiguration,
     /// The operator changes the configuration six times in quick succession.
@@ -122,6 +127,12 @@
 const CRASHING_PAUSE: Duration = Duration::from_millis(250);
 /// Longest time from the begin of an answer to the crash that its prompt causes.
 const MAX_CRASH_DELAY_MS: u64 = 95;
+/// Bounds of the age of the copy that the store is restored from.
+const COPY_AGE_MS: std::ops::Range<u64> = 500..9000;
+/// Time for which the store is away before it is restored, and from then until the targets have
+/// written again what it lost.
+const RESTORE_OUTAGE: Duration = Duration::from_millis(600);
+const RELIST_DELAY: Duration = Duration::from_millis(1500);
 /// Time after which another target may get the address of one that is gone.
 const ADDRESS_REUSE_DELAY: Duration = Duration::from_secs(2);
 
@@ -220,6 +231,13 @@
                 self.store.forget_history();
                 self.store.add_disturbance(now);
             }
+            PlatformFault::StoreRestored => {
+                self.disrupt_store(now + RESTORE_OUTAGE, true);
+                let age = Duration::from_millis(self.rng.random_range(COPY_AGE_MS));
+                let copied = now.saturating_sub(age);
+                self.schedule_after(RESTORE_OUTAGE, RigEvent::StoreReturns { copied });
+                schedule_end(self, RESTORE_OUTAGE + RELIST_DELAY);
+            }
             PlatformFault::ChangeConfiguration => self.change_routes(),
             PlatformFault::ConfigurationStorm => {
                 self.change_routes();
@@ -259,6 +277,7 @@
                 self.store.write_target(id, None);
             }
             PlatformFault::StoreDownTargetsExpire => self.register_all(),
+            PlatformFault::StoreRestored => self.rewrite_registrations(),
             _ => {}
         }
     }
@@ -341,6 +360,28 @@
         }
     }
 
+    /// Writes the registrations again that a restored store has lost, and removes those that it
+    /// lists again.
+    fn rewrite_registrations(&mut self) {
+        self.register_all();
+        let is_removed = |sim: &SimTarget| sim.leaving.is_some() && !sim.listed.leaving;
+        let sims = self.targets.iter().filter(|sim| sim.state == TargetState::Serving);
+        let (removed, listed): (Vec<&SimTarget>, Vec<&SimTarget>) =
+            sims.partition(|sim| is_removed(sim));
+        let lost = listed.iter().filter(|sim| sim.listed.leaving).map(|sim| sim.listed.clone());
+        let lost: Vec<DirectTarget> = lost.collect();
+        let lives = |id: &&TargetId| listed.iter().any(|sim| sim.listed.id == **id);
+        let gone = self.store.listed().filter(|id| !lives(id)).cloned();
+        let gone: Vec<TargetId> =
+            gone.chain(removed.iter().map(|sim| sim.listed.id.clone())).collect();
+        for target in lost {
+            self.store.write_target(target.id.clone(), Some(target));
+        }
+        for id in gone {
+            self.store.write_target(id, None);
+        }
+    }
+
     fn announce_leaving(
         &mut self,
         target: TargetIndex,
--- a/emulator/src/platform_rig/orders.rs
+++ b/emulator/src/platform_rig/orders.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use sapphirewell::direct::{ClaimOutcome, DirectEvent, OrderOutcome, StageOrder, TargetStage};
+use sapphirewell::direct::{
+    ClaimOutcome, DirectEvent, OrderFencingToken, OrderOutcome, StageOrder, TargetStage,
+    fencing_token,
+};
 
 use super::{
     DriverDefect, EntryId, NETWORK_DELAY, PlatformRig, PlatformSite, PlatformStep, RigEvent,
@@ -19,21 +22,29 @@
             ClaimOutcome::Failed
         } else {
             self.store.claims.push(entry);
-            ClaimOutcome::Taken(self.store.claims.len() as u64)
+            self.observe_generation(entry);
+            self.newest_token(entry).map_or(ClaimOutcome::Failed, ClaimOutcome::Taken)
         };
         let event = self.machine_event(entry, DirectEvent::ClaimEnded(outcome));
         self.schedule_after(self.response_time(), event);
         self.record_step(PlatformStep::AuthorityClaimed, PlatformSite { entry, target: 0 });
     }
 
+    /// Returns the fencing token of the newest claim, as an entry makes it.
+    fn newest_token(&self, entry: EntryId) -> Option<OrderFencingToken> {
+        fencing_token(self.entries[entry].generation, self.store.claims.len() as u64)
+    }
+
     /// Checks the newest claim, and sends the order only if that claim is the entry's own.
     pub(super) fn send_order(&mut self, entry: EntryId, order: StageOrder) {
-        let newest = self.store.claims.len() as u64;
         let unchecked = self.settings.defect == Some(DriverDefect::ClaimsUnchecked);
         if !unchecked && self.store_fails(entry) {
             return self.order_ends(entry, &order, OrderOutcome::Refused);
         }
-        if !unchecked && newest != order.fence {
+        self.observe_generation(entry);
+        let holds = self.newest_token(entry) == Some(order.fence)
+            && self.store.claims.last() == Some(&entry);
+        if !unchecked && !holds {
             let superseded = DirectEvent::ClaimEnded(ClaimOutcome::Superseded);
             self.schedule_after(NETWORK_DELAY, self.machine_event(entry, superseded));
             return self.order_ends(entry, &order, OrderOutcome::Refused);
--- a/emulator/src/platform_rig/referee.rs
+++ b/emulator/src/platform_rig/referee.rs
@@ -180,7 +180,13 @@
         let sim = &self.targets[target];
         let intended = sim.listed.id == call.target.id;
         let late = sim.leaving.is_some_and(|at| self.now > at + DRAIN_LIMIT);
-        if intended && late && self.is_undisturbed(call.entry) {
+        // An entry that has read that a target leaves is bound by it whatever the store does.
+        let read = self.entries[call.entry].known_leaving.get(&sim.listed.id);
+        let since = self.now.saturating_sub(STABLE_WINDOW);
+        let is_bound = late
+            && read.is_some_and(|at| self.now > *at + DRAIN_LIMIT)
+            && !self.entries[call.entry].is_disturbed(since, self.now);
+        if intended && (is_bound || late && self.is_undisturbed(call.entry)) {
             let seen = format!("{} got a call from entry {}", sim.listed.id, call.entry);
             self.checker.add_breach(PlatformRule::LeavingTarget, seen);
         }
--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -1,14 +1,18 @@
 //! Model of the platform's store, and of the way in which entries read it.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use rand::RngExt;
 use sapphirewell::{
     direct::{
         BlockedSuspect, CrashEvidence, CrashSuspect, DirectEvent, DirectTarget, EngineConfig,
         EvidenceChange, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ServiceConfig,
-        ServiceVersion, StoredVersions, SuspectChange, SuspectReport, TargetChange, VersionChange,
-        WeightedService,
+        ServiceVersion, StoreGeneration, StoredVersions, SuspectChange, SuspectReport,
+        TargetChange, VersionChange, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -30,6 +34,9 @@
 const SLOW_RESPONSE_TIME: Duration = Duration::from_millis(350);
 /// Pause after a failed call of the store.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// Interval at which the store is copied, and the number of copies that are kept.
+pub(super) const COPY_INTERVAL: Duration = Duration::from_millis(500);
+const MAX_COPIES: usize = 24;
 /// Time after which a call of the store that gets no response fails.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -42,7 +49,7 @@
 }
 
 /// Simulated store of targets, configurations, crash suspects and claims.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct StoreModel {
     records: Vec<TargetRecord>,
     newest: BTreeMap<TargetId, DirectTarget>,
@@ -55,6 +62,11 @@
     evidence: BTreeMap<CrashSuspect, CrashEvidence>,
     /// Software versions that entries recorded.
     pub(crate) versions: Vec<ServiceVersion>,
+    /// Last generation in which an entry found that no version was missing.
+    versions_complete_in: Option<StoreGeneration>,
+    /// Number of restores from an older copy.
+    pub(super) generation: StoreGeneration,
+    copies: VecDeque<(ClockTime, StoreModel)>,
     /// Entries that claimed the right to order engines, in the order of their claims.
     pub(crate) claims: Vec<EntryId>,
     /// Configurations with the times at which the store accepted them.
@@ -84,6 +96,37 @@
         self.disturbed_until = self.disturbed_until.max(until);
     }
 
+    /// Keeps a copy of the present content.
+    pub(super) fn copy(&mut self, now: ClockTime) {
+        let mut copies = std::mem::take(&mut self.copies);
+        copies.push_back((now, self.clone()));
+        if copies.len() > MAX_COPIES {
+            copies.pop_front();
+        }
+        self.copies = copies;
+    }
+
+    /// Goes back to the newest copy that is not younger than `copied`. The operator has written its
+    /// newest configuration again.
+    pub(super) fn restore(&mut self, copied: ClockTime) {
+        let is_old = |(at, _): &&(ClockTime, StoreModel)| *at <= copied;
+        let Some((_, copy)) = self.copies.iter().rev().find(is_old).cloned() else { return };
+        *self = StoreModel {
+            generation: self.generation + 1,
+            copies: std::mem::take(&mut self.copies),
+            routes: std::mem::take(&mut self.routes),
+            down_until: self.down_until,
+            slow_until: self.slow_until,
+            disturbed_until: self.disturbed_until,
+            ..copy
+        };
+    }
+
+    /// Returns the ids of the targets that are listed.
+    pub(super) fn listed(&self) -> impl Iterator<Item = &TargetId> {
+        self.newest.keys()
+    }
+
     pub(crate) fn forget_history(&mut self) {
         self.records.clear();
         self.first = self.next;
@@ -93,7 +136,7 @@
     ///
     /// The flag is set for a snapshot.
     fn changes(&self, from: Option<u64>) -> (Vec<TargetChange>, bool) {
-        match from.filter(|from| *from >= self.first) {
+        match from.filter(|from| (self.first..=self.next).contains(from)) {
             None => {
                 let present = self.newest.keys().cloned().collect();
                 let targets = self.newest.values().cloned().collect();
@@ -129,8 +172,7 @@
             self.schedule_after(READ_TIMEOUT, self.machine_event(entry, read_failure()));
             return self.schedule_after(READ_TIMEOUT + FAILURE_PAUSE, again);
         }
-        let (changes, _) = self.store.changes(self.entries[entry].next_record);
-        self.entries[entry].next_record = Some(self.store.next);
+        let changes = self.next_targets(entry);
         if changes.is_empty() {
             return self.schedule_after(LONG_POLL_INTERVAL, again);
         }
@@ -143,11 +185,40 @@
         if !self.is_process(entry, process) || self.store_fails(entry) {
             return;
         }
-        let (changes, _) = self.store.changes(self.entries[entry].next_record);
-        self.entries[entry].next_record = Some(self.store.next);
+        let changes = self.next_targets(entry);
         self.pass_on_targets(entry, changes);
     }
 
+    /// Returns the changes since the last read, or a snapshot of a store that was restored.
+    fn next_targets(&mut self, entry: EntryId) -> Vec<TargetChange> {
+        self.observe_generation(entry);
+        let seen = self.entries[entry].generation;
+        let next = (seen, self.store.next);
+        let before = self.entries[entry].next_record.replace(next);
+        let is_restored = before.is_some_and(|(generation, _)| generation != seen);
+        let from = before.filter(|_| !is_restored).map(|(_, offset)| offset);
+        let (changes, _) = self.store.changes(from);
+        let restored = is_restored.then_some(TargetChange::StoreRestored);
+        restored.into_iter().chain(changes).collect()
+    }
+
+    /// Notes the generation that a response of the store states to an entry.
+    pub(super) fn observe_generation(&mut self, entry: EntryId) {
+        if self.settings.defect == Some(DriverDefect::RestoresIgnored) {
+            return;
+        }
+        let generation = self.store.generation;
+        let sim = &mut self.entries[entry];
+        if sim.generation.replace(generation).is_none_or(|before| before == generation) {
+            return;
+        }
+        let (process, delay) = (sim.process, sim.machine.restore_delay());
+        let restored = self.machine_event(entry, DirectEvent::StoreRestored(generation));
+        self.schedule_after(Duration::ZERO, restored);
+        let read = RigEvent::ReadSuspects { entry, process, is_restored: true };
+        self.schedule_after(delay, read);
+    }
+
     /// Passes on what a read returned, after earlier reads, and returns the time until then.
     fn pass_on_targets(&mut self, entry: EntryId, changes: Vec<TargetChange>) -> Duration {
         let (now, response_time) = (self.now, self.response_time());
@@ -155,6 +226,13 @@
         sim.targets_read_at = sim.targets_read_at.max(now + response_time);
         let answer = sim.targets_read_at - now;
         for change in changes {
+            match &change {
+                TargetChange::Listed(target) if target.leaving => {
+                    self.record_leaving(entry, &target.id, now + answer);
+                }
+                TargetChange::Removed(id) => self.record_leaving(entry, id, now + answer),
+                _ => {}
+            }
             let ignored = self.settings.defect == Some(DriverDefect::LeavingIgnored)
                 && matches!(&change, TargetChange::Listed(target) if target.leaving);
             if !ignored {
@@ -166,6 +244,16 @@
         answer
     }
 
+    /// Records when an entry first read that a target leaves that does so now.
+    fn record_leaving(&mut self, entry: EntryId, id: &TargetId, at: ClockTime) {
+        let target = self.targets.iter().find(|sim| sim.listed.id == *id);
+        let Some(leaving) = target.and_then(|sim| sim.leaving) else { return };
+        let known = self.entries[entry].known_leaving.entry(id.clone()).or_insert(at);
+        if *known < leaving {
+            *known = at;
+        }
+    }
+
     /// Reads the software versions that entries recorded.
     pub(super) fn read_versions(&mut self, entry: EntryId, process: u64) {
         if !self.is_process(entry, process) {
@@ -175,8 +263,12 @@
             let again = RigEvent::ReadVersions { entry, process };
             return self.schedule_after(READ_TIMEOUT + FAILURE_PAUSE, again);
         }
-        let versions =
-            StoredVersions { versions: self.store.versions.clone(), ..StoredVersions::default() };
+        self.observe_generation(entry);
+        let versions = StoredVersions {
+            versions: self.store.versions.clone(),
+            generation: self.entries[entry].generation,
+            complete_in: self.store.versions_complete_in,
+        };
         self.schedule_after(
             self.response_time(),
             self.machine_event(entry, DirectEvent::StoredVersions(versions)),
@@ -197,7 +289,9 @@
             VersionChange::Serves(known) if !versions.contains(&known) => versions.push(known),
             VersionChange::Serves(_) => {}
             VersionChange::Gone(known) => versions.retain(|version| *version != known),
-            VersionChange::Complete(_) => {}
+            VersionChange::Complete(generation) => {
+                self.store.versions_complete_in = Some(generation);
+            }
         }
     }
 
@@ -222,28 +316,29 @@
         self.schedule_after(answer + ROUTE_READ_PAUSE, again);
     }
 
-    /// Reads the blocked suspects once, at the start of a process.
-    pub(super) fn read_suspects(&mut self, entry: EntryId, process: u64) {
+    /// Reads the blocked suspects, at the start of a process and after the store was restored.
+    pub(super) fn read_suspects(&mut self, entry: EntryId, process: u64, is_restored: bool) {
         if !self.is_process(entry, process) {
             return;
         }
         if self.store_fails(entry) {
-            let again = RigEvent::ReadSuspects { entry, process };
+            let again = RigEvent::ReadSuspects { entry, process, is_restored };
             return self.schedule_after(READ_TIMEOUT + FAILURE_PAUSE, again);
         }
+        self.observe_generation(entry);
         let blocked = self.store.suspects.values();
         let blocked = blocked.map(|block| BlockedSuspect { age: Duration::ZERO, ..block.clone() });
         self.schedule_after(
             self.response_time(),
             self.machine_event(
                 entry,
-                DirectEvent::StoredSuspects { blocked: blocked.collect(), is_restored: false },
+                DirectEvent::StoredSuspects { blocked: blocked.collect(), is_restored },
             ),
         );
         let evidence = self.store.evidence.values().cloned().collect();
         self.schedule_after(
             self.response_time() * 2,
-            self.machine_event(entry, DirectEvent::StoredEvidence { evidence, is_restored: false }),
+            self.machine_event(entry, DirectEvent::StoredEvidence { evidence, is_restored }),
         );
     }
 
--- a/emulator/tests/platform_matrix.rs
+++ b/emulator/tests/platform_matrix.rs
@@ -97,6 +97,7 @@
     deadline_ignored = { DriverDefect::DeadlineIgnored, PlatformRule::TimeLeft },
     claims_unchecked = { DriverDefect::ClaimsUnchecked, PlatformRule::OneHolder },
     no_ticks = { DriverDefect::NoTicks, PlatformRule::Ends },
+    restores_ignored = { DriverDefect::RestoresIgnored, PlatformRule::LeavingTarget },
     resumes_ignored = { DriverDefect::ResumesIgnored, PlatformRule::OneVersion },
     break_as_end = { DriverDefect::TruncatedAsComplete, PlatformRule::WholeOwnAnswer },
 )]
