--- a/emulator/src/stand_in/endless.rs
+++ b/emulator/src/stand_in/endless.rs
@@ -45,11 +45,15 @@
     Report,
     /// Order to an engine.
     Order,
+    /// Release of a KV cache that no request will use.
+    FreeCache,
 }
 
 /// Part of a response that does not end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndlessPlace {
+    /// Reason phrase of the status line.
+    StatusLine,
     /// Header lines.
     HeaderLines,
     /// Value of one header.
@@ -68,6 +72,10 @@
     Chunks,
     /// Digits of a chunk's size.
     ChunkSize,
+    /// Extension of a chunk's size.
+    ChunkExtension,
+    /// Trailers after the last chunk.
+    Trailers,
     /// Bytes that are no chunk.
     BadChunk,
     /// Body that the end of the connection would end.
@@ -120,6 +128,7 @@
             EndlessCall::Prefill => is_own && is_prefill,
             EndlessCall::Report => parts.uri.path() == "/report",
             EndlessCall::Order => parts.uri.path() == "/order",
+            EndlessCall::FreeCache => parts.method == Method::DELETE,
         }
     }
 
@@ -134,7 +143,7 @@
             EndlessCall::Run => format!("answer to {id}"),
             EndlessCall::Prefill => json!({ "handle": "h", "tokens": 1, "version": 1 }).to_string(),
             EndlessCall::Report => json!({ "stage": "decode", "sequence": 0 }).to_string(),
-            EndlessCall::Order => String::new(),
+            EndlessCall::Order | EndlessCall::FreeCache => String::new(),
         };
         let mut head = format!("HTTP/1.1 {} Stand-In\r\n", self.status);
         if !id.is_empty() {
@@ -144,6 +153,7 @@
             head += "not-executed: 1\r\n";
         }
         let (start, filler) = match self.place {
+            EndlessPlace::StatusLine => (format!("HTTP/1.1 {} ", self.status), "filler"),
             EndlessPlace::HeaderLines => (head, "x-filler: filler\r\n"),
             EndlessPlace::HeaderValue => (head + "x-filler: ", "filler"),
             EndlessPlace::Informational => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n"),
@@ -159,6 +169,13 @@
                 (head + "transfer-encoding: chunked\r\n\r\n", "6\r\nfiller\r\n")
             }
             EndlessPlace::ChunkSize => (head + "transfer-encoding: chunked\r\n\r\n", "0"),
+            EndlessPlace::ChunkExtension => {
+                (head + "transfer-encoding: chunked\r\n\r\n6;", "filler")
+            }
+            EndlessPlace::Trailers => (
+                head + "transfer-encoding: chunked\r\n\r\n6\r\nfiller\r\n0\r\n",
+                "x-filler: filler\r\n",
+            ),
             EndlessPlace::BadChunk => (head + "transfer-encoding: chunked\r\n\r\n", "zz\r\n"),
             EndlessPlace::Unframed => (head + "connection: close\r\n\r\n", "filler"),
         };
