Bound the memory of all request bodies together

Callers: with 60 bodies of 4 MiB at one moment an entry took 381 to 398 MB of the 260 MB that its VM has; the platform ends such a process, and all its requests with it.

Cause: only each body was bounded, and each was copied once more at its end.

Change: bodies over 16 KiB share a quarter of limits.memory_mb. One that does not fit is rejected at once as not run, with Retry-After, before it is sent where its length is announced. Bodies are read into one buffer.

Failed before: request_bodies_used_up_the_memory, 2 of 2 cases on (398,032 and 381,352 KiB); both pass now, with small requests served meanwhile.

--- a/emulator/src/stand_in/fleet.rs
+++ b/emulator/src/stand_in/fleet.rs
@@ -24,6 +24,8 @@
 pub const ENGINES: &str = "llm";
 /// Name of the plain service.
 pub const PLAIN: &str = "records";
+/// Memory that the settings give each entry's VM, in MB.
+pub const VM_MEMORY_MB: u64 = 260;
 /// Interval at which targets renew their registration.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Number of missed heartbeats after which a registration is removed.
@@ -111,6 +113,13 @@
         self.store.put("keyed.op", "config", Some(config.as_bytes()));
     }
 
+    /// Writes a configuration with another limit on the bodies of requests.
+    pub fn configure_body_limit(&self, version: u64, bytes: usize) {
+        let mut config = configuration(version, ENGINES);
+        config["limits"]["max_body_bytes"] = json!(bytes);
+        self.store.put("keyed.op", "config", Some(config.to_string().as_bytes()));
+    }
+
     /// Writes a configuration with the same timeout for all routes.
     pub fn configure_timeout(&self, version: u64, timeout: Duration) {
         let mut config = configuration(version, ENGINES);
@@ -296,6 +305,7 @@
             format!("listen.control={}", self.inspection(index)),
             format!("seeds={}", seeds.join(",")),
             format!("platform.address={}", self.store_address),
+            format!("limits.memory_mb={VM_MEMORY_MB}"),
             "bounds.grace_s=8".to_owned(),
             "bounds.drain_ms=2000".to_owned(),
             "bounds.lease_ms=500".to_owned(),
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -40,6 +40,9 @@
     /// The body exceeds the configured limit.
     #[snafu(display("body larger than the limit"))]
     BodyTooLarge,
+    /// The bodies of other requests take the memory that there is for them.
+    #[snafu(display("no memory for the body"))]
+    NoMemory,
     /// The caller's connection ended before the end of the body.
     #[snafu(display("body incomplete"))]
     BodyIncomplete,
@@ -49,7 +52,9 @@
     /// Returns the HTTP status of the response.
     pub fn status(self) -> StatusCode {
         match self {
-            RequestRejection::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            RequestRejection::NotReady | RequestRejection::NoMemory => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             RequestRejection::NoRoute => StatusCode::NOT_FOUND,
             RequestRejection::BadHeader { .. } | RequestRejection::BodyIncomplete => {
                 StatusCode::BAD_REQUEST
@@ -129,7 +134,8 @@
     id: Option<&HeaderValue>,
     delay: Duration,
 ) -> Response<Bytes> {
-    let retry_after = (rejection == RequestRejection::NotReady).then_some(delay);
+    let is_temporary = rejection.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let retry_after = is_temporary.then_some(delay);
     let body = ErrorBody { error: &rejection.to_string(), not_run: true };
     system_response(rejection.status(), id, retry_after, &body)
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -16,6 +16,10 @@
 pub const PATH_VARIABLE: &str = "SAPPHIREWELL_CONFIG";
 /// In seconds.
 const MILLISECOND: f64 = 0.001;
+/// In bytes.
+const MEGABYTE: f64 = 1024.0 * 1024.0;
+/// Memory of a VM whose settings do not say.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
 
 /// Validated settings of a direct entry on the platform.
 #[derive(Debug, Clone, PartialEq)]
@@ -39,6 +43,8 @@
     pub peer_port: u16,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Memory of the VM, in bytes. A process that takes more is ended.
+    pub memory_bytes: usize,
     /// Time from the stop signal until the platform kills the process.
     pub stop_grace: Duration,
     /// Retries that are allowed per request within a window.
@@ -74,6 +80,7 @@
         seeds: reader.address_list("seeds"),
         peer_port: reader.parse_value("internal_ports", &first_port, 0),
         store: reader.required_or("platform.address", SocketAddr::from(([0, 0, 0, 0], 0))),
+        memory_bytes: (reader.number_or("limits.memory_mb", DEFAULT_MEMORY_MB) * MEGABYTE) as usize,
         stop_grace: reader.seconds_or("bounds.grace_s", 1.0, 8.0),
         retry_ratio: reader.number_or("bounds.retry_budget_ratio", 0.2),
         retry_slack: reader.number_or("bounds.retry_slack", 20.0),
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -29,11 +29,13 @@
 mod metrics;
 mod orders;
 mod pool;
+mod request_body;
 mod serve;
 mod shell;
 mod suspects;
 mod versions;
 
+use request_body::BodyMemory;
 use shell::DirectDriver;
 
 /// Interval between ticks of the state machine; a twentieth of the shortest route timeout.
@@ -73,7 +75,8 @@
         lease: settings.lease,
         drain_bound: settings.drain_bound,
     });
-    let driver = Rc::new(DirectDriver::new(machine, settings.store));
+    let bodies = BodyMemory::of_vm(settings.memory_bytes);
+    let driver = Rc::new(DirectDriver::new(machine, settings.store, bodies));
     let callers = serve::bind(settings.caller_listen).await?;
     let readiness = serve::bind(settings.readiness_listen).await?;
     tokio::task::spawn_local(serve::serve_readiness(readiness, driver.clone()));
--- a/src/process/direct/call.rs
+++ b/src/process/direct/call.rs
@@ -11,7 +11,9 @@
 };
 use tokio::{net::TcpStream, time::Instant};
 
-use super::{fault::ResponseFault, pool::ConnectionLease, shell::DirectDriver};
+use super::{
+    fault::ResponseFault, pool::ConnectionLease, request_body::RequestBody, shell::DirectDriver,
+};
 use crate::{
     direct::{CallOutcome, CallStep, DirectEvent, DirectTarget},
     error::Result,
@@ -35,7 +37,7 @@
     /// Headers that are forwarded to targets.
     pub(super) forwarded: HeaderMap,
     pub(super) id: HeaderValue,
-    pub(super) body: Bytes,
+    pub(super) body: RequestBody,
 }
 
 /// Target of a call, and what the call asks of it.
@@ -68,7 +70,7 @@
         spec.priority,
     );
     let request = match request {
-        Ok(request) => request.map(|()| Full::new(caller_request.body.clone())),
+        Ok(request) => request.map(|()| Full::new(caller_request.body.bytes.clone())),
         Err(error) => {
             log::warn!(target_id:% = spec.target.id, error:% = error; "failed to build call");
             return (CallOutcome::Unreachable, None);
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -8,10 +8,10 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use http_body_util::Empty;
 use hyper::{
     Request, Response, StatusCode,
-    body::{Body, Incoming},
+    body::Incoming,
     header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
@@ -210,11 +210,11 @@
         Ok(head) => head,
         Err(rejection) => return reject(rejection, None),
     };
-    let body = match read_body(body, routes.limits.body_bytes).await {
+    let body = match driver.bodies.read(body, routes.limits.body_bytes).await {
         Ok(body) => body,
         Err(rejection) => return reject(rejection, Some(&head.id)),
     };
-    let direct_request = head.to_direct_request(&parts, &body, caller);
+    let direct_request = head.to_direct_request(&parts, &body.bytes, caller);
     let (flow, actions) = driver.open_flow();
     let id_text = String::from_utf8_lossy(head.id.as_bytes()).into_owned();
     let guard = FlowGuard::new(driver.clone(), flow, id_text);
@@ -236,18 +236,6 @@
     caller::rejection_response(rejection, id, delay).map(ResponseBody::local)
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, RequestRejection> {
-    // Rejects an announced length that is too large before the caller sends the body.
-    if body.size_hint().lower() > limit as u64 {
-        return Err(RequestRejection::BodyTooLarge);
-    }
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(RequestRejection::BodyTooLarge),
-        Err(_) => Err(RequestRejection::BodyIncomplete),
-    }
-}
-
 /// Carries out the state machine's actions for one request until it has a response.
 async fn run_flow(
     driver: &Rc<DirectDriver>,
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -23,6 +23,7 @@
     metrics::{BlockedCounts, DirectMetrics, FaultLabels, StateGauges, StoreLabels},
     orders,
     pool::TargetPools,
+    request_body::BodyMemory,
     suspects, versions,
 };
 use crate::{
@@ -95,6 +96,8 @@
     pub(super) generations: GenerationWatch,
     /// Notified when a request waits for the list of targets.
     pub(super) target_demand: Rc<Notify>,
+    /// Memory for the bodies of callers' requests.
+    pub(super) bodies: BodyMemory,
     /// Connection for writing software versions, one after the other.
     pub(super) version_store: Mutex<StoreClient>,
     name: PeerName,
@@ -107,7 +110,11 @@
 }
 
 impl DirectDriver {
-    pub(super) fn new(machine: DirectMachine, store: SocketAddr) -> DirectDriver {
+    pub(super) fn new(
+        machine: DirectMachine,
+        store: SocketAddr,
+        bodies: BodyMemory,
+    ) -> DirectDriver {
         let generations = GenerationWatch::default();
         let version_store = Mutex::new(StoreClient::new(store, generations.clone()));
         DirectDriver {
@@ -123,6 +130,7 @@
             store,
             generations,
             target_demand: Rc::default(),
+            bodies,
             version_store,
             started: Instant::now(),
             stop_started: Cell::default(),
