Use a target's response only if it names its request, and no other

Callers: a target that wrote an earlier refusal once more on a kept connection made us say "not run, try again" for requests that it had run (rule REFUSED), and run one twice (rule TWICE).

Cause: a response without an id, or with a second one, counted as the request's own; what it states of its target was used before its id was looked at; and two calls for one request over one connection have the same id.

Change: the id must be there once and match. Statements of other responses are ignored. A connection does not carry two calls for one request.

--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -197,11 +197,23 @@
     Ok(request)
 }
 
+/// Returns the id of a request, which its response repeats.
+pub fn request_id(headers: &HeaderMap) -> Option<&HeaderValue> {
+    headers.get(&REQUEST_ID)
+}
+
+/// Returns whether a response belongs to the request with this id, or to one without an id.
+///
+/// A faulty target may write an earlier response once more, which may have another id or none.
+pub fn is_response_to(headers: &HeaderMap, id: Option<&HeaderValue>) -> bool {
+    let mut echoed = headers.get_all(&REQUEST_ID).iter();
+    echoed.next() == id && echoed.next().is_none()
+}
+
 /// Classifies the head of a response to the request with this id.
 pub fn classify_response(parts: &response::Parts, id: &HeaderValue) -> ResponseOutcome {
     // Only final statuses are valid; an informational one does not end a call.
-    let mismatched = parts.headers.get(&REQUEST_ID).is_some_and(|echoed| echoed != id);
-    if mismatched {
+    if !is_response_to(&parts.headers, Some(id)) {
         return ResponseOutcome::Invalid;
     }
     let signed = parts.headers.contains_key(&SERVER_SIGNATURE);
@@ -222,8 +234,7 @@
 
 /// Returns whether the response to a prefill call should hold a KV cache handle.
 pub fn is_prefill_success(parts: &response::Parts, id: &HeaderValue) -> bool {
-    let mismatched = parts.headers.get(&REQUEST_ID).is_some_and(|echoed| echoed != id);
-    parts.status == StatusCode::OK && !mismatched
+    parts.status == StatusCode::OK && is_response_to(&parts.headers, Some(id))
 }
 
 #[derive(Deserialize)]
--- a/src/process/direct/call.rs
+++ b/src/process/direct/call.rs
@@ -91,8 +91,12 @@
     request: Request<Full<Bytes>>,
 ) -> Result<(Response<ReceivedBody>, ConnectionLease), CallOutcome> {
     let called = Instant::now();
-    let (response, lease) = send_once(driver, target, request).await?;
-    driver.record_statements(target, called, response.status(), response.headers());
+    let id = runner::request_id(request.headers()).cloned();
+    let (response, lease) = send_once(driver, target, request, id.as_ref()).await?;
+    // What an earlier response states may not hold any more.
+    if runner::is_response_to(response.headers(), id.as_ref()) {
+        driver.record_statements(target, called, response.status(), response.headers());
+    }
     Ok((response, lease))
 }
 
@@ -100,10 +104,12 @@
     driver: &DirectDriver,
     target: &DirectTarget,
     request: Request<Full<Bytes>>,
+    id: Option<&HeaderValue>,
 ) -> Result<(Response<ReceivedBody>, ConnectionLease), CallOutcome> {
     let address = target.address;
     let mut unsent = request;
-    if let Some(mut lease) = driver.pools.take_idle(address) {
+    if let Some(mut lease) = driver.pools.take_idle(address, id) {
+        lease.record_request(id);
         match lease.sender.try_send_request(unsent).await {
             Ok(response) => return Ok((response, lease)),
             Err(mut error) => match error.take_message() {
@@ -117,6 +123,7 @@
             log::debug!(address:% = address, error:% = error; "failed to connect to target");
             CallOutcome::Unreachable
         })?;
+    lease.record_request(id);
     match lease.sender.try_send_request(unsent).await {
         Ok(response) => Ok((response, lease)),
         Err(mut error) => match error.take_message() {
