Wait for the next restore only, and lift no block with a break since

Found by reading the change: a store that states its generation in some responses only would have ended each pause between reads after 0.1 s; and a block for connections that broke, without a crash, could have been removed from a restored store if it was lifted before. No run showed either.

--- a/src/direct/suspect_table.rs
+++ b/src/direct/suspect_table.rs
@@ -525,6 +525,7 @@
             return;
         }
         self.has_new_evidence = true;
+        self.unblocked.remove(&broken.suspect);
         self.breaks.insert(id, broken);
         if self.breaks.len() > MAX_BREAKS {
             let oldest = self.breaks.iter().min_by_key(|(id, broken)| (broken.at, **id));
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -202,11 +202,13 @@
     /// over. A restore of the store ends the wait.
     async fn pause(&self, demand: &Notify, pause: Duration) -> bool {
         let shortest = DEMAND_PAUSE.min(pause);
+        let generations = self.store.generations();
+        let known = generations.highest();
         tokio::time::sleep(shortest).await;
         tokio::select! {
             biased;
             () = demand.notified() => true,
-            _ = self.store.generations().wait_for_restore(self.generation) => false,
+            _ = generations.wait_for_restore(known) => false,
             () = tokio::time::sleep(pause - shortest) => false,
         }
     }
