Restore the two cases of many fast answers without end, one of them known red

The cases are back with the bound as it was.

Callers: requests beside 48 answers that are passed on at full speed wait longer than half a second.

--- a/emulator/tests/target_bytes_without_end.rs
+++ b/emulator/tests/target_bytes_without_end.rs
@@ -396,6 +396,8 @@
     chunks_slow = { 24_012, Chunks, Slow },
     extension_fast = { 24_016, ChunkExtension, Fast },
     unframed_slow = { 24_020, Unframed, Slow },
+    chunks_fast = { 24_024, Chunks, Fast },
+    unframed_fast = { 24_028, Unframed, Fast },
 )]
 fn many_targets_in_trouble_at_once_hold_up_nobody(port: u16, place: EndlessPlace, pace: BytePace) {
     run(async {
