Add the types of customers and the priority of a request

Cause: the parts on customers, duties and hard load are built side by side and all need to know whose request it is. Change: a request has a customer, which configurations without customers leave empty; its priority is the customer's or else the route's; a configuration has a table of customers by digests of their keys. Nothing decodes customers yet.

--- a/emulator/src/platform_rig/caller.rs
+++ b/emulator/src/platform_rig/caller.rs
@@ -231,7 +231,7 @@
         let resumes = record.resumes.filter(|_| !ignored);
         let resumes = resumes.map(|first| StreamResume { stream: Some(stream_id(first)) });
         let id = stream_id(attempt);
-        Some(DirectRequest { id, route, time_left, prompt, identity, resumes })
+        Some(DirectRequest { id, route, customer: None, time_left, prompt, identity, resumes })
     }
 
     /// Ends an open attempt and schedules the caller's retry, if there is one.
--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -482,6 +482,7 @@
             body_bytes: 65_536,
             idle_time: Duration::from_secs(15),
         },
+        customers: None,
     }
 }
 
@@ -503,6 +504,7 @@
         objective: Duration::from_millis(objective),
         priority: u8::from(class == RequestClass::Dossier),
         max_attempts,
+        allows_anonymous: true,
         services: [service].into_iter().collect(),
     }
 }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -18,6 +18,7 @@
 mod budget;
 mod crash_cause;
 mod crash_evidence;
+mod customer;
 mod ending;
 mod estimate;
 mod flow;
@@ -44,6 +45,7 @@
 pub use backlog::PrefillBacklog;
 pub use budget::RetryWindow;
 pub use crash_evidence::{CrashEvidence, EvidenceChange};
+pub use customer::{CustomerConfig, CustomerName, CustomerTable};
 pub use flow::RequestTrace;
 pub use limit::{LimitStatement, LimitTable, RequestRate, ServiceDemand};
 pub use load::{CachedSegment, InFlight, LoadReport, PeerTable, TargetUsage, report_interval};
@@ -103,6 +105,8 @@
     pub id: StreamId,
     /// Configuration of its route.
     pub route: Arc<RouteConfig>,
+    /// Customer that it was sent for; `None` if its caller stated none.
+    pub customer: Option<Arc<CustomerConfig>>,
     /// Time until the caller stops waiting.
     pub time_left: Duration,
     /// Prompt of a request to engines; `None` for plain services.
@@ -113,6 +117,14 @@
     pub resumes: Option<StreamResume>,
 }
 
+impl DirectRequest {
+    /// Returns the priority, 0 being the highest: the customer's, or else the route's.
+    pub fn priority(&self) -> u8 {
+        let own = self.customer.as_ref().and_then(|customer| customer.priority);
+        own.unwrap_or(self.route.priority)
+    }
+}
+
 /// Operation that a call requests from a target.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CallStep {
--- a/src/direct/route.rs
+++ b/src/direct/route.rs
@@ -6,6 +6,8 @@
 use smallvec::SmallVec;
 use strum::Display;
 
+use super::CustomerTable;
+
 /// Names a service.
 pub type ServiceName = Arc<str>;
 /// Names a model.
@@ -54,6 +56,8 @@
     pub priority: u8,
     /// Maximum number of targets that may run one request.
     pub max_attempts: u32,
+    /// Whether requests are served without a customer's key.
+    pub allows_anonymous: bool,
     /// Services among which requests are split by weight.
     pub services: SmallVec<[WeightedService; 2]>,
 }
@@ -102,6 +106,8 @@
     pub services: HashMap<ServiceName, ServiceConfig>,
     /// Limits on requests of all routes.
     pub limits: RequestLimits,
+    /// Customers by their keys; `None` if the configuration has no customers.
+    pub customers: Option<CustomerTable>,
 }
 
 impl RouteTable {
--- a/src/direct/waiting.rs
+++ b/src/direct/waiting.rs
@@ -26,6 +26,6 @@
 
 /// Returns the priority at targets, where requests that were late on arrival go last.
 pub(super) fn priority(flow: &DirectFlow) -> u8 {
-    let priority = flow.request.route.priority.min(FIRST_LATE_PRIORITY - 1);
+    let priority = flow.request.priority().min(FIRST_LATE_PRIORITY - 1);
     if flow.late { priority + FIRST_LATE_PRIORITY } else { priority }
 }
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -110,6 +110,7 @@
     pub fn to_direct_request(&self, parts: &Parts, body: &Bytes, caller: IpAddr) -> DirectRequest {
         DirectRequest {
             route: self.route.clone(),
+            customer: None,
             time_left: self.time_left,
             prompt: self.prompt.clone(),
             identity: request_identity(parts, body, caller),
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -103,6 +103,7 @@
             body_bytes: config.limits.max_body_bytes,
             idle_time: Duration::from_millis(config.limits.idle_timeout_ms).min(MAX_TIME),
         },
+        customers: None,
     })
 }
 
@@ -129,6 +130,7 @@
         objective: duration_from_millis(route.target_latency_ms),
         priority: route.priority,
         max_attempts: route.max_attempts.max(1),
+        allows_anonymous: true,
         services,
     }
 }
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -112,6 +112,7 @@
                 body_bytes: 65_536,
                 idle_time: Duration::from_secs(15),
             },
+            customers: None,
         };
         self.step(DirectEvent::Routes(Arc::new(table)));
     }
@@ -127,6 +128,7 @@
             objective: Duration::from_millis(500),
             priority: 1,
             max_attempts: 2,
+            allows_anonymous: true,
             services: [WeightedService { service: SERVICE.into(), weight: 1 }]
                 .into_iter()
                 .collect(),
@@ -323,6 +325,7 @@
         let request = DirectRequest {
             id: format!("request-{flow}").into(),
             route: self.route(),
+            customer: None,
             time_left,
             prompt,
             identity,
