--- a/src/direct.rs
+++ b/src/direct.rs
@@ -36,6 +36,8 @@
 mod stop;
 mod stream;
 mod suspect;
+mod suspect_block;
+mod suspect_exchange;
 mod suspect_table;
 mod target;
 mod version;
--- a/src/direct/crash_evidence.rs
+++ b/src/direct/crash_evidence.rs
@@ -10,7 +10,8 @@
 
 use super::{
     suspect::{CrashSuspect, RequestIdentity, SuspectReport, SuspectRun, TargetCrash},
-    suspect_table::{CrashRecord, SuspectTable, suspect_run},
+    suspect_exchange::suspect_run,
+    suspect_table::{CrashRecord, SuspectTable},
 };
 use crate::ids::ClockTime;
 
--- a/src/direct/suspect_table.rs
+++ b/src/direct/suspect_table.rs
@@ -15,22 +15,16 @@
 use serde::Serialize;
 
 use super::{
-    DirectRequest,
     crash_evidence::EvidenceChange,
     load::repeat_time,
     suspect::{
-        BlockedSuspect, BreakId, BrokenRun, CrashSuspect, RequestIdentity, RequestSuspects,
-        SuspectChange, SuspectReport, SuspectRun, TargetCrash, TargetRun, TargetStart,
-        request_suspects,
+        BreakId, CrashSuspect, RequestIdentity, RequestSuspects, SuspectChange, TargetRun,
+        TargetStart,
     },
+    suspect_block::{BLOCK_TIME, BlockRecord},
 };
 use crate::ids::ClockTime;
 
-/// Time after the last crash for which a suspect is blocked. It doubles each time that the
-/// first crash afterwards blocks the suspect again.
-const BLOCK_TIME: Duration = Duration::from_secs(600);
-/// Largest exponent of that doubling.
-const MAX_DOUBLINGS: u32 = 8;
 /// Time for which crashes are counted.
 const CRASH_LIFETIME: Duration = Duration::from_secs(600);
 /// Time for which successes are remembered.
@@ -41,17 +35,11 @@
 /// one may come from its next start, which takes seconds.
 const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 /// Shortest time for which crashes and successes are repeated in reports.
-const REPORT_TIME: Duration = Duration::from_secs(3);
+pub(super) const REPORT_TIME: Duration = Duration::from_secs(3);
 /// Largest number of crashes that are kept; the oldest are dropped first.
 const MAX_CRASHES: usize = 256;
 /// Largest number of connections that are kept which broke while their targets lived on.
 const MAX_BREAKS: usize = 1024;
-/// Largest number of crashes, successes and blocked suspects in a report, each.
-const MAX_REPORTED: usize = 32;
-/// Largest number of uses of suspects in the crashes of a report, which must fit in a datagram.
-const MAX_REPORTED_USES: usize = 1024;
-/// Largest number of blocked suspects; further ones are not adopted from others.
-const MAX_BLOCKED: usize = 4096;
 /// Largest number of suspects with a known success.
 const MAX_SUCCESSES: usize = 65_536;
 /// Time for which removed records of the store are remembered. It is longer than a copy that the
@@ -71,7 +59,7 @@
     /// Whether the target was seen to be gone; a broken connection alone does not show it.
     pub(super) confirmed: bool,
     /// Suspects of the requests that this entry had at the target.
-    own: HashSet<CrashSuspect>,
+    pub(super) own: HashSet<CrashSuspect>,
     pub(super) suspects: HashMap<CrashSuspect, SuspectUse>,
     /// Requests that were at the target, and whether this entry sent them.
     pub(super) requests: HashMap<RequestIdentity, bool>,
@@ -85,21 +73,6 @@
     pub(super) used: SuspectUse,
 }
 
-#[derive(Debug, Clone, Serialize)]
-pub(super) struct BlockRecord {
-    crashes: u32,
-    repeats: u32,
-    last: ClockTime,
-    /// Whether this entry wrote it to the store.
-    stored: bool,
-}
-
-impl BlockRecord {
-    pub(super) fn ends(&self) -> ClockTime {
-        self.last + BLOCK_TIME * 2_u32.pow(self.repeats.min(MAX_DOUBLINGS))
-    }
-}
-
 /// Response whose end may be that of its target.
 #[derive(Debug, Clone)]
 struct UnconfirmedRun {
@@ -118,7 +91,7 @@
     pub(super) breaks: HashMap<BreakId, BreakRecord>,
     /// Instance number of this process.
     #[serde(skip)]
-    instance: u64,
+    pub(super) instance: u64,
     /// Number of breaks that this process saw.
     #[serde(skip)]
     own_breaks: u64,
@@ -127,23 +100,23 @@
     pub(super) successes: HashMap<CrashSuspect, ClockTime>,
     /// Suspects of responses that ended whole here, under which targets had crashed.
     #[serde(skip)]
-    own_successes: HashMap<CrashSuspect, ClockTime>,
+    pub(super) own_successes: HashMap<CrashSuspect, ClockTime>,
     /// When a call was sent to which a target responded after a supposed crash, and whether
     /// this entry sent it.
     #[serde(skip)]
     pub(super) survivors: HashMap<TargetStart, (ClockTime, bool)>,
     /// When the latest call to which a target responded was sent.
     #[serde(skip)]
-    responses: HashMap<TargetStart, ClockTime>,
+    pub(super) responses: HashMap<TargetStart, ClockTime>,
     /// Responses that ended with their connection, by the target that wrote them.
     #[serde(skip)]
     unconfirmed: HashMap<TargetStart, Vec<UnconfirmedRun>>,
     pub(super) blocked: HashMap<CrashSuspect, BlockRecord>,
     #[serde(skip)]
-    changes: Vec<SuspectChange>,
+    pub(super) changes: Vec<SuspectChange>,
     /// Whether there is new evidence since causes were last looked for.
     #[serde(skip)]
-    has_new_evidence: bool,
+    pub(super) has_new_evidence: bool,
     /// Paths and segments whose crashes are kept in the store, with the number of uses in them.
     #[serde(skip)]
     pub(super) stored_evidence: HashMap<CrashSuspect, usize>,
@@ -155,7 +128,7 @@
     pub(super) rewrites_evidence: bool,
     /// Suspects that are no longer blocked and without a crash since, with the time of that.
     #[serde(skip)]
-    unblocked: HashMap<CrashSuspect, ClockTime>,
+    pub(super) unblocked: HashMap<CrashSuspect, ClockTime>,
     /// Evidence that was removed from the store, with the time of that.
     #[serde(skip)]
     pub(super) removed_evidence: HashMap<CrashSuspect, ClockTime>,
@@ -174,20 +147,6 @@
         SuspectTable { instance, ..SuspectTable::default() }
     }
 
-    /// Returns whether a request has a suspect that is not sent.
-    pub fn blocks(&self, now: ClockTime, request: &DirectRequest) -> bool {
-        let is_blocked =
-            |suspect| self.blocked.get(suspect).is_some_and(|block| now < block.ends());
-        !self.blocked.is_empty()
-            && request_suspects(request).iter().any(|(suspect, _)| is_blocked(suspect))
-    }
-
-    /// Returns the suspects that are not sent.
-    pub fn blocked(&self, now: ClockTime) -> impl Iterator<Item = &CrashSuspect> {
-        let blocked = self.blocked.iter().filter(move |(_, block)| now < block.ends());
-        blocked.map(|(suspect, _)| suspect)
-    }
-
     /// Records that a target's connection broke under a request.
     ///
     /// Returns whether it has to be found out if the target is gone.
@@ -216,7 +175,12 @@
     }
 
     /// Adds the requests to a crash whose responses may have ended with it.
-    fn add_unconfirmed_runs(&mut self, now: ClockTime, at: ClockTime, start: &TargetStart) {
+    pub(super) fn add_unconfirmed_runs(
+        &mut self,
+        now: ClockTime,
+        at: ClockTime,
+        start: &TargetStart,
+    ) {
         let runs = self.unconfirmed.remove(start).unwrap_or_default();
         let (ended, others): (Vec<_>, Vec<_>) =
             runs.into_iter().partition(|run| run.ended.abs_diff(at) <= UNCONFIRMED_TIME);
@@ -296,142 +260,6 @@
         self.unconfirmed.entry(start).or_default().push(ended);
     }
 
-    /// Merges what a peer has seen.
-    pub fn apply(&mut self, now: ClockTime, report: &SuspectReport) {
-        for (start, age) in &report.survivors {
-            self.dismiss_crash(start, now.saturating_sub(*age), false);
-        }
-        for (suspect, age) in &report.successes {
-            self.acquit(*suspect, now.saturating_sub(*age));
-        }
-        for crash in &report.crashes {
-            let at = now.saturating_sub(crash.age);
-            let called = self.responses.get(&crash.start).copied();
-            if let Some(called) = called.filter(|called| shows_survival(at, *called)) {
-                self.dismiss_crash(&crash.start, called, true);
-            }
-            if self.survivors.get(&crash.start).is_some_and(|(called, _)| at < *called) {
-                continue;
-            }
-            self.add_unconfirmed_runs(now, at, &crash.start);
-            for run in &crash.runs {
-                let (suspect, position, running_ms) = *run;
-                let sent = at.saturating_sub(Duration::from_millis(running_ms.into()));
-                self.add_run(at, &crash.start, suspect, SuspectUse { sent, position }, false);
-            }
-            if let Some(known) = self.crashes.get_mut(&crash.start) {
-                self.has_new_evidence |= !known.confirmed || !crash.runs.is_empty();
-                known.confirmed = true;
-                for identity in &crash.requests {
-                    known.requests.entry(*identity).or_insert(false);
-                }
-            }
-        }
-        for broken in &report.breaks {
-            let at = now.saturating_sub(broken.age);
-            let (suspect, position, running_ms) = broken.run;
-            let sent = at.saturating_sub(Duration::from_millis(running_ms.into()));
-            let used = SuspectUse { sent, position };
-            self.add_break(broken.id, BreakRecord { at, suspect, used });
-        }
-        for block in &report.blocked {
-            self.adopt_block(now, block, false);
-        }
-    }
-
-    /// Blocks a suspect that a peer or an earlier process blocks.
-    ///
-    /// A record of the store is removed by whoever read it, as its writer may be gone.
-    pub fn adopt_block(&mut self, now: ClockTime, block: &BlockedSuspect, stored: bool) {
-        if self.blocked.len() >= MAX_BLOCKED {
-            return;
-        }
-        let last = now.saturating_sub(block.age);
-        // One that a request has run with since was blocked by mistake.
-        if let Some(at) = self.successes.get(&block.suspect).filter(|at| **at > last) {
-            self.own_successes.insert(block.suspect, *at);
-            return;
-        }
-        // Its peer may have read it from a store that was restored from an older copy. All entries
-        // hear of the crashes for which it would be blocked again.
-        if !stored && self.unblocked.contains_key(&block.suspect) {
-            return;
-        }
-        let new = BlockRecord { crashes: 0, repeats: 0, last, stored };
-        let known = self.blocked.entry(block.suspect).or_insert(new);
-        known.stored |= stored;
-        // Ages grow by the time of each message, so that entries which took over the newest
-        // of them would renew a block without end.
-        if (block.repeats, block.crashes) > (known.repeats, known.crashes) {
-            known.crashes = block.crashes;
-            known.repeats = block.repeats;
-            known.last = known.last.max(last);
-        }
-    }
-
-    /// Compares the blocks with those of a store that was restored from an older copy. Lost ones
-    /// are written again, and those that were removed since are removed again.
-    pub(super) fn restore_blocks(&mut self, now: ClockTime, stored: &[BlockedSuspect]) {
-        let numbers = |block: &BlockedSuspect| (block.suspect, (block.repeats, block.crashes));
-        let held: HashMap<CrashSuspect, (u32, u32)> = stored.iter().map(numbers).collect();
-        for (suspect, block) in &mut self.blocked {
-            if held.get(suspect).is_none_or(|held| *held < (block.repeats, block.crashes)) {
-                block.stored = true;
-                self.changes.push(SuspectChange::Blocked(block.report(now, *suspect)));
-            }
-        }
-        for block in stored {
-            if self.blocked.contains_key(&block.suspect)
-                || !self.unblocked.contains_key(&block.suspect)
-            {
-                self.adopt_block(now, block, true);
-                continue;
-            }
-            // An entry that starts meanwhile may have read the record.
-            self.own_successes.insert(block.suspect, now);
-            self.changes.push(SuspectChange::Cleared(block.suspect));
-        }
-    }
-
-    /// Returns what this many peers have to know.
-    pub(super) fn report(&self, now: ClockTime, peers: usize) -> SuspectReport {
-        let report_time = repeat_time(peers, REPORT_TIME);
-        let is_recent = |at: &ClockTime| *at + report_time >= now;
-        let is_reported =
-            |crash: &CrashRecord| crash.confirmed && is_recent(&crash.at) && !crash.own.is_empty();
-        let crashes = self.crashes.iter().filter(|(_, crash)| is_reported(crash));
-        let mut crashes: Vec<TargetCrash> =
-            crashes.map(|(start, crash)| report_crash(now, start, crash)).collect();
-        crashes.sort_by(|a, b| a.age.cmp(&b.age).then_with(|| a.start.cmp(&b.start)));
-        crashes.truncate(MAX_REPORTED);
-        let mut uses = 0;
-        crashes.retain(|crash| {
-            uses += crash.runs.len();
-            uses <= MAX_REPORTED_USES
-        });
-        let breaks = self.breaks.iter();
-        let breaks = breaks.filter(|(id, broken)| id.0 == self.instance && is_recent(&broken.at));
-        let mut breaks: Vec<BrokenRun> =
-            breaks.map(|(id, broken)| report_break(now, *id, broken)).collect();
-        breaks.sort_by_key(|broken| (broken.age, broken.id));
-        breaks.truncate(MAX_REPORTED);
-        let successes = self.own_successes.iter().filter(|(_, at)| is_recent(at));
-        let mut successes: Vec<(CrashSuspect, Duration)> =
-            successes.map(|(suspect, at)| (*suspect, now.saturating_sub(*at))).collect();
-        successes.sort_by_key(|(suspect, age)| (*age, *suspect));
-        successes.truncate(MAX_REPORTED);
-        let blocked = self.blocked.iter().map(|(suspect, block)| block.report(now, *suspect));
-        let mut blocked: Vec<BlockedSuspect> = blocked.collect();
-        blocked.sort_by_key(|block| (block.age, block.suspect));
-        blocked.truncate(MAX_REPORTED);
-        let survivors = self.survivors.iter().filter(|(_, (at, own))| *own && is_recent(at));
-        let survivors = survivors.map(|(start, (at, _))| (start.clone(), now.saturating_sub(*at)));
-        let mut survivors: Vec<(TargetStart, Duration)> = survivors.collect();
-        survivors.sort_unstable();
-        survivors.truncate(MAX_REPORTED);
-        SuspectReport { crashes, breaks, successes, blocked, survivors }
-    }
-
     /// Blocks suspects that new evidence speaks against, and returns and clears the changes
     /// that this entry writes to the store.
     pub(super) fn take_changes(&mut self, now: ClockTime) -> Vec<SuspectChange> {
@@ -475,7 +303,7 @@
         self.removed_evidence.retain(|_, at| now <= *at + REMOVAL_MEMORY);
     }
 
-    fn add_run(
+    pub(super) fn add_run(
         &mut self,
         at: ClockTime,
         start: &TargetStart,
@@ -518,7 +346,7 @@
         }
     }
 
-    fn add_break(&mut self, id: BreakId, broken: BreakRecord) {
+    pub(super) fn add_break(&mut self, id: BreakId, broken: BreakRecord) {
         let success = self.successes.get(&broken.suspect);
         let is_old = success.is_some_and(|success| *success >= broken.at);
         if is_old || self.breaks.contains_key(&id) {
@@ -536,7 +364,7 @@
     }
 
     /// Drops a supposed crash before a call to which the target responded.
-    fn dismiss_crash(&mut self, start: &TargetStart, called: ClockTime, own: bool) {
+    pub(super) fn dismiss_crash(&mut self, start: &TargetStart, called: ClockTime, own: bool) {
         if self.crashes.get(start).is_some_and(|crash| crash.at < called) {
             self.drop_crash(start);
         }
@@ -547,7 +375,7 @@
     }
 
     /// Clears a suspect of all crashes before a success, also if it is blocked for them.
-    fn acquit(&mut self, suspect: CrashSuspect, at: ClockTime) {
+    pub(super) fn acquit(&mut self, suspect: CrashSuspect, at: ClockTime) {
         let last = self.successes.entry(suspect).or_insert(at);
         *last = at.max(*last);
         if self.successes.len() > MAX_SUCCESSES {
@@ -571,42 +399,6 @@
         }
     }
 
-    /// Blocks the suspects that explain most crashes, one after the other.
-    fn block_causes(&mut self, now: ClockTime) {
-        let is_blocked = |table: &SuspectTable, suspect: &CrashSuspect| {
-            table.blocked.get(suspect).is_some_and(|block| now < block.ends())
-        };
-        while let Some(causes) = self.likeliest_causes(now) {
-            // Nothing would change, and the search would not end.
-            if causes.suspects.iter().all(|suspect| is_blocked(self, suspect)) {
-                return;
-            }
-            for suspect in causes.suspects {
-                self.block(now, suspect, causes.crashes);
-            }
-        }
-    }
-
-    fn block(&mut self, now: ClockTime, suspect: CrashSuspect, crashes: usize) {
-        let breaks = self.breaks.iter().filter(|(_, broken)| broken.suspect == suspect);
-        let saw_crash = self.crashes.values().any(|crash| crash.own.contains(&suspect))
-            || breaks.clone().any(|(id, _)| id.0 == self.instance);
-        let last = self.crashes.values().filter(|c| c.suspects.contains_key(&suspect));
-        let last = last.map(|crash| crash.at).chain(breaks.map(|(_, broken)| broken.at));
-        let last = last.max().unwrap_or(now);
-        let before = self.blocked.get(&suspect);
-        let block = BlockRecord {
-            crashes: before.map_or(0, |block| block.crashes).saturating_add(crashes as u32),
-            repeats: before.map_or(0, |block| block.repeats.saturating_add(1)),
-            last,
-            stored: saw_crash || before.is_some_and(|block| block.stored),
-        };
-        if saw_crash {
-            self.changes.push(SuspectChange::Blocked(block.report(now, suspect)));
-        }
-        self.blocked.insert(suspect, block);
-    }
-
     fn drop_oldest_crash(&mut self) {
         let oldest = self.crashes.iter().min_by_key(|(start, crash)| (crash.at, *start));
         if let Some(oldest) = oldest.map(|(start, _)| start.clone()) {
@@ -615,42 +407,7 @@
     }
 }
 
-impl BlockRecord {
-    fn report(&self, now: ClockTime, suspect: CrashSuspect) -> BlockedSuspect {
-        let age = now.saturating_sub(self.last);
-        BlockedSuspect { suspect, crashes: self.crashes, repeats: self.repeats, age }
-    }
-}
-
-fn report_break(now: ClockTime, id: BreakId, broken: &BreakRecord) -> BrokenRun {
-    let running = broken.at.saturating_sub(broken.used.sent).as_millis();
-    let running = u32::try_from(running).unwrap_or(u32::MAX);
-    let run = (broken.suspect, broken.used.position, running);
-    BrokenRun { id, age: now.saturating_sub(broken.at), run }
-}
-
-fn report_crash(now: ClockTime, start: &TargetStart, crash: &CrashRecord) -> TargetCrash {
-    let own = crash.suspects.iter().filter(|(suspect, _)| crash.own.contains(*suspect));
-    let runs = own.map(|(suspect, used)| suspect_run(crash, *suspect, used));
-    let mut runs: Vec<SuspectRun> = runs.collect();
-    runs.sort_unstable();
-    let requests = crash.requests.iter().filter(|(_, own)| **own);
-    let mut requests: Vec<RequestIdentity> = requests.map(|(identity, _)| *identity).collect();
-    requests.sort_unstable();
-    TargetCrash { start: start.clone(), age: now.saturating_sub(crash.at), runs, requests }
-}
-
-/// Returns the use of a suspect in a crash, as reports hold it.
-pub(super) fn suspect_run(
-    crash: &CrashRecord,
-    suspect: CrashSuspect,
-    used: &SuspectUse,
-) -> SuspectRun {
-    let running = crash.at.saturating_sub(used.sent).as_millis();
-    (suspect, used.position, u32::try_from(running).unwrap_or(u32::MAX))
-}
-
 /// Returns whether a call to which a target responded was sent after its supposed crash.
-fn shows_survival(crashed: ClockTime, called: ClockTime) -> bool {
+pub(super) fn shows_survival(crashed: ClockTime, called: ClockTime) -> bool {
     called > crashed && called <= crashed + SURVIVAL_TIME
 }
