Serve requests by the customer that their key belongs to

Cause: a configuration with customers asks callers for keys. Keys went on to targets, unknown and removed ones were served, and no target was told the customer. Change: the configuration's customers are decoded into a table of key digests; each request is identified by the newest version as it arrives, unknown or malformed credentials get 401, targets get the customer's name in place of the key, and the customer's priority goes before the route's. Configurations without customers are served as before. Decoder errors name the place only, as their text may quote a key.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -45,7 +45,7 @@
 pub use backlog::PrefillBacklog;
 pub use budget::RetryWindow;
 pub use crash_evidence::{CrashEvidence, EvidenceChange};
-pub use customer::{CustomerConfig, CustomerName, CustomerTable};
+pub use customer::{CallerIdentity, CustomerConfig, CustomerName, CustomerTable};
 pub use flow::RequestTrace;
 pub use limit::{LimitStatement, LimitTable, RequestRate, ServiceDemand};
 pub use load::{CachedSegment, InFlight, LoadReport, PeerTable, TargetUsage, report_interval};
--- a/src/direct/customer.rs
+++ b/src/direct/customer.rs
@@ -20,6 +20,27 @@
     pub priority: Option<u8>,
 }
 
+/// For whom a request is served.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallerIdentity {
+    /// The configuration has no customers, so that nobody is asked.
+    Unchecked,
+    /// The caller stated no key, and the route serves such requests.
+    Anonymous,
+    /// The customer that the caller's key belongs to.
+    Customer(Arc<CustomerConfig>),
+}
+
+impl CallerIdentity {
+    /// Returns the customer, if there is one.
+    pub fn customer(&self) -> Option<&Arc<CustomerConfig>> {
+        match self {
+            CallerIdentity::Unchecked | CallerIdentity::Anonymous => None,
+            CallerIdentity::Customer(customer) => Some(customer),
+        }
+    }
+}
+
 /// Keyed digest of a key. Digests are compared in place of keys, so that the time of a lookup
 /// says nothing about a key.
 type KeyDigest = u128;
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -7,8 +7,8 @@
 use strum::Display;
 
 use super::{
-    CallNumber, CrashSuspect, DirectRequest, DirectTarget, FailureReason, PromptShape,
-    RequestIdentity, ServiceName, SoftwareVersion, StreamId, TargetStart,
+    CallNumber, CrashSuspect, CustomerName, DirectRequest, DirectTarget, FailureReason,
+    PromptShape, RequestIdentity, ServiceName, SoftwareVersion, StreamId, TargetStart,
     stream::OriginQuery,
     suspect::{TargetRun, request_suspects},
 };
@@ -112,6 +112,8 @@
 pub struct RequestTrace {
     /// Name of the route.
     pub route: Arc<str>,
+    /// Customer that it was sent for, if any.
+    pub customer: Option<CustomerName>,
     /// Calls in order, each with target, its software version, operation, result, duration and prefill tokens.
     pub calls: Vec<String>,
     /// Version of the configuration in force when the request arrived.
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -321,6 +321,7 @@
         let shared_segment = prompt.map_or_else(String::new, longest_shared_segment);
         let trace = RequestTrace {
             route: route.name.clone(),
+            customer: request.customer.as_ref().map(|customer| customer.name.clone()),
             resumes: request
                 .resumes
                 .as_ref()
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod configuration;
+pub mod credential;
 pub mod discovery;
 pub mod generation;
 mod header;
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::{
     Response, StatusCode,
-    header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue, RETRY_AFTER},
+    header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE},
     http::request::Parts,
 };
 use serde::Serialize;
@@ -13,13 +13,16 @@
 use snafu::Snafu;
 use std::hash::{Hash, Hasher};
 
-use super::header::{
-    DEADLINE_MS, LAST_EVENT_ID, PROMPT_PREFIX, REQUEST_ID, RESUMES, TOKEN_COUNT, strip_hop_by_hop,
-    strip_reserved,
+use super::{
+    credential::{self, CredentialFault},
+    header::{
+        DEADLINE_MS, LAST_EVENT_ID, PROMPT_PREFIX, REQUEST_ID, RESUMES, TENANT, TOKEN_COUNT,
+        strip_hop_by_hop, strip_identity, strip_reserved,
+    },
 };
 use crate::direct::{
-    DirectRequest, FailureReason, PromptSegment, PromptShape, RequestFailure, RequestIdentity,
-    RetryPolicy, RouteConfig, RouteTable, StreamId, StreamResume,
+    CallerIdentity, DirectRequest, FailureReason, PromptSegment, PromptShape, RequestFailure,
+    RequestIdentity, RetryPolicy, RouteConfig, RouteTable, StreamId, StreamResume,
 };
 
 /// Reason for rejecting a request before placement. The text is the `error` of the response.
@@ -31,6 +34,12 @@
     /// No route matches the request's host and path.
     #[snafu(display("no route matches the host and path"))]
     NoRoute,
+    /// The caller's credentials do not allow the request.
+    #[snafu(display("{fault}"))]
+    Unauthorized {
+        /// What is wrong with them.
+        fault: CredentialFault,
+    },
     /// A required header is missing or malformed.
     #[snafu(display("missing or malformed header {header:?}"))]
     BadHeader {
@@ -56,6 +65,7 @@
                 StatusCode::SERVICE_UNAVAILABLE
             }
             RequestRejection::NoRoute => StatusCode::NOT_FOUND,
+            RequestRejection::Unauthorized { .. } => StatusCode::UNAUTHORIZED,
             RequestRejection::BadHeader { .. } | RequestRejection::BodyIncomplete => {
                 StatusCode::BAD_REQUEST
             }
@@ -74,6 +84,8 @@
     pub id: HeaderValue,
     /// Route that the request matches.
     pub route: Arc<RouteConfig>,
+    /// For whom it is served.
+    pub identity: CallerIdentity,
     time_left: Duration,
     prompt: Option<PromptShape>,
 }
@@ -85,8 +97,10 @@
 pub fn validate_head(parts: &Parts, table: &RouteTable) -> Result<ValidatedHead, RequestRejection> {
     let host = header_text(&parts.headers, &HOST).unwrap_or("");
     let route = table.find(host, parts.uri.path()).ok_or(RequestRejection::NoRoute)?;
-    let id = parts.headers.get(&REQUEST_ID).filter(|id| !id.is_empty());
-    let id = id.ok_or(RequestRejection::BadHeader { header: "request-id" })?;
+    let identity = credential::identify(&parts.headers, route, table)
+        .map_err(|fault| RequestRejection::Unauthorized { fault })?;
+    let id =
+        request_id(&parts.headers).ok_or(RequestRejection::BadHeader { header: "request-id" })?;
     let time_left = match header_text(&parts.headers, &DEADLINE_MS) {
         None => DEFAULT_DEADLINE,
         Some(value) => {
@@ -102,7 +116,7 @@
         .iter()
         .any(|s| table.services.get(&s.service).is_some_and(|terms| terms.engine.is_some()));
     let prompt = if on_engine { Some(prompt_shape(&parts.headers)?) } else { None };
-    Ok(ValidatedHead { id: id.clone(), route: route.clone(), time_left, prompt })
+    Ok(ValidatedHead { id: id.clone(), route: route.clone(), identity, time_left, prompt })
 }
 
 impl ValidatedHead {
@@ -110,7 +124,7 @@
     pub fn to_direct_request(&self, parts: &Parts, body: &Bytes, caller: IpAddr) -> DirectRequest {
         DirectRequest {
             route: self.route.clone(),
-            customer: None,
+            customer: self.identity.customer().cloned(),
             time_left: self.time_left,
             prompt: self.prompt.clone(),
             identity: request_identity(parts, body, caller),
@@ -118,14 +132,31 @@
             resumes: stream_resume(&self.route, &parts.headers),
         }
     }
+
+    /// Returns the headers of the request that are forwarded to targets. Where the configuration
+    /// has customers, these are the customer's name in place of the caller's credentials.
+    pub fn forwarded_headers(&self, headers: &HeaderMap) -> HeaderMap {
+        let mut forwarded = headers.clone();
+        strip_hop_by_hop(&mut forwarded);
+        strip_reserved(&mut forwarded);
+        match &self.identity {
+            CallerIdentity::Unchecked => {}
+            CallerIdentity::Anonymous => strip_identity(&mut forwarded),
+            CallerIdentity::Customer(customer) => {
+                strip_identity(&mut forwarded);
+                // The decoder accepts only names that fit.
+                if let Ok(name) = HeaderValue::from_bytes(customer.name.as_bytes()) {
+                    forwarded.insert(&TENANT, name);
+                }
+            }
+        }
+        forwarded
+    }
 }
 
-/// Returns the headers of a request that are forwarded to a target.
-pub fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut forwarded = headers.clone();
-    strip_hop_by_hop(&mut forwarded);
-    strip_reserved(&mut forwarded);
-    forwarded
+/// Returns the id that the caller gave a request.
+pub fn request_id(headers: &HeaderMap) -> Option<&HeaderValue> {
+    headers.get(&REQUEST_ID).filter(|id| !id.is_empty())
 }
 
 /// Builds the response to a rejected request; `delay` becomes its `Retry-After` if the
@@ -138,7 +169,12 @@
     let is_temporary = rejection.status() == StatusCode::SERVICE_UNAVAILABLE;
     let retry_after = is_temporary.then_some(delay);
     let body = ErrorBody { error: &rejection.to_string(), not_run: true };
-    system_response(rejection.status(), id, retry_after, &body)
+    let mut response = system_response(rejection.status(), id, retry_after, &body);
+    if matches!(rejection, RequestRejection::Unauthorized { .. }) {
+        let scheme = HeaderValue::from_static(credential::SCHEME);
+        response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+    }
+    response
 }
 
 /// Builds the response to a request that the state machine gave up.
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -1,13 +1,14 @@
 //! Decoder of the operators' configuration document in the platform's store.
 
-use std::{sync::Arc, time::Duration};
+use std::{borrow::Cow, sync::Arc, time::Duration};
 
+use hyper::header::HeaderValue;
 use serde::Deserialize;
 
 use crate::{
     direct::{
-        EngineConfig, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ServiceConfig,
-        WeightedService,
+        CustomerConfig, CustomerTable, EngineConfig, RequestLimits, RetryPolicy, RouteConfig,
+        RouteTable, ServiceConfig, WeightedService,
     },
     error::{Error, ErrorCode, Result},
 };
@@ -18,11 +19,33 @@
 pub const KEY: &str = "config";
 
 #[derive(Deserialize)]
-struct WireConfig {
+struct WireConfig<'a> {
     version: u64,
     routes: Vec<WireRoute>,
     services: Vec<WireService>,
     limits: WireLimits,
+    /// Present, also without any, where callers have to state keys.
+    #[serde(borrow, default)]
+    tenants: Option<Vec<WireTenant<'a>>>,
+}
+
+#[derive(Deserialize)]
+struct WireTenant<'a> {
+    name: Arc<str>,
+    #[serde(borrow)]
+    api_keys: Vec<WireKey<'a>>,
+    priority: Option<u8>,
+}
+
+/// Key of a customer, which is not copied on the way to its digest.
+#[derive(Deserialize)]
+#[serde(transparent)]
+struct WireKey<'a>(#[serde(borrow)] Cow<'a, str>);
+
+impl AsRef<[u8]> for WireKey<'_> {
+    fn as_ref(&self) -> &[u8] {
+        self.0.as_bytes()
+    }
 }
 
 #[derive(Deserialize)]
@@ -39,6 +62,8 @@
     traffic_split: Vec<WireSplit>,
     max_attempts: u32,
     #[serde(default)]
+    allow_anonymous: bool,
+    #[serde(default)]
     resumable: bool,
 }
 
@@ -91,8 +116,8 @@
 /// Returns [`ErrorCode::Malformed`] if it is not valid JSON, or a field is missing or has
 /// an invalid value.
 pub fn decode(value: &[u8]) -> Result<RouteTable> {
-    let config: WireConfig = serde_json::from_slice(value)
-        .map_err(|e| Error::new(ErrorCode::Malformed, format!("configuration ({e})")))?;
+    let config: WireConfig<'_> = serde_json::from_slice(value).map_err(|e| decode_error(&e))?;
+    let customers = config.tenants.map(customer_table).transpose()?;
     let services = config.services.into_iter().map(|s| (s.name.clone(), service_terms(s)));
     Ok(RouteTable {
         version: config.version,
@@ -103,10 +128,34 @@
             body_bytes: config.limits.max_body_bytes,
             idle_time: Duration::from_millis(config.limits.idle_timeout_ms).min(MAX_TIME),
         },
-        customers: None,
+        customers,
     })
 }
 
+/// Returns the error of a document. It states the place only, as the decoder's text may quote a
+/// key, and errors are logged.
+fn decode_error(error: &serde_json::Error) -> Error {
+    let (kind, line, column) = (error.classify(), error.line(), error.column());
+    let place = format!("configuration ({kind:?} error at line {line}, column {column})");
+    Error::new(ErrorCode::Malformed, place)
+}
+
+fn customer_table(tenants: Vec<WireTenant<'_>>) -> Result<CustomerTable> {
+    if let Some(position) = tenants.iter().position(|tenant| !fits_header(&tenant.name)) {
+        let place = format!("configuration (customer {position} has a name that fits no header)");
+        return Err(Error::new(ErrorCode::Malformed, place));
+    }
+    Ok(CustomerTable::new(tenants.into_iter().map(|tenant| {
+        let WireTenant { name, api_keys, priority } = tenant;
+        (CustomerConfig { name, priority }, api_keys)
+    })))
+}
+
+/// Returns whether a header can state a name as it is.
+fn fits_header(name: &str) -> bool {
+    !name.is_empty() && name.trim() == name && HeaderValue::from_bytes(name.as_bytes()).is_ok()
+}
+
 fn route_terms(route: WireRoute) -> RouteConfig {
     let (retry, streams) = match route.kind {
         WireKind::Safe => (RetryPolicy::Always, false),
@@ -130,7 +179,7 @@
         objective: duration_from_millis(route.target_latency_ms),
         priority: route.priority,
         max_attempts: route.max_attempts.max(1),
-        allows_anonymous: true,
+        allows_anonymous: route.allow_anonymous,
         services,
     }
 }
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -1,7 +1,7 @@
 //! Names of the platform's HTTP headers, and rules for which ones are forwarded.
 
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, PROXY_AUTHENTICATE,
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, PROXY_AUTHENTICATE,
     PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 
@@ -19,6 +19,8 @@
 pub(super) static SERVER_SIGNATURE: HeaderName = HeaderName::from_static("server-signature");
 pub(super) static SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 pub(super) static SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Name of the customer, which targets get.
+pub(super) static TENANT: HeaderName = HeaderName::from_static("tenant");
 pub(super) static KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Request headers that only this system may set; a caller's values are not forwarded.
@@ -68,6 +70,13 @@
     }
 }
 
+/// Removes a caller's key and any customer's name that it sent. Only configurations with customers
+/// give these headers a meaning.
+pub(super) fn strip_identity(headers: &mut HeaderMap) {
+    headers.remove(AUTHORIZATION);
+    headers.remove(&TENANT);
+}
+
 /// Returns whether a target needs a header, so that a caller's `Connection` header cannot
 /// remove it.
 fn is_end_to_end(name: &HeaderName) -> bool {
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -158,6 +158,7 @@
         log::info!(
             request:% = self.id,
             route:% = trace.route,
+            customer:% = display_option(trace.customer.as_ref()),
             version:% = trace.version,
             status:% = self.status,
             whole:% = self.complete,
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -8,7 +8,10 @@
     registry::Registry,
 };
 
-use crate::direct::CrashSuspect;
+use crate::{
+    direct::{CallerIdentity, CrashSuspect},
+    platform::caller::RequestRejection,
+};
 
 /// Labels of an ended request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -38,6 +41,14 @@
     pub(super) fault: &'static str,
 }
 
+/// Labels of a check of a caller's identity.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct IdentityLabels {
+    /// `customer` or `anonymous` for a request that is served, else a
+    /// [`CredentialFault`](crate::platform::credential::CredentialFault).
+    pub(super) result: &'static str,
+}
+
 /// Numbers of suspects with which requests are not sent, by kind.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct BlockedCounts {
@@ -91,6 +102,7 @@
     pub(super) pause_seconds: Histogram,
     pub(super) calls: Counter,
     pub(super) faults: Family<FaultLabels, Counter>,
+    identities: Family<IdentityLabels, Counter>,
     pub(super) store_calls: Family<StoreLabels, Counter>,
     pub(super) store_seconds: Histogram,
     in_flight: Gauge,
@@ -115,6 +127,7 @@
             pause_seconds: Histogram::new(DURATION_BUCKETS),
             calls: Counter::default(),
             faults: Family::default(),
+            identities: Family::default(),
             store_calls: Family::default(),
             store_seconds: Histogram::new(DURATION_BUCKETS),
             in_flight: Gauge::default(),
@@ -153,6 +166,26 @@
         text
     }
 
+    /// Counts a request by the identity that was found. Without customers, none is looked for.
+    pub(super) fn record_identity(&self, identity: &CallerIdentity) {
+        match identity {
+            CallerIdentity::Unchecked => {}
+            CallerIdentity::Anonymous => self.count_identity("anonymous"),
+            CallerIdentity::Customer(_) => self.count_identity("customer"),
+        }
+    }
+
+    /// Counts a request that was rejected for its credentials.
+    pub(super) fn record_rejection(&self, rejection: RequestRejection) {
+        if let RequestRejection::Unauthorized { fault } = rejection {
+            self.count_identity(fault.into());
+        }
+    }
+
+    fn count_identity(&self, result: &'static str) {
+        self.identities.get_or_create(&IdentityLabels { result }).inc();
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register(
@@ -177,6 +210,11 @@
             "Responses of targets that were given up, by fault",
             self.faults.clone(),
         );
+        registry.register(
+            "identities",
+            "Requests by what their credentials showed",
+            self.identities.clone(),
+        );
         registry.register("store_calls", "Reads of the store", self.store_calls.clone());
         registry.register(
             "store_seconds",
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -210,8 +210,12 @@
     };
     let head = match caller::validate_head(&parts, &routes) {
         Ok(head) => head,
-        Err(rejection) => return reject(rejection, None),
+        Err(rejection) => {
+            driver.metrics.record_rejection(rejection);
+            return reject(rejection, caller::request_id(&parts.headers));
+        }
     };
+    driver.metrics.record_identity(&head.identity);
     let body = match driver.bodies.read(body, routes.limits.body_bytes).await {
         Ok(body) => body,
         Err(rejection) => return reject(rejection, Some(&head.id)),
@@ -221,7 +225,7 @@
     let id_text = String::from_utf8_lossy(head.id.as_bytes()).into_owned();
     let guard = FlowGuard::new(driver.clone(), flow, id_text);
     driver.step(DirectEvent::Submit { flow, request: Box::new(direct_request) });
-    let forwarded = caller::forwarded_headers(&parts.headers);
+    let forwarded = head.forwarded_headers(&parts.headers);
     let request = CallerRequest { parts, forwarded, id: head.id.clone(), body };
     run_flow(driver, guard, actions, &head, request).await
 }
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -4,11 +4,11 @@
 
 use sapphirewell::{
     direct::{
-        CallOutcome, CallStep, DirectAction, DirectEvent, DirectMachine, DirectRequest,
-        DirectSettings, DirectTarget, EngineConfig, InFlight, LoadReport, PromptSegment,
-        PromptShape, RequestIdentity, RequestLimits, RetryPolicy, RouteConfig, RouteTable,
-        ServiceConfig, ServiceVersion, StoredVersions, StreamResume, SuspectChange, SuspectReport,
-        TargetChange, TargetStage, TargetUsage, WeightedService,
+        CallOutcome, CallStep, CustomerConfig, DirectAction, DirectEvent, DirectMachine,
+        DirectRequest, DirectSettings, DirectTarget, EngineConfig, InFlight, LoadReport,
+        PromptSegment, PromptShape, RequestIdentity, RequestLimits, RetryPolicy, RouteConfig,
+        RouteTable, ServiceConfig, ServiceVersion, StoredVersions, StreamResume, SuspectChange,
+        SuspectReport, TargetChange, TargetStage, TargetUsage, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -304,6 +304,26 @@
         }));
     }
 
+    /// Submits a request of a customer on a route with a priority of its own.
+    pub fn submit_for(
+        &mut self,
+        flow: u64,
+        customer: CustomerConfig,
+        route_priority: u8,
+    ) -> StepResult {
+        let route = RouteConfig { priority: route_priority, ..(*self.route()).clone() };
+        let request = DirectRequest {
+            id: format!("request-{flow}").into(),
+            route: Arc::new(route),
+            customer: Some(Arc::new(customer)),
+            time_left: Duration::from_secs(5),
+            prompt: Some(own_prompt(flow, 100)),
+            identity: own_identity(1000 + flow),
+            resumes: None,
+        };
+        self.after(DirectEvent::Submit { flow, request: Box::new(request) })
+    }
+
     fn send(
         &mut self,
         flow: u64,
