--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,26 +3,40 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, StatusCode, header::HOST};
+use http_body_util::Full;
+use hyper::{Method, Request, Response, StatusCode, header::HOST};
 use serde::{Deserialize, de::DeserializeOwned};
 use snafu::Snafu;
+use tokio::time::Instant;
 
 use super::generation::{GenerationWatch, stated_generation};
 use crate::{
     direct::StoreGeneration,
-    process::dial::{self, RequestSender},
+    process::{
+        dial::{self, RequestSender},
+        paced_body::{BodyLimits, BodyReadError, PacedBody},
+        read_limit::ReceivedBody,
+    },
 };
 
-/// Timeout of a call other than a long poll.
+/// Longest time to the head of a response other than a long poll's, connecting included, and
+/// longest silence within its body.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Time beyond a long poll's wait until the read times out. A store that is this slow
-/// still answers in time when records are present, since it does not hold that read.
+/// Time beyond a long poll's wait until the head of its response is late, and longest silence
+/// within its body. A store that is this slow still answers in time when records are present,
+/// since it does not hold that read.
 const LONG_POLL_MARGIN: Duration = Duration::from_millis(700);
 /// Timeout for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Largest response body: a page of keyed records in base64, with its JSON around them.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+/// Size of a page of a topic of which only the newest records count, in KiB. The store sends a
+/// larger record whole.
+const NEWEST_PAGE_KIB: usize = 64;
+/// Size from which a response with records that newer ones replace is not read, in bytes.
+const MAX_REPLACED_BYTES: u64 = 64 * 1024;
+/// Size of what precedes the records of a page: two offsets, in bytes.
+const PAGE_HEAD_BYTES: usize = 16;
 /// Partition to read and write; every topic in use has only this one.
 const PARTITION: u32 = 0;
 
@@ -47,6 +61,12 @@
         /// Offset of the oldest record that is left.
         first: u64,
     },
+    /// Newer records replace those from the requested offset on, which were not read.
+    #[snafu(display("newer records up to offset {end} replace the next ones"))]
+    Replaced {
+        /// Offset at which the topic ends.
+        end: u64,
+    },
     /// The store was restored from an older copy since the call's position was read or before
     /// the call ended. Its result does not hold for the restored store.
     #[snafu(display("the store was restored from an older copy"))]
@@ -63,6 +83,7 @@
             StoreError::NoAnswer { .. } => "no_answer",
             StoreError::Refused { .. } => "refused",
             StoreError::Deleted { .. } => "deleted",
+            StoreError::Replaced { .. } => "replaced",
             StoreError::Restored => "restored",
             StoreError::Malformed => "malformed",
         }
@@ -99,6 +120,26 @@
     pub next: TopicPosition,
     /// Whether no record that was written before the read is missing.
     pub reached_end: bool,
+    /// Transfer of the records.
+    pub transfer: PageTransfer,
+}
+
+/// Transfer of a page of records, from the head of the response to the end of its body.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PageTransfer {
+    /// Size of the body.
+    pub bytes: usize,
+    /// Time that the body took.
+    pub time: Duration,
+}
+
+/// Which records of a topic a reader needs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TopicNeed {
+    /// All in order, as far as a page holds them.
+    All,
+    /// The newest of each key. Large records that newer ones replace are not read.
+    Newest,
 }
 
 /// Client with one connection to the store, which is reopened after a failure.
@@ -109,10 +150,27 @@
     connection: Option<RequestSender>,
 }
 
-/// Body of a successful response, and the generation that the response states.
+/// Head of a successful response, with the reader of its body.
 struct StoreResponse {
     generation: Option<StoreGeneration>,
-    body: Bytes,
+    body: PacedBody,
+}
+
+/// Limits on the time of a call.
+#[derive(Debug, Clone, Copy)]
+struct CallTimes {
+    /// Longest time to the head of the response, connecting included.
+    head: Duration,
+    /// Longest silence within its body.
+    silence: Duration,
+}
+
+impl CallTimes {
+    const PLAIN: CallTimes = CallTimes { head: CALL_TIMEOUT, silence: CALL_TIMEOUT };
+
+    fn of_poll(wait: Duration) -> CallTimes {
+        CallTimes { head: wait + LONG_POLL_MARGIN, silence: LONG_POLL_MARGIN }
+    }
 }
 
 #[derive(Deserialize)]
@@ -167,6 +225,7 @@
     /// call failed.
     pub async fn read_newest(&mut self, topic: &str) -> Result<RecordPage, StoreError> {
         let mut records = Vec::new();
+        let mut transfer = PageTransfer::default();
         let mut first_end: Option<TopicPosition> = None;
         let mut after: Option<String> = None;
         loop {
@@ -175,9 +234,11 @@
                 path.push_str("&after=");
                 path.push_str(&percent_encode(key));
             }
-            let response = self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?;
-            let page: NewestResponse = decode_json(&response.body)?;
-            let end = TopicPosition { generation: response.generation, offset: page.end };
+            let (generation, body, time) = self.call(Method::GET, &path, Bytes::new()).await?;
+            transfer.bytes += body.len();
+            transfer.time += time;
+            let page: NewestResponse = decode_json(&body)?;
+            let end = TopicPosition { generation, offset: page.end };
             let next = *first_end.get_or_insert(end);
             if next.generation != end.generation {
                 return Err(StoreError::Restored);
@@ -191,7 +252,7 @@
                 records.push(KeyedRecord { key, value: Some(value), offset });
             }
             if !more {
-                return Ok(RecordPage { records, next, reached_end: true });
+                return Ok(RecordPage { records, next, reached_end: true, transfer });
             }
         }
     }
@@ -202,43 +263,39 @@
     ///
     /// # Errors
     /// Returns [`StoreError::Deleted`] if records from the position on were deleted,
+    /// [`StoreError::Replaced`] if only the newest are needed and large ones precede them,
     /// [`StoreError::Restored`] if it is from an earlier generation, or why the call failed.
     pub async fn read_from(
         &mut self,
         topic: &str,
         from: TopicPosition,
+        need: TopicNeed,
         wait: Duration,
     ) -> Result<RecordPage, StoreError> {
         let TopicPosition { generation, offset } = from;
         if generation != self.generations.highest() {
             return Err(StoreError::Restored);
         }
-        let path = format!(
+        let mut path = format!(
             "/log-read?topic={topic}&part={PARTITION}&from={offset}&wait_ms={}",
             wait.as_millis()
         );
-        let response = self.call(Method::GET, &path, Bytes::new(), wait + LONG_POLL_MARGIN).await?;
+        if need == TopicNeed::Newest {
+            path.push_str(&format!("&max_kb={NEWEST_PAGE_KIB}"));
+        }
+        let times = CallTimes::of_poll(wait);
+        let response = self.open(Method::GET, &path, Bytes::new(), times).await?;
         if response.generation != generation {
+            self.disconnect();
             return Err(StoreError::Restored);
         }
-        let mut body = response.body;
-        if body.remaining() < 16 {
-            return Err(StoreError::Malformed);
+        let started = Instant::now();
+        let body = read_page(response.body, from, need).await;
+        let result = body.and_then(|body| decode_page(topic, body, from, started.elapsed()));
+        if result.as_ref().is_err_and(ends_connection) {
+            self.disconnect();
         }
-        let end = body.get_u64();
-        let _first = body.get_u64();
-        let mut page = RecordPage { records: Vec::new(), next: from, reached_end: false };
-        while body.has_remaining() {
-            let content = take_record(&mut body).ok_or(StoreError::Malformed)?;
-            let offset = page.next.offset;
-            match decode_record(content, offset) {
-                Some(record) => page.records.push(record),
-                None => log::info!(topic:% = topic, offset:% = offset; "malformed record ignored"),
-            }
-            page.next.offset += 1;
-        }
-        page.reached_end = page.next.offset >= end;
-        Ok(page)
+        result
     }
 
     /// Appends a record for a key and returns its position. An empty value removes the key.
@@ -259,35 +316,83 @@
         record.put_u8(key.len() as u8);
         record.put_slice(key.as_bytes());
         record.put_slice(value);
-        let response = self.call(Method::POST, &path, record.freeze(), CALL_TIMEOUT).await?;
-        let AppendResponse { offset } = decode_json(&response.body)?;
-        Ok(TopicPosition { generation: response.generation, offset })
+        let (generation, body, _) = self.call(Method::POST, &path, record.freeze()).await?;
+        let AppendResponse { offset } = decode_json(&body)?;
+        Ok(TopicPosition { generation, offset })
     }
 
+    /// Makes a call that the store does not hold, and returns the response's generation and body
+    /// with the time that the body took.
     async fn call(
         &mut self,
         method: Method,
         path: &str,
         body: Bytes,
-        timeout: Duration,
+    ) -> Result<(Option<StoreGeneration>, Bytes, Duration), StoreError> {
+        let response = self.open(method, path, body, CallTimes::PLAIN).await?;
+        let started = Instant::now();
+        match response.body.read_to_end().await {
+            Ok(body) => Ok((response.generation, body, started.elapsed())),
+            Err(error) => {
+                self.disconnect();
+                Err(error.into())
+            }
+        }
+    }
+
+    /// Makes a call and returns the head of the successful response, before its body was read.
+    async fn open(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        times: CallTimes,
     ) -> Result<StoreResponse, StoreError> {
+        let limits = BodyLimits { silence: times.silence, bytes: MAX_RESPONSE_BYTES };
         let exchange = self.exchange(method, path, body);
-        let result = match tokio::time::timeout(timeout, exchange).await {
-            Ok(result) => result,
+        let result = match tokio::time::timeout(times.head, exchange).await {
+            Ok(Ok(response)) => self.check_head(response, limits).await,
+            Ok(Err(error)) => Err(error),
             Err(_) => Err(StoreError::NoAnswer { reason: "timed out".to_owned() }),
         };
-        if matches!(result, Err(StoreError::NoAnswer { .. })) {
-            self.connection = None;
+        if result.as_ref().is_err_and(ends_connection) {
+            self.disconnect();
         }
         result
     }
 
+    /// Returns a response that is successful, or reads why it is not.
+    async fn check_head(
+        &self,
+        response: Response<ReceivedBody>,
+        limits: BodyLimits,
+    ) -> Result<StoreResponse, StoreError> {
+        let (head, body) = response.into_parts();
+        let generation = stated_generation(&head.headers);
+        let body = PacedBody::new(body, limits);
+        if !self.generations.observe(generation) {
+            return Err(StoreError::Restored);
+        }
+        if head.status == StatusCode::OK {
+            return Ok(StoreResponse { generation, body });
+        }
+        // Read also where it says nothing, so that the connection remains usable.
+        let body = body.read_to_end().await?;
+        match head.status {
+            StatusCode::GONE => {
+                Err(StoreError::Deleted { first: decode_json::<DeletedResponse>(&body)?.first })
+            }
+            status => Err(StoreError::Refused { status: status.as_u16() }),
+        }
+    }
+
+    /// Sends a request and returns the head of its response.
     async fn exchange(
         &mut self,
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<StoreResponse, StoreError> {
+    ) -> Result<Response<ReceivedBody>, StoreError> {
         let host = self.address.to_string();
         let connection = self.connection().await?;
         let request = Request::builder()
@@ -296,20 +401,7 @@
             .header(HOST, host)
             .body(Full::new(body))
             .map_err(|_| StoreError::Malformed)?;
-        let response = connection.send_request(request).await.map_err(no_answer)?;
-        let status = response.status();
-        let generation = stated_generation(response.headers());
-        let is_current = self.generations.observe(generation);
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
-        let body = body.map_err(|e| StoreError::NoAnswer { reason: e.to_string() })?.to_bytes();
-        match status {
-            _ if !is_current => Err(StoreError::Restored),
-            StatusCode::OK => Ok(StoreResponse { generation, body }),
-            StatusCode::GONE => {
-                Err(StoreError::Deleted { first: decode_json::<DeletedResponse>(&body)?.first })
-            }
-            status => Err(StoreError::Refused { status: status.as_u16() }),
-        }
+        connection.send_request(request).await.map_err(no_answer)
     }
 
     /// Returns the open connection, or opens a new one.
@@ -333,6 +425,63 @@
     }
 }
 
+/// Reads the body of a page of records, unless only the newest are needed and the page holds
+/// large ones that others replace.
+async fn read_page(
+    mut body: PacedBody,
+    from: TopicPosition,
+    need: TopicNeed,
+) -> Result<Bytes, StoreError> {
+    let announced = body.announced();
+    let mut head = body.read_at_least(PAGE_HEAD_BYTES).await?;
+    let end = head.try_get_u64().map_err(|_| StoreError::Malformed)?;
+    let is_large = announced.is_none_or(|bytes| bytes > MAX_REPLACED_BYTES);
+    if need == TopicNeed::Newest && is_large && end > from.offset + 1 {
+        return Err(StoreError::Replaced { end });
+    }
+    Ok(body.read_to_end().await?)
+}
+
+fn decode_page(
+    topic: &str,
+    mut body: Bytes,
+    from: TopicPosition,
+    time: Duration,
+) -> Result<RecordPage, StoreError> {
+    let transfer = PageTransfer { bytes: body.len(), time };
+    if transfer.bytes < PAGE_HEAD_BYTES {
+        return Err(StoreError::Malformed);
+    }
+    let end = body.get_u64();
+    let _first = body.get_u64();
+    let mut page = RecordPage { records: Vec::new(), next: from, reached_end: false, transfer };
+    while body.has_remaining() {
+        let content = take_record(&mut body).ok_or(StoreError::Malformed)?;
+        let offset = page.next.offset;
+        match decode_record(content, offset) {
+            Some(record) => page.records.push(record),
+            None => log::info!(topic:% = topic, offset:% = offset; "malformed record ignored"),
+        }
+        page.next.offset += 1;
+    }
+    page.reached_end = page.next.offset >= end;
+    Ok(page)
+}
+
+/// Returns whether a response was left unread, so that its connection serves no other call.
+fn ends_connection(error: &StoreError) -> bool {
+    match error {
+        StoreError::NoAnswer { .. } | StoreError::Replaced { .. } | StoreError::Restored => true,
+        StoreError::Refused { .. } | StoreError::Deleted { .. } | StoreError::Malformed => false,
+    }
+}
+
+impl From<BodyReadError> for StoreError {
+    fn from(error: BodyReadError) -> StoreError {
+        StoreError::NoAnswer { reason: error.to_string() }
+    }
+}
+
 fn no_answer(error: hyper::Error) -> StoreError {
     StoreError::NoAnswer { reason: error.to_string() }
 }
--- a/src/process.rs
+++ b/src/process.rs
@@ -15,6 +15,7 @@
 pub mod link;
 pub mod logging;
 pub mod metrics;
+pub mod paced_body;
 pub mod peer;
 pub mod platform;
 pub mod read_limit;
--- a/src/process/direct/copy.rs
+++ b/src/process/direct/copy.rs
@@ -8,7 +8,7 @@
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, header::HOST};
 use serde::{Deserialize, Serialize};
 
@@ -17,7 +17,10 @@
     direct::{DirectEvent, TargetChange},
     error::{Error, ErrorCode, Result},
     platform::{configuration, discovery},
-    process::dial,
+    process::{
+        dial,
+        paced_body::{BodyLimits, PacedBody},
+    },
 };
 
 /// Time that a starting process waits for the store, which usually answers within
@@ -25,7 +28,8 @@
 const STORE_GRACE: Duration = Duration::from_millis(300);
 /// Pause between rounds over the peers.
 const ROUND_PAUSE: Duration = Duration::from_millis(500);
-/// Timeout for a copy from one peer, connecting included.
+/// Longest time to the head of a peer's response, connecting included, and longest silence within
+/// its body. A large copy over a slow link takes longer.
 const COPY_TIMEOUT: Duration = Duration::from_millis(700);
 /// Largest copy that is accepted.
 const MAX_COPY_BYTES: usize = 8 * 1024 * 1024;
@@ -114,13 +118,17 @@
             .body(Full::new(Bytes::new()))
             .map_err(|e| failed(&e))?;
         let response = connection.sender.send_request(request).await.map_err(|e| failed(&e))?;
-        let body = Limited::new(response.into_body(), MAX_COPY_BYTES);
-        let bytes = body.collect().await.map_err(|e| failed(&e))?.to_bytes();
-        let malformed = |e| Error::new(ErrorCode::Malformed, format!("records of {peer} ({e})"));
-        ciborium::from_reader(&bytes[..]).map_err(malformed)
+        // The connection stays open until its body was read.
+        Ok((connection, response))
     };
     let timed_out = |_| Error::new(ErrorCode::Timeout, peer.to_string());
-    tokio::time::timeout(COPY_TIMEOUT, exchange).await.map_err(timed_out)?
+    let head = tokio::time::timeout(COPY_TIMEOUT, exchange).await.map_err(timed_out)?;
+    let (_connection, response) = head?;
+    let limits = BodyLimits { silence: COPY_TIMEOUT, bytes: MAX_COPY_BYTES };
+    let body = PacedBody::new(response.into_body(), limits);
+    let bytes = body.read_to_end().await.map_err(|e| failed(&e))?;
+    ciborium::from_reader(&bytes[..])
+        .map_err(|e| Error::new(ErrorCode::Malformed, format!("records of {peer} ({e})")))
 }
 
 /// Applies a copy, unless the store has answered in the meantime.
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -16,7 +16,10 @@
     platform::{
         configuration, discovery,
         settings::PlatformSettings,
-        store::{KeyedRecord, RecordPage, StoreClient, StoreError, TopicPosition},
+        store::{
+            KeyedRecord, PageTransfer, RecordPage, StoreClient, StoreError, TopicNeed,
+            TopicPosition,
+        },
     },
 };
 
@@ -26,6 +29,9 @@
 /// Shortest pause before a read that a request waits for, so that many requests share one.
 const DEMAND_PAUSE: Duration = Duration::from_millis(100);
 
+/// Size of a read from which it is logged, in bytes.
+const LARGE_READ_BYTES: usize = 64 * 1024;
+
 /// Starts to follow the configuration and the targets.
 pub(super) fn spawn(settings: &PlatformSettings, driver: &Rc<DirectDriver>) {
     let (configuration_bound, drain_bound) = (settings.configuration_bound, settings.drain_bound);
@@ -33,21 +39,24 @@
     tokio::task::spawn_local(async move {
         let follower = ConfigurationFollower { driver: configuration_driver.clone() };
         let schedule = ReadSchedule::of_configuration(configuration_bound);
-        let topic = FollowedTopic { name: configuration::TOPIC, schedule };
+        let need = TopicNeed::Newest;
+        let topic = FollowedTopic { name: configuration::TOPIC, need, schedule };
         follow(&configuration_driver, topic, follower).await;
     });
     tokio::task::spawn_local(async move {
         let follower = TargetFollower::new(target_driver.clone());
         let schedule = ReadSchedule::of_targets(drain_bound);
-        let topic = FollowedTopic { name: discovery::TOPIC, schedule };
+        let need = TopicNeed::All;
+        let topic = FollowedTopic { name: discovery::TOPIC, need, schedule };
         follow(&target_driver, topic, follower).await;
     });
 }
 
-/// Topic of the store and how often it is read.
+/// Topic of the store, which of its records are needed and how often it is read.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct FollowedTopic {
     pub(super) name: &'static str,
+    pub(super) need: TopicNeed,
     pub(super) schedule: ReadSchedule,
 }
 
@@ -78,14 +87,14 @@
 
 /// Reads a snapshot of a topic and then its changes, without end. Starts again from a
 /// snapshot if the store has deleted changes that were not read yet or was restored from an
-/// older copy, or after a malformed response.
+/// older copy, if more changes are unread than a page holds, or after a malformed response.
 pub(super) async fn follow(
     driver: &DirectDriver,
     followed: FollowedTopic,
     mut follower: impl TopicFollower,
 ) {
-    let FollowedTopic { name: topic, schedule: ReadSchedule { pause, poll_wait } } = followed;
-    let mut reader = TopicReader::new(topic, driver.store_client());
+    let FollowedTopic { name: topic, schedule: ReadSchedule { pause, poll_wait }, .. } = followed;
+    let mut reader = TopicReader::new(followed, driver.store_client());
     let demand = follower.demand();
     let mut is_demanded = false;
     let mut backoff = RETRY_BACKOFF.0;
@@ -110,18 +119,33 @@
         driver.record_store_read(topic, label, started.elapsed());
         match result {
             Ok(read) => {
+                let age = driver.topic_age(topic);
                 if !reachable {
-                    log::info!(topic:% = topic; "store reachable again");
+                    log::info!(topic:% = topic, age_ms:% = age.as_millis(); "store reachable again");
                 }
                 reachable = true;
                 backoff = RETRY_BACKOFF.0;
                 let reached_end = read.page.reached_end;
+                driver.record_page(topic, &read.page);
+                log_large_read(topic, &read.page, age);
                 apply(&mut follower, read);
                 if reached_end {
                     follower.read_to_end(started.elapsed());
                 }
                 follower.after_read();
-                is_demanded = reader.pause(&demand, pause).await;
+                if reached_end {
+                    is_demanded = reader.pause(&demand, pause).await;
+                } else {
+                    // A snapshot has each key once, however many changes are unread.
+                    reader.next = None;
+                }
+            }
+            Err(StoreError::Replaced { end }) => {
+                log::info!(
+                    topic:% = topic, end:% = end, age_ms:% = driver.topic_age(topic).as_millis();
+                    "newer records replace unread ones; reading the topic from a snapshot"
+                );
+                reader.next = None;
             }
             Err(StoreError::Deleted { first }) => {
                 log::info!(
@@ -138,7 +162,11 @@
             }
             Err(error) => {
                 if reachable {
-                    log::warn!(topic:% = topic, error:% = error; "store unreachable");
+                    let age_ms = driver.topic_age(topic).as_millis();
+                    log::warn!(
+                        topic:% = topic, age_ms:% = age_ms, error:% = error;
+                        "store unreachable"
+                    );
                 }
                 reachable = false;
                 if error == StoreError::Malformed {
@@ -153,9 +181,23 @@
     }
 }
 
+/// Logs a read that may take long, as it is large. `age` is the time since the last read to the
+/// topic's end.
+fn log_large_read(topic: &'static str, page: &RecordPage, age: Duration) {
+    let PageTransfer { bytes, time } = page.transfer;
+    if bytes >= LARGE_READ_BYTES {
+        log::info!(
+            topic:% = topic, bytes:% = bytes, read_ms:% = time.as_millis(),
+            age_ms:% = age.as_millis(), reached_end:% = page.reached_end;
+            "large read of the store"
+        );
+    }
+}
+
 /// Reader of one topic, with the position of the next read.
 struct TopicReader {
     topic: &'static str,
+    need: TopicNeed,
     store: StoreClient,
     /// `None` if the next read is a snapshot.
     next: Option<TopicPosition>,
@@ -172,8 +214,9 @@
 }
 
 impl TopicReader {
-    fn new(topic: &'static str, store: StoreClient) -> TopicReader {
-        TopicReader { topic, store, next: None, generation: None }
+    fn new(followed: FollowedTopic, store: StoreClient) -> TopicReader {
+        let FollowedTopic { name: topic, need, .. } = followed;
+        TopicReader { topic, need, store, next: None, generation: None }
     }
 
     /// Reads a snapshot or the next changes, which the store waits for.
@@ -182,7 +225,7 @@
         let generations = self.store.generations().clone();
         let page = tokio::select! {
             biased;
-            result = self.store.read_from(self.topic, from, wait) => result?,
+            result = self.store.read_from(self.topic, from, self.need, wait) => result?,
             _ = generations.wait_for_restore(from.generation) => return Err(StoreError::Restored),
         };
         self.next = Some(page.next);
@@ -238,9 +281,14 @@
     fn apply_changes(&mut self, records: Vec<KeyedRecord>) {
         let newest = records.into_iter().rev().filter(|record| record.key == configuration::KEY);
         for value in newest.filter_map(|record| record.value) {
+            let started = Instant::now();
             match configuration::decode(&value) {
                 Ok(routes) => {
-                    log::info!(version:% = routes.version; "configuration read");
+                    log::info!(
+                        version:% = routes.version, routes:% = routes.routes.len(),
+                        bytes:% = value.len(), decode_ms:% = started.elapsed().as_millis();
+                        "configuration read"
+                    );
                     self.driver.records.borrow_mut().set_configuration(value);
                     self.driver.step(DirectEvent::Routes(Arc::new(routes)));
                     return;
--- a/src/process/direct/gossip.rs
+++ b/src/process/direct/gossip.rs
@@ -24,7 +24,10 @@
         report_interval,
     },
     error::{Error, ErrorCode, Result},
-    platform::{settings::PlatformSettings, store::KeyedRecord},
+    platform::{
+        settings::PlatformSettings,
+        store::{KeyedRecord, TopicNeed},
+    },
 };
 
 /// Topic in which entries publish their addresses.
@@ -119,7 +122,8 @@
     let driver = driver.clone();
     tokio::task::spawn_local(async move {
         publish_address(driver.clone(), address).await;
-        let topic = FollowedTopic { name: PEER_TOPIC, schedule: PEER_SCHEDULE };
+        let topic =
+            FollowedTopic { name: PEER_TOPIC, need: TopicNeed::All, schedule: PEER_SCHEDULE };
         follow::follow(&driver, topic, follower).await;
     });
     log::debug!(instance:% = instance, address:% = address; "exchanging reports with peers");
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of a direct entry, in the Prometheus text format.
 
-use std::time::Duration;
+use std::{sync::atomic::AtomicU64, time::Duration};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -8,7 +8,7 @@
     registry::Registry,
 };
 
-use crate::direct::CrashSuspect;
+use crate::{direct::CrashSuspect, platform::store::PageTransfer};
 
 /// Labels of an ended request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -31,6 +31,13 @@
     pub(super) end: &'static str,
 }
 
+/// Label of a topic of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct TopicLabels {
+    /// The topic.
+    topic: &'static str,
+}
+
 /// Labels of a faulty response.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct FaultLabels {
@@ -81,6 +88,9 @@
 const DURATION_BUCKETS: [f64; 12] =
     [0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0];
 
+/// Gauge of a time in seconds.
+type SecondsGauge = Gauge<f64, AtomicU64>;
+
 /// Metrics of one direct entry.
 #[derive(Debug)]
 pub(super) struct DirectMetrics {
@@ -93,6 +103,8 @@
     pub(super) faults: Family<FaultLabels, Counter>,
     pub(super) store_calls: Family<StoreLabels, Counter>,
     pub(super) store_seconds: Histogram,
+    read_bytes: Family<TopicLabels, Gauge>,
+    read_seconds: Family<TopicLabels, SecondsGauge>,
     in_flight: Gauge,
     targets: Gauge,
     limited_targets: Gauge,
@@ -100,8 +112,8 @@
     blocked_requests: Gauge,
     peers: Gauge,
     version: Gauge,
-    configuration_age: Gauge<f64, std::sync::atomic::AtomicU64>,
-    targets_age: Gauge<f64, std::sync::atomic::AtomicU64>,
+    configuration_age: SecondsGauge,
+    targets_age: SecondsGauge,
     log_lines_dropped: Gauge,
 }
 
@@ -117,6 +129,8 @@
             faults: Family::default(),
             store_calls: Family::default(),
             store_seconds: Histogram::new(DURATION_BUCKETS),
+            read_bytes: Family::default(),
+            read_seconds: Family::default(),
             in_flight: Gauge::default(),
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
@@ -153,6 +167,13 @@
         text
     }
 
+    /// Records the size and time of the last read of a topic that returned records.
+    pub(super) fn record_transfer(&self, topic: &'static str, transfer: PageTransfer) {
+        let labels = TopicLabels { topic };
+        self.read_bytes.get_or_create(&labels).set(transfer.bytes as i64);
+        self.read_seconds.get_or_create(&labels).set(transfer.time.as_secs_f64());
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register(
@@ -183,6 +204,16 @@
             "Time of reads of the store, held ones included",
             self.store_seconds.clone(),
         );
+        registry.register(
+            "store_read_bytes",
+            "Size of the last read of a topic that returned records",
+            self.read_bytes.clone(),
+        );
+        registry.register(
+            "store_read_seconds",
+            "Time of the last read of a topic that returned records, from head to end",
+            self.read_seconds.clone(),
+        );
         registry.register("in_flight", "Requests without an end", self.in_flight.clone());
         registry.register("targets", "Known targets", self.targets.clone());
         registry.register(
@@ -204,7 +235,7 @@
         registry.register("configuration_version", "Version in force", self.version.clone());
         registry.register(
             "configuration_age_seconds",
-            "Time since the configuration was last read",
+            "Time since the configuration was last read to the newest version",
             self.configuration_age.clone(),
         );
         registry.register(
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -32,7 +32,12 @@
         PeerName, RequestRate, RequestTrace, RouteTable, StopPhase, SuspectReport,
     },
     ids::ClockTime,
-    platform::{configuration, discovery, generation::GenerationWatch, runner, store::StoreClient},
+    platform::{
+        configuration, discovery,
+        generation::GenerationWatch,
+        runner,
+        store::{RecordPage, StoreClient},
+    },
     process::logging,
 };
 
@@ -329,16 +334,27 @@
         self.machine.borrow().is_ready()
     }
 
-    /// Records the result and duration of a store read in the metrics, and the time of a
-    /// successful one.
+    /// Records the result and duration of a store read in the metrics.
     pub(super) fn record_store_read(&self, topic: &'static str, end: &'static str, took: Duration) {
-        if end == STORE_READ_OK {
-            self.last_reads.borrow_mut().insert(topic, Instant::now());
-        }
         self.metrics.store_calls.get_or_create(&StoreLabels { topic, end }).inc();
         self.metrics.store_seconds.observe(took.as_secs_f64());
     }
 
+    /// Records a page of a topic, and that the topic was read if it reached the end.
+    pub(super) fn record_page(&self, topic: &'static str, page: &RecordPage) {
+        if page.reached_end {
+            self.last_reads.borrow_mut().insert(topic, Instant::now());
+        }
+        if !page.records.is_empty() {
+            self.metrics.record_transfer(topic, page.transfer);
+        }
+    }
+
+    /// Returns the time since a topic was read to its end, or since the start.
+    pub(super) fn topic_age(&self, topic: &'static str) -> Duration {
+        self.last_reads.borrow().get(topic).unwrap_or(&self.started).elapsed()
+    }
+
     /// Records the ages of copied records, as if this process had read them at that time.
     pub(super) fn record_copied_ages(&self, ages: RecordAges) {
         let copied = [(configuration::TOPIC, ages.configuration), (discovery::TOPIC, ages.targets)];
@@ -351,9 +367,10 @@
 
     /// Returns the times since each topic was read; a topic never read has the process's age.
     pub(super) fn record_ages(&self) -> RecordAges {
-        let reads = self.last_reads.borrow();
-        let age = |topic| reads.get(topic).unwrap_or(&self.started).elapsed();
-        RecordAges { configuration: age(configuration::TOPIC), targets: age(discovery::TOPIC) }
+        RecordAges {
+            configuration: self.topic_age(configuration::TOPIC),
+            targets: self.topic_age(discovery::TOPIC),
+        }
     }
 
     /// Returns the metrics in the Prometheus text format.
