--- a/emulator/src/stand_in.rs
+++ b/emulator/src/stand_in.rs
@@ -13,6 +13,7 @@
 pub mod runner;
 pub mod slots;
 pub mod store;
+pub mod throttle;
 
 use std::{
     convert::Infallible,
--- a/emulator/src/stand_in/fleet.rs
+++ b/emulator/src/stand_in/fleet.rs
@@ -120,6 +120,17 @@
         self.store.put("keyed.op", "config", Some(config.to_string().as_bytes()));
     }
 
+    /// Writes a configuration with this number of routes more, which serve nothing in these tests.
+    pub fn configure_routes(&self, version: u64, count: usize) {
+        let mut config = configuration(version, ENGINES);
+        if let Some(routes) = config["routes"].as_array_mut() {
+            let more = (0..count).map(|number| unused_route(number, &routes[3]));
+            let more: Vec<_> = more.collect();
+            routes.extend(more);
+        }
+        self.store.put("keyed.op", "config", Some(config.to_string().as_bytes()));
+    }
+
     /// Writes a configuration with the same timeout for all routes.
     pub fn configure_timeout(&self, version: u64, timeout: Duration) {
         let mut config = configuration(version, ENGINES);
@@ -336,6 +347,15 @@
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
+/// Returns a route like another, with a name and host of its own.
+fn unused_route(number: usize, like: &serde_json::Value) -> serde_json::Value {
+    let mut route = like.clone();
+    route["name"] = json!(format!("unused-route-number-{number:05}"));
+    route["host"] = json!(format!("host-{number:05}.example"));
+    route["path_prefix"] = json!(format!("/unused-{number:05}/"));
+    route
+}
+
 fn configuration(version: u64, note_service: &str) -> serde_json::Value {
     let route = |name: &str, kind: &str, timeout: u64, objective: u64, attempts: u64| {
         json!({
--- a/emulator/src/stand_in/store.rs
+++ b/emulator/src/stand_in/store.rs
@@ -9,11 +9,19 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::{Request, Response, StatusCode, body::Incoming, header::HeaderValue};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_LENGTH, HeaderValue},
+};
 use serde_json::json;
 use tokio::sync::Notify;
 
-use super::{BrokenOff, StandInBody, whole};
+use super::{
+    BrokenOff, StandInBody,
+    throttle::{LinkRate, ThrottledLink},
+    whole,
+};
 
 /// Faults to inject into the store's HTTP interface.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -52,6 +60,10 @@
     pub rewrite_delay: Duration,
 }
 
+/// Largest size of the records of a read that states none, in KiB. One record is sent whatever its
+/// size is.
+const DEFAULT_PAGE_KIB: usize = 1024;
+
 /// Topics that the operator and the targets write.
 const FOREIGN_TOPICS: [&str; 2] = ["keyed.op", "keyed.servers"];
 
@@ -110,6 +122,8 @@
 struct StoreState {
     topics: HashMap<String, Topic>,
     faults: StoreFaults,
+    /// Link that carries the responses; `None` if their size takes no time.
+    link: Option<ThrottledLink>,
     calls: u64,
     /// Number of restores from an older copy.
     restores: u64,
@@ -133,6 +147,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Sends the bodies of responses over a link of this rate.
+    pub fn set_link(&self, rate: LinkRate) {
+        self.state().link = Some(ThrottledLink::new(rate));
+    }
+
     /// Returns the number of calls received over HTTP.
     pub fn calls(&self) -> u64 {
         self.state().calls
@@ -224,12 +243,19 @@
         self,
         request: Request<Incoming>,
     ) -> Result<Response<StandInBody>, BrokenOff> {
-        let response = self.clone().answer(request).await?;
+        let (head, body) = self.clone().answer(request).await?.into_parts();
+        let body = body.collect().await?.to_bytes();
         let state = self.state();
         if state.faults.away {
             return Err(BrokenOff::Closed);
         }
-        let mut response = response;
+        let length = HeaderValue::from(body.len());
+        let body = match &state.link {
+            Some(link) => link.carry(body),
+            None => whole(body),
+        };
+        let mut response = Response::from_parts(head, body);
+        response.headers_mut().insert(CONTENT_LENGTH, length);
         if !state.faults.hides_generation {
             response.headers_mut().insert("store-era", HeaderValue::from(1 + state.restores));
         }
@@ -304,6 +330,8 @@
         let number =
             |name| query.get(name).and_then(|text: &String| text.parse().ok()).unwrap_or(0);
         let from: u64 = number("from");
+        let limit = query.get("max_kb").and_then(|text| text.parse().ok());
+        let limit = limit.unwrap_or(DEFAULT_PAGE_KIB) * 1024;
         let wait = Duration::from_millis(number("wait_ms"));
         let deadline = tokio::time::Instant::now() + wait;
         loop {
@@ -315,19 +343,19 @@
             if self.state().faults.away {
                 return response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
             }
-            if let Some(answer) = self.read_now(topic, from) {
+            if let Some(answer) = self.read_now(topic, from, limit) {
                 return answer;
             }
             if self.state().faults.delay_long_polls {
                 tokio::time::sleep_until(deadline).await;
             }
             if tokio::time::timeout_at(deadline, changed).await.is_err() {
-                return self.read_now(topic, from).unwrap_or_else(|| page(from, 0, &[]));
+                return self.read_now(topic, from, limit).unwrap_or_else(|| page(from, 0, &[]));
             }
         }
     }
 
-    fn read_now(&self, topic: &str, from: u64) -> Option<Response<StandInBody>> {
+    fn read_now(&self, topic: &str, from: u64, limit: usize) -> Option<Response<StandInBody>> {
         let mut state = self.state();
         let topic = state.topics.entry(topic.to_owned()).or_default();
         let first = topic.first as u64;
@@ -335,6 +363,13 @@
             return Some(response(StatusCode::GONE, json!({ "first": first }).to_string()));
         }
         let records = &topic.records[from as usize..];
+        let mut bytes = 0;
+        let fits = |record: &&Record| {
+            let is_first = bytes == 0;
+            bytes += 4 + record.content.len();
+            is_first || bytes <= limit
+        };
+        let records = &records[..records.iter().take_while(fits).count()];
         (!records.is_empty()).then(|| page(topic.end(), first, records))
     }
 }
