--- a/emulator/src/stand_in/throttle.rs
+++ b/emulator/src/stand_in/throttle.rs
@@ -27,19 +27,20 @@
 
 /// Link that all connections share.
 #[derive(Debug, Clone)]
-pub(super) struct ThrottledLink {
+pub struct ThrottledLink {
     rate: LinkRate,
     /// When the link has sent all that waits for it.
     free_at: Arc<Mutex<Instant>>,
 }
 
 impl ThrottledLink {
-    pub(super) fn new(rate: LinkRate) -> ThrottledLink {
+    /// Creates a link that nothing waits for.
+    pub fn new(rate: LinkRate) -> ThrottledLink {
         ThrottledLink { rate, free_at: Arc::new(Mutex::new(Instant::now())) }
     }
 
     /// Returns a body that arrives as fast as the link carries it.
-    pub(super) fn carry(&self, body: Bytes) -> StandInBody {
+    pub fn carry(&self, body: Bytes) -> StandInBody {
         let state = (self.clone(), body, 0);
         let pieces = stream::unfold(state, |(link, mut rest, sent)| async move {
             if rest.is_empty() {
--- a/emulator/tests/large_configuration_over_a_thin_link.rs
+++ b/emulator/tests/large_configuration_over_a_thin_link.rs
@@ -8,10 +8,12 @@
     load::LoadClient,
     stand_in::{
         fleet::{ENGINES, PlatformFleet, PlatformSizes},
+        serve,
         store::StoreFaults,
-        throttle::LinkRate,
+        throttle::{LinkRate, ThrottledLink},
     },
 };
+use hyper::Response;
 use tokio::time::{Instant, sleep};
 use yare::parameterized;
 
@@ -81,6 +83,36 @@
     });
 }
 
+/// An entry that starts while the store is away copies the records of a peer over the link.
+#[test]
+fn a_large_configuration_is_copied_from_a_peer() {
+    tokio::runtime::Runtime::new().unwrap().block_on(async {
+        let sizes = PlatformSizes { port: 24_370, entries: 2, prefill: 1, decode: 1, plain: 1 };
+        let mut fleet = PlatformFleet::spawn(sizes).await.unwrap();
+        fleet.configure_routes(11, ROUTES);
+        let started = Instant::now();
+        while version(&fleet).await != Some(11) {
+            assert!(started.elapsed() < APPLY_TIME, "logs in {}", fleet.folder().display());
+            sleep(Duration::from_millis(50)).await;
+        }
+        let url = format!("http://{}/records", fleet.inspection(0));
+        let client = LoadClient::default();
+        let records = client.send(hyper::Method::GET, &url, &[], Bytes::new()).await.unwrap().1;
+        fleet.store.set_faults(StoreFaults { silent: true, ..StoreFaults::default() });
+        fleet.entries.clear();
+        let link = ThrottledLink::new(LINK);
+        let answer = move |_| std::future::ready(Ok(Response::new(link.carry(records.clone()))));
+        serve(fleet.inspection(1).port(), answer).await.unwrap();
+        let entry = fleet.start_entry(0).unwrap();
+        fleet.entries.push(entry);
+        let started = Instant::now();
+        while version(&fleet).await != Some(11) {
+            assert!(started.elapsed() < APPLY_TIME, "logs in {}", fleet.folder().display());
+            sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
+
 fn begin(fleet: &mut PlatformFleet, trouble: LinkTrouble) {
     let steady = StoreFaults::default();
     match trouble {
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -29,6 +29,7 @@
 mod metrics;
 mod orders;
 mod pool;
+mod record_bytes;
 mod request_body;
 mod serve;
 mod shell;
--- a/src/process/direct/copy.rs
+++ b/src/process/direct/copy.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, header::HOST};
 use serde::{Deserialize, Serialize};
 
-use super::{inspect::RECORDS_PATH, shell::DirectDriver};
+use super::{inspect::RECORDS_PATH, record_bytes::RecordBytes, shell::DirectDriver};
 use crate::{
     direct::{DirectEvent, TargetChange},
     error::{Error, ErrorCode, Result},
@@ -44,8 +44,8 @@
 /// Response that holds the records for a starting peer.
 #[derive(Debug, Serialize, Deserialize)]
 struct RecordCopy {
-    configuration: Option<Vec<u8>>,
-    targets: Vec<(String, Vec<u8>)>,
+    configuration: Option<RecordBytes>,
+    targets: Vec<(String, RecordBytes)>,
     ages: RecordAges,
 }
 
@@ -77,9 +77,11 @@
         &self,
         ages: RecordAges,
     ) -> std::result::Result<Vec<u8>, ciborium::ser::Error<std::io::Error>> {
+        let targets = self.targets.iter();
+        let targets = targets.map(|(id, value)| (id.clone(), RecordBytes(value.clone())));
         let copy = RecordCopy {
-            configuration: self.configuration.as_ref().map(|value| value.to_vec()),
-            targets: self.targets.iter().map(|(id, value)| (id.clone(), value.to_vec())).collect(),
+            configuration: self.configuration.clone().map(RecordBytes),
+            targets: targets.collect(),
             ages,
         };
         let mut bytes = Vec::new();
@@ -143,19 +145,19 @@
         "records copied"
     );
     driver.record_copied_ages(copy.ages);
-    if let Some(value) = copy.configuration {
+    if let Some(RecordBytes(value)) = copy.configuration {
         match configuration::decode(&value) {
             Ok(routes) => {
-                driver.records.borrow_mut().set_configuration(value.into());
+                driver.records.borrow_mut().set_configuration(value);
                 driver.step(DirectEvent::Routes(Arc::new(routes)));
             }
             Err(error) => log::warn!(error:% = error; "malformed configuration in copy ignored"),
         }
     }
-    for (id, value) in copy.targets {
+    for (id, RecordBytes(value)) in copy.targets {
         match discovery::decode(&id, &value) {
             Ok(target) => {
-                driver.records.borrow_mut().set_target(&id, Some(value.into()));
+                driver.records.borrow_mut().set_target(&id, Some(value));
                 driver.step(DirectEvent::Target(TargetChange::Listed(target)));
             }
             Err(error) => {
