--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -168,6 +168,7 @@
             retry_window: RETRY_WINDOW,
             lease: Duration::from_secs(3),
             drain_bound: Duration::from_secs(2),
+            usage: None,
         })
     }
 
@@ -328,6 +329,8 @@
             }
             DirectAction::Claim => self.append_claim(entry),
             DirectAction::Order(order) => self.send_order(entry, order),
+            // The rig's entries have no usage to report.
+            DirectAction::Usage(_) => {}
             DirectAction::PersistSuspect(change) => {
                 let process = self.entries[entry].process;
                 self.persist_suspect(entry, process, change);
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -38,6 +38,11 @@
 mod suspect;
 mod suspect_table;
 mod target;
+mod usage;
+mod usage_clock;
+mod usage_count;
+mod usage_duty;
+mod usage_report;
 mod version;
 mod waiting;
 
@@ -64,6 +69,13 @@
 };
 pub use suspect_table::SuspectTable;
 pub use target::{DirectTarget, LeavingTarget, TargetChange, TargetFleet, TargetStage};
+pub use usage::{
+    BootTime, CustomerCounts, EndedCounts, PostOutcome, SavedUsage, UsageAction, UsageContent,
+    UsageEvent, UsageMessage, UsageReceipt, UsageRecords, UsageSettings, UsageUpdate, UsageWindow,
+    WindowUsage,
+};
+pub use usage_clock::TrueClock;
+pub use usage_duty::UsageState;
 pub use version::{ServiceVersion, StoredVersions, VersionChange};
 
 /// Identifies a request within one process.
@@ -72,7 +84,7 @@
 pub type CallNumber = u32;
 /// Number of times that the store was restored from an older copy, from wherever it counts.
 pub type StoreGeneration = u64;
-/// Fencing token of a claim on ordering engines. It rises with each claim; see [`fencing_token`].
+/// Fencing token of a claim on ordering engines or reporting usage. It rises with each claim; see [`fencing_token`].
 pub type OrderFencingToken = u64;
 /// Names a peer entry.
 pub type PeerName = Arc<str>;
@@ -285,6 +297,8 @@
     StoreRestored(StoreGeneration),
     /// A claim on ordering engines ended.
     ClaimEnded(ClaimOutcome),
+    /// Event of the usage duty.
+    Usage(UsageEvent),
     /// An order ended.
     OrderEnded {
         /// The engine that was ordered.
@@ -408,6 +422,8 @@
     Claim,
     /// Order an engine to switch its stage, unless the store holds a newer claim.
     Order(StageOrder),
+    /// Action of the usage duty.
+    Usage(UsageAction),
 }
 
 /// Whether two processes are in the same data centre.
--- a/src/direct/authority.rs
+++ b/src/direct/authority.rs
@@ -1,9 +1,10 @@
-//! Authority to order engines: at most one entry holds it, without an election.
+//! Authority over a duty: at most one entry holds it, without an election.
 //!
 //! An entry claims the authority with a record in the store, whose position gives the fencing
-//! token. It sends no order before a lease has passed since the claim, and checks before
-//! each order that the store holds its claim and no newer one. So no two entries alternate
-//! within a lease, even if their load reports are lost.
+//! token. It makes no call before a lease has passed since the claim, and checks before
+//! each call that the store holds its claim and no newer one. So no two entries alternate
+//! within a lease, even if their load reports are lost. See
+//! [docs/design/duties.md](../../docs/design/duties.md).
 //!
 //! A store that was restored from an older copy may have lost claims, and gives out their offsets
 //! again. Claims from before do not hold any more, and tokens of later generations are higher.
@@ -12,13 +13,10 @@
 
 use serde::Serialize;
 
-use super::{OrderFencingToken, PeerName, PeerTable, StoreGeneration};
+use super::{OrderFencingToken, StoreGeneration, load::repeat_time};
 use crate::ids::ClockTime;
 
-/// Time without a report from the claim's holder after which another entry claims. It is
-/// more than three times the timeout of a peer.
-const CLAIM_TIMEOUT: Duration = Duration::from_secs(5);
-/// Maximum time between the check of the store and the arrival of the order that it allowed.
+/// Maximum time between the check of the store and the arrival of the call that it allowed.
 const ORDER_DELIVERY_TIME: Duration = Duration::from_secs(2);
 
 /// Bits of a fencing token that hold the end of the topic; the generation is above them.
@@ -55,19 +53,57 @@
     Superseded,
 }
 
+/// Duty of one entry at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub(super) enum Duty {
+    /// Orders to engines.
+    Engines,
+    /// Reports of customers' usage.
+    Usage,
+}
+
+impl Duty {
+    /// Returns the time without a report from the claim's holder after which an entry claims that
+    /// so many others precede by name, or `None` if it leaves that to them.
+    fn claim_timeout(self, preceding: usize, peers: usize) -> Option<Duration> {
+        match self {
+            // More than three times the timeout of a peer.
+            Duty::Engines => (preceding == 0).then_some(Duration::from_secs(5)),
+            // A report is due soon, and the first by name may be cut off from the store.
+            Duty::Usage => {
+                let step = Duration::from_secs(1);
+                let turn = step.saturating_mul(u32::try_from(preceding).unwrap_or(u32::MAX));
+                Some(repeat_time(peers, Duration::from_millis(2500)).saturating_add(turn))
+            }
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 enum AuthorityState {
     /// This entry has no claim.
     None,
     /// A claim is being written.
     Claiming,
-    /// The claim is recorded, and orders may be sent from the given time on.
+    /// The claim is recorded, and calls may be made from the given time on.
     Held { fence: OrderFencingToken, from: ClockTime },
 }
 
-/// This entry's claim on ordering engines.
+/// What an entry knows of its peers' claims on a duty.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PeerClaims {
+    /// Newest claim that a live peer reports.
+    pub(super) newest: Option<OrderFencingToken>,
+    /// Number of live peers whose names sort before this entry's.
+    pub(super) preceding: usize,
+    /// Number of live peers.
+    pub(super) peers: usize,
+}
+
+/// This entry's claim on a duty.
 #[derive(Debug, Clone, Serialize)]
-pub(super) struct StageAuthority {
+pub(super) struct DutyAuthority {
+    duty: Duty,
     lease: Duration,
     state: AuthorityState,
     /// Lowest token of the store's generation. Claims with lower ones do not hold.
@@ -76,9 +112,9 @@
     heard: Option<ClockTime>,
 }
 
-impl StageAuthority {
-    pub(super) fn new(lease: Duration) -> StageAuthority {
-        StageAuthority { lease, state: AuthorityState::None, lowest: 0, heard: None }
+impl DutyAuthority {
+    pub(super) fn new(duty: Duty, lease: Duration) -> DutyAuthority {
+        DutyAuthority { duty, lease, state: AuthorityState::None, lowest: 0, heard: None }
     }
 
     /// Returns the fencing token of the recorded claim, for load reports.
@@ -89,7 +125,7 @@
         }
     }
 
-    /// Returns the fencing token if orders may be sent now.
+    /// Returns the fencing token if calls may be made now.
     pub(super) fn fence(&self, now: ClockTime) -> Option<OrderFencingToken> {
         match self.state {
             AuthorityState::Held { fence, from } if now >= from => Some(fence),
@@ -98,23 +134,19 @@
     }
 
     /// Returns whether this entry should claim now, and drops a claim that a peer superseded.
-    pub(super) fn should_claim(
-        &mut self,
-        now: ClockTime,
-        own: &PeerName,
-        peers: &PeerTable,
-    ) -> bool {
+    pub(super) fn should_claim(&mut self, now: ClockTime, claims: PeerClaims) -> bool {
         let heard = *self.heard.get_or_insert(now);
         // A peer that has not noticed a restore of the store reports a claim that does not hold.
-        if let Some(newest) = peers.newest_claim().filter(|newest| *newest >= self.lowest) {
+        if let Some(newest) = claims.newest.filter(|newest| *newest >= self.lowest) {
             self.heard = Some(now);
             if self.claim().is_some_and(|fence| fence < newest) {
                 self.state = AuthorityState::None;
             }
             return false;
         }
-        let timed_out = now >= heard + CLAIM_TIMEOUT;
-        if self.state != AuthorityState::None || !timed_out || !peers.is_first(own) {
+        let timeout = self.duty.claim_timeout(claims.preceding, claims.peers);
+        let timed_out = timeout.is_some_and(|timeout| now >= heard + timeout);
+        if self.state != AuthorityState::None || !timed_out {
             return false;
         }
         self.state = AuthorityState::Claiming;
--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -178,6 +178,7 @@
             flow.cache = None;
         }
         let target = call.target.id.clone();
+        self.count_answer(now, id);
         if let Some(state) = self.fleet.get_mut(&target) {
             if success { state.record_success() } else { state.record_failure() }
         }
@@ -191,6 +192,37 @@
         out.push(DirectAction::Deliver { flow: id, time_left });
     }
 
+    /// Counts a request without a stream, which began to run before its answer.
+    fn count_answer(&mut self, now: ClockTime, id: FlowId) {
+        let is_stream = |flow: &DirectFlow| flow.request.route.streams;
+        if self.flows.get(&id).is_some_and(|flow| !is_stream(flow)) {
+            self.count_request(now, id);
+        }
+    }
+
+    /// Counts a stream that begins. One that goes on was counted as it began.
+    fn count_stream(&mut self, now: ClockTime, id: FlowId) {
+        let begins = |flow: &DirectFlow| {
+            let succeeded = flow.call.as_ref().is_some_and(|call| call.succeeded);
+            succeeded && flow.request.route.streams && flow.request.resumes.is_none()
+        };
+        if self.flows.get(&id).is_some_and(begins) {
+            self.count_request(now, id);
+        }
+    }
+
+    /// Counts a request for its customer, once.
+    fn count_request(&mut self, now: ClockTime, id: FlowId) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let Some(customer) = flow.request.customer.clone() else { return };
+        if std::mem::replace(&mut flow.is_counted, true) {
+            return;
+        }
+        if let Some(usage) = self.active_usage() {
+            usage.record(now, &customer.name);
+        }
+    }
+
     /// Handles a prefill that counts as a run, which has produced no answer for the caller.
     fn prefill_ran(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let may_rerun = self.may_rerun(now, id) && self.spend_retry(now, id);
@@ -275,6 +307,7 @@
 
     pub(super) fn first_output(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         self.stream_began(now, id, out);
+        self.count_stream(now, id);
         let Some(flow) = self.flows.get_mut(&id) else { return };
         flow.trace.first_ms = Some(now.saturating_sub(flow.arrived).as_millis() as u64);
         let priority = priority(flow);
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -102,6 +102,8 @@
     /// Engine with a limit of which a request is kept back for the decode call.
     pub(super) reserved: Option<TargetId>,
     pub(super) may_have_run: bool,
+    /// Whether it is in the counts of its customer's usage.
+    pub(super) is_counted: bool,
     /// Whether the response that is being delivered ends with its connection.
     pub(super) unframed: bool,
     pub(super) trace: RequestTrace,
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -7,6 +7,7 @@
 use super::{
     LeavingTarget, LimitStatement, OrderFencingToken, PeerName, PrefillBacklog, PromptSegment,
     RequestRate, ServiceDemand, ServiceName,
+    authority::{Duty, PeerClaims},
     backlog::{FIRST_LATE_PRIORITY, PRIORITY_COUNT},
 };
 use crate::ids::{ClockTime, TargetId};
@@ -105,6 +106,9 @@
     pub suspects: Vec<()>,
     /// Fencing token of the entry's claim on ordering engines, if it holds one.
     pub claim: Option<OrderFencingToken>,
+    /// Fencing token of the entry's claim on reporting usage, if it holds one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage_claim: Option<OrderFencingToken>,
     /// Targets that stated lately that they leave.
     #[serde(default)]
     pub leaving: Vec<LeavingTarget>,
@@ -139,11 +143,21 @@
     sequence: u64,
     received: ClockTime,
     claim: Option<OrderFencingToken>,
+    usage_claim: Option<OrderFencingToken>,
     #[serde(rename = "counts")]
     targets: HashMap<TargetId, TargetUsage>,
     demand: Vec<ServiceDemand>,
 }
 
+impl PeerLoad {
+    fn claim_on(&self, duty: Duty) -> Option<OrderFencingToken> {
+        match duty {
+            Duty::Engines => self.claim,
+            Duty::Usage => self.usage_claim,
+        }
+    }
+}
+
 /// Current load of each peer, by its reports.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct PeerTable {
@@ -164,6 +178,7 @@
             sequence: report.sequence,
             received: now,
             claim: None,
+            usage_claim: None,
             targets: HashMap::new(),
             demand: Vec::new(),
         });
@@ -174,6 +189,7 @@
         load.sequence = report.sequence;
         load.received = now;
         load.claim = report.claim;
+        load.usage_claim = report.usage_claim;
         load.demand = report.demand;
         let targets = report.targets.into_iter().map(|usage| (usage.target.clone(), usage));
         load.targets.extend(targets);
@@ -191,14 +207,23 @@
         self.peers.retain(|_, peer| now <= peer.received + timeout);
     }
 
-    /// Returns the newest claim on ordering engines among live peers.
-    pub fn newest_claim(&self) -> Option<OrderFencingToken> {
-        self.peers.values().filter_map(|peer| peer.claim).max()
+    /// Returns the newest claim on a duty among live peers, and this entry's place among them.
+    pub(super) fn claims(&self, duty: Duty, own: &PeerName) -> PeerClaims {
+        let claims = self.peers.values().filter_map(|peer| peer.claim_on(duty));
+        let preceding = self.peers.keys().filter(|peer| *peer < own).count();
+        PeerClaims { newest: claims.max(), preceding, peers: self.peers.len() }
+    }
+
+    /// Returns the live peer with the newest claim on a duty.
+    pub(super) fn holder(&self, duty: Duty) -> Option<&PeerName> {
+        let claims =
+            self.peers.iter().filter_map(|(name, peer)| Some((peer.claim_on(duty)?, name)));
+        claims.max().map(|(_, name)| name)
     }
 
-    /// Returns whether a name sorts before the names of all live peers.
-    pub fn is_first(&self, name: &PeerName) -> bool {
-        self.peers.keys().all(|peer| name < peer)
+    /// Returns the process start that a live peer reports.
+    pub(super) fn instance(&self, peer: &PeerName) -> Option<u64> {
+        self.peers.get(peer).map(|load| load.instance)
     }
 
     /// Returns the names of live peers.
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -13,8 +13,8 @@
     CachedSegment, CallNumber, ClaimOutcome, CrashSuspect, DirectAction, DirectEvent,
     DirectRequest, EngineConfig, FailureReason, FlowId, PeerName, PeerTable, RequestFailure,
     RequestTrace, RetryPolicy, RetryWindow, RouteTable, ServiceName, StreamId, SuspectReport,
-    TargetChange, TargetFleet, TargetUsage,
-    authority::StageAuthority,
+    TargetChange, TargetFleet, TargetUsage, UsageSettings,
+    authority::{Duty, DutyAuthority},
     estimate::{Placement, PlacementQuery, PlacementView, StreamPart, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
     limit::LimitTable,
@@ -23,6 +23,7 @@
     stop::{RequestTimes, StopPlan},
     stream::OriginTable,
     suspect_table::SuspectTable,
+    usage_duty::UsageDuty,
     waiting::{allowed_wait, priority},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
@@ -66,6 +67,8 @@
     pub lease: Duration,
     /// Time within which nothing may be sent any more to a target whose leaving was recorded.
     pub drain_bound: Duration,
+    /// When customers' usage is reported; `None` if that is not a duty here.
+    pub usage: Option<UsageSettings>,
 }
 
 /// State machine of an entry that calls targets directly.
@@ -109,7 +112,9 @@
     /// Requests that wait for the origin of their stream.
     #[serde(skip)]
     pub(super) querying: Vec<FlowId>,
-    pub(super) authority: StageAuthority,
+    pub(super) authority: DutyAuthority,
+    /// Reports of customers' usage, where they are a duty.
+    pub(super) usage: Option<UsageDuty>,
     pub(super) planner: StagePlanner,
     /// Times of requests by the name of their route.
     #[serde(skip)]
@@ -123,7 +128,11 @@
     pub fn new(settings: DirectSettings) -> DirectMachine {
         DirectMachine {
             rng: SmallRng::seed_from_u64(settings.seed),
-            authority: StageAuthority::new(settings.lease),
+            authority: DutyAuthority::new(Duty::Engines, settings.lease),
+            usage: settings
+                .usage
+                .clone()
+                .map(|usage| UsageDuty::new(usage, settings.lease, settings.instance)),
             suspects: SuspectTable::new(settings.instance),
             planner: StagePlanner::default(),
             fleet: TargetFleet::new(settings.drain_bound),
@@ -283,6 +292,7 @@
             }
             DirectEvent::StoreRestored(generation) => self.store_restored(now, generation),
             DirectEvent::ClaimEnded(outcome) => self.claim_ended(now, outcome),
+            DirectEvent::Usage(event) => self.usage_event(now, event, out),
             DirectEvent::OrderEnded { target, outcome } => {
                 self.planner.order_ended(now, &target, outcome);
             }
@@ -348,6 +358,7 @@
             cache: None,
             reserved: None,
             may_have_run: false,
+            is_counted: false,
             unframed: false,
             trace,
         };
@@ -543,7 +554,8 @@
         if !self.fleet.has_engines() || self.stop.is_some() {
             return;
         }
-        if self.authority.should_claim(now, &self.settings.name, &self.peers) {
+        let claims = self.peers.claims(Duty::Engines, &self.settings.name);
+        if self.authority.should_claim(now, claims) {
             out.push(DirectAction::Claim);
         }
         if let Some(order) = self.plan_stages(now) {
@@ -570,6 +582,7 @@
         let evidence = self.suspects.take_evidence(now);
         out.extend(evidence.into_iter().map(DirectAction::PersistEvidence));
         self.manage_stages(now, out);
+        self.tick_usage(now, out);
         while let Some((expires, id)) = self.timeouts.first().copied() {
             if expires > now {
                 return;
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    CachedSegment, DirectMachine, LoadReport, PromptShape, TargetUsage,
+    CachedSegment, DirectMachine, LoadReport, OrderFencingToken, PromptShape, TargetUsage,
     estimate::{MIN_AFFINITY_TOKENS, shared_tokens},
     load::repeat_time,
     machine::memory_tokens,
@@ -61,6 +61,7 @@
             targets: usages,
             cached: self.recent_segments.iter().map(|(_, cached)| cached.clone()).collect(),
             claim: self.authority.claim(),
+            usage_claim: self.usage_claim(now),
             leaving: self.fleet.leaving_since(now.saturating_sub(leaving_time)),
             limits: self.limits.statements(now),
             demand: self.limits.demands(now),
@@ -69,6 +70,13 @@
         }
     }
 
+    /// Returns the claim on reporting usage. A stopping entry tells of none, so that another one
+    /// claims before it has exited.
+    fn usage_claim(&self, now: ClockTime) -> Option<OrderFencingToken> {
+        let usage = self.usage.as_ref().filter(|_| self.stop.is_none())?;
+        usage.reported_claim(now)
+    }
+
     pub(super) fn peer_load(&mut self, now: ClockTime, report: LoadReport) {
         if report.peer != self.settings.name && report.has_valid_numbers() {
             for cached in &report.cached {
--- a/src/direct/restore.rs
+++ b/src/direct/restore.rs
@@ -26,5 +26,8 @@
         if self.authority.store_restored(now, generation) {
             self.planner.reset();
         }
+        if let Some(usage) = &mut self.usage {
+            usage.store_restored(now, generation);
+        }
     }
 }
--- a/src/direct/stop.rs
+++ b/src/direct/stop.rs
@@ -199,5 +199,6 @@
                 self.fail_request(id, FailureReason::Stopping, REJECTED_RETRY_DELAY, out);
             }
         }
+        self.send_last_counts(out);
     }
 }
--- /dev/null
+++ b/src/direct/usage.rs
@@ -0,0 +1,231 @@
+//! What entries tell each other, the store and the platform about the requests of customers.
+//!
+//! See [docs/design/duties.md](../../docs/design/duties.md).
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use super::{ClaimOutcome, CustomerName, OrderFencingToken, PeerName};
+
+/// Number of a window of true time. Window k begins k window lengths after the start of 1970.
+pub type UsageWindow = u64;
+/// Requests that began to run, by customer.
+pub type CustomerCounts = BTreeMap<CustomerName, u64>;
+/// Time since the VM booted, including time in which it was suspended.
+pub type BootTime = Duration;
+
+/// When the usage of customers is reported.
+#[derive(Debug, Clone, Serialize)]
+pub struct UsageSettings {
+    /// Length of a window; not zero.
+    pub window: Duration,
+    /// Time from a window's end until its report is too late.
+    pub lateness: Duration,
+    /// Shortest time between two calls to the platform.
+    pub call_interval: Duration,
+}
+
+impl UsageSettings {
+    /// Returns the window at a time since the start of 1970.
+    pub fn window_at(&self, time: Duration) -> UsageWindow {
+        let window = time.as_nanos() / self.window.as_nanos().max(1);
+        UsageWindow::try_from(window).unwrap_or(UsageWindow::MAX)
+    }
+
+    /// Returns the end of a window, since the start of 1970.
+    pub fn end(&self, window: UsageWindow) -> Duration {
+        let seconds = self.window.as_secs_f64() * (window.saturating_add(1)) as f64;
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+}
+
+/// Requests that began to run in a window.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct WindowUsage {
+    /// The window.
+    pub window: UsageWindow,
+    /// Requests by customer.
+    pub counts: CustomerCounts,
+}
+
+/// Counts that outlast a loss of power at all entries.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SavedUsage {
+    /// Process starts whose requests the counts include.
+    pub instances: Vec<u64>,
+    /// Sums over these, of windows that were not reported.
+    pub windows: Vec<WindowUsage>,
+}
+
+/// Message from one entry to another about usage.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageMessage {
+    /// The sender.
+    pub peer: PeerName,
+    /// Random number of the sender's process start.
+    pub instance: u64,
+    /// What it says.
+    pub content: UsageContent,
+}
+
+/// Content of a [`UsageMessage`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UsageContent {
+    /// Counts of the sender that changed since the receiver confirmed any.
+    Counts(UsageUpdate),
+    /// The sender holds counts of the receiver.
+    Received(UsageReceipt),
+}
+
+/// Counts of an entry that changed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageUpdate {
+    /// Number of the last change that is included.
+    pub sequence: u64,
+    /// First window in which the sender may still count requests, if all changes are included.
+    pub open: Option<UsageWindow>,
+    /// Counts from the window's start on. Counts that did not change are left out.
+    pub windows: Vec<WindowUsage>,
+    /// Counts that the sender holds of process starts that no longer report. They are sent to the
+    /// holder, which may not have been told.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<EndedCounts>,
+}
+
+/// Counts of a process start that no longer reports.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct EndedCounts {
+    /// Name of its entry.
+    pub peer: PeerName,
+    /// Random number of the process start.
+    pub instance: u64,
+    /// Its counts.
+    pub windows: Vec<WindowUsage>,
+}
+
+/// Statement that counts were received.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageReceipt {
+    /// Process start that counted.
+    pub counter: u64,
+    /// Number of the last change that was received; 0 for none.
+    pub sequence: u64,
+    /// Digest of the counts of ended process starts that were received; 0 for none.
+    #[serde(default)]
+    pub ended: u64,
+    /// Last window whose counts are fixed, if the sender knows of one.
+    pub fixed: Option<UsageWindow>,
+}
+
+/// Records of the duty in the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct UsageRecords {
+    /// Entry with the newest claim, and its fencing token.
+    pub claim: Option<(PeerName, OrderFencingToken)>,
+    /// Last window whose counts were fixed.
+    pub fixed: Option<WindowUsage>,
+    /// Counts that a holder saved.
+    pub saved: Option<SavedUsage>,
+}
+
+/// Event of the usage duty.
+#[derive(Debug, Clone)]
+pub enum UsageEvent {
+    /// The time since the start of 1970, by this VM.
+    Clock(Duration),
+    /// A peer sent a message.
+    Message(UsageMessage),
+    /// A claim on the duty ended.
+    ClaimEnded(ClaimOutcome),
+    /// The records were read, or the store did not respond.
+    RecordsRead {
+        /// Number of the attempt. Results of others are ignored.
+        attempt: u64,
+        /// The records; `None` without a response.
+        records: Option<UsageRecords>,
+        /// When the read began.
+        checked: BootTime,
+    },
+    /// Counts were written to the store, or it did not confirm that.
+    Fixed {
+        /// Number of the attempt.
+        attempt: u64,
+        /// Whether the store confirmed it.
+        confirmed: bool,
+    },
+    /// A report to the platform ended.
+    Posted {
+        /// Number of the attempt.
+        attempt: u64,
+        /// How it ended.
+        outcome: PostOutcome,
+    },
+}
+
+/// How a report to the platform ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum PostOutcome {
+    /// The platform accepted it.
+    Accepted,
+    /// The platform refused it.
+    Refused,
+    /// The platform did not respond, and may have accepted it.
+    NoAnswer,
+    /// It was not sent, as too much time had passed since the claim was checked.
+    CheckExpired,
+    /// It was not sent, as the store did not respond.
+    NoStore,
+    /// It was not sent, as the store holds no such counts for the window.
+    NotFixed,
+    /// It was not sent, as the store holds a newer claim.
+    Superseded,
+}
+
+/// Action of the usage duty that the driver carries out.
+#[derive(Debug, Clone, PartialEq)]
+pub enum UsageAction {
+    /// Write a claim on the duty to the store.
+    Claim,
+    /// Send a message to a peer. One that is lost is sent again if needed.
+    Send {
+        /// The receiver.
+        peer: PeerName,
+        /// The message.
+        message: UsageMessage,
+    },
+    /// Write counts to the store. A later write replaces them.
+    Save(SavedUsage),
+    /// Read the records of the duty.
+    Read {
+        /// Number of the attempt, which its event repeats.
+        attempt: u64,
+    },
+    /// Write the counts of a window to the store, after which they do not change.
+    Fix {
+        /// Number of the attempt, which its event repeats.
+        attempt: u64,
+        /// Window and counts.
+        usage: WindowUsage,
+        /// When the claim was checked.
+        checked: BootTime,
+    },
+    /// Report a window to the platform, if the store holds this claim and these counts.
+    Post {
+        /// Number of the attempt, which its event repeats.
+        attempt: u64,
+        /// Token of the claim.
+        fence: OrderFencingToken,
+        /// Window and counts.
+        usage: WindowUsage,
+    },
+    /// Log that windows are not reported, as it is too late.
+    Missed {
+        /// First of them.
+        first: UsageWindow,
+        /// Last of them.
+        last: UsageWindow,
+    },
+}
--- /dev/null
+++ b/src/direct/usage_duty.rs
@@ -0,0 +1,416 @@
+//! Duty of reporting customers' usage: counting at each entry, and reporting at one.
+//!
+//! The holder fixes a window's counts with a record in the store before it reports them, so that
+//! a later holder repeats exactly these or nothing. See
+//! [docs/design/duties.md](../../docs/design/duties.md).
+
+use std::time::Duration;
+
+use serde::Serialize;
+use smallvec::SmallVec;
+
+use super::{
+    BootTime, CustomerName, DirectAction, DirectMachine, OrderFencingToken, PeerName, PeerTable,
+    PostOutcome, StoreGeneration, UsageAction, UsageContent, UsageEvent, UsageMessage,
+    UsageReceipt, UsageRecords, UsageSettings, UsageWindow, WindowUsage,
+    authority::{ClaimOutcome, Duty, DutyAuthority},
+    usage_count::{CountLedger, digest},
+    usage_report::{FixedUsage, UsageReporter},
+};
+use crate::ids::ClockTime;
+
+/// Interval at which an entry sends counts that were not confirmed. A request that began shorter
+/// before its entry's end is not reported.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which the holder saves counts in the store, for a loss of power at all entries.
+const SAVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of entries that hold all counts besides the one that reports.
+const BACKUP_COUNT: usize = 2;
+/// Share of the lateness for which a report waits for entries that have not closed its window.
+const COMPLETION_WAIT: f64 = 1.0 / 3.0;
+/// Time for which the holder cannot read the store until it no longer tells of its claim, so that
+/// another entry may claim.
+const STORE_FAILURE_TIME: Duration = Duration::from_secs(2);
+
+/// What of the usage duty is shown in metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UsageState {
+    /// Whether this entry holds the duty.
+    pub is_holder: bool,
+    /// Time since this process's last report that the platform accepted, or since its start.
+    pub report_age: Duration,
+    /// Number of ended windows that this entry has counts of and knows no report of.
+    pub unreported: u64,
+}
+
+/// Usage duty of one entry.
+#[derive(Debug, Clone, Serialize)]
+pub(super) struct UsageDuty {
+    settings: UsageSettings,
+    pub(super) authority: DutyAuthority,
+    /// Time since the start of 1970 at a time of the process's clock.
+    clock: Option<(ClockTime, Duration)>,
+    ledger: CountLedger,
+    next_update: ClockTime,
+    next_save: ClockTime,
+    /// Changes of the ledger that were saved.
+    saved_changes: u64,
+    reporter: UsageReporter,
+}
+
+impl UsageDuty {
+    pub(super) fn new(settings: UsageSettings, lease: Duration, instance: u64) -> UsageDuty {
+        UsageDuty {
+            settings,
+            authority: DutyAuthority::new(Duty::Usage, lease),
+            clock: None,
+            ledger: CountLedger::new(instance),
+            next_update: ClockTime::ZERO,
+            next_save: ClockTime::ZERO,
+            saved_changes: 0,
+            reporter: UsageReporter::default(),
+        }
+    }
+
+    /// Returns the claim that load reports tell of. One that cannot be checked is left out, so that
+    /// an entry that can reach the store claims; without one, this claim holds on.
+    pub(super) fn reported_claim(&self, now: ClockTime) -> Option<OrderFencingToken> {
+        let fails = self.reporter.store_fails;
+        let is_cut_off = fails.is_some_and(|since| now >= since + STORE_FAILURE_TIME);
+        self.authority.claim().filter(|_| !is_cut_off)
+    }
+
+    pub(super) fn store_restored(&mut self, now: ClockTime, generation: StoreGeneration) {
+        self.authority.store_restored(now, generation);
+    }
+
+    /// Returns the time since the start of 1970, once the clock was read.
+    fn true_time(&self, now: ClockTime) -> Option<Duration> {
+        self.clock.map(|(at, time)| time.saturating_add(now.saturating_sub(at)))
+    }
+
+    /// Counts a request that began to run.
+    pub(super) fn record(&mut self, now: ClockTime, customer: &CustomerName) {
+        if let Some(time) = self.true_time(now) {
+            self.ledger.open(self.settings.window_at(time));
+            self.ledger.record(customer);
+        }
+    }
+
+    pub(super) fn state(&self, now: ClockTime) -> UsageState {
+        let open = self.true_time(now).map(|time| self.settings.window_at(time));
+        let first = self.next_window();
+        let unreported = first.zip(open).map_or(0, |(first, open)| open.saturating_sub(first));
+        UsageState {
+            is_holder: self.authority.claim().is_some(),
+            report_age: now.saturating_sub(self.reporter.accepted.unwrap_or(ClockTime::ZERO)),
+            unreported,
+        }
+    }
+
+    /// Sends changed counts, and saves and reports them if this entry holds the duty.
+    fn tick(&mut self, now: ClockTime, own: &EntryStart, peers: &PeerTable, out: &mut Actions) {
+        let Some(time) = self.true_time(now) else { return };
+        self.ledger.open(self.settings.window_at(time));
+        self.drop_old(time);
+        if now >= self.next_update {
+            self.next_update = now + UPDATE_INTERVAL;
+            self.send_updates(own, peers, out);
+        }
+        self.save(now, out);
+        self.report(now, time, peers, out);
+    }
+
+    fn drop_old(&mut self, time: Duration) {
+        let oldest = self.first_in_time(time);
+        let unfixed = self.reporter.last_fixed.map_or(0, |fixed| fixed + 1);
+        self.ledger.keep_from(oldest.max(unfixed));
+    }
+
+    /// Returns the first window whose report is not too late.
+    fn first_in_time(&self, time: Duration) -> UsageWindow {
+        self.settings.window_at(time.saturating_sub(self.settings.lateness))
+    }
+
+    /// Sends counts to the holder and to those that would claim after it.
+    pub(super) fn send_updates(&self, own: &EntryStart, peers: &PeerTable, out: &mut Actions) {
+        for peer in self.collectors(own, peers) {
+            let instance = peers.instance(&peer).unwrap_or_default();
+            let is_holder = peers.holder(Duty::Usage) == Some(&peer);
+            let is_live = |name: &PeerName, start| peers.instance(name) == Some(start);
+            let ended = if is_holder { self.ledger.ended(is_live) } else { Vec::new() };
+            if let Some(update) = self.ledger.update_for(&peer, instance, ended) {
+                send(own, &peer, UsageContent::Counts(update), out);
+            }
+        }
+    }
+
+    fn collectors(&self, own: &EntryStart, peers: &PeerTable) -> SmallVec<[PeerName; 4]> {
+        let holder = peers.holder(Duty::Usage);
+        let mut names: Vec<&PeerName> =
+            peers.names().filter(|name| **name != own.name && Some(*name) != holder).collect();
+        names.sort_unstable();
+        holder.into_iter().chain(names.into_iter().take(BACKUP_COUNT)).cloned().collect()
+    }
+
+    fn message(&mut self, own: &EntryStart, message: &UsageMessage, out: &mut Actions) {
+        match &message.content {
+            UsageContent::Counts(update) => {
+                self.ledger.apply(&message.peer, message.instance, update);
+                let receipt = UsageReceipt {
+                    counter: message.instance,
+                    sequence: update.sequence,
+                    ended: digest(&update.ended),
+                    fixed: self.reporter.last_fixed,
+                };
+                send(own, &message.peer, UsageContent::Received(receipt), out);
+            }
+            UsageContent::Received(receipt) => {
+                if receipt.counter == own.instance {
+                    self.ledger.confirm(&message.peer, message.instance, receipt);
+                }
+                self.reporter.note_fixed(receipt.fixed);
+            }
+        }
+    }
+
+    /// Saves changed counts. What an earlier holder saved is read before.
+    fn save(&mut self, now: ClockTime, out: &mut Actions) {
+        let is_due = now >= self.next_save && self.saved_changes != self.ledger.changes;
+        let is_holder = self.authority.claim().is_some() && self.reporter.has_read;
+        if is_due && is_holder {
+            self.next_save = now + SAVE_INTERVAL;
+            self.saved_changes = self.ledger.changes;
+            out.push(DirectAction::Usage(UsageAction::Save(self.ledger.to_save())));
+        }
+    }
+
+    /// Begins the next step of a report, if this entry may make one.
+    fn report(&mut self, now: ClockTime, time: Duration, peers: &PeerTable, out: &mut Actions) {
+        self.reporter.follow_claim(self.authority.claim());
+        if self.reporter.fence.is_none() || self.reporter.is_busy || now < self.reporter.next {
+            return;
+        }
+        if !self.reporter.has_read {
+            return self.reporter.begin(out, |attempt| UsageAction::Read { attempt });
+        }
+        let Some(fence) = self.authority.fence(now) else { return };
+        self.settle_late(time, out);
+        match &self.reporter.fixed {
+            Some(fixed) if fixed.confirmed => {
+                let usage = fixed.usage.clone();
+                self.post(fence, usage, out);
+            }
+            Some(_) => self.reporter.begin(out, |attempt| UsageAction::Read { attempt }),
+            None if self.complete_window(time, peers).is_some() => {
+                self.reporter.begin(out, |attempt| UsageAction::Read { attempt });
+            }
+            None => {}
+        }
+    }
+
+    fn post(&mut self, fence: OrderFencingToken, usage: WindowUsage, out: &mut Actions) {
+        if let Some(fixed) = &mut self.reporter.fixed {
+            fixed.posted = true;
+        }
+        self.reporter.begin(out, |attempt| UsageAction::Post { attempt, fence, usage });
+    }
+
+    /// Gives up windows whose report would be too late.
+    fn settle_late(&mut self, time: Duration, out: &mut Actions) {
+        let Some(first) = self.next_window() else { return };
+        let in_time = self.first_in_time(time);
+        if first >= in_time {
+            return;
+        }
+        let last = in_time - 1;
+        self.reporter.settle(last);
+        out.push(DirectAction::Usage(UsageAction::Missed { first, last }));
+    }
+
+    /// Returns the oldest window that may still be reported.
+    fn next_window(&self) -> Option<UsageWindow> {
+        if let Some(fixed) = &self.reporter.fixed {
+            return Some(fixed.usage.window);
+        }
+        // Counts that another entry fixed, but that were not read, are not reported.
+        match self.reporter.settled.max(self.reporter.last_fixed) {
+            Some(last) => Some(last + 1),
+            None => self.ledger.first_window(),
+        }
+    }
+
+    /// Returns the next window if all live entries have closed it, or have had the time to.
+    fn complete_window(&self, time: Duration, peers: &PeerTable) -> Option<UsageWindow> {
+        let window = self.next_window()?;
+        let end = self.settings.end(window);
+        let instances = || peers.names().filter_map(|name| peers.instance(name));
+        let is_complete = time >= end + self.settings.lateness.mul_f64(COMPLETION_WAIT)
+            || instances().all(|instance| self.ledger.has_closed(instance, window));
+        (time >= end && is_complete).then_some(window)
+    }
+
+    fn records_read(
+        &mut self,
+        now: ClockTime,
+        own: &EntryStart,
+        peers: &PeerTable,
+        (records, checked): (Option<UsageRecords>, BootTime),
+        out: &mut Actions,
+    ) {
+        let Some(records) = records else { return self.reporter.store_failed(now) };
+        self.reporter.store_fails = None;
+        let is_own = |(holder, fence): &(PeerName, OrderFencingToken)| {
+            *holder == own.name && Some(*fence) == self.authority.claim()
+        };
+        if !records.claim.as_ref().is_some_and(is_own) {
+            return self.authority.claim_ended(now, ClaimOutcome::Superseded);
+        }
+        if let Some(saved) = &records.saved {
+            self.ledger.apply_saved(saved);
+        }
+        self.reporter.adopt(records.fixed);
+        self.reporter.has_read = true;
+        let time = self.true_time(now).filter(|_| self.authority.fence(now).is_some());
+        let Some(time) = time else { return };
+        self.settle_late(time, out);
+        if self.reporter.fixed.is_none() {
+            let Some(window) = self.complete_window(time, peers) else { return };
+            let usage = self.ledger.total(window);
+            self.reporter.fixed = Some(FixedUsage { usage, confirmed: false, posted: false });
+        }
+        let unconfirmed = self.reporter.fixed.as_ref().filter(|fixed| !fixed.confirmed);
+        if let Some(usage) = unconfirmed.map(|fixed| fixed.usage.clone()) {
+            self.reporter.begin(out, |attempt| UsageAction::Fix { attempt, usage, checked });
+        }
+    }
+
+    fn counts_fixed(
+        &mut self,
+        now: ClockTime,
+        own: &EntryStart,
+        peers: &PeerTable,
+        confirmed: bool,
+        out: &mut Actions,
+    ) {
+        let Some(fixed) = self.reporter.fixed.as_mut().filter(|_| confirmed) else {
+            return self.reporter.failed(now, self.settings.call_interval);
+        };
+        fixed.confirmed = true;
+        let usage = fixed.usage.clone();
+        self.reporter.note_fixed(Some(usage.window));
+        // They know of it also if the store is restored from a copy without the record.
+        for peer in self.collectors(own, peers) {
+            let receipt =
+                UsageReceipt { counter: 0, sequence: 0, ended: 0, fixed: Some(usage.window) };
+            send(own, &peer, UsageContent::Received(receipt), out);
+        }
+        if let Some(fence) = self.authority.fence(now) {
+            self.post(fence, usage, out);
+        }
+    }
+
+    fn post_ended(&mut self, now: ClockTime, outcome: PostOutcome) {
+        let window = self.reporter.fixed.as_ref().map(|fixed| fixed.usage.window);
+        match outcome {
+            PostOutcome::Accepted => {
+                if let Some(window) = window {
+                    self.reporter.settle(window);
+                }
+                self.reporter.accepted = Some(now);
+                self.reporter.failures = 0;
+                self.reporter.store_fails = None;
+                self.reporter.next = now + self.settings.call_interval;
+            }
+            PostOutcome::Superseded => self.authority.claim_ended(now, ClaimOutcome::Superseded),
+            PostOutcome::NoStore => self.reporter.store_failed(now),
+            PostOutcome::NotFixed => {
+                if let Some(fixed) = &mut self.reporter.fixed {
+                    fixed.confirmed = false;
+                }
+                self.reporter.failed(now, self.settings.call_interval);
+            }
+            PostOutcome::Refused | PostOutcome::NoAnswer | PostOutcome::CheckExpired => {
+                self.reporter.failed(now, self.settings.call_interval);
+            }
+        }
+    }
+}
+
+type Actions = Vec<DirectAction>;
+
+/// Process start of this entry.
+#[derive(Debug, Clone)]
+pub(super) struct EntryStart {
+    name: PeerName,
+    instance: u64,
+}
+
+fn send(own: &EntryStart, peer: &PeerName, content: UsageContent, out: &mut Actions) {
+    let EntryStart { name, instance } = own.clone();
+    let message = UsageMessage { peer: name, instance, content };
+    out.push(DirectAction::Usage(UsageAction::Send { peer: peer.clone(), message }));
+}
+
+impl DirectMachine {
+    fn entry_start(&self) -> EntryStart {
+        EntryStart { name: self.settings.name.clone(), instance: self.settings.instance }
+    }
+
+    /// Returns the usage duty if the configuration in force has customers.
+    pub(super) fn active_usage(&mut self) -> Option<&mut UsageDuty> {
+        let has_customers = self.routes.as_ref().is_some_and(|routes| routes.customers.is_some());
+        self.usage.as_mut().filter(|_| has_customers)
+    }
+
+    /// Returns the state of the usage duty, if this entry has one.
+    pub fn usage_state(&self, now: ClockTime) -> Option<UsageState> {
+        self.usage.as_ref().map(|usage| usage.state(now))
+    }
+
+    pub(super) fn usage_event(&mut self, now: ClockTime, event: UsageEvent, out: &mut Actions) {
+        let own = self.entry_start();
+        let Some(usage) = &mut self.usage else { return };
+        match event {
+            UsageEvent::Clock(time) => usage.clock = Some((now, time)),
+            UsageEvent::Message(message) => usage.message(&own, &message, out),
+            UsageEvent::ClaimEnded(outcome) => usage.authority.claim_ended(now, outcome),
+            UsageEvent::RecordsRead { attempt, records, checked } => {
+                if usage.reporter.end(attempt) {
+                    usage.records_read(now, &own, &self.peers, (records, checked), out);
+                }
+            }
+            UsageEvent::Fixed { attempt, confirmed } => {
+                if usage.reporter.end(attempt) {
+                    usage.counts_fixed(now, &own, &self.peers, confirmed, out);
+                }
+            }
+            UsageEvent::Posted { attempt, outcome } => {
+                if usage.reporter.end(attempt) {
+                    usage.post_ended(now, outcome);
+                }
+            }
+        }
+    }
+
+    pub(super) fn tick_usage(&mut self, now: ClockTime, out: &mut Actions) {
+        let own = self.entry_start();
+        let claims = self.peers.claims(Duty::Usage, &own.name);
+        let is_stopping = self.stop.is_some();
+        if self.active_usage().is_none() {
+            return;
+        }
+        let Some(usage) = &mut self.usage else { return };
+        if !is_stopping && usage.authority.should_claim(now, claims) {
+            out.push(DirectAction::Usage(UsageAction::Claim));
+        }
+        usage.tick(now, &own, &self.peers, out);
+    }
+
+    /// Sends the counts that no other entry has yet, as the process exits.
+    pub(super) fn send_last_counts(&self, out: &mut Actions) {
+        if let Some(usage) = &self.usage {
+            usage.send_updates(&self.entry_start(), &self.peers, out);
+        }
+    }
+}
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod configuration;
 pub mod discovery;
+pub mod duty;
 pub mod generation;
 mod header;
 pub mod runner;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -18,6 +18,8 @@
 const MILLISECOND: f64 = 0.001;
 /// In bytes.
 const MEGABYTE: f64 = 1024.0 * 1024.0;
+/// Name of the duty to report usage.
+const USAGE_DUTY: &str = "usage";
 /// Memory of a VM whose settings do not say.
 const DEFAULT_MEMORY_MB: f64 = 256.0;
 
@@ -60,6 +62,21 @@
     /// Time within which nothing may be sent any more to a target whose leaving the store
     /// accepted.
     pub drain_bound: Duration,
+    /// Where and when customers' usage is reported; `None` if that is not a duty here.
+    pub usage: Option<UsageTarget>,
+}
+
+/// Interface of the platform that takes reports of customers' usage.
+#[derive(Debug, Clone, PartialEq)]
+pub struct UsageTarget {
+    /// Address of the interface.
+    pub address: SocketAddr,
+    /// Length of the windows that are reported; not zero.
+    pub window: Duration,
+    /// Time from a window's end until its report is too late.
+    pub lateness: Duration,
+    /// Calls a second that the interface takes from all entries.
+    pub calls_per_second: f64,
 }
 
 /// Parses the text of a settings file; unknown settings are ignored.
@@ -88,6 +105,7 @@
         lease: reader.seconds_or("bounds.lease_ms", MILLISECOND, 3000.0),
         configuration_bound: reader.seconds_or("bounds.config_apply_ms", MILLISECOND, 2000.0),
         drain_bound: reader.seconds_or("bounds.drain_ms", MILLISECOND, 2000.0),
+        usage: reader.usage_target(),
     };
     if reader.errors.is_empty() { Ok(settings) } else { Err(reader.errors) }
 }
@@ -153,6 +171,27 @@
         addresses
     }
 
+    /// Returns the interface for usage, if there is one and usage is among its duties.
+    fn usage_target(&mut self) -> Option<UsageTarget> {
+        let duties = self.values.get("cloud_api.duties").cloned().unwrap_or_default();
+        if !duties.split(',').any(|duty| duty.trim() == USAGE_DUTY) {
+            return None;
+        }
+        let address = self.optional_address("cloud_api.address")?;
+        let window = self.seconds_or("bounds.report_window_s", 1.0, 5.0);
+        if window.is_zero() {
+            let error = Error::new(ErrorCode::OutOfRange, "bounds.report_window_s");
+            self.errors.push(error);
+            return None;
+        }
+        Some(UsageTarget {
+            address,
+            window,
+            lateness: self.seconds_or("bounds.usage_late_s", 1.0, 10.0),
+            calls_per_second: self.number_or("cloud_api.duty_per_s", 10.0),
+        })
+    }
+
     /// Returns a time that is given in units of this many seconds, or `default` units if the
     /// setting is absent.
     fn seconds_or(&mut self, name: &str, unit: f64, default: f64) -> Duration {
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -13,9 +13,9 @@
 };
 
 use crate::{
-    direct::{DirectEvent, DirectMachine, DirectSettings, StopPhase},
+    direct::{DirectEvent, DirectMachine, DirectSettings, StopPhase, UsageSettings},
     error::{Error, ErrorCode, Result},
-    platform::settings::{self, PlatformSettings},
+    platform::settings::{self, PlatformSettings, UsageTarget},
 };
 
 mod answer;
@@ -33,6 +33,7 @@
 mod serve;
 mod shell;
 mod suspects;
+mod usage;
 mod versions;
 
 use request_body::BodyMemory;
@@ -74,9 +75,11 @@
         retry_window: settings.retry_window,
         lease: settings.lease,
         drain_bound: settings.drain_bound,
+        usage: settings.usage.as_ref().map(usage_settings),
     });
     let bodies = BodyMemory::of_vm(settings.memory_bytes);
-    let driver = Rc::new(DirectDriver::new(machine, settings.store, bodies));
+    let driver =
+        Rc::new(DirectDriver::new(machine, settings.store, bodies, settings.usage.clone()));
     let callers = serve::bind(settings.caller_listen).await?;
     let readiness = serve::bind(settings.readiness_listen).await?;
     tokio::task::spawn_local(serve::serve_readiness(readiness, driver.clone()));
@@ -102,6 +105,16 @@
     Ok(())
 }
 
+fn usage_settings(target: &UsageTarget) -> UsageSettings {
+    let interval = Duration::try_from_secs_f64(1.0 / target.calls_per_second);
+    UsageSettings {
+        window: target.window,
+        lateness: target.lateness,
+        // A platform that takes no calls is asked once in a window.
+        call_interval: interval.unwrap_or(target.window).min(target.window),
+    }
+}
+
 /// Finishes the requests in flight within the stop grace period, as the state machine plans it.
 async fn shut_down(
     settings: &PlatformSettings,
--- a/src/process/direct/gossip.rs
+++ b/src/process/direct/gossip.rs
@@ -20,8 +20,8 @@
 };
 use crate::{
     direct::{
-        DirectEvent, LoadReport, PeerName, ReadSchedule, StreamMessage, SuspectReport,
-        report_interval,
+        DirectEvent, LoadReport, PeerName, ReadSchedule, StreamMessage, SuspectReport, UsageEvent,
+        UsageMessage, report_interval,
     },
     error::{Error, ErrorCode, Result},
     platform::{settings::PlatformSettings, store::KeyedRecord},
@@ -51,6 +51,8 @@
     stream: Option<PeerStreamMessage>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     suspects: Option<SuspectReport>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    usage: Option<UsageMessage>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -77,16 +79,28 @@
     /// Sends a message to peers at once. One that is lost is not sent again.
     pub(super) fn send(&self, own: &str, peers: &[PeerName], message: StreamMessage) {
         let stream = PeerStreamMessage { peer: own.into(), message };
-        let datagram = PeerDatagram { stream: Some(stream), ..PeerDatagram::default() };
+        self.send_datagram(
+            peers,
+            &PeerDatagram { stream: Some(stream), ..PeerDatagram::default() },
+        );
+    }
+
+    /// Sends a message about usage to a peer at once.
+    pub(super) fn send_usage(&self, peer: &PeerName, message: UsageMessage) {
+        let datagram = PeerDatagram { usage: Some(message), ..PeerDatagram::default() };
+        self.send_datagram(std::slice::from_ref(peer), &datagram);
+    }
+
+    fn send_datagram(&self, peers: &[PeerName], datagram: &PeerDatagram) {
         let mut bytes = Vec::new();
-        if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
-            log::error!(error:% = error; "failed to encode stream message");
+        if let Err(error) = ciborium::into_writer(datagram, &mut bytes) {
+            log::error!(error:% = error; "failed to encode message");
             return;
         }
         for peer in peers {
             let Some(address) = self.peers.borrow().get(&**peer).copied() else { continue };
             if let Err(error) = self.socket.try_send_to(&bytes, address) {
-                log::debug!(peer:% = peer, error:% = error; "failed to send stream message");
+                log::debug!(peer:% = peer, error:% = error; "failed to send message");
             }
         }
     }
@@ -147,7 +161,7 @@
         }
         let load = driver.load_report(number % FULL_REPORT_PERIOD == 0);
         let suspects = Some(driver.suspect_report()).filter(|report| !report.is_empty());
-        let datagram = PeerDatagram { load: Some(load), stream: None, suspects };
+        let datagram = PeerDatagram { load: Some(load), suspects, ..PeerDatagram::default() };
         let mut bytes = Vec::new();
         if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
             log::error!(error:% = error; "failed to encode report");
@@ -190,6 +204,10 @@
                 if let Some(report) = datagram.suspects {
                     driver.step(DirectEvent::Suspects(report));
                 }
+                if let Some(message) = datagram.usage {
+                    peers.borrow_mut().insert(message.peer.to_string(), sender);
+                    driver.step(DirectEvent::Usage(UsageEvent::Message(message)));
+                }
             }
             Err(error) => log::info!(error:% = error; "malformed report ignored"),
         }
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -8,7 +8,7 @@
     registry::Registry,
 };
 
-use crate::direct::CrashSuspect;
+use crate::direct::{CrashSuspect, UsageState};
 
 /// Labels of an ended request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -75,6 +75,8 @@
     pub(super) configuration_age: Duration,
     pub(super) targets_age: Duration,
     pub(super) log_lines_dropped: u64,
+    /// State of the usage duty, if there is one.
+    pub(super) usage: Option<UsageState>,
 }
 
 /// Bucket bounds of the duration histograms, in seconds.
@@ -103,6 +105,9 @@
     configuration_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     targets_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     log_lines_dropped: Gauge,
+    usage_holder: Gauge,
+    usage_report_age: Gauge<f64, std::sync::atomic::AtomicU64>,
+    usage_unreported: Gauge,
 }
 
 impl Default for DirectMetrics {
@@ -127,6 +132,9 @@
             configuration_age: Gauge::default(),
             targets_age: Gauge::default(),
             log_lines_dropped: Gauge::default(),
+            usage_holder: Gauge::default(),
+            usage_report_age: Gauge::default(),
+            usage_unreported: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -146,6 +154,10 @@
         self.configuration_age.set(state.configuration_age.as_secs_f64());
         self.targets_age.set(state.targets_age.as_secs_f64());
         self.log_lines_dropped.set(state.log_lines_dropped as i64);
+        let usage = state.usage.unwrap_or_default();
+        self.usage_holder.set(i64::from(usage.is_holder));
+        self.usage_report_age.set(usage.report_age.as_secs_f64());
+        self.usage_unreported.set(usage.unreported as i64);
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::error!(error:% = error; "failed to encode metrics");
@@ -217,5 +229,25 @@
             "Log lines that a summary stands for",
             self.log_lines_dropped.clone(),
         );
+        self.register_usage();
+    }
+
+    fn register_usage(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "usage_holder",
+            "1 if this entry holds the duty to report usage",
+            self.usage_holder.clone(),
+        );
+        registry.register(
+            "usage_report_age_seconds",
+            "Time since the platform accepted a usage report of this process, or since its start",
+            self.usage_report_age.clone(),
+        );
+        registry.register(
+            "usage_unreported_windows",
+            "Ended windows of usage of which no fixed counts are known here",
+            self.usage_unreported.clone(),
+        );
     }
 }
--- a/src/process/direct/orders.rs
+++ b/src/process/direct/orders.rs
@@ -27,7 +27,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Age at which a check of the claim no longer permits an order, by a clock that also
 /// advances while the VM is suspended.
-const CLAIM_CHECK_LIFETIME: Duration = Duration::from_millis(500);
+pub(super) const CLAIM_CHECK_LIFETIME: Duration = Duration::from_millis(500);
 /// Largest response body that is read from an engine.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
 
@@ -49,19 +49,29 @@
 
 /// Claims the authority over engines with a record in the store.
 pub(super) async fn claim(driver: Rc<DirectDriver>) {
-    let mut store = driver.store_client();
-    let outcome = match store.put(TOPIC, KEY, driver.name().as_bytes()).await {
+    let outcome = write_claim(&driver, KEY, TOPIC, KEY).await;
+    driver.step(DirectEvent::ClaimEnded(outcome));
+}
+
+/// Claims a duty with a record under a key of a topic.
+pub(super) async fn write_claim(
+    driver: &DirectDriver,
+    duty: &'static str,
+    topic: &'static str,
+    key: &'static str,
+) -> ClaimOutcome {
+    let outcome = match driver.store_client().put(topic, key, driver.name().as_bytes()).await {
         Ok(position) => {
             let end = TopicPosition { offset: position.offset + 1, ..position };
             token_at(end).map_or(ClaimOutcome::Failed, ClaimOutcome::Taken)
         }
         Err(error) => {
-            log::info!(error:% = error; "failed to write claim on engines");
+            log::info!(error:% = error; "failed to write claim on {duty}");
             ClaimOutcome::Failed
         }
     };
-    log::info!(outcome:? = outcome; "claim on engines ended");
-    driver.step(DirectEvent::ClaimEnded(outcome));
+    log::info!(outcome:? = outcome; "claim on {duty} ended");
+    outcome
 }
 
 /// Sends an order to an engine, unless the store holds a newer claim.
@@ -147,7 +157,7 @@
 
 /// Returns the fencing token of the claim with which the topic ends here. Engines accept tokens
 /// from 1 on, as the end of a topic with a claim is.
-fn token_at(end: TopicPosition) -> Option<OrderFencingToken> {
+pub(super) fn token_at(end: TopicPosition) -> Option<OrderFencingToken> {
     fencing_token(end.generation, end.offset)
 }
 
@@ -198,7 +208,7 @@
 }
 
 /// Returns the time since the VM booted, including time in which it was suspended.
-fn boot_time() -> Duration {
+pub(super) fn boot_time() -> Duration {
     let time = clock_gettime(ClockId::Boottime);
     let (seconds, nanos) = (time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs());
     Duration::from_secs(seconds) + Duration::from_nanos(nanos)
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -296,7 +296,8 @@
                 | DirectAction::ReadVersions
                 | DirectAction::PersistVersion(_)
                 | DirectAction::Claim
-                | DirectAction::Order(_),
+                | DirectAction::Order(_)
+                | DirectAction::Usage(_),
             ) => {
                 next = actions.recv().await;
             }
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -24,15 +24,21 @@
     orders,
     pool::TargetPools,
     request_body::BodyMemory,
-    suspects, versions,
+    suspects,
+    usage::{self, UsageLink},
+    versions,
 };
 use crate::{
     direct::{
         DirectAction, DirectEvent, DirectMachine, DirectTarget, FlowId, LeavingTarget, LoadReport,
-        PeerName, RequestRate, RequestTrace, RouteTable, StopPhase, SuspectReport,
+        PeerName, RequestRate, RequestTrace, RouteTable, StopPhase, SuspectReport, UsageAction,
+        UsageEvent,
     },
     ids::ClockTime,
-    platform::{configuration, discovery, generation::GenerationWatch, runner, store::StoreClient},
+    platform::{
+        configuration, discovery, generation::GenerationWatch, runner, settings::UsageTarget,
+        store::StoreClient,
+    },
     process::logging,
 };
 
@@ -100,6 +106,8 @@
     pub(super) bodies: BodyMemory,
     /// Connection for writing software versions, one after the other.
     pub(super) version_store: Mutex<StoreClient>,
+    /// Connections of the usage duty, where there is one.
+    pub(super) usage_link: Option<Rc<UsageLink>>,
     name: PeerName,
     started: Instant,
     /// When the stop signal came, if it has.
@@ -114,10 +122,14 @@
         machine: DirectMachine,
         store: SocketAddr,
         bodies: BodyMemory,
+        usage: Option<UsageTarget>,
     ) -> DirectDriver {
         let generations = GenerationWatch::default();
         let version_store = Mutex::new(StoreClient::new(store, generations.clone()));
+        let usage_store = || StoreClient::new(store, generations.clone());
+        let usage_link = usage.map(|target| Rc::new(UsageLink::new(target, usage_store())));
         DirectDriver {
+            usage_link,
             name: machine.name().clone(),
             machine: RefCell::new(machine),
             action_senders: RefCell::default(),
@@ -240,6 +252,9 @@
     }
 
     pub(super) fn tick(self: &Rc<Self>) {
+        if let Some(link) = &self.usage_link {
+            self.step(DirectEvent::Usage(UsageEvent::Clock(link.time())));
+        }
         self.step(DirectEvent::Tick);
     }
 
@@ -281,6 +296,14 @@
             DirectAction::PersistEvidence(change) => {
                 tokio::task::spawn_local(suspects::write_evidence(self.clone(), change));
             }
+            DirectAction::Usage(UsageAction::Send { peer, message }) => {
+                if let Some(link) = self.peer_link.borrow().as_ref() {
+                    link.send_usage(&peer, message);
+                }
+            }
+            DirectAction::Usage(action) => {
+                tokio::task::spawn_local(usage::perform(self.clone(), action));
+            }
             DirectAction::ProbeTarget(target) => {
                 tokio::task::spawn_local(call::probe(self.clone(), target));
             }
@@ -370,6 +393,7 @@
             configuration_age: ages.configuration,
             targets_age: ages.targets,
             log_lines_dropped: logging::dropped_lines(),
+            usage: machine.usage_state(self.now()),
         })
     }
 
--- a/tests/leaving_statements.rs
+++ b/tests/leaving_statements.rs
@@ -31,6 +31,7 @@
         limits: Vec::new(),
         demand: Vec::new(),
         claim: None,
+        usage_claim: None,
         leaving: vec![leaving(born_ms)],
         switching: Vec::new(),
     })
--- a/tests/load_reports.rs
+++ b/tests/load_reports.rs
@@ -35,6 +35,7 @@
         demand: vec![],
         claim: None,
         leaving: vec![],
+        usage_claim: None,
         switching: vec![],
     }
 }
--- a/tests/platform_documents.rs
+++ b/tests/platform_documents.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use sapphirewell::{
-    direct::{RetryPolicy, TargetStage},
-    platform::{configuration, discovery, settings},
+    direct::{RetryPolicy, TargetStage, WindowUsage},
+    platform::{configuration, discovery, duty, settings},
 };
 use yare::parameterized;
 
@@ -150,3 +150,38 @@
         errors.iter().filter_map(|error| error.place().split(' ').next()).collect();
     assert_eq!(places, ["ip", "platform.address", "bounds.grace_s"]);
 }
+
+struct DutyCase {
+    settings: &'static str,
+    is_duty: bool,
+}
+
+#[parameterized(
+    listed = { DutyCase {
+        settings: "cloud_api.address=127.0.0.1:9\ncloud_api.duties=usage,scale\n", is_duty: true
+    } },
+    other_duty = { DutyCase {
+        settings: "cloud_api.address=127.0.0.1:9\ncloud_api.duties=scale\n", is_duty: false
+    } },
+    no_address = { DutyCase { settings: "cloud_api.duties=usage\n", is_duty: false } },
+    no_duties = { DutyCase { settings: "cloud_api.address=127.0.0.1:9\n", is_duty: false } },
+    nothing = { DutyCase { settings: "", is_duty: false } },
+)]
+fn usage_is_a_duty_where_the_settings_list_it(case: DutyCase) {
+    let settings = settings::parse(&format!("{SETTINGS}\n{}", case.settings)).unwrap();
+    assert_eq!(settings.usage.is_some(), case.is_duty);
+}
+
+#[test]
+fn usage_reports_name_holder_token_and_counts() {
+    let counts = [("a".into(), 412), ("b".into(), 3)].into();
+    let usage = WindowUsage { window: 353_445_120, counts };
+    let address = "127.0.0.1:9".parse().unwrap();
+    let request = duty::usage_request(address, "vm-1", 12, &usage).unwrap();
+    assert_eq!((request.method().as_str(), request.uri().path()), ("POST", "/usage"));
+    assert_eq!(request.headers()["lease-holder"], "vm-1");
+    assert_eq!(request.headers()["fencing-token"], "12");
+    assert_eq!(request.headers()["content-type"], "application/json");
+    let expected = r#"{"window":353445120,"counts":{"a":412,"b":3}}"#;
+    assert_eq!(request.body(), expected);
+}
--- a/tests/stage_orders.rs
+++ b/tests/stage_orders.rs
@@ -66,6 +66,7 @@
         demand: vec![],
         claim,
         leaving: vec![],
+        usage_claim: None,
         switching: vec![],
     }
 }
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -4,11 +4,12 @@
 
 use sapphirewell::{
     direct::{
-        CallOutcome, CallStep, DirectAction, DirectEvent, DirectMachine, DirectRequest,
-        DirectSettings, DirectTarget, EngineConfig, InFlight, LoadReport, PromptSegment,
-        PromptShape, RequestIdentity, RequestLimits, RetryPolicy, RouteConfig, RouteTable,
-        ServiceConfig, ServiceVersion, StoredVersions, StreamResume, SuspectChange, SuspectReport,
-        TargetChange, TargetStage, TargetUsage, WeightedService,
+        CallOutcome, CallStep, CustomerConfig, CustomerTable, DirectAction, DirectEvent,
+        DirectMachine, DirectRequest, DirectSettings, DirectTarget, EngineConfig, InFlight,
+        LoadReport, PromptSegment, PromptShape, RequestIdentity, RequestLimits, RetryPolicy,
+        RouteConfig, RouteTable, ServiceConfig, ServiceVersion, StoredVersions, StreamResume,
+        SuspectChange, SuspectReport, TargetChange, TargetStage, TargetUsage, UsageSettings,
+        WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -23,6 +24,8 @@
     retry: RetryPolicy,
     listed: u16,
     addresses: Vec<(String, SocketAddr)>,
+    /// Customer of all requests.
+    customer: Option<Arc<CustomerConfig>>,
 }
 
 fn own_identity(hash: u64) -> RequestIdentity {
@@ -78,6 +81,28 @@
 
     /// Returns the same for an entry in a data centre. Targets are in "dc" unless they are changed.
     pub fn at(retry: RetryPolicy, number: u64, data_centre: &str) -> DirectRig {
+        DirectRig::with_usage(retry, number, data_centre, None)
+    }
+
+    /// Returns the rig of an entry that counts the requests of a customer.
+    pub fn of_customer(name: &str) -> DirectRig {
+        let usage = UsageSettings {
+            window: Duration::from_secs(5),
+            lateness: Duration::from_secs(10),
+            call_interval: Duration::from_millis(20),
+        };
+        let mut rig = DirectRig::with_usage(RetryPolicy::Resume, 7, "dc", Some(usage));
+        rig.customer = Some(Arc::new(CustomerConfig { name: name.into(), priority: None }));
+        rig.configure(2);
+        rig
+    }
+
+    fn with_usage(
+        retry: RetryPolicy,
+        number: u64,
+        data_centre: &str,
+        usage: Option<UsageSettings>,
+    ) -> DirectRig {
         let machine = DirectMachine::new(DirectSettings {
             name: format!("entry-{number}").into(),
             instance: number,
@@ -88,9 +113,11 @@
             retry_window: Duration::from_secs(10),
             lease: Duration::from_secs(3),
             drain_bound: Duration::from_secs(2),
+            usage,
         });
         let now = Duration::from_secs(1);
-        let mut rig = DirectRig { machine, now, retry, listed: 0, addresses: Vec::new() };
+        let mut rig =
+            DirectRig { machine, now, retry, listed: 0, addresses: Vec::new(), customer: None };
         rig.configure(1);
         rig
     }
@@ -112,7 +139,10 @@
                 body_bytes: 65_536,
                 idle_time: Duration::from_secs(15),
             },
-            customers: None,
+            customers: self
+                .customer
+                .as_ref()
+                .map(|customer| CustomerTable::new([((**customer).clone(), vec!["key"])])),
         };
         self.step(DirectEvent::Routes(Arc::new(table)));
     }
@@ -300,6 +330,7 @@
             demand: Vec::new(),
             leaving: Vec::new(),
             claim: None,
+            usage_claim: None,
             switching: Vec::new(),
         }));
     }
@@ -325,7 +356,7 @@
         let request = DirectRequest {
             id: format!("request-{flow}").into(),
             route: self.route(),
-            customer: None,
+            customer: self.customer.clone(),
             time_left,
             prompt,
             identity,
--- /dev/null
+++ b/tests/support/usage.rs
@@ -0,0 +1,646 @@
+//! Entries with the usage duty under a test clock, beside a store and a stand-in of the platform
+//! that keeps every report.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use sapphirewell::direct::{
+    BootTime, CallOutcome, ClaimOutcome, CustomerConfig, CustomerCounts, CustomerTable,
+    DirectAction, DirectEvent, DirectMachine, DirectRequest, DirectSettings, DirectTarget, FlowId,
+    OrderFencingToken, PostOutcome, RequestIdentity, RequestLimits, RetryPolicy, RouteConfig,
+    RouteTable, SavedUsage, ServiceConfig, StoreGeneration, TargetChange, TargetStage, UsageAction,
+    UsageEvent, UsageMessage, UsageRecords, UsageSettings, UsageWindow, WeightedService,
+    WindowUsage, fencing_token,
+};
+
+pub const LEASE: Duration = Duration::from_secs(3);
+pub const WINDOW: Duration = Duration::from_secs(5);
+pub const LATENESS: Duration = Duration::from_secs(10);
+/// Time of a message, and of a call to the store or the platform.
+const DELAY: Duration = Duration::from_millis(10);
+const STEP: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(40);
+const REPORT: Duration = Duration::from_millis(100);
+const REQUEST: Duration = Duration::from_millis(50);
+/// Age at which the driver lets a check of the claim lapse.
+const CHECK_LIFETIME: Duration = Duration::from_millis(500);
+/// Time of day at the start of a test, in the middle of a window.
+const START: Duration = Duration::from_millis(1_700_000_002_500);
+const CUSTOMERS: [&str; 3] = ["large", "middle", "small"];
+const SERVICE: &str = "service";
+
+/// Step of a holder at which a fault strikes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DutyStep {
+    Claim,
+    Read,
+    Fix,
+    Save,
+    Check,
+    Post,
+}
+
+/// What happens to the entry at that step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StepFault {
+    KilledBefore,
+    KilledAfter,
+    FrozenBefore(Duration),
+    FrozenAfter(Duration),
+    /// The step takes effect, but its answer is lost.
+    AnswerLost,
+}
+
+/// Report that reached the platform.
+#[derive(Debug, Clone)]
+pub struct Report {
+    pub at: Duration,
+    pub entry: usize,
+    pub fence: OrderFencingToken,
+    pub usage: WindowUsage,
+}
+
+/// How the platform answers reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlatformMode {
+    Accepts,
+    /// It answers 429, and takes nothing.
+    Refuses,
+    /// It takes a report, and its answer is lost.
+    LosesAnswers,
+    Down,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Store {
+    generation: StoreGeneration,
+    end: u64,
+    claim: Option<(usize, u64)>,
+    fixed: Option<WindowUsage>,
+    saved: Option<SavedUsage>,
+}
+
+#[derive(Debug, Clone)]
+enum Pending {
+    Event(UsageEvent),
+    Claim,
+    Read(u64),
+    Fix(u64, WindowUsage, BootTime),
+    Save(SavedUsage),
+    Check(u64, OrderFencingToken, WindowUsage),
+    Post(u64, OrderFencingToken, WindowUsage, BootTime),
+}
+
+struct Entry {
+    machine: DirectMachine,
+    instance: u64,
+    frozen_until: Duration,
+    started: Duration,
+    next_flow: FlowId,
+}
+
+pub struct UsageFleet {
+    pub now: Duration,
+    entries: Vec<Option<Entry>>,
+    restarts: Vec<(Duration, usize)>,
+    pending: BTreeMap<(Duration, u64), (usize, u64, Pending)>,
+    sequence: u64,
+    instances: u64,
+    store: Store,
+    copies: Vec<(Duration, Store)>,
+    pub store_is_down: bool,
+    /// Entries that cannot reach the store.
+    pub cut_from_store: HashSet<usize>,
+    /// Entries that no peer reaches.
+    pub cut_from_peers: HashSet<usize>,
+    /// One in so many messages between entries is lost.
+    pub loss: Option<u64>,
+    pub platform: PlatformMode,
+    pub reports: Vec<Report>,
+    pub accepted: BTreeMap<UsageWindow, Duration>,
+    pub truth: BTreeMap<UsageWindow, CustomerCounts>,
+    pub store_calls: u64,
+    pub message_bytes: u64,
+    pub saved_bytes: u64,
+    fault: Option<(DutyStep, StepFault)>,
+    pub faults_struck: u32,
+    /// Time that an entry's clock is set wrong by.
+    pub clock_steps: BTreeMap<usize, Duration>,
+    pub traffic: bool,
+}
+
+impl UsageFleet {
+    pub fn new(entries: usize) -> UsageFleet {
+        let mut fleet = UsageFleet {
+            now: Duration::from_secs(100),
+            entries: Vec::new(),
+            restarts: Vec::new(),
+            pending: BTreeMap::new(),
+            sequence: 0,
+            instances: 0,
+            store: Store { generation: 1, ..Store::default() },
+            copies: Vec::new(),
+            store_is_down: false,
+            cut_from_store: HashSet::new(),
+            cut_from_peers: HashSet::new(),
+            loss: None,
+            platform: PlatformMode::Accepts,
+            reports: Vec::new(),
+            accepted: BTreeMap::new(),
+            truth: BTreeMap::new(),
+            store_calls: 0,
+            message_bytes: 0,
+            saved_bytes: 0,
+            fault: None,
+            faults_struck: 0,
+            clock_steps: BTreeMap::new(),
+            traffic: true,
+        };
+        for entry in 0..entries {
+            fleet.entries.push(None);
+            fleet.start(entry);
+        }
+        fleet
+    }
+
+    pub fn start(&mut self, entry: usize) {
+        self.instances += 1;
+        let instance = self.instances;
+        let mut machine = DirectMachine::new(settings(entry, instance));
+        let mut out = Vec::new();
+        let since_start = Duration::ZERO;
+        machine.step(since_start, DirectEvent::Routes(Arc::new(routes())), &mut out);
+        let listed = TargetChange::Listed(target());
+        machine.step(since_start, DirectEvent::Target(listed), &mut out);
+        self.entries[entry] = Some(Entry {
+            machine,
+            instance,
+            frozen_until: Duration::ZERO,
+            started: self.now,
+            next_flow: 0,
+        });
+    }
+
+    pub fn kill(&mut self, entry: usize, down: Duration) {
+        self.entries[entry] = None;
+        self.restarts.push((self.now + down, entry));
+    }
+
+    pub fn kill_all(&mut self, down: Duration) {
+        (0..self.entries.len()).for_each(|entry| self.kill(entry, down));
+    }
+
+    pub fn freeze(&mut self, entry: usize, time: Duration) {
+        let until = self.now + time;
+        if let Some(entry) = &mut self.entries[entry] {
+            entry.frozen_until = until;
+        }
+    }
+
+    /// Lets a fault strike the next entry at a step.
+    pub fn strike(&mut self, step: DutyStep, fault: StepFault) {
+        self.fault = Some((step, fault));
+    }
+
+    /// Replaces the store's content by that of some time ago.
+    pub fn restore_store(&mut self, age: Duration) {
+        let at = self.now.saturating_sub(age);
+        let copy = self.copies.iter().rev().find(|(time, _)| *time <= at).unwrap();
+        let generation = self.store.generation + 1;
+        self.store = Store { generation, ..copy.1.clone() };
+        for entry in 0..self.entries.len() {
+            self.step(entry, DirectEvent::StoreRestored(generation));
+        }
+    }
+
+    pub fn holder(&self) -> Option<usize> {
+        self.store.claim.map(|(entry, _)| entry)
+    }
+
+    pub fn time_of_day(&self) -> Duration {
+        START + self.now
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.advance();
+        }
+    }
+
+    fn advance(&mut self) {
+        let due: Vec<usize> =
+            self.restarts.iter().filter(|(at, _)| *at <= self.now).map(|(_, e)| *e).collect();
+        self.restarts.retain(|(at, _)| *at > self.now);
+        due.into_iter().for_each(|entry| self.start(entry));
+        if self.is_time_for(Duration::from_millis(100), 0) {
+            self.copies.push((self.now, self.store.clone()));
+        }
+        for entry in 0..self.entries.len() {
+            if !self.is_running(entry) {
+                continue;
+            }
+            if self.is_time_for(TICK, entry) {
+                let step = self.clock_steps.get(&entry).copied().unwrap_or_default();
+                let clock = UsageEvent::Clock(self.time_of_day() + step);
+                self.step(entry, DirectEvent::Usage(clock));
+                self.step(entry, DirectEvent::Tick);
+            }
+            if self.is_time_for(REPORT, entry) {
+                self.send_report(entry);
+            }
+            if self.traffic && self.is_time_for(REQUEST, entry) {
+                self.request(entry);
+            }
+        }
+        self.end_pending();
+    }
+
+    fn is_time_for(&self, interval: Duration, entry: usize) -> bool {
+        (self.now + STEP * entry as u32).as_millis().is_multiple_of(interval.as_millis())
+    }
+
+    fn is_running(&self, entry: usize) -> bool {
+        self.entries[entry].as_ref().is_some_and(|entry| entry.frozen_until <= self.now)
+    }
+
+    fn send_report(&mut self, from: usize) {
+        let now = self.now;
+        let Some(entry) = &mut self.entries[from] else { return };
+        let report = entry.machine.load_report(now - entry.started, true);
+        for to in 0..self.entries.len() {
+            if to != from && self.is_running(to) && self.passes(from, to) {
+                self.step(to, DirectEvent::PeerLoad(report.clone()));
+            }
+        }
+    }
+
+    fn passes(&mut self, from: usize, to: usize) -> bool {
+        self.sequence += 1;
+        let is_cut = self.cut_from_peers.contains(&from) || self.cut_from_peers.contains(&to);
+        // Spreads the losses over messages of all kinds.
+        let draw = self.sequence.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+        !is_cut && !self.loss.is_some_and(|loss| draw.is_multiple_of(loss))
+    }
+
+    fn request(&mut self, entry: usize) {
+        let time = self.time_of_day();
+        let Some(state) = &mut self.entries[entry] else { return };
+        state.next_flow += 1;
+        let flow = state.next_flow;
+        let name: Arc<str> = CUSTOMERS[[0, 0, 0, 0, 1, 1, 2][flow as usize % 7]].into();
+        let customer = Some(Arc::new(CustomerConfig { name: name.clone(), priority: None }));
+        self.step(entry, DirectEvent::Submit { flow, request: Box::new(request(flow, customer)) });
+        let outcome = CallOutcome::Answered { success: true };
+        self.step(entry, DirectEvent::CallEnded { flow, call: 1, outcome });
+        self.step(entry, DirectEvent::FlowEnded { flow, complete: true });
+        let window = usage_settings().window_at(time);
+        *self.truth.entry(window).or_default().entry(name).or_default() += 1;
+    }
+
+    fn step(&mut self, entry: usize, event: DirectEvent) {
+        let now = self.now;
+        let Some(state) = &mut self.entries[entry] else { return };
+        let mut out = Vec::new();
+        state.machine.step(now - state.started, event, &mut out);
+        let instance = state.instance;
+        for action in out {
+            if let DirectAction::Usage(action) = action {
+                self.perform(entry, instance, action);
+            }
+        }
+    }
+
+    fn perform(&mut self, entry: usize, instance: u64, action: UsageAction) {
+        let pending = match action {
+            UsageAction::Send { peer, message } => return self.send(entry, &peer, message),
+            UsageAction::Missed { .. } => return,
+            UsageAction::Claim => Pending::Claim,
+            UsageAction::Save(saved) => Pending::Save(saved),
+            UsageAction::Read { attempt } => Pending::Read(attempt),
+            UsageAction::Fix { attempt, usage, checked } => Pending::Fix(attempt, usage, checked),
+            UsageAction::Post { attempt, fence, usage } => Pending::Check(attempt, fence, usage),
+        };
+        self.push(entry, instance, pending);
+    }
+
+    fn push(&mut self, entry: usize, instance: u64, pending: Pending) {
+        self.sequence += 1;
+        self.pending.insert((self.now + DELAY, self.sequence), (entry, instance, pending));
+    }
+
+    fn send(&mut self, from: usize, peer: &str, message: UsageMessage) {
+        let Some(to) = (0..self.entries.len()).find(|entry| name(*entry) == peer) else { return };
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&message, &mut bytes).unwrap();
+        self.message_bytes += bytes.len() as u64;
+        let instance = self.entries[to].as_ref().map_or(0, |entry| entry.instance);
+        if self.passes(from, to) {
+            self.push(to, instance, Pending::Event(UsageEvent::Message(message)));
+        }
+    }
+
+    fn end_pending(&mut self) {
+        while let Some(((at, _), _)) = self.pending.first_key_value()
+            && *at <= self.now
+        {
+            let Some((_, (entry, instance, pending))) = self.pending.pop_first() else { return };
+            let is_same = self.entries[entry].as_ref().is_some_and(|e| e.instance == instance);
+            if !is_same {
+                continue;
+            }
+            if !self.is_running(entry) {
+                self.push(entry, instance, pending);
+                continue;
+            }
+            let step = step_of(&pending);
+            let fault = self.fault.filter(|(at, _)| Some(*at) == step).map(|(_, fault)| fault);
+            if fault.is_some() {
+                self.fault = None;
+                self.faults_struck += 1;
+            }
+            match fault {
+                Some(StepFault::KilledBefore) => {
+                    self.kill(entry, Duration::from_secs(1));
+                    continue;
+                }
+                Some(StepFault::FrozenBefore(time)) => {
+                    self.freeze(entry, time);
+                    self.push(entry, instance, pending);
+                    continue;
+                }
+                _ => {}
+            }
+            let event = self.carry_out(entry, instance, pending, fault);
+            match fault {
+                Some(StepFault::KilledAfter) => self.kill(entry, Duration::from_secs(1)),
+                Some(StepFault::FrozenAfter(time)) => {
+                    self.freeze(entry, time);
+                    event.into_iter().for_each(|e| self.push(entry, instance, Pending::Event(e)));
+                }
+                _ => {
+                    event.into_iter().for_each(|event| self.step(entry, DirectEvent::Usage(event)));
+                }
+            }
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        entry: usize,
+        instance: u64,
+        pending: Pending,
+        fault: Option<StepFault>,
+    ) -> Option<UsageEvent> {
+        let is_lost = fault == Some(StepFault::AnswerLost);
+        let reaches_store = !self.store_is_down && !self.cut_from_store.contains(&entry);
+        if !matches!(pending, Pending::Event(_) | Pending::Post(..)) {
+            self.store_calls += 1;
+        }
+        match pending {
+            Pending::Event(event) => Some(event),
+            Pending::Claim => {
+                let mut outcome = ClaimOutcome::Failed;
+                if reaches_store {
+                    self.store.end += 1;
+                    self.store.claim = Some((entry, self.store.end));
+                    let fence = fencing_token(Some(self.store.generation), self.store.end);
+                    outcome = ClaimOutcome::Taken(fence.unwrap());
+                }
+                Some(UsageEvent::ClaimEnded(if is_lost { ClaimOutcome::Failed } else { outcome }))
+            }
+            Pending::Read(attempt) => {
+                let records = (reaches_store && !is_lost).then(|| self.records());
+                Some(UsageEvent::RecordsRead { attempt, records, checked: self.now })
+            }
+            Pending::Fix(attempt, usage, checked) => {
+                let writes = reaches_store && self.now - checked <= CHECK_LIFETIME;
+                if writes {
+                    self.store.end += 1;
+                    self.store.fixed = Some(usage);
+                }
+                Some(UsageEvent::Fixed { attempt, confirmed: writes && !is_lost })
+            }
+            Pending::Save(saved) => {
+                let mut bytes = Vec::new();
+                ciborium::into_writer(&saved, &mut bytes).unwrap();
+                self.saved_bytes += bytes.len() as u64;
+                if reaches_store {
+                    self.store.end += 1;
+                    self.store.saved = Some(saved);
+                }
+                None
+            }
+            Pending::Check(attempt, fence, usage) => {
+                let records = self.records();
+                let outcome = match () {
+                    () if !reaches_store || is_lost => PostOutcome::NoStore,
+                    () if records.claim != Some((name(entry).into(), fence)) => {
+                        PostOutcome::Superseded
+                    }
+                    () if records.fixed.as_ref() != Some(&usage) => PostOutcome::NotFixed,
+                    () => {
+                        let post = Pending::Post(attempt, fence, usage, self.now);
+                        self.push(entry, instance, post);
+                        return None;
+                    }
+                };
+                Some(UsageEvent::Posted { attempt, outcome })
+            }
+            Pending::Post(attempt, fence, usage, checked) => {
+                let outcome = if self.now - checked > CHECK_LIFETIME {
+                    PostOutcome::CheckExpired
+                } else {
+                    self.post(entry, fence, usage)
+                };
+                let outcome = if is_lost { PostOutcome::NoAnswer } else { outcome };
+                Some(UsageEvent::Posted { attempt, outcome })
+            }
+        }
+    }
+
+    fn post(&mut self, entry: usize, fence: u64, usage: WindowUsage) -> PostOutcome {
+        let window = usage.window;
+        match self.platform {
+            PlatformMode::Down => return PostOutcome::NoAnswer,
+            PlatformMode::Accepts | PlatformMode::Refuses | PlatformMode::LosesAnswers => {}
+        }
+        self.reports.push(Report { at: self.now, entry, fence, usage });
+        match self.platform {
+            PlatformMode::Refuses => return PostOutcome::Refused,
+            PlatformMode::Accepts | PlatformMode::LosesAnswers | PlatformMode::Down => {}
+        }
+        let time = self.time_of_day();
+        self.accepted.entry(window).or_insert(time);
+        match self.platform {
+            PlatformMode::LosesAnswers => PostOutcome::NoAnswer,
+            _ => PostOutcome::Accepted,
+        }
+    }
+
+    fn records(&self) -> UsageRecords {
+        let token = |end| fencing_token(Some(self.store.generation), end).unwrap();
+        UsageRecords {
+            claim: self.store.claim.map(|(entry, end)| (name(entry).into(), token(end))),
+            fixed: self.store.fixed.clone(),
+            saved: self.store.saved.clone(),
+        }
+    }
+
+    /// Panics if the platform would call the reports those of two holders.
+    pub fn check_one(&self) {
+        let mut holders: BTreeMap<OrderFencingToken, usize> = BTreeMap::new();
+        let mut counts: BTreeMap<UsageWindow, &CustomerCounts> = BTreeMap::new();
+        let mut highest = 0;
+        for (index, report) in self.reports.iter().enumerate() {
+            let Report { at, entry, fence, usage } = report;
+            assert_eq!(holders.entry(*fence).or_insert(*entry), entry, "two with one token");
+            assert!(*fence >= highest, "lower token {fence} after {highest}");
+            highest = *fence;
+            let known = counts.entry(usage.window).or_insert(&usage.counts);
+            assert_eq!(*known, &usage.counts, "two counts of window {}", usage.window);
+            let since = self.reports[..index].iter().rev().take_while(|r| r.at + LEASE > *at);
+            let recent: Vec<usize> = since.map(|report| report.entry).collect();
+            let other = recent.iter().position(|other| other != entry);
+            let again = other.is_some_and(|other| recent[other..].contains(entry));
+            assert!(!again, "entries take turns at {at:?}");
+        }
+    }
+
+    /// Returns the windows between two times that were not reported in time within 5 in 100.
+    pub fn missed(&self, from: Duration, to: Duration) -> Vec<UsageWindow> {
+        let settings = usage_settings();
+        let (first, last) = (settings.window_at(START + from), settings.window_at(START + to));
+        (first + 1..last).filter(|window| !self.is_reported(*window)).collect()
+    }
+
+    /// Returns what was due and reported of windows, for messages.
+    pub fn describe(&self, windows: &[UsageWindow]) -> Vec<String> {
+        let of = |window| {
+            let reports = self.reports.iter().filter(|report| report.usage.window == window);
+            let reports: Vec<_> =
+                reports.map(|r| (r.at, r.entry, r.fence, &r.usage.counts)).collect();
+            let due = usage_settings().end(window) + LATENESS - START;
+            format!("due {due:?} truth {:?} reports {reports:?}", self.truth.get(&window))
+        };
+        windows.iter().map(|window| of(*window)).collect()
+    }
+
+    fn is_reported(&self, window: UsageWindow) -> bool {
+        let due = usage_settings().end(window) + LATENESS;
+        let Some(report) = self.reports.iter().find(|report| report.usage.window == window) else {
+            return false;
+        };
+        let in_time = self.accepted.get(&window).is_some_and(|at| *at <= due);
+        let none = CustomerCounts::new();
+        let truth = self.truth.get(&window).unwrap_or(&none);
+        let names: BTreeSet<_> = truth.keys().chain(report.usage.counts.keys()).collect();
+        in_time
+            && names.into_iter().all(|name| {
+                let real = *truth.get(name).unwrap_or(&0) as f64;
+                let reported = *report.usage.counts.get(name).unwrap_or(&0) as f64;
+                (real - reported).abs() <= real * 0.05
+            })
+    }
+}
+
+fn step_of(pending: &Pending) -> Option<DutyStep> {
+    Some(match pending {
+        Pending::Event(_) => return None,
+        Pending::Claim => DutyStep::Claim,
+        Pending::Read(_) => DutyStep::Read,
+        Pending::Fix(..) => DutyStep::Fix,
+        Pending::Save(_) => DutyStep::Save,
+        Pending::Check(..) => DutyStep::Check,
+        Pending::Post(..) => DutyStep::Post,
+    })
+}
+
+pub fn usage_settings() -> UsageSettings {
+    UsageSettings { window: WINDOW, lateness: LATENESS, call_interval: Duration::from_millis(20) }
+}
+
+fn name(entry: usize) -> String {
+    format!("entry-{entry:04}")
+}
+
+fn settings(entry: usize, instance: u64) -> DirectSettings {
+    DirectSettings {
+        name: name(entry).into(),
+        instance,
+        seed: instance,
+        data_centre: "dc".into(),
+        retry_ratio: 0.2,
+        retry_slack: 56.0,
+        retry_window: Duration::from_secs(10),
+        lease: LEASE,
+        drain_bound: Duration::from_secs(2),
+        usage: Some(usage_settings()),
+    }
+}
+
+fn route() -> Arc<RouteConfig> {
+    let service = WeightedService { service: SERVICE.into(), weight: 1 };
+    Arc::new(RouteConfig {
+        name: "route".into(),
+        host: "host".into(),
+        prefix: "/".into(),
+        retry: RetryPolicy::Always,
+        streams: false,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_millis(500),
+        priority: 1,
+        max_attempts: 2,
+        allows_anonymous: true,
+        services: [service].into_iter().collect(),
+    })
+}
+
+fn routes() -> RouteTable {
+    let customers = CUSTOMERS.map(|name| {
+        (CustomerConfig { name: name.into(), priority: None }, vec![format!("key-{name}")])
+    });
+    RouteTable {
+        version: 1,
+        routes: vec![route()],
+        services: [(SERVICE.into(), ServiceConfig { max_connections: 180, engine: None })].into(),
+        limits: RequestLimits {
+            head_bytes: 16_384,
+            body_bytes: 65_536,
+            idle_time: Duration::from_secs(15),
+        },
+        customers: Some(CustomerTable::new(customers)),
+    }
+}
+
+fn target() -> DirectTarget {
+    DirectTarget {
+        id: "target".into(),
+        born_ms: 1,
+        service: SERVICE.into(),
+        version: "v1".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1000)),
+        data_centre: "dc".into(),
+        stage: TargetStage::Plain,
+        slots: 1000,
+        leaving: false,
+        sequence: 1,
+    }
+}
+
+fn request(flow: FlowId, customer: Option<Arc<CustomerConfig>>) -> DirectRequest {
+    DirectRequest {
+        id: format!("request-{flow}").into(),
+        route: route(),
+        customer,
+        time_left: Duration::from_secs(5),
+        prompt: None,
+        identity: RequestIdentity { path: flow, content: flow, resource: flow, caller: flow },
+        resumes: None,
+    }
+}
--- a/tests/two_holders_with_one_fencing_token.rs
+++ b/tests/two_holders_with_one_fencing_token.rs
@@ -121,6 +121,7 @@
         demand: vec![],
         claim: Some(claim),
         leaving: vec![],
+        usage_claim: None,
         switching: vec![],
     })
 }
