--- a/src/platform.rs
+++ b/src/platform.rs
@@ -8,6 +8,7 @@
 pub mod configuration;
 pub mod credential;
 pub mod discovery;
+pub mod duty;
 pub mod generation;
 mod header;
 pub mod runner;
