Divide short room among customers

Cause: where a service's targets have too little room, refusals fell on all customers alike, so that one customer's burst or repeated requests pushed the others out. Change: entries count the work that customers offer and get, tell each other while room is short, and customers above their share have less of the allowed queueing time; reason customer_share. Half of the room is kept in proportion to usual demand, so that large customers are served too.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -32,6 +32,8 @@
 mod resume;
 mod returning;
 mod route;
+mod share;
+mod sharing;
 mod stage_plan;
 mod stop;
 mod stream;
@@ -55,6 +57,7 @@
     EngineConfig, ModelName, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ServiceConfig,
     ServiceName, WeightedService,
 };
+pub use share::{CustomerDemand, CustomerLoad, ShareReport, ShareTable, WorkRate, divide_room};
 pub use stage_plan::{OrderOutcome, StageOrder};
 pub use stop::StopPhase;
 pub use stream::{SoftwareVersion, StreamId, StreamMessage, StreamOrigin, StreamResume};
@@ -243,6 +246,8 @@
     Routes(Arc<RouteTable>),
     /// A peer reported its load.
     PeerLoad(LoadReport),
+    /// A peer reported the work of its customers.
+    PeerShares(ShareReport),
     /// A peer reported suspects that may crash targets.
     Suspects(SuspectReport),
     /// All suspects that the store says crash targets.
@@ -318,6 +323,8 @@
     OutcomeUnknown,
     /// The route's timeout or the caller's deadline has passed.
     TimedOut,
+    /// Targets have too little room, and the request's customer has more than its share.
+    CustomerShare,
     /// Targets take no more requests a second.
     TargetLimit,
     /// Earlier runs of the request crashed several targets.
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -12,8 +12,8 @@
 use super::{
     CachedSegment, CallNumber, ClaimOutcome, CrashSuspect, DirectAction, DirectEvent,
     DirectRequest, EngineConfig, FailureReason, FlowId, PeerName, PeerTable, RequestFailure,
-    RequestTrace, RetryPolicy, RetryWindow, RouteTable, ServiceName, StreamId, SuspectReport,
-    TargetChange, TargetFleet, TargetUsage,
+    RequestTrace, RetryPolicy, RetryWindow, RouteTable, ServiceName, ShareTable, StreamId,
+    SuspectReport, TargetChange, TargetFleet, TargetUsage,
     authority::StageAuthority,
     estimate::{Placement, PlacementQuery, PlacementView, StreamPart, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
@@ -82,6 +82,7 @@
     #[serde(rename = "segments")]
     pub(super) suspects: SuspectTable,
     pub(super) limits: LimitTable,
+    pub(super) shares: ShareTable,
     budgets: HashMap<ServiceName, RetryWindow>,
     #[serde(skip)]
     pub(super) flows: HashMap<FlowId, DirectFlow>,
@@ -132,6 +133,7 @@
             peers: PeerTable::default(),
             max_entries: MIN_ENTRIES,
             limits: LimitTable::default(),
+            shares: ShareTable::default(),
             budgets: HashMap::new(),
             flows: HashMap::new(),
             timeouts: BTreeSet::new(),
@@ -245,6 +247,7 @@
             DirectEvent::TargetLeaving(leaving) => self.fleet.mark_leaving(now, leaving),
             DirectEvent::Routes(routes) => self.apply_routes(routes),
             DirectEvent::PeerLoad(report) => self.peer_load(now, report),
+            DirectEvent::PeerShares(report) => self.peer_shares(now, report),
             DirectEvent::Suspects(report) => {
                 for crash in &report.crashes {
                     self.fleet.doubt_start(now.saturating_sub(crash.age), &crash.start);
@@ -406,13 +409,19 @@
         flow.trace.estimate_ms = placement.expected().as_millis() as u64;
         flow.trace.waiting_ms = placement.waiting().as_millis() as u64;
         let allowed = allowed_wait(now, flow);
+        let shared = self.shared_wait(now, id, &placement, allowed);
         if placement.expected() >= left || placement.waiting() > allowed {
             let excess = placement.waiting().saturating_sub(allowed);
             return self.fail_request(id, FailureReason::CannotMeetDeadline, excess, out);
         }
+        if placement.waiting() > shared {
+            let excess = placement.waiting().saturating_sub(shared);
+            return self.fail_request(id, FailureReason::CustomerShare, excess, out);
+        }
         if self.reject_while_stopping(now, id, &placement, out) {
             return;
         }
+        self.record_admission(now, id, &placement);
         self.call(now, id, placement, out);
     }
 
--- a/src/process/direct/gossip.rs
+++ b/src/process/direct/gossip.rs
@@ -20,7 +20,7 @@
 };
 use crate::{
     direct::{
-        DirectEvent, LoadReport, PeerName, ReadSchedule, StreamMessage, SuspectReport,
+        DirectEvent, LoadReport, PeerName, ReadSchedule, ShareReport, StreamMessage, SuspectReport,
         report_interval,
     },
     error::{Error, ErrorCode, Result},
@@ -51,6 +51,8 @@
     stream: Option<PeerStreamMessage>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     suspects: Option<SuspectReport>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    shares: Option<ShareReport>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -147,7 +149,12 @@
         }
         let load = driver.load_report(number % FULL_REPORT_PERIOD == 0);
         let suspects = Some(driver.suspect_report()).filter(|report| !report.is_empty());
-        let datagram = PeerDatagram { load: Some(load), stream: None, suspects };
+        let datagram = PeerDatagram {
+            load: Some(load),
+            stream: None,
+            suspects,
+            shares: driver.share_report(),
+        };
         let mut bytes = Vec::new();
         if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
             log::error!(error:% = error; "failed to encode report");
@@ -187,6 +194,9 @@
                     peers.borrow_mut().insert(peer.to_string(), sender);
                     driver.step(DirectEvent::StreamMessage { peer, message });
                 }
+                if let Some(report) = datagram.shares.filter(ShareReport::has_valid_numbers) {
+                    driver.step(DirectEvent::PeerShares(report));
+                }
                 if let Some(report) = datagram.suspects {
                     driver.step(DirectEvent::Suspects(report));
                 }
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -29,7 +29,7 @@
 use crate::{
     direct::{
         DirectAction, DirectEvent, DirectMachine, DirectTarget, FlowId, LeavingTarget, LoadReport,
-        PeerName, RequestRate, RequestTrace, RouteTable, StopPhase, SuspectReport,
+        PeerName, RequestRate, RequestTrace, RouteTable, ShareReport, StopPhase, SuspectReport,
     },
     ids::ClockTime,
     platform::{configuration, discovery, generation::GenerationWatch, runner, store::StoreClient},
@@ -309,6 +309,10 @@
         self.machine.borrow().restore_delay()
     }
 
+    pub(super) fn share_report(&self) -> Option<ShareReport> {
+        self.machine.borrow_mut().share_report(self.now())
+    }
+
     pub(super) fn suspect_report(&self) -> SuspectReport {
         self.machine.borrow().suspect_report(self.now())
     }
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -4,11 +4,11 @@
 
 use sapphirewell::{
     direct::{
-        CallOutcome, CallStep, CustomerConfig, DirectAction, DirectEvent, DirectMachine,
-        DirectRequest, DirectSettings, DirectTarget, EngineConfig, InFlight, LoadReport,
-        PromptSegment, PromptShape, RequestIdentity, RequestLimits, RetryPolicy, RouteConfig,
-        RouteTable, ServiceConfig, ServiceVersion, StoredVersions, StreamResume, SuspectChange,
-        SuspectReport, TargetChange, TargetStage, TargetUsage, WeightedService,
+        CallOutcome, CallStep, CustomerConfig, CustomerTable, DirectAction, DirectEvent,
+        DirectMachine, DirectRequest, DirectSettings, DirectTarget, EngineConfig, InFlight,
+        LoadReport, PromptSegment, PromptShape, RequestIdentity, RequestLimits, RetryPolicy,
+        RouteConfig, RouteTable, ServiceConfig, ServiceVersion, StoredVersions, StreamResume,
+        SuspectChange, SuspectReport, TargetChange, TargetStage, TargetUsage, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -96,6 +96,11 @@
     }
 
     pub fn configure(&mut self, version: u64) {
+        self.configure_customers(version, None);
+    }
+
+    /// Applies a configuration with customers, if there are any.
+    pub fn configure_customers(&mut self, version: u64, customers: Option<CustomerTable>) {
         let engine = EngineConfig {
             slots: 16,
             memory_tokens: 400_000,
@@ -112,7 +117,7 @@
                 body_bytes: 65_536,
                 idle_time: Duration::from_secs(15),
             },
-            customers: None,
+            customers,
         };
         self.step(DirectEvent::Routes(Arc::new(table)));
     }
