--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -123,6 +123,15 @@
     }
 
     pub fn configure(&mut self, version: u64) {
+        let customers = self
+            .customer
+            .as_ref()
+            .map(|customer| CustomerTable::new([((**customer).clone(), vec!["key"])]));
+        self.configure_customers(version, customers);
+    }
+
+    /// Applies a configuration with customers, if there are any.
+    pub fn configure_customers(&mut self, version: u64, customers: Option<CustomerTable>) {
         let engine = EngineConfig {
             slots: 16,
             memory_tokens: 400_000,
@@ -139,10 +148,7 @@
                 body_bytes: 65_536,
                 idle_time: Duration::from_secs(15),
             },
-            customers: self
-                .customer
-                .as_ref()
-                .map(|customer| CustomerTable::new([((**customer).clone(), vec!["key"])])),
+            customers,
         };
         self.step(DirectEvent::Routes(Arc::new(table)));
     }
