--- a/src/direct.rs
+++ b/src/direct.rs
@@ -32,6 +32,7 @@
 mod resume;
 mod returning;
 mod route;
+mod stage_capacity;
 mod stage_plan;
 mod stop;
 mod stream;
--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -28,9 +28,9 @@
 /// engine does not use up the objective while remote ones are idle.
 const MAX_STALE_COST_SHARE: f32 = 0.5;
 /// Transfer time of a KV cache between data centres, relative to one within a data centre.
-const REMOTE_TRANSFER_FACTOR: f32 = 2.0;
+pub(super) const REMOTE_TRANSFER_FACTOR: f32 = 2.0;
 /// Assumed run time before any run was timed, in seconds.
-const INITIAL_RUN_SECONDS: f32 = 0.15;
+pub(super) const INITIAL_RUN_SECONDS: f32 = 0.15;
 /// Cost of a target whose calls all fail, in seconds; it scales with the failure rate.
 const FAILURE_COST_SECONDS: f32 = 1.0;
 /// Shortest shared prefix that is assigned to a home engine, in tokens.
--- a/src/direct/stage_plan.rs
+++ b/src/direct/stage_plan.rs
@@ -8,8 +8,12 @@
 use serde::Serialize;
 
 use super::{
-    DirectMachine, DirectTarget, OrderFencingToken, TargetStage, backlog::PRIORITY_COUNT,
-    estimate::PlacementView, target::TargetState,
+    DirectMachine, DirectTarget, EngineConfig, OrderFencingToken, TargetStage,
+    backlog::PRIORITY_COUNT,
+    estimate::{INITIAL_RUN_SECONDS, PlacementView, REMOTE_TRANSFER_FACTOR},
+    flow::StepKind,
+    stage_capacity::{DecodeLimits, DecodeNeed, DecodeStreams},
+    target::TargetState,
 };
 use crate::ids::{ClockTime, TargetId};
 
@@ -28,9 +32,9 @@
 const SPARE_SLOT_SHARE: f32 = 0.9;
 /// Slot use at which another decode engine is needed.
 const FULL_SLOT_SHARE: f32 = 0.97;
-/// Maximum share of prefill engines. With 0.65 of them fewer requests are served; see
-/// docs/BENCH.md.
-const MAX_PREFILL_SHARE: f32 = 0.55;
+/// Share of prefill engines beyond which the decode engines must suffice for the peak of the
+/// last phases, rather than for the present load alone.
+const BALANCED_PREFILL_SHARE: f32 = 0.55;
 /// Number of engines for each order that may be pending; at least one may.
 const ENGINES_PER_ORDER: usize = 6;
 /// Minimum time between two orders.
@@ -72,6 +76,9 @@
     /// Share of the decode engines' slots that is in use.
     #[serde(rename = "slots")]
     pub(super) slot_use: f32,
+    /// Decode engines that the running streams need.
+    #[serde(rename = "needed")]
+    pub(super) decode_engines: f32,
 }
 
 /// Order whose effect is not visible in the list of targets yet.
@@ -87,6 +94,8 @@
 #[derive(Debug, Clone, Default, Serialize)]
 pub(super) struct StagePlanner {
     load: StageLoad,
+    /// Decode engines that the phases of the last time needed.
+    need: DecodeNeed,
     #[serde(rename = "looks")]
     samples: u32,
     #[serde(rename = "next_look")]
@@ -127,22 +136,26 @@
         let share = weight.max(1.0 / self.samples as f32);
         self.load.prefill_wait += share * (sample.prefill_wait - self.load.prefill_wait);
         self.load.slot_use += share * (sample.slot_use - self.load.slot_use);
+        self.need.add_sample(sample.decode_engines, SAMPLE_INTERVAL);
     }
 
     /// Returns the stage that needs another engine, if any.
     fn needed_stage(&self, prefill_engines: usize, decode_engines: usize) -> Option<TargetStage> {
-        let StageLoad { prefill_wait, slot_use } = self.load;
+        let StageLoad { prefill_wait, slot_use, .. } = self.load;
         if self.samples < MIN_SAMPLES || prefill_engines == 0 || decode_engines == 0 {
             return None;
         }
         let all = (prefill_engines + decode_engines) as f32;
         let use_after = slot_use * decode_engines as f32 / (decode_engines as f32 - 1.0).max(0.5);
-        let may_add = (prefill_engines + 1) as f32 <= all * MAX_PREFILL_SHARE;
+        let is_balanced = (prefill_engines + 1) as f32 <= all * BALANCED_PREFILL_SHARE;
+        let may_add = is_balanced || (decode_engines - 1) as f32 >= self.need.peak().max(1.0);
         if prefill_wait >= LONG_WAIT_SECONDS && use_after <= SPARE_SLOT_SHARE && may_add {
             return Some(TargetStage::Prefill);
         }
-        if prefill_wait <= SHORT_WAIT_SECONDS && slot_use >= FULL_SLOT_SHARE && prefill_engines > 1
-        {
+        let can_spare = prefill_wait <= SHORT_WAIT_SECONDS
+            || (prefill_wait <= LONG_WAIT_SECONDS
+                && prefill_engines as f32 > all * BALANCED_PREFILL_SHARE);
+        if can_spare && slot_use >= FULL_SLOT_SHARE && prefill_engines > 1 {
             return Some(TargetStage::Decode);
         }
         None
@@ -214,9 +227,49 @@
             prefill_wait: waits / (prefill_engines.len() as f32).max(1.0),
             slot_use: decode_engines.iter().map(running).sum::<u64>() as f32
                 / (slots as f32).max(1.0),
+            decode_engines: self.decode_engines_needed(&view, decode_engines),
         }
     }
 
+    /// Returns how many decode engines the streams need that run now.
+    fn decode_engines_needed(
+        &self,
+        view: &PlacementView<'_>,
+        decode_engines: &[&TargetState],
+    ) -> f32 {
+        let Some(first) = decode_engines.first() else { return 0.0 };
+        let count = decode_engines.len() as f32;
+        let running: f32 =
+            decode_engines.iter().map(|state| view.in_flight(state).running as f32).sum();
+        let run_time = |state: &&TargetState| {
+            if state.run_seconds > 0.0 { state.run_seconds } else { INITIAL_RUN_SECONDS }
+        };
+        let streams = DecodeStreams {
+            count: running,
+            mean_tokens: self.mean_stream_tokens(),
+            run_seconds: decode_engines.iter().map(run_time).sum::<f32>() / count,
+        };
+        let slots: f32 = decode_engines.iter().map(|state| state.target.slots as f32).sum();
+        let engine = self
+            .routes
+            .as_ref()
+            .and_then(|routes| routes.services.get(&first.target.service)?.engine.as_ref());
+        decode_limits(slots / count, engine).engines_needed(&streams)
+    }
+
+    /// Returns the mean length of the prompts whose streams this entry has in flight, in tokens:
+    /// a sample of all entries' streams.
+    fn mean_stream_tokens(&self) -> f32 {
+        let streams = self
+            .flows
+            .values()
+            .filter(|flow| flow.call.as_ref().is_some_and(|call| call.step != StepKind::Prefill));
+        let tokens = streams.filter_map(|flow| Some(flow.request.prompt.as_ref()?.tokens as f32));
+        let (sum, count) =
+            tokens.fold((0.0, 0.0), |(sum, count), tokens| (sum + tokens, count + 1.0));
+        sum / f32::max(count, 1.0)
+    }
+
     /// Removes orders whose effect is visible or whose time has run out.
     fn drop_finished_orders(&mut self, now: ClockTime) {
         self.planner.refused.retain(|(_, until)| now < *until);
@@ -251,3 +304,16 @@
         chosen.map(|state| state.target.clone())
     }
 }
+
+/// Returns the limits of a decode engine. Without a configuration only its slots are known.
+fn decode_limits(slots: f32, engine: Option<&EngineConfig>) -> DecodeLimits {
+    let Some(engine) = engine else {
+        return DecodeLimits { slots, memory_tokens: f32::INFINITY, token_transfer_seconds: 0.0 };
+    };
+    let transfer = engine.token_bytes * 8.0 / engine.link_bits;
+    DecodeLimits {
+        slots,
+        memory_tokens: engine.memory_tokens as f32,
+        token_transfer_seconds: transfer as f32 * REMOTE_TRANSFER_FACTOR,
+    }
+}
