--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -23,7 +23,7 @@
     stop::{RequestTimes, StopPlan},
     stream::OriginTable,
     suspect_table::SuspectTable,
-    waiting::{allowed_wait, priority},
+    waiting::{allowed_wait, late_response_bound, priority},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
 
@@ -398,16 +398,14 @@
         if flow.calls >= MAX_CALLS {
             return self.fail_request(id, FailureReason::Declined, Duration::ZERO, out);
         }
-        let Some(placement) = self.choose(now, id) else {
+        let Some(mut placement) = self.choose(now, id) else {
             return self.fail_without_target(now, id, out);
         };
-        let Some(flow) = self.flows.get_mut(&id) else { return };
-        flow.trace.estimate_ms = placement.expected().as_millis() as u64;
-        flow.trace.waiting_ms = placement.waiting().as_millis() as u64;
-        let allowed = allowed_wait(now, flow);
-        if placement.expected() >= left || placement.waiting() > allowed {
-            let excess = placement.waiting().saturating_sub(allowed);
-            return self.fail_request(id, FailureReason::CannotMeetDeadline, excess, out);
+        if let Err(excess) = self.admit(now, id, &placement) {
+            let Some(late) = self.place_late(now, id) else {
+                return self.fail_request(id, FailureReason::CannotMeetDeadline, excess, out);
+            };
+            placement = late;
         }
         if self.reject_while_stopping(now, id, &placement, out) {
             return;
@@ -415,6 +413,36 @@
         self.call(now, id, placement, out);
     }
 
+    /// Returns by how much the wait exceeds what the request is allowed, if it does.
+    fn admit(&mut self, now: ClockTime, id: FlowId, placement: &Placement) -> Result<(), Duration> {
+        let Some(flow) = self.flows.get_mut(&id) else { return Ok(()) };
+        flow.trace.estimate_ms = placement.expected().as_millis() as u64;
+        flow.trace.waiting_ms = placement.waiting().as_millis() as u64;
+        let allowed = allowed_wait(now, flow);
+        if placement.expected() >= flow.time_left(now) || placement.waiting() > allowed {
+            return Err(placement.waiting().saturating_sub(allowed));
+        }
+        Ok(())
+    }
+
+    /// Places a request that cannot be in time any more behind all that can, if its caller is
+    /// expected to wait for it.
+    fn place_late(&mut self, now: ClockTime, id: FlowId) -> Option<Placement> {
+        let flow = self.flows.get_mut(&id)?;
+        let bound = late_response_bound(now, flow)?;
+        let was_late = std::mem::replace(&mut flow.late, true);
+        let placement = self.choose(now, id).filter(|placement| placement.expected() < bound);
+        let flow = self.flows.get_mut(&id)?;
+        match &placement {
+            Some(placement) => {
+                flow.trace.estimate_ms = placement.expected().as_millis() as u64;
+                flow.trace.waiting_ms = placement.waiting().as_millis() as u64;
+            }
+            None => flow.late = was_late,
+        }
+        placement
+    }
+
     /// Returns whether requests like this one have crashed several targets.
     pub(super) fn crashes_targets(&self, now: ClockTime, flow: &DirectFlow) -> bool {
         self.suspects.blocks(now, &flow.request)
--- a/src/direct/waiting.rs
+++ b/src/direct/waiting.rs
@@ -1,6 +1,7 @@
 //! Admission control: the longest queueing time and the priority of a request.
 //!
-//! It serves load peaks that exceed the capacity of the targets for some seconds.
+//! It serves load peaks that exceed the capacity of the targets for some seconds. See
+//! [docs/design/waiting.md](../../docs/design/waiting.md).
 
 use std::time::Duration;
 
@@ -9,6 +10,13 @@
 
 /// Queueing time that is allowed even if the response will be late, relative to the objective.
 const LATE_WAIT_SHARE: f32 = 0.25;
+/// Time without an event after which a caller abandons a stream: at least this, and at least this
+/// multiple of the objective. A long pause between events may allow more.
+const MIN_STREAM_PATIENCE: Duration = Duration::from_secs(2);
+const STREAM_PATIENCE_FACTOR: u32 = 4;
+/// Share of a caller's patience that the expected time of a late response may take. Requests that
+/// still can be in time overtake it, which no estimate allows for.
+const PATIENCE_SHARE: f32 = 0.5;
 
 /// Returns the longest queueing time with which a request is admitted: what is left of its
 /// objective, whatever it needs itself, so that large requests are served as well.
@@ -24,7 +32,24 @@
     flow.objective.saturating_sub(now).max(objective.mul_f32(LATE_WAIT_SHARE))
 }
 
-/// Returns the priority at targets, where requests that were late on arrival go last.
+/// Returns until when a caller waits for the first event of a response that will be late, or
+/// `None` if the request must not wait beyond its objective.
+///
+/// Engines serve late requests after all that still can be in time, so those use only what is left
+/// over. Other targets know no such order.
+pub(super) fn late_response_bound(now: ClockTime, flow: &DirectFlow) -> Option<Duration> {
+    flow.request.prompt.as_ref()?;
+    let route = &flow.request.route;
+    let left = flow.time_left(now);
+    if !route.streams {
+        return Some(left.mul_f32(PATIENCE_SHARE));
+    }
+    let patience = MIN_STREAM_PATIENCE.max(route.objective * STREAM_PATIENCE_FACTOR);
+    let waited = now.saturating_sub(flow.arrived);
+    Some(patience.saturating_sub(waited).mul_f32(PATIENCE_SHARE).min(left))
+}
+
+/// Returns the priority at targets, where requests that will be late go last.
 pub(super) fn priority(flow: &DirectFlow) -> u8 {
     let priority = flow.request.priority().min(FIRST_LATE_PRIORITY - 1);
     if flow.late { priority + FIRST_LATE_PRIORITY } else { priority }
