--- a/src/direct.rs
+++ b/src/direct.rs
@@ -34,6 +34,7 @@
 mod route;
 mod share;
 mod sharing;
+mod stage_capacity;
 mod stage_plan;
 mod stop;
 mod stream;
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -24,7 +24,7 @@
     stream::OriginTable,
     suspect_table::SuspectTable,
     usage_duty::UsageDuty,
-    waiting::{allowed_wait, priority},
+    waiting::{allowed_wait, late_response_bound, priority},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
 
@@ -406,26 +406,24 @@
         if self.crashes_targets(now, flow) {
             return self.fail_request(id, FailureReason::CrashesTargets, Duration::MAX, out);
         }
-        let left = flow.time_left(now);
-        if left < MIN_CALL_TIME {
+        if flow.time_left(now) < MIN_CALL_TIME {
             return self.fail_request(id, FailureReason::TimedOut, Duration::ZERO, out);
         }
         if flow.calls >= MAX_CALLS {
             return self.fail_request(id, FailureReason::Declined, Duration::ZERO, out);
         }
-        let Some(placement) = self.choose(now, id) else {
+        let Some(mut placement) = self.choose(now, id) else {
             return self.fail_without_target(now, id, out);
         };
-        let Some(flow) = self.flows.get_mut(&id) else { return };
-        flow.trace.estimate_ms = placement.expected().as_millis() as u64;
-        flow.trace.waiting_ms = placement.waiting().as_millis() as u64;
+        let Some(flow) = self.flows.get(&id) else { return };
         let allowed = allowed_wait(now, flow);
         let shared = self.shared_wait(now, id, &placement, allowed);
-        if placement.expected() >= left || placement.waiting() > allowed {
-            let excess = placement.waiting().saturating_sub(allowed);
-            return self.fail_request(id, FailureReason::CannotMeetDeadline, excess, out);
-        }
-        if placement.waiting() > shared {
+        if let Err(excess) = self.admit(now, id, &placement, allowed) {
+            let Some(late) = self.place_late(now, id) else {
+                return self.fail_request(id, FailureReason::CannotMeetDeadline, excess, out);
+            };
+            placement = late;
+        } else if placement.waiting() > shared {
             let excess = placement.waiting().saturating_sub(shared);
             return self.fail_request(id, FailureReason::CustomerShare, excess, out);
         }
@@ -436,6 +434,41 @@
         self.call(now, id, placement, out);
     }
 
+    /// Returns by how much the wait exceeds what the request is allowed, if it does.
+    fn admit(
+        &mut self,
+        now: ClockTime,
+        id: FlowId,
+        placement: &Placement,
+        allowed: Duration,
+    ) -> Result<(), Duration> {
+        let Some(flow) = self.flows.get_mut(&id) else { return Ok(()) };
+        flow.trace.estimate_ms = placement.expected().as_millis() as u64;
+        flow.trace.waiting_ms = placement.waiting().as_millis() as u64;
+        if placement.expected() >= flow.time_left(now) || placement.waiting() > allowed {
+            return Err(placement.waiting().saturating_sub(allowed));
+        }
+        Ok(())
+    }
+
+    /// Places a request that cannot be in time any more behind all that can, if its caller is
+    /// expected to wait for it.
+    fn place_late(&mut self, now: ClockTime, id: FlowId) -> Option<Placement> {
+        let flow = self.flows.get_mut(&id)?;
+        let bound = late_response_bound(now, flow)?;
+        let was_late = std::mem::replace(&mut flow.late, true);
+        let placement = self.choose(now, id).filter(|placement| placement.expected() < bound);
+        let flow = self.flows.get_mut(&id)?;
+        match &placement {
+            Some(placement) => {
+                flow.trace.estimate_ms = placement.expected().as_millis() as u64;
+                flow.trace.waiting_ms = placement.waiting().as_millis() as u64;
+            }
+            None => flow.late = was_late,
+        }
+        placement
+    }
+
     /// Returns whether requests like this one have crashed several targets.
     pub(super) fn crashes_targets(&self, now: ClockTime, flow: &DirectFlow) -> bool {
         self.suspects.blocks(now, &flow.request)
