Let engines copy shared prefixes from those that have them

Prefill engines were the bottleneck (p90 of a long prefill 1.6 s).

Change: a call of a prompt with a long shared prefix names the engine that has most of it, if the transfer over the configured link is faster than the prefill; the engine copies it (Kv-Fetch). The home is still preferred, by the cost of the transfer.

Test support: RequestedCall has the new field, so request_taken_after_stop_signal.rs names it; no check changed.

--- a/emulator/src/calibration.rs
+++ b/emulator/src/calibration.rs
@@ -156,7 +156,7 @@
     let leg: EstimatedLeg = leg.parse().ok()?;
     let actual = match (leg, rest) {
         (EstimatedLeg::Prefill, _) if *ending == "prefilled" => millis(took)?,
-        (EstimatedLeg::Decode | EstimatedLeg::Run, ["first", first]) => millis(first)?,
+        (EstimatedLeg::Decode | EstimatedLeg::Run, ["first", first, ..]) => millis(first)?,
         _ => return None,
     };
     Some((leg, millis(estimate)?, actual))
--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -280,7 +280,7 @@
 
     fn perform_action(&mut self, entry: EntryId, action: DirectAction) {
         match action {
-            DirectAction::Call { flow, call, target, step, time_left, priority } => {
+            DirectAction::Call { flow, call, target, step, time_left, priority, .. } => {
                 let Some(attempt) = self.attempt_of(entry, flow) else { return };
                 let ignored = self.settings.defect == Some(DriverDefect::DeadlineIgnored);
                 let time_left = if ignored { Duration::from_secs(60) } else { time_left };
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -26,6 +26,7 @@
 mod limited;
 mod load;
 mod machine;
+mod prefix_copy;
 mod reading;
 mod report;
 mod restore;
@@ -357,6 +358,9 @@
         time_left: Duration,
         /// Priority from 0 (highest) to 9 (lowest).
         priority: u8,
+        /// Address of the engine that the target copies the beginning of the prompt from, in
+        /// place of prefilling it; `None` if it prefills all that it does not have.
+        copy_source: Option<SocketAddr>,
     },
     /// Forward the response of the current call to the caller.
     Deliver {
--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -142,11 +142,13 @@
         let Some(flow) = self.flows.get_mut(&id) else { return };
         if let Some(state) = self.fleet.get_mut(&call.target.id) {
             state.record_success();
-            state.record_prefill(
-                call.remaining_tokens,
-                call.tokens_ahead,
-                now.saturating_sub(call.started),
-            );
+            if call.copied_tokens == 0 {
+                state.record_prefill(
+                    call.remaining_tokens,
+                    call.tokens_ahead,
+                    now.saturating_sub(call.started),
+                );
+            }
             if let Some(prompt) = &flow.request.prompt {
                 state.add_cached(now, prompt, memory_tokens(self.routes.as_ref(), &flow.service));
                 record_cached_segments(
@@ -292,7 +294,8 @@
                 prompt,
             );
         }
-        if call.step == StepKind::Run {
+        // The transfer is no part of the rate.
+        if call.step == StepKind::Run && call.copied_tokens == 0 {
             state.record_prefill(
                 call.prefill_tokens,
                 call.tokens_ahead,
--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -12,6 +12,7 @@
     SoftwareVersion,
     flow::StepKind,
     load::report_interval,
+    prefix_copy::{PrefixCopy, PrefixHolders, transfer_seconds},
     target::{CALL_OVERHEAD, TargetFleet, TargetStage, TargetState},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
@@ -27,8 +28,6 @@
 /// Largest such cost, relative to the request's latency objective, so that a wait for a local
 /// engine does not use up the objective while remote ones are idle.
 const MAX_STALE_COST_SHARE: f32 = 0.5;
-/// Transfer time of a KV cache between data centres, relative to one within a data centre.
-const REMOTE_TRANSFER_FACTOR: f32 = 2.0;
 /// Assumed run time before any run was timed, in seconds.
 const INITIAL_RUN_SECONDS: f32 = 0.15;
 /// Cost of a target whose calls all fail, in seconds; it scales with the failure rate.
@@ -44,6 +43,9 @@
 const DECODE_PREFILL_COST_FACTOR: f32 = 2.0;
 /// Prompt tokens that an engine in the decode stage prefills between two output tokens.
 const DECODE_CHUNK_TOKENS: f32 = 256.0;
+/// Cost of a copied prefix to later requests, relative to the transfer time: it occupies the links
+/// of two engines.
+const COPY_COST_FACTOR: f32 = 2.0;
 /// Output tokens in one event of a stream.
 const EVENT_TOKENS: f32 = 12.0;
 /// Longest time between two events of a response that is in time, less a margin, in seconds.
@@ -96,6 +98,8 @@
     pub(super) decode: Option<TargetId>,
     /// Prompt tokens that the target has to prefill.
     pub(super) prefill_tokens: u32,
+    /// Copy of a part of the prompt from another engine, before the prefill.
+    pub(super) copy: Option<PrefixCopy>,
     /// Expected time to the first output, in seconds.
     pub(super) seconds: f32,
     /// Part of that time until the next call has its first output or ends, in seconds.
@@ -175,6 +179,10 @@
         candidates: &[&TargetState],
     ) -> Option<Placement> {
         let home = affinity_key(prompt);
+        let holders = match home {
+            Some(_) => PrefixHolders::choose(rng, prompt, candidates.iter().copied()),
+            None => PrefixHolders::default(),
+        };
         let prefill_engines =
             candidates.iter().filter(|state| state.target.stage == TargetStage::Prefill);
         let decode_engines =
@@ -184,13 +192,15 @@
         let run = cheapest(
             rng,
             decode_engines.clone().map(|state| {
-                self.estimate_run(state, query, prompt, decode_home == Some(&state.target.id))
+                let is_home = decode_home == Some(&state.target.id);
+                self.estimate_run(state, query, prompt, &holders, is_home)
             }),
         );
         let prefill = cheapest(
             rng,
             prefill_engines.map(|state| {
-                self.estimate_prefill(state, query, prompt, prefill_home == Some(&state.target.id))
+                let is_home = prefill_home == Some(&state.target.id);
+                self.estimate_prefill(state, query, prompt, &holders, is_home)
             }),
         );
         let Some(prefill) = prefill else { return run };
@@ -248,23 +258,26 @@
         state: &TargetState,
         query: &PlacementQuery<'_>,
         prompt: &PromptShape,
+        holders: &PrefixHolders<'_>,
         is_home: bool,
     ) -> Placement {
         let rate = self.rate(state);
-        let tokens = uncached_tokens(state, prompt);
+        let PromptPlan { tokens, copy } = plan_prompt(state, query, prompt, holders, rate);
         let waiting = self.prefill_wait(state, query.priority) + self.slot_wait(state);
-        let own = tokens as f32 / rate + self.call_overhead(state, query);
-        let displacing = displacing_tokens(state, prompt, is_home) as f32 / rate;
+        let copying = copy_seconds(copy.as_ref());
+        let own = tokens as f32 / rate + copying + self.call_overhead(state, query);
+        let displacing = displacing_tokens(prompt, tokens, is_home) as f32 / rate;
         let event_gap = EVENT_TOKENS * DECODE_CHUNK_TOKENS / rate;
         let delays_streams = tokens > SHORT_PREFILL_TOKENS && event_gap > MAX_EVENT_GAP_SECONDS;
         let stream_cost = if delays_streams { LATE_STREAM_COST_SECONDS } else { 0.0 };
         let placed = placement(state, StepKind::Run, waiting, own);
         let external_cost = placed.external_cost
             + displacing * DECODE_PREFILL_COST_FACTOR
+            + copying * COPY_COST_FACTOR
             + self.overtaking_cost(state, query, tokens)
             + self.stale_report_cost(state, query)
             + stream_cost;
-        Placement { prefill_tokens: tokens, external_cost, ..placed }
+        Placement { prefill_tokens: tokens, copy, external_cost, ..placed }
     }
 
     fn estimate_prefill(
@@ -272,19 +285,22 @@
         state: &TargetState,
         query: &PlacementQuery<'_>,
         prompt: &PromptShape,
+        holders: &PrefixHolders<'_>,
         is_home: bool,
     ) -> Placement {
         let rate = self.rate(state);
-        let tokens = uncached_tokens(state, prompt);
-        let own = tokens as f32 / rate + self.call_overhead(state, query);
+        let PromptPlan { tokens, copy } = plan_prompt(state, query, prompt, holders, rate);
+        let copying = copy_seconds(copy.as_ref());
+        let own = tokens as f32 / rate + copying + self.call_overhead(state, query);
         let placed =
             placement(state, StepKind::Prefill, self.prefill_wait(state, query.priority), own);
-        let displacing = displacing_tokens(state, prompt, is_home) as f32 / rate;
+        let displacing = displacing_tokens(prompt, tokens, is_home) as f32 / rate;
         let external_cost = placed.external_cost
             + displacing * PREFILL_COST_FACTOR
+            + copying * COPY_COST_FACTOR
             + self.overtaking_cost(state, query, tokens)
             + self.stale_report_cost(state, query);
-        Placement { prefill_tokens: tokens, external_cost, ..placed }
+        Placement { prefill_tokens: tokens, copy, external_cost, ..placed }
     }
 
     fn estimate_decode(
@@ -294,13 +310,9 @@
         prompt: &PromptShape,
         source: &TargetState,
     ) -> Placement {
-        let locality = Locality::between(&source.target.data_centre, &state.target.data_centre);
-        let factor = match locality {
-            Locality::Local => 1.0,
-            Locality::Remote => REMOTE_TRANSFER_FACTOR,
-        };
-        let bits = query.engine.map_or(0.0, |config| config.token_bytes * 8.0 / config.link_bits);
-        let transfer = prompt.tokens as f32 * bits as f32 * factor;
+        let transfer = query.engine.map_or(0.0, |config| {
+            transfer_seconds(config, &source.target, &state.target, prompt.tokens)
+        });
         let own = transfer + self.call_overhead(state, query);
         let placed = placement(state, StepKind::Decode, self.slot_wait(state), own);
         let external_cost = placed.external_cost + self.stale_report_cost(state, query);
@@ -367,6 +379,7 @@
         step,
         decode: None,
         prefill_tokens: 0,
+        copy: None,
         seconds: waiting + own_seconds,
         call_seconds: waiting + own_seconds,
         own_seconds,
@@ -385,19 +398,34 @@
     spread.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, placement)| placement)
 }
 
-/// Returns the prompt tokens that a target has to prefill, at least 1.
-fn uncached_tokens(state: &TargetState, prompt: &PromptShape) -> u32 {
-    prompt.tokens.saturating_sub(state.cached_prefix_tokens(prompt)).max(1)
+/// How an engine gets the KV cache of a prompt.
+struct PromptPlan {
+    /// Tokens that it has to prefill, at least 1.
+    tokens: u32,
+    copy: Option<PrefixCopy>,
+}
+
+fn plan_prompt(
+    state: &TargetState,
+    query: &PlacementQuery<'_>,
+    prompt: &PromptShape,
+    holders: &PrefixHolders<'_>,
+    rate: f32,
+) -> PromptPlan {
+    let cached = state.cached_prefix_tokens(prompt);
+    let copy = query.engine.and_then(|config| holders.copy_to(config, state, cached, rate));
+    let copied = copy.as_ref().map_or(0, |copy| copy.tokens);
+    PromptPlan { tokens: prompt.tokens.saturating_sub(cached + copied).max(1), copy }
+}
+
+fn copy_seconds(copy: Option<&PrefixCopy>) -> f32 {
+    copy.map_or(0.0, |copy| copy.seconds)
 }
 
 /// Returns the prefill that delays later requests at a target, in tokens. At the home engine
 /// of a prefix the shared segments do not count, as later requests use them from the cache.
-fn displacing_tokens(state: &TargetState, prompt: &PromptShape, is_home: bool) -> u32 {
-    if is_home {
-        prompt.tokens.saturating_sub(shared_tokens(prompt)).max(1)
-    } else {
-        uncached_tokens(state, prompt)
-    }
+fn displacing_tokens(prompt: &PromptShape, prefilled: u32, is_home: bool) -> u32 {
+    if is_home { prompt.tokens.saturating_sub(shared_tokens(prompt)).max(1) } else { prefilled }
 }
 
 pub(super) fn shared_tokens(prompt: &PromptShape) -> u32 {
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -34,6 +34,8 @@
     pub(super) remaining_tokens: u32,
     /// Prompt tokens that it had to prefill when the call began.
     pub(super) prefill_tokens: u32,
+    /// Prompt tokens that it copies from another target.
+    pub(super) copied_tokens: u32,
     /// Prompt tokens of other requests that were queued ahead of it.
     pub(super) tokens_ahead: u32,
     /// Expected time to its first output, or to the end of a prefill.
@@ -53,7 +55,7 @@
 
     /// Formats the call for a log line: target, its software version, operation, result, duration, the
     /// prompt tokens that it had to prefill and that were queued ahead of it, and the expected
-    /// and actual time to its first output.
+    /// and actual time to its first output, and the prompt tokens that it copied.
     pub(super) fn describe(&self, now: ClockTime, ending: &str) -> String {
         let took = now.saturating_sub(self.started).as_millis();
         let (id, version, step) = (&self.target.id, &self.target.version, self.step);
@@ -64,6 +66,9 @@
         if let Some(first) = self.first_output {
             text.push_str(&format!(" first {}ms", first.as_millis()));
         }
+        if self.copied_tokens > 0 {
+            text.push_str(&format!(" copied {}", self.copied_tokens));
+        }
         text
     }
 }
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -491,6 +491,7 @@
             started: now,
             remaining_tokens: chosen.prefill_tokens,
             prefill_tokens: chosen.prefill_tokens,
+            copied_tokens: chosen.copy.as_ref().map_or(0, |copy| copy.tokens),
             tokens_ahead,
             estimate: chosen.expected_call(),
             first_output: None,
@@ -504,6 +505,7 @@
             step: call_step(chosen.step, cache),
             time_left: flow.time_left(now),
             priority,
+            copy_source: chosen.copy.map(|copy| copy.source.address),
         });
     }
 
--- /dev/null
+++ b/src/direct/prefix_copy.rs
@@ -0,0 +1,116 @@
+//! Finds the engines from which an engine can copy the shared segments of a prompt.
+//!
+//! It serves loads in which many requests share long segments: an engine without them in its
+//! cache copies them over the engines' network, which takes a few hundredths of the time of
+//! another prefill.
+
+use std::sync::Arc;
+
+use rand::{RngExt, rngs::SmallRng};
+use smallvec::SmallVec;
+
+use super::{DirectTarget, EngineConfig, Locality, PromptShape, target::TargetState};
+
+/// Transfer time of a KV cache between data centres, relative to one within a data centre.
+const REMOTE_TRANSFER_FACTOR: f32 = 2.0;
+/// Shortest prefix that is copied, in tokens.
+const MIN_COPIED_TOKENS: u32 = 1024;
+
+/// Copy of a prompt's prefix from the cache of another engine.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct PrefixCopy {
+    /// Engine to copy from.
+    pub(super) source: Arc<DirectTarget>,
+    /// Tokens beyond those that the copying engine has itself.
+    pub(super) tokens: u32,
+    /// Transfer time, in seconds.
+    pub(super) seconds: f32,
+}
+
+/// Engine that has the most of a prompt in its cache among those of a data centre.
+struct PrefixHolder<'a> {
+    state: &'a TargetState,
+    tokens: u32,
+    /// Number of engines in the data centre that have as much.
+    equals: u32,
+}
+
+/// Engines that have the most of a prompt in their caches, one for each data centre.
+#[derive(Default)]
+pub(super) struct PrefixHolders<'a> {
+    holders: SmallVec<[PrefixHolder<'a>; 4]>,
+}
+
+impl<'a> PrefixHolders<'a> {
+    /// Chooses the holders. Among equal ones it is drawn, so that the copies of a segment use
+    /// the links of all engines that have it.
+    pub(super) fn choose(
+        rng: &mut SmallRng,
+        prompt: &PromptShape,
+        engines: impl Iterator<Item = &'a TargetState>,
+    ) -> PrefixHolders<'a> {
+        let mut found = PrefixHolders::default();
+        for state in engines {
+            let tokens = state.cached_prefix_tokens(prompt);
+            if tokens >= MIN_COPIED_TOKENS {
+                found.add(rng, state, tokens);
+            }
+        }
+        found
+    }
+
+    fn add(&mut self, rng: &mut SmallRng, state: &'a TargetState, tokens: u32) {
+        let new = PrefixHolder { state, tokens, equals: 1 };
+        let data_centre = &state.target.data_centre;
+        let known =
+            self.holders.iter_mut().find(|holder| holder.state.target.data_centre == *data_centre);
+        let Some(holder) = known else { return self.holders.push(new) };
+        if tokens > holder.tokens {
+            *holder = new;
+        } else if tokens == holder.tokens {
+            holder.equals += 1;
+            if rng.random_range(0..holder.equals) == 0 {
+                holder.state = state;
+            }
+        }
+    }
+
+    /// Returns the copy that saves an engine the most time, if one does. The engine has `cached`
+    /// tokens of the prompt itself and prefills others at `rate` tokens per second.
+    ///
+    /// Caches of different software versions do not fit together.
+    pub(super) fn copy_to(
+        &self,
+        config: &EngineConfig,
+        state: &TargetState,
+        cached: u32,
+        rate: f32,
+    ) -> Option<PrefixCopy> {
+        let copies = self.holders.iter().filter_map(|holder| {
+            let source = &holder.state.target;
+            let tokens = holder.tokens.saturating_sub(cached);
+            let seconds = transfer_seconds(config, source, &state.target, tokens);
+            let saved = tokens as f32 / rate - seconds;
+            let is_useful = tokens >= MIN_COPIED_TOKENS
+                && saved > 0.0
+                && source.version == state.target.version;
+            is_useful.then(|| (saved, PrefixCopy { source: source.clone(), tokens, seconds }))
+        });
+        copies.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, copy)| copy)
+    }
+}
+
+/// Returns the time in which the KV cache of some tokens passes between two engines, in seconds.
+pub(super) fn transfer_seconds(
+    config: &EngineConfig,
+    source: &DirectTarget,
+    target: &DirectTarget,
+    tokens: u32,
+) -> f32 {
+    let factor = match Locality::between(&source.data_centre, &target.data_centre) {
+        Locality::Local => 1.0,
+        Locality::Remote => REMOTE_TRANSFER_FACTOR,
+    };
+    let seconds_per_token = config.token_bytes * 8.0 / config.link_bits;
+    tokens as f32 * seconds_per_token as f32 * factor
+}
--- a/src/platform/header.rs
+++ b/src/platform/header.rs
@@ -33,7 +33,7 @@
     HeaderName::from_static("kv-backup"),
     HeaderName::from_static("pin-ms"),
 ];
-static KV_FETCH: HeaderName = HeaderName::from_static("kv-fetch");
+pub(super) static KV_FETCH: HeaderName = HeaderName::from_static("kv-fetch");
 
 /// Removes hop-by-hop headers, except those named by `Connection` that a target needs.
 pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -1,6 +1,6 @@
 //! Requests to the platform's engines and plain services, and decoders of their responses.
 
-use std::{fmt, sync::Arc, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{
@@ -18,7 +18,7 @@
 use super::{
     discovery::WireStage,
     header::{
-        DEADLINE_MS, EXPECT_INSTANCE, KEEP_ALIVE, KV_SOURCE, NOT_EXECUTED, REQUEST_ID,
+        DEADLINE_MS, EXPECT_INSTANCE, KEEP_ALIVE, KV_FETCH, KV_SOURCE, NOT_EXECUTED, REQUEST_ID,
         REQUEST_PRIORITY, SERVER_LEAVING, SERVER_LIMIT, SERVER_SIGNATURE, SERVING_STAGE,
         strip_hop_by_hop,
     },
@@ -141,6 +141,7 @@
     step: &CallStep,
     time_left: Duration,
     priority: u8,
+    copy_source: Option<SocketAddr>,
 ) -> Result<Request<()>> {
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri: Uri = path.parse().map_err(|_| Error::new(ErrorCode::Malformed, "request target"))?;
@@ -161,6 +162,9 @@
             headers.insert(&KV_SOURCE, header_value(&format!("{source}/{handle}"))?);
         }
     }
+    if let Some(source) = copy_source {
+        headers.insert(&KV_FETCH, header_value(&source.to_string())?);
+    }
     Ok(request)
 }
 
--- a/src/process/direct/call.rs
+++ b/src/process/direct/call.rs
@@ -1,6 +1,6 @@
 //! Calls to targets.
 
-use std::{fmt, rc::Rc, sync::Arc, time::Duration};
+use std::{fmt, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -47,6 +47,8 @@
     pub(super) step: CallStep,
     pub(super) time_left: Duration,
     pub(super) priority: u8,
+    /// Address of the engine that the target copies the beginning of the prompt from.
+    pub(super) copy_source: Option<SocketAddr>,
     pub(super) connection: ConnectionChoice,
 }
 
@@ -136,6 +138,7 @@
         &spec.step,
         spec.time_left,
         spec.priority,
+        spec.copy_source,
     );
     let request = match request {
         Ok(request) => request.map(|()| Full::new(caller_request.body.bytes.clone())),
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -252,14 +252,22 @@
     let mut next = actions.recv().await;
     loop {
         match next {
-            Some(DirectAction::Call { call, target, step, time_left, priority, .. }) => {
+            Some(DirectAction::Call {
+                call,
+                target,
+                step,
+                time_left,
+                priority,
+                copy_source,
+                ..
+            }) => {
                 pending = None;
                 let connection = match called.contains(&target.address) {
                     true => ConnectionChoice::New,
                     false => ConnectionChoice::Any,
                 };
                 called.push(target.address);
-                let spec = CallSpec { target, step, time_left, priority, connection };
+                let spec = CallSpec { target, step, time_left, priority, copy_source, connection };
                 next = tokio::select! {
                     biased;
                     action = actions.recv() => action,
--- a/tests/request_taken_after_stop_signal.rs
+++ b/tests/request_taken_after_stop_signal.rs
@@ -142,7 +142,10 @@
             Some(number) => {
                 let target = "a".into();
                 let step = sapphirewell::direct::CallStep::Run;
-                open.push((flow, RequestedCall { number, target, step, priority: 0 }));
+                open.push((
+                    flow,
+                    RequestedCall { number, target, step, priority: 0, copy_source: None },
+                ));
             }
             None => {
                 rejected += 1;
--- /dev/null
+++ b/tests/shared_segment_prefilled_beside_a_copy.rs
@@ -0,0 +1,155 @@
+//! Engines prefilled long shared segments that other engines had in their caches.
+
+mod support;
+
+use std::time::Duration;
+
+use hyper::{HeaderMap, Request};
+use sapphirewell::{
+    direct::{
+        CachedSegment, CallOutcome, CallStep, DirectEvent, DirectTarget, EngineConfig, LoadReport,
+        PromptSegment, RetryPolicy, TargetChange, TargetStage,
+    },
+    platform::runner::call_request,
+};
+use support::direct::{DirectRig, ENGINE};
+use yare::parameterized;
+
+const SEGMENT: u64 = 7;
+const SHARED_TOKENS: u32 = 13_300;
+const OWN_TOKENS: u32 = 100;
+/// Prompt tokens that are prefilled before a new one at the engine that has the segment, which
+/// take longer than the prefill of the whole prompt elsewhere.
+const LONG_QUEUE: u32 = 60_000;
+
+/// Engine `keeper` has a long segment in its cache, engine `other` does not.
+struct CopyCase {
+    /// Prompt tokens that are queued at `keeper`.
+    queued: u32,
+    /// Stage of both engines.
+    stage: TargetStage,
+    /// Software version of `other`; `keeper` has "v1".
+    version: &'static str,
+    engine: EngineConfig,
+    segment_tokens: u32,
+    /// Where the prompt is prefilled, and whether it copies the segment.
+    placed: (&'static str, bool),
+}
+
+impl CopyCase {
+    const BUSY: CopyCase = CopyCase {
+        queued: LONG_QUEUE,
+        stage: TargetStage::Prefill,
+        version: "v1",
+        engine: ENGINE,
+        segment_tokens: SHARED_TOKENS,
+        placed: ("other", true),
+    };
+}
+
+fn rig_with_a_keeper(case: &CopyCase) -> DirectRig {
+    let mut rig = DirectRig::new(RetryPolicy::Never);
+    rig.configure_engines(2, case.engine.clone());
+    rig.list("keeper", case.stage);
+    let other = rig.target("other", case.stage);
+    let other = DirectTarget { version: case.version.into(), ..other };
+    rig.step(DirectEvent::Target(TargetChange::Listed(other)));
+    if case.stage == TargetStage::Prefill {
+        rig.list("decoder", TargetStage::Decode);
+        rig.add_load("decoder", LONG_QUEUE);
+    }
+    rig.add_load("keeper", case.queued);
+    let segment = PromptSegment { id: SEGMENT, tokens: case.segment_tokens };
+    let cached = vec![CachedSegment { target: "keeper".into(), segment }];
+    rig.step(DirectEvent::PeerLoad(LoadReport { cached, ..empty_report() }));
+    rig
+}
+
+fn empty_report() -> LoadReport {
+    LoadReport {
+        peer: "peer".into(),
+        instance: 1,
+        sequence: 1,
+        full: true,
+        targets: Vec::new(),
+        cached: Vec::new(),
+        suspects: Vec::new(),
+        limits: Vec::new(),
+        demand: Vec::new(),
+        leaving: Vec::new(),
+        claim: None,
+        switching: Vec::new(),
+    }
+}
+
+#[parameterized(
+    keeper_busy = { CopyCase::BUSY },
+    keeper_idle = { CopyCase { queued: 0, placed: ("keeper", false), ..CopyCase::BUSY } },
+    other_software_version = { CopyCase { version: "v2", placed: ("other", false), ..CopyCase::BUSY } },
+    both_decode = { CopyCase { stage: TargetStage::Decode, ..CopyCase::BUSY } },
+    // 13,300 tokens take 17 s over this link.
+    slow_link = { CopyCase {
+        stage: TargetStage::Decode,
+        engine: EngineConfig { link_bits: 1.0e9, ..ENGINE },
+        placed: ("other", false),
+        ..CopyCase::BUSY
+    } },
+    link_of_unknown_speed = { CopyCase {
+        stage: TargetStage::Decode,
+        engine: EngineConfig { link_bits: 0.0, ..ENGINE },
+        placed: ("other", false),
+        ..CopyCase::BUSY
+    } },
+    short_segment = { CopyCase { segment_tokens: 1_000, placed: ("other", false), ..CopyCase::BUSY } },
+)]
+fn segment_is_copied_where_that_is_faster(case: CopyCase) {
+    let mut rig = rig_with_a_keeper(&case);
+    let call = rig.submit_prompt(1, SEGMENT, case.segment_tokens + OWN_TOKENS).call();
+    let source = case.placed.1.then(|| rig.address("keeper"));
+    assert_eq!((&*call.target, call.copy_source), (case.placed.0, source));
+}
+
+/// The copy leaves the segment at both engines, and the tokens that were copied do not count as
+/// prefill that others wait for.
+#[test]
+fn copied_segment_is_cached_at_both_engines() {
+    let mut rig = rig_with_a_keeper(&CopyCase::BUSY);
+    let call = rig.submit_prompt(1, SEGMENT, SHARED_TOKENS + OWN_TOKENS).call();
+    let usage = rig.report().targets.into_iter().find(|usage| usage.target == call.target).unwrap();
+    assert_eq!(usage.in_flight.backlog.tokens_ahead(9), OWN_TOKENS);
+    rig.advance(Duration::from_millis(30));
+    rig.end(1, call.number, CallOutcome::Prefilled { handle: "h".into() });
+    let next = rig.submit_prompt(2, SEGMENT, SHARED_TOKENS + OWN_TOKENS).call();
+    assert_eq!((&*next.target, next.copy_source), ("other", None));
+}
+
+/// An engine whose connections fail is not copied from.
+#[test]
+fn engine_that_fails_is_no_source() {
+    let mut rig = rig_with_a_keeper(&CopyCase { queued: 0, ..CopyCase::BUSY });
+    let call = rig.submit_prompt(1, SEGMENT, SHARED_TOKENS + OWN_TOKENS).call();
+    assert_eq!(&*call.target, "keeper");
+    let again = rig.after(DirectEvent::CallEnded {
+        flow: 1,
+        call: call.number,
+        outcome: CallOutcome::Unreachable,
+    });
+    let again = again.call();
+    assert_eq!((&*again.target, again.copy_source), ("other", None));
+}
+
+#[test]
+fn call_names_the_engine_to_copy_from() {
+    let mut rig = DirectRig::new(RetryPolicy::Never);
+    let target = rig.target("other", TargetStage::Prefill);
+    let (parts, ()) = Request::new(()).into_parts();
+    let source = rig.address("other");
+    let call = |source| {
+        let step = CallStep::Prefill;
+        let left = Duration::from_secs(1);
+        call_request(&parts, &HeaderMap::new(), &target, &step, left, 1, source).unwrap()
+    };
+    let named = call(Some(source)).headers().get("kv-fetch").cloned();
+    assert_eq!(named.unwrap(), source.to_string().as_str());
+    assert!(!call(None).headers().contains_key("kv-fetch"));
+}
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -16,6 +16,10 @@
 /// Name of the service that all targets belong to.
 pub const SERVICE: &str = "service";
 
+/// Properties of the engines of that service.
+pub const ENGINE: EngineConfig =
+    EngineConfig { slots: 16, memory_tokens: 400_000, token_bytes: 163_840.0, link_bits: 1.5e12 };
+
 /// [`DirectMachine`] with a test clock and one route.
 pub struct DirectRig {
     pub machine: DirectMachine,
@@ -41,6 +45,7 @@
     pub target: TargetId,
     pub step: CallStep,
     pub priority: u8,
+    pub copy_source: Option<SocketAddr>,
 }
 
 /// Actions that one event resulted in.
@@ -54,12 +59,15 @@
     /// Returns the call among the actions, and panics without one.
     pub fn call(self) -> RequestedCall {
         let call = self.0.iter().find_map(|action| match action {
-            DirectAction::Call { call, target, step, priority, .. } => Some(RequestedCall {
-                number: *call,
-                target: target.id.clone(),
-                step: step.clone(),
-                priority: *priority,
-            }),
+            DirectAction::Call { call, target, step, priority, copy_source, .. } => {
+                Some(RequestedCall {
+                    number: *call,
+                    target: target.id.clone(),
+                    step: step.clone(),
+                    priority: *priority,
+                    copy_source: *copy_source,
+                })
+            }
             _ => None,
         });
         call.unwrap_or_else(|| panic!("no call among {:?}", self.0))
@@ -96,12 +104,11 @@
     }
 
     pub fn configure(&mut self, version: u64) {
-        let engine = EngineConfig {
-            slots: 16,
-            memory_tokens: 400_000,
-            token_bytes: 163_840.0,
-            link_bits: 1.5e12,
-        };
+        self.configure_engines(version, ENGINE);
+    }
+
+    /// Applies a configuration with engines of these properties.
+    pub fn configure_engines(&mut self, version: u64, engine: EngineConfig) {
         let terms = ServiceConfig { max_connections: 180, engine: Some(engine) };
         let table = RouteTable {
             version,
