--- a/src/direct/stage_plan.rs
+++ b/src/direct/stage_plan.rs
@@ -10,8 +10,9 @@
 use super::{
     DirectMachine, DirectTarget, EngineConfig, OrderFencingToken, TargetStage,
     backlog::PRIORITY_COUNT,
-    estimate::{INITIAL_RUN_SECONDS, PlacementView, REMOTE_TRANSFER_FACTOR},
+    estimate::{INITIAL_RUN_SECONDS, PlacementView},
     flow::StepKind,
+    prefix_copy::REMOTE_TRANSFER_FACTOR,
     stage_capacity::{DecodeLimits, DecodeNeed, DecodeStreams},
     target::TargetState,
 };
