Place long shared prefixes at few engines, and decodes behind prefills

Cause: reports of peers are 0.2 s old with 22 entries, and all of them sent the long prompts that left their home to the engine that looked idle. Copies there took 0.27 s at the median where 0.15 s were expected, one in eight 0.8 s more, and every engine's cache lost its prefixes within seconds. Engines without samples counted as 61,000 tokens a second where the others of their stage had 39,000.

Change: a long shared prefix is prefilled at one of the first two prefill engines of its ranking and decoded or run at one of the first four decode engines (affinity.rs); estimate_decode counts the prompts that its engine prefills; an engine without samples has the rate of its stage (typical_rate.rs).

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -13,6 +13,7 @@
 
 use crate::ids::{DataCentreId, TargetId};
 
+mod affinity;
 mod authority;
 mod backlog;
 mod budget;
@@ -39,6 +40,7 @@
 mod suspect;
 mod suspect_table;
 mod target;
+mod typical_rate;
 mod version;
 mod waiting;
 
--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -142,13 +142,6 @@
         let Some(flow) = self.flows.get_mut(&id) else { return };
         if let Some(state) = self.fleet.get_mut(&call.target.id) {
             state.record_success();
-            if call.copied_tokens == 0 {
-                state.record_prefill(
-                    call.remaining_tokens,
-                    call.tokens_ahead,
-                    now.saturating_sub(call.started),
-                );
-            }
             if let Some(prompt) = &flow.request.prompt {
                 state.add_cached(now, prompt, memory_tokens(self.routes.as_ref(), &flow.service));
                 record_cached_segments(
@@ -159,6 +152,8 @@
                 );
             }
         }
+        self.record_prefill(now, &call);
+        let Some(flow) = self.flows.get_mut(&id) else { return };
         flow.cache = Some(HeldCache { target: call.target, handle });
         self.place_decode(now, id, out);
     }
@@ -294,13 +289,23 @@
                 prompt,
             );
         }
+        if call.step == StepKind::Run {
+            let call = call.clone();
+            self.record_prefill(now, &call);
+        }
+    }
+
+    /// Updates prefill rates from a prefill that has just ended.
+    fn record_prefill(&mut self, now: ClockTime, call: &OpenCall) {
         // The transfer is no part of the rate.
-        if call.step == StepKind::Run && call.copied_tokens == 0 {
-            state.record_prefill(
-                call.prefill_tokens,
-                call.tokens_ahead,
-                now.saturating_sub(call.started),
-            );
+        if call.copied_tokens > 0 {
+            return;
+        }
+        let Some(state) = self.fleet.get_mut(&call.target.id) else { return };
+        let took = now.saturating_sub(call.started);
+        let sample = state.record_prefill(call.prefill_tokens, call.tokens_ahead, took);
+        if let Some(rate) = sample {
+            self.fleet.record_rate(call.target.stage, rate);
         }
     }
 
--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -3,13 +3,12 @@
 use std::{net::SocketAddr, time::Duration};
 
 use rand::{RngExt, rngs::SmallRng};
-use siphasher::sip::SipHasher13;
 use smallvec::SmallVec;
-use std::hash::{Hash, Hasher};
 
 use super::{
     CallStep, EngineConfig, InFlight, LimitTable, Locality, PeerTable, PromptShape, ServiceName,
     SoftwareVersion,
+    affinity::{DECODE_HOMES, PREFILL_HOMES, PrefixHomes, has_homes, shared_tokens},
     flow::StepKind,
     load::report_interval,
     prefix_copy::{PrefixCopy, PrefixHolders, transfer_seconds},
@@ -32,8 +31,6 @@
 const INITIAL_RUN_SECONDS: f32 = 0.15;
 /// Cost of a target whose calls all fail, in seconds; it scales with the failure rate.
 const FAILURE_COST_SECONDS: f32 = 1.0;
-/// Shortest shared prefix that is assigned to a home engine, in tokens.
-pub(super) const MIN_AFFINITY_TOKENS: u32 = 1024;
 /// Cost of a prefill to later requests at the same engine, relative to the prefill time.
 /// Without it a busy home engine's prefixes spill over to engines that must prefill them
 /// again, which overloads those engines as well.
@@ -163,12 +160,9 @@
     ) -> Option<Placement> {
         let candidates = self.candidates(query);
         let prompt = query.prompt?;
-        let decode_engines =
-            candidates.iter().filter(|state| state.target.stage == TargetStage::Decode);
-        cheapest(
-            rng,
-            decode_engines.map(|state| self.estimate_decode(state, query, prompt, source)),
-        )
+        let (_, decode_engines) = placeable_engines(&candidates, prompt);
+        let engines = decode_engines.iter().map(|(state, _)| *state);
+        cheapest(rng, engines.map(|state| self.estimate_decode(state, query, prompt, source)))
     }
 
     fn choose_engine(
@@ -178,37 +172,28 @@
         prompt: &PromptShape,
         candidates: &[&TargetState],
     ) -> Option<Placement> {
-        let home = affinity_key(prompt);
-        let holders = match home {
-            Some(_) => PrefixHolders::choose(rng, prompt, candidates.iter().copied()),
-            None => PrefixHolders::default(),
+        let holders = match has_homes(prompt) {
+            true => PrefixHolders::choose(rng, prompt, candidates.iter().copied()),
+            false => PrefixHolders::default(),
         };
-        let prefill_engines =
-            candidates.iter().filter(|state| state.target.stage == TargetStage::Prefill);
-        let decode_engines =
-            candidates.iter().filter(|state| state.target.stage == TargetStage::Decode);
-        let prefill_home = home.and_then(|key| affinity_target(key, prefill_engines.clone()));
-        let decode_home = home.and_then(|key| affinity_target(key, decode_engines.clone()));
+        let (prefill_engines, decode_engines) = placeable_engines(candidates, prompt);
         let run = cheapest(
             rng,
-            decode_engines.clone().map(|state| {
-                let is_home = decode_home == Some(&state.target.id);
-                self.estimate_run(state, query, prompt, &holders, is_home)
+            decode_engines.iter().map(|(state, is_home)| {
+                self.estimate_run(state, query, prompt, &holders, *is_home)
             }),
         );
         let prefill = cheapest(
             rng,
-            prefill_engines.map(|state| {
-                let is_home = prefill_home == Some(&state.target.id);
-                self.estimate_prefill(state, query, prompt, &holders, is_home)
+            prefill_engines.iter().map(|(state, is_home)| {
+                self.estimate_prefill(state, query, prompt, &holders, *is_home)
             }),
         );
         let Some(prefill) = prefill else { return run };
         let source = self.fleet.get(&prefill.target)?;
-        let decode = cheapest(
-            rng,
-            decode_engines.map(|state| self.estimate_decode(state, query, prompt, source)),
-        );
+        let engines = decode_engines.iter().map(|(state, _)| *state);
+        let decode =
+            cheapest(rng, engines.map(|state| self.estimate_decode(state, query, prompt, source)));
         let Some(decode) = decode else { return run };
         let split = Placement {
             external_cost: prefill.external_cost + decode.external_cost,
@@ -314,7 +299,8 @@
             transfer_seconds(config, &source.target, &state.target, prompt.tokens)
         });
         let own = transfer + self.call_overhead(state, query);
-        let placed = placement(state, StepKind::Decode, self.slot_wait(state), own);
+        let waiting = self.prefill_wait(state, query.priority) + self.slot_wait(state);
+        let placed = placement(state, StepKind::Decode, waiting, own);
         let external_cost = placed.external_cost + self.stale_report_cost(state, query);
         Placement { external_cost, ..placed }
     }
@@ -351,7 +337,8 @@
 
     /// Returns a target's prefill rate by all entries' samples, in tokens per second.
     pub(super) fn rate(&self, state: &TargetState) -> f32 {
-        state.combined_rate(self.peers.prefill_rate(&state.target.id))
+        let typical = self.fleet.typical_rate(state.target.stage);
+        state.combined_rate(self.peers.prefill_rate(&state.target.id), typical)
     }
 
     fn slot_wait(&self, state: &TargetState) -> f32 {
@@ -387,6 +374,24 @@
     }
 }
 
+/// Engine that a prompt may be placed at, and whether it is the home of the prompt's prefix.
+type PlaceableEngine<'a> = (&'a TargetState, bool);
+type PlaceableEngines<'a> = SmallVec<[PlaceableEngine<'a>; 32]>;
+
+/// Returns the engines of the prefill and of the decode stage that a prompt may be placed at.
+fn placeable_engines<'a>(
+    candidates: &[&'a TargetState],
+    prompt: &PromptShape,
+) -> (PlaceableEngines<'a>, PlaceableEngines<'a>) {
+    let of_stage = |stage, count| {
+        let engines = candidates.iter().copied().filter(move |s| s.target.stage == stage);
+        let homes = PrefixHomes::rank(prompt, engines.clone(), count);
+        let allowed = engines.filter(|state| homes.contains(&state.target.id));
+        allowed.map(|state| (state, homes.is_first(&state.target.id))).collect()
+    };
+    (of_stage(TargetStage::Prefill, PREFILL_HOMES), of_stage(TargetStage::Decode, DECODE_HOMES))
+}
+
 fn duration(seconds: f32) -> Duration {
     // A configuration without a link speed leads to no number.
     let seconds = if seconds.is_nan() { MAX_ESTIMATE_SECONDS } else { seconds };
@@ -428,39 +433,6 @@
     if is_home { prompt.tokens.saturating_sub(shared_tokens(prompt)).max(1) } else { prefilled }
 }
 
-pub(super) fn shared_tokens(prompt: &PromptShape) -> u32 {
-    let shared = prompt.segments.len().saturating_sub(1);
-    prompt.segments.iter().take(shared).map(|segment| segment.tokens).sum()
-}
-
-/// Returns the hash of a prompt's shared segments, if they are long enough for a home engine.
-fn affinity_key(prompt: &PromptShape) -> Option<u64> {
-    if shared_tokens(prompt) < MIN_AFFINITY_TOKENS {
-        return None;
-    }
-    let mut hasher = SipHasher13::new();
-    let shared = prompt.segments.len() - 1;
-    prompt.segments[..shared].iter().for_each(|segment| segment.id.hash(&mut hasher));
-    Some(hasher.finish())
-}
-
-/// Returns the home engine of a prefix by rendezvous hashing, which moves few keys when
-/// targets change and gives the same result at every entry.
-///
-/// Faster engines get no more keys: all have the same memory, and an engine with more
-/// prefixes than fit has to prefill each of them again.
-fn affinity_target<'a, 'b: 'a>(
-    key: u64,
-    states: impl Iterator<Item = &'a &'b TargetState>,
-) -> Option<&'b TargetId> {
-    let weight = |state: &&&TargetState| {
-        let mut hasher = SipHasher13::new();
-        (key, &*state.target.id).hash(&mut hasher);
-        hasher.finish()
-    };
-    states.max_by_key(weight).map(|state| &state.target.id)
-}
-
 /// Builds the operation for a placement; a decode without a KV cache becomes a plain run.
 pub(super) fn call_step(
     step: StepKind,
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -6,10 +6,8 @@
 };
 
 use super::{
-    CachedSegment, DirectMachine, LoadReport, PromptShape, TargetUsage,
-    estimate::{MIN_AFFINITY_TOKENS, shared_tokens},
-    load::repeat_time,
-    machine::memory_tokens,
+    CachedSegment, DirectMachine, LoadReport, PromptShape, TargetUsage, affinity::has_homes,
+    load::repeat_time, machine::memory_tokens,
 };
 use crate::ids::{ClockTime, TargetId};
 
@@ -105,7 +103,7 @@
     target: &TargetId,
     prompt: &PromptShape,
 ) {
-    if shared_tokens(prompt) < MIN_AFFINITY_TOKENS {
+    if !has_homes(prompt) {
         return;
     }
     let shared = prompt.segments.len().saturating_sub(1);
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -13,6 +13,7 @@
 use super::{
     InFlight, PromptSegment, PromptShape, ServiceName, SoftwareVersion, TargetStart, VersionChange,
     reading::{MIN_PAUSE, expiry_grace},
+    typical_rate::TypicalRates,
     version::{MAX_LIST_AGE, ServiceVersion, VersionSet, VersionTable},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
@@ -202,6 +203,9 @@
     #[serde(skip)]
     expiry_grace: Duration,
     targets: BTreeMap<TargetId, TargetState>,
+    /// Prefill rates of the engines of each stage.
+    #[serde(skip)]
+    typical_rates: TypicalRates,
     #[serde(rename = "lapsing")]
     expiring: BTreeMap<TargetId, ClockTime>,
     /// Targets that stated that they leave, which their registrations may not say yet.
@@ -293,10 +297,11 @@
         self.cached_tokens = 0;
     }
 
-    /// Updates the prefill rate from the time that `own` tokens and those queued `ahead` took.
-    pub(super) fn record_prefill(&mut self, own: u32, ahead: u32, took: Duration) {
+    /// Updates the prefill rate from the time that `own` tokens and those queued `ahead` took, and
+    /// returns the sample if it counts as one.
+    pub(super) fn record_prefill(&mut self, own: u32, ahead: u32, took: Duration) -> Option<f32> {
         if own < MIN_TIMED_TOKENS {
-            return;
+            return None;
         }
         let seconds = took.saturating_sub(CALL_OVERHEAD).as_secs_f32().max(0.001);
         let (low, high) = RATE_BOUNDS;
@@ -305,13 +310,15 @@
         self.samples = (self.samples + 1).min(MAX_SAMPLES);
         let weight = (1.0 / self.samples as f32).max(SMOOTHING_FACTOR);
         self.prefill_rate += weight * (rate - self.prefill_rate);
+        Some(rate)
     }
 
-    /// Returns the mean rate of this process's and its peers' samples, weighted by number.
-    pub(super) fn combined_rate(&self, (peer_rate, peer_samples): (f32, u32)) -> f32 {
+    /// Returns the mean rate of this process's and its peers' samples, weighted by number, or
+    /// `typical` if there are none.
+    pub(super) fn combined_rate(&self, (peer_rate, peer_samples): (f32, u32), typical: f32) -> f32 {
         let samples = self.samples.saturating_add(peer_samples) as f32;
         if samples == 0.0 {
-            return self.prefill_rate;
+            return typical;
         }
         (self.prefill_rate * self.samples as f32 + peer_rate * peer_samples as f32) / samples
     }
@@ -626,6 +633,17 @@
         })
     }
 
+    /// Adds a sample of the prefill rate to that of all engines of a stage.
+    pub(super) fn record_rate(&mut self, stage: TargetStage, rate: f32) {
+        self.typical_rates.record(stage, rate);
+    }
+
+    /// Returns the prefill rate that is assumed of an engine without samples, in tokens per
+    /// second: that of the others in its stage.
+    pub(super) fn typical_rate(&self, stage: TargetStage) -> f32 {
+        self.typical_rates.rate(stage).unwrap_or_else(|| initial_rate(stage))
+    }
+
     pub(super) fn get_mut(&mut self, id: &TargetId) -> Option<&mut TargetState> {
         self.targets.get_mut(id)
     }
