--- a/src/direct.rs
+++ b/src/direct.rs
@@ -13,6 +13,7 @@
 
 use crate::ids::{DataCentreId, TargetId};
 
+mod affinity;
 mod authority;
 mod backlog;
 mod budget;
@@ -44,6 +45,7 @@
 mod suspect_exchange;
 mod suspect_table;
 mod target;
+mod typical_rate;
 mod usage;
 mod usage_clock;
 mod usage_count;
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -7,9 +7,7 @@
 
 use super::{
     CachedSegment, DirectMachine, LoadReport, OrderFencingToken, PromptShape, TargetUsage,
-    estimate::{MIN_AFFINITY_TOKENS, shared_tokens},
-    load::repeat_time,
-    machine::memory_tokens,
+    affinity::has_homes, load::repeat_time, machine::memory_tokens,
 };
 use crate::ids::{ClockTime, TargetId};
 
@@ -113,7 +111,7 @@
     target: &TargetId,
     prompt: &PromptShape,
 ) {
-    if shared_tokens(prompt) < MIN_AFFINITY_TOKENS {
+    if !has_homes(prompt) {
         return;
     }
     let shared = prompt.segments.len().saturating_sub(1);
