Make usage reports safe against late writes, cuts and wrong clocks

A write of fixed counts that the store carries out seconds later could replace those of the next holder; counts that came before the configuration were confirmed and dropped; an entry cut off from its peers took itself for all; a clock that is ahead ended windows early, and one far ahead stopped all later reports; saved records kept all process starts.

Change: counts are fixed on condition that the topic ends where the claim was read, and saved in a topic of their own; counts are confirmed only if they were taken; an entry that hears under half of its peers of the last 10 s claims and fixes nothing; a window is over once half of the peers have closed it, and an entry whose window few others share reports nothing; process starts are saved by window; without the duty nothing is computed at a tick.

The late write is tested, but with the bounds of the deployments the test passes without the condition too: two changes of holder take longer than a report has.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -70,9 +70,9 @@
 pub use suspect_table::SuspectTable;
 pub use target::{DirectTarget, LeavingTarget, TargetChange, TargetFleet, TargetStage};
 pub use usage::{
-    BootTime, CustomerCounts, EndedCounts, PostOutcome, SavedUsage, UsageAction, UsageContent,
-    UsageEvent, UsageMessage, UsageReceipt, UsageRecords, UsageSettings, UsageUpdate, UsageWindow,
-    WindowUsage,
+    BootTime, CustomerCounts, EndedCounts, PostOutcome, RecordsEnd, SavedUsage, SavedWindow,
+    UsageAction, UsageContent, UsageEvent, UsageMessage, UsageReceipt, UsageRecords, UsageSettings,
+    UsageUpdate, UsageWindow, WindowUsage,
 };
 pub use usage_clock::TrueClock;
 pub use usage_duty::UsageState;
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -209,9 +209,11 @@
 
     /// Returns the newest claim on a duty among live peers, and this entry's place among them.
     pub(super) fn claims(&self, duty: Duty, own: &PeerName) -> PeerClaims {
-        let claims = self.peers.values().filter_map(|peer| peer.claim_on(duty));
-        let preceding = self.peers.keys().filter(|peer| *peer < own).count();
-        PeerClaims { newest: claims.max(), preceding, peers: self.peers.len() }
+        let newest = self.peers.values().filter_map(|peer| peer.claim_on(duty)).max();
+        // The place matters only where nobody holds the duty.
+        let precedes = |peer: &&PeerName| newest.is_none() && *peer < own;
+        let preceding = self.peers.keys().filter(precedes).count();
+        PeerClaims { newest, preceding, peers: self.peers.len() }
     }
 
     /// Returns the live peer with the newest claim on a duty.
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -74,7 +74,7 @@
     /// claims before it has exited.
     fn usage_claim(&self, now: ClockTime) -> Option<OrderFencingToken> {
         let usage = self.usage.as_ref().filter(|_| self.stop.is_none())?;
-        usage.reported_claim(now)
+        usage.reported_claim(now, &self.peers)
     }
 
     pub(super) fn peer_load(&mut self, now: ClockTime, report: LoadReport) {
--- a/src/direct/usage.rs
+++ b/src/direct/usage.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ClaimOutcome, CustomerName, OrderFencingToken, PeerName};
+use super::{ClaimOutcome, CustomerName, OrderFencingToken, PeerName, StoreGeneration};
 
 /// Number of a window of true time. Window k begins k window lengths after the start of 1970.
 pub type UsageWindow = u64;
@@ -52,10 +52,17 @@
 /// Counts that outlast a loss of power at all entries.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SavedUsage {
+    /// Sums of windows that were not reported.
+    pub windows: Vec<SavedWindow>,
+}
+
+/// Sum of a window over several process starts.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SavedWindow {
+    /// Window and counts.
+    pub usage: WindowUsage,
     /// Process starts whose requests the counts include.
     pub instances: Vec<u64>,
-    /// Sums over these, of windows that were not reported.
-    pub windows: Vec<WindowUsage>,
 }
 
 /// Message from one entry to another about usage.
@@ -119,6 +126,9 @@
     pub fixed: Option<UsageWindow>,
 }
 
+/// End of the duty's topic, with the generation of the store, as the driver read it.
+pub type RecordsEnd = (Option<StoreGeneration>, u64);
+
 /// Records of the duty in the store.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct UsageRecords {
@@ -128,6 +138,8 @@
     pub fixed: Option<WindowUsage>,
     /// Counts that a holder saved.
     pub saved: Option<SavedUsage>,
+    /// End of the topic when they were read.
+    pub end: RecordsEnd,
 }
 
 /// Event of the usage duty.
@@ -145,8 +157,6 @@
         attempt: u64,
         /// The records; `None` without a response.
         records: Option<UsageRecords>,
-        /// When the read began.
-        checked: BootTime,
     },
     /// Counts were written to the store, or it did not confirm that.
     Fixed {
@@ -203,14 +213,15 @@
         /// Number of the attempt, which its event repeats.
         attempt: u64,
     },
-    /// Write the counts of a window to the store, after which they do not change.
+    /// Write the counts of a window to the store, if the topic still ends where it did when the claim
+    /// was read. After that they do not change.
     Fix {
         /// Number of the attempt, which its event repeats.
         attempt: u64,
         /// Window and counts.
         usage: WindowUsage,
-        /// When the claim was checked.
-        checked: BootTime,
+        /// End of the topic when the claim was read.
+        end: RecordsEnd,
     },
     /// Report a window to the platform, if the store holds this claim and these counts.
     Post {
--- a/src/direct/usage_count.rs
+++ b/src/direct/usage_count.rs
@@ -9,13 +9,13 @@
 use siphasher::sip::SipHasher13;
 
 use super::{
-    CustomerCounts, CustomerName, EndedCounts, PeerName, SavedUsage, UsageReceipt, UsageUpdate,
-    UsageWindow, WindowUsage,
+    CustomerCounts, CustomerName, EndedCounts, PeerName, SavedUsage, SavedWindow, UsageReceipt,
+    UsageUpdate, UsageWindow, WindowUsage,
 };
 
 /// Largest number of counts in a message, so that it fits a datagram.
 const MAX_UPDATE_COUNTS: usize = 500;
-/// Windows ahead of this entry's own of which peers' counts are taken; their clocks may differ.
+/// Windows ahead of this entry's own that are taken from others, as clocks may differ.
 const MAX_WINDOWS_AHEAD: UsageWindow = 2;
 
 /// Count of this entry.
@@ -35,6 +35,14 @@
     windows: BTreeMap<UsageWindow, CustomerCounts>,
 }
 
+/// Sum of a window that a holder saved.
+#[derive(Debug, Clone, Default, Serialize)]
+struct SavedCounts {
+    counts: CustomerCounts,
+    /// Process starts that it includes.
+    instances: BTreeSet<u64>,
+}
+
 /// Last change that a peer has confirmed.
 #[derive(Debug, Clone, Copy, Serialize)]
 struct Confirmed {
@@ -56,8 +64,7 @@
     own: BTreeMap<UsageWindow, HashMap<CustomerName, OwnCount>>,
     confirmed: HashMap<PeerName, Confirmed>,
     peers: HashMap<u64, PeerCounts>,
-    saved: BTreeMap<UsageWindow, CustomerCounts>,
-    saved_instances: BTreeSet<u64>,
+    saved: BTreeMap<UsageWindow, SavedCounts>,
     /// Number of changes of any counts, own or not.
     pub(super) changes: u64,
 }
@@ -73,7 +80,6 @@
             confirmed: HashMap::new(),
             peers: HashMap::new(),
             saved: BTreeMap::new(),
-            saved_instances: BTreeSet::new(),
             changes: 0,
         }
     }
@@ -105,9 +111,6 @@
         self.first_kept = first;
         self.own = self.own.split_off(&first);
         self.saved = self.saved.split_off(&first);
-        if self.saved.is_empty() {
-            self.saved_instances.clear();
-        }
         for counts in self.peers.values_mut() {
             counts.windows = counts.windows.split_off(&first);
         }
@@ -186,10 +189,10 @@
         }
     }
 
-    /// Adds counts of a peer. Those that are known already change nothing, in whatever order.
-    pub(super) fn apply(&mut self, peer: &PeerName, instance: u64, update: &UsageUpdate) {
-        let latest = self.open.saturating_add(MAX_WINDOWS_AHEAD);
-        let kept = self.first_kept..=latest;
+    /// Adds counts of a peer, and returns whether all were taken. Those that are known already
+    /// change nothing, in whatever order; those of windows ahead are not taken.
+    pub(super) fn apply(&mut self, peer: &PeerName, instance: u64, update: &UsageUpdate) -> bool {
+        let kept = self.first_kept..=self.latest();
         let known = self.peers.entry(instance).or_insert_with(|| PeerCounts {
             peer: peer.clone(),
             open: 0,
@@ -200,6 +203,7 @@
             merge(known.windows.entry(usage.window).or_default(), &usage.counts);
         }
         self.changes += 1;
+        let mut is_whole = update.windows.iter().all(|usage| usage.window <= self.latest());
         let own = self.instance;
         for counts in update.ended.iter().filter(|counts| counts.instance != own) {
             let update = UsageUpdate {
@@ -208,18 +212,47 @@
                 windows: counts.windows.clone(),
                 ended: Vec::new(),
             };
-            self.apply(&counts.peer, counts.instance, &update);
+            is_whole &= self.apply(&counts.peer, counts.instance, &update);
         }
+        is_whole
     }
 
     /// Adds counts that a holder saved in the store.
     pub(super) fn apply_saved(&mut self, saved: &SavedUsage) {
-        self.saved_instances.extend(&saved.instances);
-        for usage in saved.windows.iter().filter(|usage| usage.window >= self.first_kept) {
-            merge(self.saved.entry(usage.window).or_default(), &usage.counts);
+        let kept = self.first_kept..=self.latest();
+        for saved in saved.windows.iter().filter(|saved| kept.contains(&saved.usage.window)) {
+            let known = self.saved.entry(saved.usage.window).or_default();
+            merge(&mut known.counts, &saved.usage.counts);
+            known.instances.extend(&saved.instances);
         }
     }
 
+    /// Returns whether half of these process starts at least count no more requests in a window.
+    pub(super) fn half_closed(
+        &self,
+        instances: impl Iterator<Item = u64>,
+        window: UsageWindow,
+    ) -> bool {
+        let (closed, open): (Vec<_>, Vec<_>) =
+            instances.partition(|instance| self.has_closed(*instance, window));
+        closed.len() >= open.len()
+    }
+
+    /// Returns the last window that is taken from others.
+    pub(super) fn latest(&self) -> UsageWindow {
+        self.open.saturating_add(MAX_WINDOWS_AHEAD)
+    }
+
+    /// Returns whether this entry's open window is that of half of these process starts at least,
+    /// or of one next to it. Where it is not, this VM's clock is wrong.
+    pub(super) fn agrees_with(&self, instances: impl Iterator<Item = u64>) -> bool {
+        let counts = instances.filter_map(|instance| self.peers.get(&instance));
+        let open = counts.map(|counts| counts.open).filter(|open| *open > 0);
+        let (near, far): (Vec<_>, Vec<_>) = open.partition(|open| open.abs_diff(self.open) <= 1);
+        // Of two, nobody can tell which is right.
+        near.len() + far.len() < 2 || near.len() >= far.len()
+    }
+
     /// Returns whether a process start of a peer counts no more requests in a window.
     pub(super) fn has_closed(&self, instance: u64, window: UsageWindow) -> bool {
         self.peers.get(&instance).is_some_and(|counts| counts.open > window)
@@ -243,10 +276,11 @@
     /// Of process starts that a holder's saved sums include, either the sum or the counts are
     /// newer; the larger of the two misses least.
     pub(super) fn total(&self, window: UsageWindow) -> WindowUsage {
+        let saved = self.saved.get(&window);
         let mut included = CustomerCounts::new();
         let mut others = CustomerCounts::new();
         let mut add = |instance: u64, name: &CustomerName, requests: u64| {
-            let is_included = self.saved_instances.contains(&instance);
+            let is_included = saved.is_some_and(|saved| saved.instances.contains(&instance));
             let sum = if is_included { &mut included } else { &mut others };
             let sum = sum.entry(name.clone()).or_default();
             *sum = sum.saturating_add(requests);
@@ -259,7 +293,7 @@
                 add(*instance, name, *requests);
             }
         }
-        let mut counts = self.saved.get(&window).cloned().unwrap_or_default();
+        let mut counts = saved.map(|saved| saved.counts.clone()).unwrap_or_default();
         merge(&mut counts, &included);
         for (name, requests) in others {
             let sum = counts.entry(name).or_default();
@@ -270,18 +304,18 @@
 
     /// Returns what has to outlast a loss of power at all entries.
     pub(super) fn to_save(&self) -> SavedUsage {
-        let windows = self.first_kept..=self.open;
-        let first = self.first_window().unwrap_or(self.open).max(*windows.start());
-        let totals = (first..=self.open).map(|window| self.total(window));
-        let known = self.peers.keys().copied().chain([self.instance]);
-        SavedUsage {
-            instances: known
-                .chain(self.saved_instances.iter().copied())
-                .collect::<BTreeSet<_>>()
-                .into_iter()
-                .collect(),
-            windows: totals.filter(|usage| !usage.counts.is_empty()).collect(),
-        }
+        let first = self.first_window().unwrap_or(self.open).max(self.first_kept);
+        let windows = (first..=self.open).map(|window| self.window_to_save(window));
+        SavedUsage { windows: windows.filter(|saved| !saved.usage.counts.is_empty()).collect() }
+    }
+
+    fn window_to_save(&self, window: UsageWindow) -> SavedWindow {
+        let saved = self.saved.get(&window).into_iter().flat_map(|saved| saved.instances.iter());
+        let peers = self.peers.iter().filter(|(_, counts)| counts.windows.contains_key(&window));
+        let own = self.own.contains_key(&window).then_some(self.instance);
+        let instances: BTreeSet<u64> =
+            saved.chain(peers.map(|(instance, _)| instance)).copied().chain(own).collect();
+        SavedWindow { usage: self.total(window), instances: instances.into_iter().collect() }
     }
 }
 
--- a/src/direct/usage_duty.rs
+++ b/src/direct/usage_duty.rs
@@ -4,15 +4,15 @@
 //! a later holder repeats exactly these or nothing. See
 //! [docs/design/duties.md](../../docs/design/duties.md).
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use serde::Serialize;
 use smallvec::SmallVec;
 
 use super::{
-    BootTime, CustomerName, DirectAction, DirectMachine, OrderFencingToken, PeerName, PeerTable,
-    PostOutcome, StoreGeneration, UsageAction, UsageContent, UsageEvent, UsageMessage,
-    UsageReceipt, UsageRecords, UsageSettings, UsageWindow, WindowUsage,
+    CustomerName, DirectAction, DirectMachine, OrderFencingToken, PeerName, PeerTable, PostOutcome,
+    StoreGeneration, UsageAction, UsageContent, UsageEvent, UsageMessage, UsageReceipt,
+    UsageRecords, UsageSettings, UsageWindow, WindowUsage,
     authority::{ClaimOutcome, Duty, DutyAuthority},
     usage_count::{CountLedger, digest},
     usage_report::{FixedUsage, UsageReporter},
@@ -24,6 +24,12 @@
 const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which the holder saves counts in the store, for a loss of power at all entries.
 const SAVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Limit on the updates that the holder receives per second. With many entries the interval
+/// between them grows to stay within it.
+const MAX_UPDATES_PER_SECOND: u32 = 1000;
+/// Time for which a peer that is no longer heard counts among those that an entry is cut off from.
+/// It is that of a cut that heals; entries that stay silent for longer have ended.
+const ISOLATION_TIME: Duration = Duration::from_secs(10);
 /// Number of entries that hold all counts besides the one that reports.
 const BACKUP_COUNT: usize = 2;
 /// Share of the lateness for which a report waits for entries that have not closed its window.
@@ -51,6 +57,8 @@
     /// Time since the start of 1970 at a time of the process's clock.
     clock: Option<(ClockTime, Duration)>,
     ledger: CountLedger,
+    /// When each peer was last live.
+    heard: HashMap<PeerName, ClockTime>,
     next_update: ClockTime,
     next_save: ClockTime,
     /// Changes of the ledger that were saved.
@@ -65,6 +73,7 @@
             authority: DutyAuthority::new(Duty::Usage, lease),
             clock: None,
             ledger: CountLedger::new(instance),
+            heard: HashMap::new(),
             next_update: ClockTime::ZERO,
             next_save: ClockTime::ZERO,
             saved_changes: 0,
@@ -73,17 +82,42 @@
     }
 
     /// Returns the claim that load reports tell of. One that cannot be checked is left out, so that
-    /// an entry that can reach the store claims; without one, this claim holds on.
-    pub(super) fn reported_claim(&self, now: ClockTime) -> Option<OrderFencingToken> {
+    /// an entry that can reach the store claims; without one, this claim holds on. The same holds
+    /// where this VM's clock is wrong.
+    pub(super) fn reported_claim(
+        &self,
+        now: ClockTime,
+        peers: &PeerTable,
+    ) -> Option<OrderFencingToken> {
         let fails = self.reporter.store_fails;
         let is_cut_off = fails.is_some_and(|since| now >= since + STORE_FAILURE_TIME);
-        self.authority.claim().filter(|_| !is_cut_off)
+        self.authority
+            .claim()
+            .filter(|_| !is_cut_off && self.has_right_clock(peers) && !self.is_isolated(now, peers))
     }
 
     pub(super) fn store_restored(&mut self, now: ClockTime, generation: StoreGeneration) {
         self.authority.store_restored(now, generation);
     }
 
+    /// Returns whether over half of the peers that were heard lately are silent, so that this entry
+    /// rather than each of them is cut off.
+    fn is_isolated(&self, now: ClockTime, peers: &PeerTable) -> bool {
+        let lately = |heard: &&ClockTime| now <= **heard + ISOLATION_TIME;
+        2 * peers.len() < self.heard.values().filter(lately).count()
+    }
+
+    fn note_peers(&mut self, now: ClockTime, peers: &PeerTable) {
+        self.heard.retain(|_, heard| now <= *heard + ISOLATION_TIME);
+        for name in peers.names() {
+            self.heard.insert(name.clone(), now);
+        }
+    }
+
+    fn has_right_clock(&self, peers: &PeerTable) -> bool {
+        self.ledger.agrees_with(peers.names().filter_map(|name| peers.instance(name)))
+    }
+
     /// Returns the time since the start of 1970, once the clock was read.
     fn true_time(&self, now: ClockTime) -> Option<Duration> {
         self.clock.map(|(at, time)| time.saturating_add(now.saturating_sub(at)))
@@ -112,13 +146,22 @@
     fn tick(&mut self, now: ClockTime, own: &EntryStart, peers: &PeerTable, out: &mut Actions) {
         let Some(time) = self.true_time(now) else { return };
         self.ledger.open(self.settings.window_at(time));
-        self.drop_old(time);
+        let has_right_clock = self.has_right_clock(peers);
+        if has_right_clock {
+            self.drop_old(time);
+        }
         if now >= self.next_update {
-            self.next_update = now + UPDATE_INTERVAL;
+            let peer_count = u32::try_from(peers.len()).unwrap_or(u32::MAX);
+            let shortest =
+                Duration::from_secs(1).saturating_mul(peer_count) / MAX_UPDATES_PER_SECOND;
+            self.next_update = now + UPDATE_INTERVAL.max(shortest);
+            self.note_peers(now, peers);
             self.send_updates(own, peers, out);
         }
-        self.save(now, out);
-        self.report(now, time, peers, out);
+        if has_right_clock {
+            self.save(now, out);
+            self.report(now, time, peers, out);
+        }
     }
 
     fn drop_old(&mut self, time: Duration) {
@@ -156,7 +199,11 @@
     fn message(&mut self, own: &EntryStart, message: &UsageMessage, out: &mut Actions) {
         match &message.content {
             UsageContent::Counts(update) => {
-                self.ledger.apply(&message.peer, message.instance, update);
+                // What was not taken is sent again.
+                let is_whole = self.ledger.apply(&message.peer, message.instance, update);
+                if self.clock.is_none() || !is_whole {
+                    return;
+                }
                 let receipt = UsageReceipt {
                     counter: message.instance,
                     sequence: update.sequence,
@@ -169,7 +216,9 @@
                 if receipt.counter == own.instance {
                     self.ledger.confirm(&message.peer, message.instance, receipt);
                 }
-                self.reporter.note_fixed(receipt.fixed);
+                // One from the future comes from an entry whose clock is wrong.
+                let latest = self.ledger.latest();
+                self.reporter.note_fixed(receipt.fixed.filter(|window| *window <= latest));
             }
         }
     }
@@ -202,7 +251,7 @@
                 self.post(fence, usage, out);
             }
             Some(_) => self.reporter.begin(out, |attempt| UsageAction::Read { attempt }),
-            None if self.complete_window(time, peers).is_some() => {
+            None if self.complete_window(now, time, peers).is_some() => {
                 self.reporter.begin(out, |attempt| UsageAction::Read { attempt });
             }
             None => {}
@@ -224,7 +273,13 @@
             return;
         }
         let last = in_time - 1;
+        // An earlier holder reported it, or said that it did not.
+        let is_known = self.reporter.fixed.as_ref().is_some_and(|fixed| fixed.adopted);
+        let first = first + u64::from(is_known);
         self.reporter.settle(last);
+        if first > last {
+            return;
+        }
         out.push(DirectAction::Usage(UsageAction::Missed { first, last }));
     }
 
@@ -241,13 +296,21 @@
     }
 
     /// Returns the next window if all live entries have closed it, or have had the time to.
-    fn complete_window(&self, time: Duration, peers: &PeerTable) -> Option<UsageWindow> {
+    fn complete_window(
+        &self,
+        now: ClockTime,
+        time: Duration,
+        peers: &PeerTable,
+    ) -> Option<UsageWindow> {
         let window = self.next_window()?;
         let end = self.settings.end(window);
         let instances = || peers.names().filter_map(|name| peers.instance(name));
-        let is_complete = time >= end + self.settings.lateness.mul_f64(COMPLETION_WAIT)
+        let is_complete = time
+            >= end.saturating_add(self.settings.lateness.mul_f64(COMPLETION_WAIT))
             || instances().all(|instance| self.ledger.has_closed(instance, window));
-        (time >= end && is_complete).then_some(window)
+        // A clock that is ahead ends windows early.
+        let is_over = time >= end && self.ledger.half_closed(instances(), window);
+        (is_over && is_complete && !self.is_isolated(now, peers)).then_some(window)
     }
 
     fn records_read(
@@ -255,11 +318,12 @@
         now: ClockTime,
         own: &EntryStart,
         peers: &PeerTable,
-        (records, checked): (Option<UsageRecords>, BootTime),
+        records: Option<UsageRecords>,
         out: &mut Actions,
     ) {
         let Some(records) = records else { return self.reporter.store_failed(now) };
         self.reporter.store_fails = None;
+        let end = records.end;
         let is_own = |(holder, fence): &(PeerName, OrderFencingToken)| {
             *holder == own.name && Some(*fence) == self.authority.claim()
         };
@@ -269,19 +333,21 @@
         if let Some(saved) = &records.saved {
             self.ledger.apply_saved(saved);
         }
-        self.reporter.adopt(records.fixed);
+        let latest = self.ledger.latest();
+        self.reporter.adopt(records.fixed.filter(|fixed| fixed.window <= latest));
         self.reporter.has_read = true;
         let time = self.true_time(now).filter(|_| self.authority.fence(now).is_some());
         let Some(time) = time else { return };
         self.settle_late(time, out);
         if self.reporter.fixed.is_none() {
-            let Some(window) = self.complete_window(time, peers) else { return };
+            let Some(window) = self.complete_window(now, time, peers) else { return };
             let usage = self.ledger.total(window);
-            self.reporter.fixed = Some(FixedUsage { usage, confirmed: false, posted: false });
+            self.reporter.fixed =
+                Some(FixedUsage { usage, confirmed: false, adopted: false, posted: false });
         }
         let unconfirmed = self.reporter.fixed.as_ref().filter(|fixed| !fixed.confirmed);
         if let Some(usage) = unconfirmed.map(|fixed| fixed.usage.clone()) {
-            self.reporter.begin(out, |attempt| UsageAction::Fix { attempt, usage, checked });
+            self.reporter.begin(out, |attempt| UsageAction::Fix { attempt, usage, end });
         }
     }
 
@@ -369,15 +435,21 @@
     }
 
     pub(super) fn usage_event(&mut self, now: ClockTime, event: UsageEvent, out: &mut Actions) {
+        if self.usage.is_none() {
+            return;
+        }
         let own = self.entry_start();
         let Some(usage) = &mut self.usage else { return };
         match event {
-            UsageEvent::Clock(time) => usage.clock = Some((now, time)),
+            UsageEvent::Clock(time) => {
+                usage.clock = Some((now, time));
+                usage.ledger.open(usage.settings.window_at(time));
+            }
             UsageEvent::Message(message) => usage.message(&own, &message, out),
             UsageEvent::ClaimEnded(outcome) => usage.authority.claim_ended(now, outcome),
-            UsageEvent::RecordsRead { attempt, records, checked } => {
+            UsageEvent::RecordsRead { attempt, records } => {
                 if usage.reporter.end(attempt) {
-                    usage.records_read(now, &own, &self.peers, (records, checked), out);
+                    usage.records_read(now, &own, &self.peers, records, out);
                 }
             }
             UsageEvent::Fixed { attempt, confirmed } => {
@@ -394,14 +466,15 @@
     }
 
     pub(super) fn tick_usage(&mut self, now: ClockTime, out: &mut Actions) {
-        let own = self.entry_start();
-        let claims = self.peers.claims(Duty::Usage, &own.name);
-        let is_stopping = self.stop.is_some();
         if self.active_usage().is_none() {
             return;
         }
+        let own = self.entry_start();
+        let claims = self.peers.claims(Duty::Usage, &own.name);
+        let is_stopping = self.stop.is_some();
         let Some(usage) = &mut self.usage else { return };
-        if !is_stopping && usage.authority.should_claim(now, claims) {
+        let may_claim = !is_stopping && !usage.is_isolated(now, &self.peers);
+        if may_claim && usage.authority.should_claim(now, claims) {
             out.push(DirectAction::Usage(UsageAction::Claim));
         }
         usage.tick(now, &own, &self.peers, out);
--- a/src/direct/usage_report.rs
+++ b/src/direct/usage_report.rs
@@ -16,6 +16,8 @@
     pub(super) usage: WindowUsage,
     /// Whether the store holds these counts.
     pub(super) confirmed: bool,
+    /// Whether an earlier holder fixed them, and may have reported them.
+    pub(super) adopted: bool,
     /// Whether they may have reached the platform from this process.
     pub(super) posted: bool,
 }
@@ -123,6 +125,6 @@
             // Either the one or the other was reported; no third call may follow.
             return self.settle(stored.window);
         }
-        self.fixed = Some(FixedUsage { usage: stored, confirmed: true, posted });
+        self.fixed = Some(FixedUsage { usage: stored, confirmed: true, adopted: !is_same, posted });
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -253,13 +253,43 @@
         value: &[u8],
     ) -> Result<TopicPosition, StoreError> {
         let path = format!("/log-append?topic={topic}&part={PARTITION}");
+        self.append(&path, key, value).await
+    }
+
+    /// Appends a record as [`StoreClient::put`] does, if the topic still ends at a position. So a
+    /// call that is carried out late has no effect after a record that was written meanwhile.
+    ///
+    /// # Errors
+    /// Returns [`StoreError::Refused`] if the topic has more records, [`StoreError::Restored`] if
+    /// the position is from an earlier generation, or why the call failed.
+    pub async fn put_at(
+        &mut self,
+        topic: &str,
+        end: TopicPosition,
+        key: &str,
+        value: &[u8],
+    ) -> Result<TopicPosition, StoreError> {
+        let TopicPosition { generation, offset } = end;
+        if generation != self.generations.highest() {
+            return Err(StoreError::Restored);
+        }
+        let path = format!("/log-append?topic={topic}&part={PARTITION}&at={offset}");
+        self.append(&path, key, value).await
+    }
+
+    async fn append(
+        &mut self,
+        path: &str,
+        key: &str,
+        value: &[u8],
+    ) -> Result<TopicPosition, StoreError> {
         let content = 1 + key.len() + value.len();
         let mut record = BytesMut::with_capacity(4 + content);
         record.put_u32(content as u32);
         record.put_u8(key.len() as u8);
         record.put_slice(key.as_bytes());
         record.put_slice(value);
-        let response = self.call(Method::POST, &path, record.freeze(), CALL_TIMEOUT).await?;
+        let response = self.call(Method::POST, path, record.freeze(), CALL_TIMEOUT).await?;
         let AppendResponse { offset } = decode_json(&response.body)?;
         Ok(TopicPosition { generation: response.generation, offset })
     }
--- a/src/process/direct/usage.rs
+++ b/src/process/direct/usage.rs
@@ -17,8 +17,8 @@
 };
 use crate::{
     direct::{
-        BootTime, DirectEvent, OrderFencingToken, PostOutcome, SavedUsage, TrueClock, UsageAction,
-        UsageEvent, UsageRecords, WindowUsage,
+        BootTime, DirectEvent, OrderFencingToken, PostOutcome, RecordsEnd, SavedUsage, TrueClock,
+        UsageAction, UsageEvent, UsageRecords, WindowUsage,
     },
     error::{Error, ErrorCode, Result},
     platform::{
@@ -40,6 +40,8 @@
 const FIXED_KEY: &str = "fixed";
 /// Key of the counts that a holder saved.
 const SAVED_KEY: &str = "saved";
+/// Topic of the saved counts. The end of the duty's topic moves only with claims and fixed counts.
+const SAVED_TOPIC: &str = "keyed.usage_saved";
 /// Timeout of a report, connecting included.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Largest response body that is read from the platform.
@@ -77,18 +79,17 @@
         }
         UsageAction::Save(saved) => save(&link, &saved).await,
         UsageAction::Read { attempt } => {
-            let checked = boot_time();
-            let records = match driver.store_client().read_newest(TOPIC).await {
-                Ok(page) => Some(decode_page(&page)),
+            let records = match read(&driver).await {
+                Ok(records) => Some(records),
                 Err(error) => {
                     log::info!(error:% = error; "failed to read usage records");
                     None
                 }
             };
-            step(&driver, UsageEvent::RecordsRead { attempt, records, checked });
+            step(&driver, UsageEvent::RecordsRead { attempt, records });
         }
-        UsageAction::Fix { attempt, usage, checked } => {
-            let confirmed = fix(&link, &usage, checked).await;
+        UsageAction::Fix { attempt, usage, end } => {
+            let confirmed = fix(&driver, &usage, end).await;
             step(&driver, UsageEvent::Fixed { attempt, confirmed });
         }
         UsageAction::Post { attempt, fence, usage } => {
@@ -114,33 +115,43 @@
 
 async fn save(link: &UsageLink, saved: &SavedUsage) {
     let mut store = link.store.lock().await;
-    if let Err(error) = put(&mut store, SAVED_KEY, saved).await {
+    let result = match encode(saved) {
+        Ok(bytes) => store.put(SAVED_TOPIC, SAVED_KEY, &bytes).await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = result {
         log::info!(error:% = error; "failed to save usage");
     }
 }
 
-/// Writes the counts of a window, unless the claim was checked too long ago, and returns whether
-/// the store confirmed it.
-async fn fix(link: &UsageLink, usage: &WindowUsage, checked: BootTime) -> bool {
-    let mut store = link.store.lock().await;
-    if boot_time().saturating_sub(checked) > CLAIM_CHECK_LIFETIME {
-        return false;
-    }
-    let result = put(&mut store, FIXED_KEY, usage).await;
+/// Reads the records of the duty, and what was saved.
+async fn read(driver: &DirectDriver) -> std::result::Result<UsageRecords, StoreError> {
+    let mut store = driver.store_client();
+    let records = decode_page(&store.read_newest(TOPIC).await?);
+    let saved = store.read_newest(SAVED_TOPIC).await?;
+    let saved = saved.records.iter().find(|record| record.key == SAVED_KEY).and_then(decode);
+    Ok(UsageRecords { saved, ..records })
+}
+
+/// Writes the counts of a window, unless the topic has new records, and returns whether the store
+/// confirmed it.
+async fn fix(driver: &DirectDriver, usage: &WindowUsage, end: RecordsEnd) -> bool {
+    let (generation, offset) = end;
+    let end = TopicPosition { generation, offset };
+    let result = match encode(usage) {
+        Ok(bytes) => driver.store_client().put_at(TOPIC, end, FIXED_KEY, &bytes).await,
+        Err(error) => Err(error),
+    };
     if let Err(error) = &result {
         log::info!(window:% = usage.window, error:% = error; "failed to fix usage");
     }
     result.is_ok()
 }
 
-async fn put(
-    store: &mut StoreClient,
-    key: &str,
-    value: &impl Serialize,
-) -> std::result::Result<(), StoreError> {
+fn encode(value: &impl Serialize) -> std::result::Result<Vec<u8>, StoreError> {
     let mut bytes = Vec::new();
     ciborium::into_writer(value, &mut bytes).map_err(|_| StoreError::Malformed)?;
-    store.put(TOPIC, key, &bytes).await.map(|_| ())
+    Ok(bytes)
 }
 
 async fn post(
@@ -214,7 +225,8 @@
     UsageRecords {
         claim: record(CLAIM_KEY).and_then(|record| decode_claim(record, page.next)),
         fixed: record(FIXED_KEY).and_then(decode),
-        saved: record(SAVED_KEY).and_then(decode),
+        saved: None,
+        end: (page.next.generation, page.next.offset),
     }
 }
 
--- a/tests/support/usage.rs
+++ b/tests/support/usage.rs
@@ -11,10 +11,10 @@
 use sapphirewell::direct::{
     BootTime, CallOutcome, ClaimOutcome, CustomerConfig, CustomerCounts, CustomerTable,
     DirectAction, DirectEvent, DirectMachine, DirectRequest, DirectSettings, DirectTarget, FlowId,
-    OrderFencingToken, PostOutcome, RequestIdentity, RequestLimits, RetryPolicy, RouteConfig,
-    RouteTable, SavedUsage, ServiceConfig, StoreGeneration, TargetChange, TargetStage, UsageAction,
-    UsageEvent, UsageMessage, UsageRecords, UsageSettings, UsageWindow, WeightedService,
-    WindowUsage, fencing_token,
+    OrderFencingToken, PostOutcome, RecordsEnd, RequestIdentity, RequestLimits, RetryPolicy,
+    RouteConfig, RouteTable, SavedUsage, ServiceConfig, StoreGeneration, TargetChange, TargetStage,
+    TrueClock, UsageAction, UsageEvent, UsageMessage, UsageRecords, UsageSettings, UsageWindow,
+    WeightedService, WindowUsage, fencing_token,
 };
 
 pub const LEASE: Duration = Duration::from_secs(3);
@@ -24,7 +24,6 @@
 const DELAY: Duration = Duration::from_millis(10);
 const STEP: Duration = Duration::from_millis(10);
 const TICK: Duration = Duration::from_millis(40);
-const REPORT: Duration = Duration::from_millis(100);
 const REQUEST: Duration = Duration::from_millis(50);
 /// Age at which the driver lets a check of the claim lapse.
 const CHECK_LIFETIME: Duration = Duration::from_millis(500);
@@ -53,6 +52,8 @@
     FrozenAfter(Duration),
     /// The step takes effect, but its answer is lost.
     AnswerLost,
+    /// The step gets no answer, and takes effect so much later.
+    CarriedOutLate(Duration),
 }
 
 /// Report that reached the platform.
@@ -89,7 +90,7 @@
     Event(UsageEvent),
     Claim,
     Read(u64),
-    Fix(u64, WindowUsage, BootTime),
+    Fix(u64, WindowUsage, RecordsEnd),
     Save(SavedUsage),
     Check(u64, OrderFencingToken, WindowUsage),
     Post(u64, OrderFencingToken, WindowUsage, BootTime),
@@ -101,6 +102,8 @@
     frozen_until: Duration,
     started: Duration,
     next_flow: FlowId,
+    clock: TrueClock,
+    is_configured: bool,
 }
 
 pub struct UsageFleet {
@@ -127,10 +130,17 @@
     pub message_bytes: u64,
     pub saved_bytes: u64,
     fault: Option<(DutyStep, StepFault)>,
+    /// Steps that are carried out late, whatever became of their entries.
+    late: Vec<(Duration, usize, Pending)>,
     pub faults_struck: u32,
-    /// Time that an entry's clock is set wrong by.
-    pub clock_steps: BTreeMap<usize, Duration>,
+    pub late_steps: u32,
+    /// Seconds that an entry's clock is set wrong by.
+    pub clock_steps: BTreeMap<usize, i64>,
+    /// Interval between load reports.
+    pub report_interval: Duration,
     pub traffic: bool,
+    /// Time from the start of an entry until it has its configuration.
+    pub configuration_delay: Duration,
 }
 
 impl UsageFleet {
@@ -156,9 +166,13 @@
             message_bytes: 0,
             saved_bytes: 0,
             fault: None,
+            late: Vec::new(),
             faults_struck: 0,
+            late_steps: 0,
             clock_steps: BTreeMap::new(),
+            report_interval: Duration::from_millis(100),
             traffic: true,
+            configuration_delay: Duration::ZERO,
         };
         for entry in 0..entries {
             fleet.entries.push(None);
@@ -173,7 +187,6 @@
         let mut machine = DirectMachine::new(settings(entry, instance));
         let mut out = Vec::new();
         let since_start = Duration::ZERO;
-        machine.step(since_start, DirectEvent::Routes(Arc::new(routes())), &mut out);
         let listed = TargetChange::Listed(target());
         machine.step(since_start, DirectEvent::Target(listed), &mut out);
         self.entries[entry] = Some(Entry {
@@ -182,6 +195,8 @@
             frozen_until: Duration::ZERO,
             started: self.now,
             next_flow: 0,
+            clock: TrueClock::default(),
+            is_configured: false,
         });
     }
 
@@ -245,24 +260,50 @@
             if !self.is_running(entry) {
                 continue;
             }
+            self.configure(entry);
             if self.is_time_for(TICK, entry) {
-                let step = self.clock_steps.get(&entry).copied().unwrap_or_default();
-                let clock = UsageEvent::Clock(self.time_of_day() + step);
-                self.step(entry, DirectEvent::Usage(clock));
+                let time = self.shown_time(entry);
+                self.step(entry, DirectEvent::Usage(UsageEvent::Clock(time)));
                 self.step(entry, DirectEvent::Tick);
             }
-            if self.is_time_for(REPORT, entry) {
+            if self.is_time_for(self.report_interval, entry) {
                 self.send_report(entry);
             }
-            if self.traffic && self.is_time_for(REQUEST, entry) {
+            let is_configured = self.entries[entry].as_ref().is_some_and(|e| e.is_configured);
+            if self.traffic && is_configured && self.is_time_for(REQUEST, entry) {
                 self.request(entry);
             }
         }
         self.end_pending();
+        self.end_late();
+    }
+
+    fn configure(&mut self, entry: usize) {
+        let (now, delay) = (self.now, self.configuration_delay);
+        let Some(state) = &mut self.entries[entry] else { return };
+        if !state.is_configured && now >= state.started + delay {
+            state.is_configured = true;
+            self.step(entry, DirectEvent::Routes(Arc::new(routes())));
+        }
+    }
+
+    /// Returns the time of day as the driver of an entry estimates it.
+    fn shown_time(&mut self, entry: usize) -> Duration {
+        let time = self.time_of_day();
+        let step = self.clock_steps.get(&entry).copied().unwrap_or_default();
+        let size = Duration::from_secs(step.unsigned_abs());
+        let shown = if step < 0 { time - size } else { time + size };
+        let now = self.now;
+        let Some(state) = &mut self.entries[entry] else { return time };
+        state.clock.observe(now, shown)
     }
 
     fn is_time_for(&self, interval: Duration, entry: usize) -> bool {
-        (self.now + STEP * entry as u32).as_millis().is_multiple_of(interval.as_millis())
+        {
+            // Rounded to steps, so that every interval has its time.
+            let steps = (interval.as_millis() / STEP.as_millis()).max(1);
+            (self.now.as_millis() / STEP.as_millis() + entry as u128).is_multiple_of(steps)
+        }
     }
 
     fn is_running(&self, entry: usize) -> bool {
@@ -323,7 +364,7 @@
             UsageAction::Claim => Pending::Claim,
             UsageAction::Save(saved) => Pending::Save(saved),
             UsageAction::Read { attempt } => Pending::Read(attempt),
-            UsageAction::Fix { attempt, usage, checked } => Pending::Fix(attempt, usage, checked),
+            UsageAction::Fix { attempt, usage, end } => Pending::Fix(attempt, usage, end),
             UsageAction::Post { attempt, fence, usage } => Pending::Check(attempt, fence, usage),
         };
         self.push(entry, instance, pending);
@@ -376,6 +417,11 @@
                 }
                 _ => {}
             }
+            if let Some(StepFault::CarriedOutLate(time)) = fault {
+                self.late.push((self.now + time, entry, with_other_counts(pending.clone())));
+                self.fail(entry, pending);
+                continue;
+            }
             let event = self.carry_out(entry, instance, pending, fault);
             match fault {
                 Some(StepFault::KilledAfter) => self.kill(entry, Duration::from_secs(1)),
@@ -390,6 +436,25 @@
         }
     }
 
+    fn end_late(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.late.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, entry, pending) in due {
+            self.late_steps += 1;
+            self.carry_out(entry, 0, pending, None);
+        }
+    }
+
+    /// Tells an entry that a step got no answer.
+    fn fail(&mut self, entry: usize, pending: Pending) {
+        let event = match pending {
+            Pending::Claim => UsageEvent::ClaimEnded(ClaimOutcome::Failed),
+            Pending::Fix(attempt, ..) => UsageEvent::Fixed { attempt, confirmed: false },
+            _ => return,
+        };
+        self.step(entry, DirectEvent::Usage(event));
+    }
+
     fn carry_out(
         &mut self,
         entry: usize,
@@ -400,7 +465,8 @@
         let is_lost = fault == Some(StepFault::AnswerLost);
         let reaches_store = !self.store_is_down && !self.cut_from_store.contains(&entry);
         if !matches!(pending, Pending::Event(_) | Pending::Post(..)) {
-            self.store_calls += 1;
+            // A read is of two topics.
+            self.store_calls += if matches!(pending, Pending::Read(_)) { 2 } else { 1 };
         }
         match pending {
             Pending::Event(event) => Some(event),
@@ -416,10 +482,10 @@
             }
             Pending::Read(attempt) => {
                 let records = (reaches_store && !is_lost).then(|| self.records());
-                Some(UsageEvent::RecordsRead { attempt, records, checked: self.now })
+                Some(UsageEvent::RecordsRead { attempt, records })
             }
-            Pending::Fix(attempt, usage, checked) => {
-                let writes = reaches_store && self.now - checked <= CHECK_LIFETIME;
+            Pending::Fix(attempt, usage, end) => {
+                let writes = reaches_store && end == self.records_end();
                 if writes {
                     self.store.end += 1;
                     self.store.fixed = Some(usage);
@@ -431,7 +497,6 @@
                 ciborium::into_writer(&saved, &mut bytes).unwrap();
                 self.saved_bytes += bytes.len() as u64;
                 if reaches_store {
-                    self.store.end += 1;
                     self.store.saved = Some(saved);
                 }
                 None
@@ -483,12 +548,17 @@
         }
     }
 
+    fn records_end(&self) -> RecordsEnd {
+        (Some(self.store.generation), self.store.end)
+    }
+
     fn records(&self) -> UsageRecords {
         let token = |end| fencing_token(Some(self.store.generation), end).unwrap();
         UsageRecords {
             claim: self.store.claim.map(|(entry, end)| (name(entry).into(), token(end))),
             fixed: self.store.fixed.clone(),
             saved: self.store.saved.clone(),
+            end: self.records_end(),
         }
     }
 
@@ -549,6 +619,13 @@
     }
 }
 
+/// Returns a step with counts as those of a holder that knew other requests than the next one.
+fn with_other_counts(pending: Pending) -> Pending {
+    let Pending::Fix(attempt, mut usage, end) = pending else { return pending };
+    usage.counts.values_mut().for_each(|requests| *requests += 1);
+    Pending::Fix(attempt, usage, end)
+}
+
 fn step_of(pending: &Pending) -> Option<DutyStep> {
     Some(match pending {
         Pending::Event(_) => return None,
--- a/tests/usage_duty.rs
+++ b/tests/usage_duty.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 
-use usage::{DutyStep, PlatformMode, StepFault, UsageFleet};
+use sapphirewell::direct::{WindowUsage, report_interval};
+use usage::{DutyStep, LEASE, PlatformMode, Report, StepFault, UsageFleet};
 use yare::parameterized;
 
 const ENTRIES: usize = 5;
@@ -59,6 +60,20 @@
     assert_none_missed(&mut fleet, from, seconds(20), "");
 }
 
+/// Counts come to an entry before it knows that there are customers.
+#[test]
+fn counts_that_come_before_the_configuration_are_kept() {
+    let mut fleet = UsageFleet::new(ENTRIES);
+    fleet.configuration_delay = Duration::from_millis(900);
+    fleet.run(SETTLED);
+    let from = fleet.now;
+    for offset in [300, 2400, 700] {
+        fleet.run(seconds(20) + Duration::from_millis(offset));
+        fleet.kill(0, seconds(1));
+    }
+    assert_none_missed(&mut fleet, from, seconds(20), "");
+}
+
 const STEPS: [DutyStep; 6] = [
     DutyStep::Claim,
     DutyStep::Read,
@@ -208,7 +223,11 @@
 fn an_entry_that_is_cut_off_from_its_peers_makes_no_second_report(entry: usize) {
     let mut fleet = settled_fleet();
     fleet.cut_from_peers.insert(entry);
-    fleet.run(seconds(20));
+    let before = fleet.reports.len();
+    fleet.run(seconds(9));
+    let by_it = fleet.reports[before..].iter().filter(|report| report.entry == entry).count();
+    assert_eq!(by_it, 0, "it does not know the others' counts");
+    fleet.run(seconds(11));
     fleet.cut_from_peers.clear();
     fleet.run(seconds(12));
     let from = fleet.now;
@@ -238,3 +257,121 @@
     assert_eq!(fleet.reports.len(), calls + 2);
     fleet.check_one();
 }
+
+/// The clock of one entry is set, for a moment or for good. The others agree on the time.
+#[parameterized(
+    holder_forwards = { 0, 3600 },
+    holder_backwards = { 0, -3600 },
+    other_forwards = { 3, 3600 },
+    other_backwards = { 3, -3600 },
+)]
+fn a_wrong_clock_leads_to_no_wrong_report(entry: usize, step: i64) {
+    let mut fleet = settled_fleet();
+    let from = fleet.now;
+    fleet.clock_steps.insert(entry, step);
+    fleet.run(seconds(8));
+    fleet.clock_steps.clear();
+    assert_none_missed(&mut fleet, from, seconds(10), "for a moment");
+    fleet.clock_steps.insert(entry, step);
+    fleet.run(seconds(40));
+    fleet.check_one();
+    let windows = fleet.reports.iter().map(|report| report.usage.window);
+    let (first, last) = (windows.clone().min().unwrap(), windows.max().unwrap());
+    assert!(last - first < 60, "only windows of the true time: {first} to {last}");
+    assert_ne!(fleet.holder(), Some(entry));
+}
+
+/// Report to the stand-in of the platform: time in milliseconds, entry, token, window, requests.
+type Call = (u64, usize, u64, u64, u64);
+
+#[parameterized(
+    two_counts = { &[(0, 0, 1, 7, 5), (5_000, 0, 1, 7, 6)] },
+    one_token_of_two = { &[(0, 0, 1, 7, 5), (5_000, 1, 1, 8, 5)] },
+    lower_token = { &[(0, 0, 2, 7, 5), (5_000, 1, 1, 8, 5)] },
+    turns = { &[(0, 0, 1, 7, 5), (1_000, 1, 2, 8, 5), (2_000, 0, 3, 9, 5)] },
+)]
+#[should_panic]
+fn the_stand_in_notices_two_holders(calls: &[Call]) {
+    judge(calls);
+}
+
+#[parameterized(
+    repeat = { &[(0, 0, 1, 7, 5), (500, 0, 1, 7, 5), (900, 1, 2, 7, 5)] },
+    back_after_the_lease = { &[(0, 0, 1, 7, 5), (1_000, 1, 2, 8, 5), (4_100, 0, 3, 9, 5)] },
+)]
+fn the_stand_in_allows_what_one_holder_does(calls: &[Call]) {
+    judge(calls);
+}
+
+fn judge(calls: &[Call]) {
+    assert!(LEASE < seconds(4));
+    let mut fleet = UsageFleet::new(0);
+    fleet.reports = calls
+        .iter()
+        .map(|(at, entry, fence, window, requests)| Report {
+            at: Duration::from_millis(*at),
+            entry: *entry,
+            fence: *fence,
+            usage: WindowUsage { window: *window, counts: [("customer".into(), *requests)].into() },
+        })
+        .collect();
+    fleet.check_one();
+}
+
+/// What the duty costs grows with the entries' own counts, and not with their number in the store.
+#[parameterized(
+    few = { 5 },
+    of_a_deployment = { 27 },
+    many = { 130 },
+)]
+fn store_calls_do_not_grow_with_the_entries(entries: usize) {
+    let mut fleet = UsageFleet::new(entries);
+    fleet.report_interval = report_interval(entries);
+    fleet.run(seconds(20));
+    let (calls, saved, messages) = (fleet.store_calls, fleet.saved_bytes, fleet.message_bytes);
+    fleet.run(seconds(20));
+    let per_second = |after: u64, before: u64| (after - before) as f64 / 20.0;
+    let calls = per_second(fleet.store_calls, calls);
+    let saved = per_second(fleet.saved_bytes, saved);
+    let messages = per_second(fleet.message_bytes, messages) / entries as f64;
+    println!(
+        "{entries} entries: {calls:.2} store calls/s, {saved:.0} B/s saved, \
+         {messages:.0} B/s of messages an entry"
+    );
+    assert!(calls < 2.0, "{calls} calls a second");
+    // Process starts in the saved record take 9 bytes each.
+    assert!(saved < 300.0 + 20.0 * entries as f64, "{saved} bytes a second");
+    // Two of the customers, three receivers and five messages a second.
+    assert!(messages < 3_500.0, "{messages} bytes a second");
+}
+
+/// A write without an answer takes effect seconds later: counts of a holder that has ended, after
+/// those that the next one fixed, or a claim.
+#[parameterized(
+    counts = { DutyStep::Fix },
+    claim = { DutyStep::Claim },
+)]
+fn a_late_write_leads_to_no_second_report(step: DutyStep) {
+    for delay in 1..40 {
+        let mut fleet = settled_fleet();
+        if step == DutyStep::Claim {
+            fleet.kill(0, seconds(60));
+        }
+        let delay = Duration::from_millis(500) * delay;
+        fleet.strike(step, StepFault::CarriedOutLate(delay));
+        while fleet.faults_struck == 0 {
+            fleet.run(Duration::from_millis(10));
+        }
+        // What is reported in its place is not what it would have reported.
+        fleet.kill(0, seconds(60));
+        while fleet.late_steps == 0 {
+            fleet.run(Duration::from_millis(10));
+        }
+        if let Some(holder) = fleet.holder() {
+            fleet.kill(holder, seconds(60));
+        }
+        fleet.run(seconds(25));
+        let from = fleet.now;
+        assert_none_missed(&mut fleet, from, seconds(20), &format!("{delay:?}"));
+    }
+}
