Count only final statuses of a plain service as answers

A side passed 101, 600 and 999 of a service on to the caller. Such a status is now a broken response.

--- a/src/process/target.rs
+++ b/src/process/target.rs
@@ -271,12 +271,15 @@
             .send_streaming(request, RESPONSE_HEAD_TIMEOUT)
             .await
             .map_err(target_failure)?;
-        let status = response.status().as_u16();
+        let status = response.status();
+        if !is_final(status) {
+            return Err(TargetFailure::Broken);
+        }
         let read =
             http::read_body(response.into_body(), MAX_SERVICE_RESPONSE_BYTES, "service").await;
         let body = read.map_err(|_| TargetFailure::Broken)?;
         let body = String::from_utf8(body.to_vec()).map_err(|_| TargetFailure::Broken)?;
-        Ok(ServiceAnswer { status, body })
+        Ok(ServiceAnswer { status: status.as_u16(), body })
     }
 
     async fn report(&self) -> Result<TargetReport> {
@@ -290,6 +293,14 @@
     status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
 }
 
+/// Returns whether a status is one that ends a call. Callers know no others.
+fn is_final(status: StatusCode) -> bool {
+    status.is_success()
+        || status.is_redirection()
+        || status.is_client_error()
+        || status.is_server_error()
+}
+
 fn target_failure(failure: SendFailure) -> TargetFailure {
     match failure {
         SendFailure::NotConnected => TargetFailure::NotReached,
