Bound the first byte of a body like its head; read on without gaps

The lowest rate of a body is 64 KiB a second; a body without a length is no large one. The test of runs taken for unsent reserves its ports, so that no other target of the process gets them.

--- a/emulator/tests/regressions/request_that_ran_taken_for_unsent.rs
+++ b/emulator/tests/regressions/request_that_ran_taken_for_unsent.rs
@@ -22,7 +22,7 @@
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use serde_json::json;
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::{task::JoinHandle, time::sleep};
 use yare::parameterized;
 
@@ -136,10 +136,14 @@
         let (service, stage) = if is_engine { (ENGINES, "decode") } else { (PLAIN, "") };
         let mut addresses = Vec::new();
         for index in 0..TARGETS {
-            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-            addresses.push(listener.local_addr().unwrap());
+            let (reserved, address) = reserve_port();
+            let listener = TcpListener::bind(address).unwrap();
+            addresses.push(address);
             let target = targets.clone();
-            thread::spawn(move || target.listen(index, listener));
+            thread::spawn(move || {
+                target.listen(index, listener);
+                drop(reserved);
+            });
         }
         let store = store.clone();
         let heartbeats = tokio::spawn(async move {
@@ -221,6 +225,17 @@
     }
 }
 
+/// Binds a socket that never listens to a free port, and returns it with its address.
+///
+/// While it exists, no other target of the process gets the port, also while nobody listens there.
+fn reserve_port() -> (Socket, SocketAddr) {
+    let reserved = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    reserved.set_reuse_address(true).unwrap();
+    reserved.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = reserved.local_addr().unwrap().as_socket().unwrap();
+    (reserved, address)
+}
+
 /// Listens at an address that was just left, whose port may be in use for a moment.
 fn open_again(address: SocketAddr) -> TcpListener {
     loop {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -159,7 +159,8 @@
 /// Limits on the time of a call.
 #[derive(Debug, Clone, Copy)]
 struct CallTimes {
-    /// Longest time to the head of the response, connecting included.
+    /// Longest time to the head of the response and the first byte of its body, connecting
+    /// included.
     head: Duration,
     /// Longest silence within its body.
     silence: Duration,
@@ -348,9 +349,10 @@
         body: Bytes,
         times: CallTimes,
     ) -> Result<StoreResponse, StoreError> {
-        let limits = BodyLimits { silence: times.silence, bytes: MAX_RESPONSE_BYTES };
+        let first_by = Instant::now() + times.head;
+        let limits = BodyLimits { first_by, silence: times.silence, bytes: MAX_RESPONSE_BYTES };
         let exchange = self.exchange(method, path, body);
-        let result = match tokio::time::timeout(times.head, exchange).await {
+        let result = match tokio::time::timeout_at(first_by, exchange).await {
             Ok(Ok(response)) => self.check_head(response, limits).await,
             Ok(Err(error)) => Err(error),
             Err(_) => Err(StoreError::NoAnswer { reason: "timed out".to_owned() }),
@@ -435,7 +437,7 @@
     let announced = body.announced();
     let mut head = body.read_at_least(PAGE_HEAD_BYTES).await?;
     let end = head.try_get_u64().map_err(|_| StoreError::Malformed)?;
-    let is_large = announced.is_none_or(|bytes| bytes > MAX_REPLACED_BYTES);
+    let is_large = announced.is_some_and(|bytes| bytes > MAX_REPLACED_BYTES);
     if need == TopicNeed::Newest && is_large && end > from.offset + 1 {
         return Err(StoreError::Replaced { end });
     }
--- a/src/process/direct/copy.rs
+++ b/src/process/direct/copy.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::{Request, header::HOST};
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 use super::{inspect::RECORDS_PATH, record_bytes::RecordBytes, shell::DirectDriver};
 use crate::{
@@ -113,6 +114,7 @@
 async fn fetch(peer: SocketAddr) -> Result<RecordCopy> {
     let failed =
         |e: &dyn std::fmt::Display| Error::new(ErrorCode::Network, format!("{peer} ({e})"));
+    let first_by = Instant::now() + COPY_TIMEOUT;
     let exchange = async {
         let mut connection = dial::connect(peer, COPY_TIMEOUT).await?;
         let request = Request::get(RECORDS_PATH)
@@ -124,9 +126,9 @@
         Ok((connection, response))
     };
     let timed_out = |_| Error::new(ErrorCode::Timeout, peer.to_string());
-    let head = tokio::time::timeout(COPY_TIMEOUT, exchange).await.map_err(timed_out)?;
+    let head = tokio::time::timeout_at(first_by, exchange).await.map_err(timed_out)?;
     let (_connection, response) = head?;
-    let limits = BodyLimits { silence: COPY_TIMEOUT, bytes: MAX_COPY_BYTES };
+    let limits = BodyLimits { first_by, silence: COPY_TIMEOUT, bytes: MAX_COPY_BYTES };
     let body = PacedBody::new(response.into_body(), limits);
     let bytes = body.read_to_end().await.map_err(|e| failed(&e))?;
     ciborium::from_reader(&bytes[..])
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -87,13 +87,14 @@
 
 /// Reads a snapshot of a topic and then its changes, without end. Starts again from a
 /// snapshot if the store has deleted changes that were not read yet or was restored from an
-/// older copy, if more changes are unread than a page holds, or after a malformed response.
+/// older copy, if only the newest records are needed and more are unread than a page holds, or after a malformed response.
 pub(super) async fn follow(
     driver: &DirectDriver,
     followed: FollowedTopic,
     mut follower: impl TopicFollower,
 ) {
-    let FollowedTopic { name: topic, schedule: ReadSchedule { pause, poll_wait }, .. } = followed;
+    let FollowedTopic { name: topic, need, schedule } = followed;
+    let ReadSchedule { pause, poll_wait } = schedule;
     let mut reader = TopicReader::new(followed, driver.store_client());
     let demand = follower.demand();
     let mut is_demanded = false;
@@ -125,7 +126,7 @@
                 }
                 reachable = true;
                 backoff = RETRY_BACKOFF.0;
-                let reached_end = read.page.reached_end;
+                let (reached_end, is_empty) = (read.page.reached_end, read.page.records.is_empty());
                 driver.record_page(topic, &read.page);
                 log_large_read(topic, &read.page, age);
                 apply(&mut follower, read);
@@ -133,12 +134,14 @@
                     follower.read_to_end(started.elapsed());
                 }
                 follower.after_read();
-                if reached_end {
-                    is_demanded = reader.pause(&demand, pause).await;
-                } else {
-                    // A snapshot has each key once, however many changes are unread.
+                if !reached_end && need == TopicNeed::Newest {
+                    // A snapshot has the newest record only, however many are unread.
                     reader.next = None;
                 }
+                // What is left of a topic is read at once, unless the store sent nothing of it.
+                if reached_end || is_empty {
+                    is_demanded = reader.pause(&demand, pause).await;
+                }
             }
             Err(StoreError::Replaced { end }) => {
                 log::info!(
--- a/src/process/paced_body.rs
+++ b/src/process/paced_body.rs
@@ -9,13 +9,13 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use snafu::Snafu;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 
 use super::read_limit::ReceivedBody;
 
 /// Lowest mean rate at which a body is still read, in bytes per second. It is a small share of
 /// what the slowest link carries, so that only a peer that trickles is below it.
-const MIN_RATE: f64 = 16.0 * 1024.0;
+const MIN_RATE: f64 = 64.0 * 1024.0;
 /// Largest buffer that is allocated before the bytes have arrived.
 const MAX_RESERVED_BYTES: usize = 1024 * 1024;
 
@@ -53,7 +53,9 @@
 /// Limits on a body.
 #[derive(Debug, Clone, Copy)]
 pub struct BodyLimits {
-    /// Longest time without a byte.
+    /// When its first byte is late. Head and first byte together take no longer than a small body.
+    pub first_by: Instant,
+    /// Longest time without a byte after the first.
     pub silence: Duration,
     /// Largest size, in bytes.
     pub bytes: usize,
@@ -104,8 +106,9 @@
 
     /// Reads the next bytes, and returns whether there were any.
     async fn read_more(&mut self) -> Result<bool, BodyReadError> {
-        let BodyLimits { silence, bytes: limit } = self.limits;
-        let frame = timeout(silence, self.body.frame())
+        let BodyLimits { first_by, silence, bytes: limit } = self.limits;
+        let late_at = if self.received.is_empty() { first_by } else { Instant::now() + silence };
+        let frame = timeout_at(late_at, self.body.frame())
             .await
             .map_err(|_| BodyReadError::Silent { silence })?;
         let Some(frame) = frame else { return Ok(false) };
