Test changes of keys at real entries

Cause: that removed keys are refused on kept connections, after an outage of the store, and by entries that start was not tested with real processes.

--- a/emulator/src/stand_in/caller.rs
+++ b/emulator/src/stand_in/caller.rs
@@ -56,6 +56,8 @@
     pub leave_after: Option<Duration>,
     /// Stream that the request takes up; `None` for a new request.
     pub resumed: Option<ResumedStream>,
+    /// Key of the customer that it is sent for, if any.
+    pub key: Option<String>,
 }
 
 /// Point at which a caller takes a stream up again.
@@ -149,9 +151,15 @@
             deadline,
             leave_after: None,
             resumed: None,
+            key: None,
         }
     }
 
+    /// Returns the request with a customer's key.
+    pub fn with_key(self, key: &str) -> CallerRequest {
+        CallerRequest { key: Some(key.to_owned()), ..self }
+    }
+
     /// Returns the HTTP message.
     pub(super) fn message(&self) -> hyper::http::Result<Request<Full<Bytes>>> {
         let mut builder = Request::builder()
@@ -168,6 +176,10 @@
                 .header("last-event-id", resumed.last_event)
                 .header("resumes", &resumed.first_request);
         }
+        if let Some(key) = &self.key {
+            builder =
+                builder.header("authorization", format!("Token {key}")).header("tenant", "forged");
+        }
         let segments = self.prompt_segments();
         if !segments.is_empty() {
             let tokens: u64 = segments.iter().map(|(_, tokens)| tokens).sum();
--- a/emulator/src/stand_in/fleet.rs
+++ b/emulator/src/stand_in/fleet.rs
@@ -120,6 +120,14 @@
         self.store.put("keyed.op", "config", Some(config.to_string().as_bytes()));
     }
 
+    /// Writes a configuration with customers, each with its keys.
+    pub fn configure_customers(&self, version: u64, customers: &[(&str, &[&str])]) {
+        let mut config = configuration(version, ENGINES);
+        let customer = |(name, keys): &(&str, &[&str])| json!({ "name": name, "api_keys": keys });
+        config["tenants"] = customers.iter().map(customer).collect();
+        self.store.put("keyed.op", "config", Some(config.to_string().as_bytes()));
+    }
+
     /// Writes a configuration with the same timeout for all routes.
     pub fn configure_timeout(&self, version: u64, timeout: Duration) {
         let mut config = configuration(version, ENGINES);
--- a/emulator/src/stand_in/runner/call.rs
+++ b/emulator/src/stand_in/runner/call.rs
@@ -172,6 +172,8 @@
             at: Instant::now(),
             is_prefill: parts.headers.contains_key("serving-stage"),
             segments: prompt_segments(&parts.headers),
+            customer: header_text(&parts.headers, "tenant"),
+            has_credentials: parts.headers.contains_key("authorization"),
         };
         locked(&self.state).received.push(received);
     }
--- a/emulator/src/stand_in/runner/state.rs
+++ b/emulator/src/stand_in/runner/state.rs
@@ -35,6 +35,10 @@
     pub is_prefill: bool,
     /// Ids of the prompt segments, in order.
     pub segments: Vec<u64>,
+    /// Customer that it names.
+    pub customer: Option<String>,
+    /// Whether it holds credentials of its caller.
+    pub has_credentials: bool,
 }
 
 /// Crash of a target.
