Count limited customers in the metrics

Cause: an operator could not see from the metrics that customers are above their shares. Change: gauge limited_customers.

--- a/src/direct/share.rs
+++ b/src/direct/share.rs
@@ -200,6 +200,11 @@
         limited.map_or(allowed, |part| allowed.mul_f32(*part))
     }
 
+    /// Returns the number of customers above their shares, counted for each service.
+    pub fn limited_count(&self) -> usize {
+        self.limited.values().map(HashMap::len).sum()
+    }
+
     /// Counts a request that needs this time at a target, and how long it would wait.
     pub fn record_offer(
         &mut self,
--- a/src/direct/sharing.rs
+++ b/src/direct/sharing.rs
@@ -13,6 +13,11 @@
         self.shares.report(now, &self.settings.name)
     }
 
+    /// Returns the number of customers above their shares, counted for each service.
+    pub fn limited_customers(&self) -> usize {
+        self.shares.limited_count()
+    }
+
     pub(super) fn peer_shares(&mut self, now: ClockTime, report: ShareReport) {
         if report.peer != self.settings.name && report.has_valid_numbers() {
             self.shares.apply(now, report);
@@ -28,11 +33,11 @@
         placement: &Placement,
         allowed: Duration,
     ) -> Duration {
-        self.shares.refresh(now, self.peers.timeout());
-        let Some(flow) = self.flows.get(&id).filter(|flow| has_share(flow)) else { return allowed };
         if !self.has_customers() {
             return allowed;
         }
+        self.shares.refresh(now, self.peers.timeout());
+        let Some(flow) = self.flows.get(&id).filter(|flow| has_share(flow)) else { return allowed };
         let customer = customer_name(flow);
         let load = (&flow.service, &customer);
         let waits = (placement.waiting(), allowed);
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -81,6 +81,8 @@
     pub(super) blocked: BlockedCounts,
     /// Number of targets that state a limit on requests.
     pub(super) limited_targets: usize,
+    /// Number of customers above their shares.
+    pub(super) limited_customers: usize,
     pub(super) peers: usize,
     pub(super) version: u64,
     pub(super) configuration_age: Duration,
@@ -108,6 +110,7 @@
     in_flight: Gauge,
     targets: Gauge,
     limited_targets: Gauge,
+    limited_customers: Gauge,
     blocked_segments: Gauge,
     blocked_requests: Gauge,
     peers: Gauge,
@@ -133,6 +136,7 @@
             in_flight: Gauge::default(),
             targets: Gauge::default(),
             limited_targets: Gauge::default(),
+            limited_customers: Gauge::default(),
             blocked_segments: Gauge::default(),
             blocked_requests: Gauge::default(),
             peers: Gauge::default(),
@@ -152,6 +156,7 @@
         self.in_flight.set(state.in_flight as i64);
         self.targets.set(state.targets as i64);
         self.limited_targets.set(state.limited_targets as i64);
+        self.limited_customers.set(state.limited_customers as i64);
         self.blocked_segments.set(state.blocked.segments);
         self.blocked_requests.set(state.blocked.requests);
         self.peers.set(state.peers as i64);
@@ -228,6 +233,11 @@
             "Targets that state how many requests a second they take",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "limited_customers",
+            "Customers that have more than their share of too little room",
+            self.limited_customers.clone(),
+        );
         registry.register(
             "blocked_segments",
             "Prompt segments with which requests are rejected, as they crash targets",
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -369,6 +369,7 @@
             targets: machine.fleet().len(),
             peers: machine.peer_count(),
             limited_targets: machine.limited_targets(),
+            limited_customers: machine.limited_customers(),
             blocked: BlockedCounts::of(machine.blocked_suspects(self.now())),
             version: machine.routes().map_or(0, |routes| routes.version),
             configuration_age: ages.configuration,
