--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -5,6 +5,7 @@
 const LOG: &str = r#"noise before the log
 {"timestamp":"2026-01-01T00:00:02+00:00","level":"INFO","message":"request ended","kvs":{"request":"a1","status":"502","reason":"outcome_unknown","calls":"t1 run lost 30ms 0+0"}}
 {"timestamp":"2026-01-01T00:00:01+00:00","level":"INFO","message":"request ended","kvs":{"request":"b2","status":"200","reason":"","calls":""}}
+{"timestamp":"2026-01-01T00:00:03+00:00","level":"INFO","message":"request ended","kvs":{"request":"d4","customer":"first","status":"503","reason":"customer_share","calls":""}}
 "#;
 
 fn explain(request: &str) -> (Option<i32>, String) {
@@ -27,6 +28,14 @@
     assert!(!text.contains("200"), "{text}");
 }
 
+#[test]
+fn prints_by_whose_share_a_request_was_refused() {
+    let (status, text) = explain("d4");
+    assert_eq!(status, Some(0));
+    assert!(text.contains("reason: customer_share"), "{text}");
+    assert!(text.contains("customer: first"), "{text}");
+}
+
 #[test]
 fn unknown_request_is_an_input_error() {
     assert_eq!(explain("c3").0, Some(2));
