Keep customers whose work grows from being starved by shares

Change: nobody is granted less than 0.3 of its proportional part; admissions that no target ran are taken back; requests without a customer keep their usual part; names are bounded, and peers expire with each report.

--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -102,6 +102,8 @@
     /// Engine with a limit of which a request is kept back for the decode call.
     pub(super) reserved: Option<TargetId>,
     pub(super) may_have_run: bool,
+    /// Work that was counted as admitted of its customer's, in seconds at a target.
+    pub(super) admitted_seconds: f32,
     /// Whether the response that is being delivered ends with its connection.
     pub(super) unframed: bool,
     pub(super) trace: RequestTrace,
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -352,6 +352,7 @@
             cache: None,
             reserved: None,
             may_have_run: false,
+            admitted_seconds: 0.0,
             unframed: false,
             trace,
         };
@@ -539,6 +540,9 @@
         let spread = self.rng.random_range(RETRY_SPREAD.0..RETRY_SPREAD.1);
         let retry_after = wait.clamp(low, high).mul_f64(spread);
         let failure = RequestFailure { reason, not_run, retry_after };
+        if not_run {
+            self.take_back_admission(id);
+        }
         out.push(DirectAction::Fail { flow: id, failure });
     }
 
--- a/src/direct/share.rs
+++ b/src/direct/share.rs
@@ -29,6 +29,9 @@
 /// Part of the room that customers keep in proportion to what they usually ask for, so that
 /// large ones are served at least half as often as all.
 const USUAL_PART: f32 = 0.5;
+/// Part of what a customer would get in proportion to its present work that it gets at least. It
+/// is more than a quarter, so that a customer whose work grows is not starved.
+const PRESENT_PART: f32 = 0.3;
 /// Part of the offered work up to which the admitted work counts as too little.
 const SHORT_PART: f32 = 0.95;
 /// Part of the allowed queueing time that is kept for customers within their shares. One that
@@ -46,6 +49,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Largest number of customers in a report; the largest come first.
 const MAX_REPORTED: usize = 24;
+/// Largest size of the names in a report, in bytes.
+const MAX_NAME_BYTES: usize = 1024;
 /// Largest number of halvings in the search for the level of equal shares.
 const LEVEL_STEPS: usize = 32;
 
@@ -100,11 +105,15 @@
 ///
 /// Shares are max-min fair: nobody gets more than it offers, and what one leaves goes to the
 /// others in equal parts. Half of the room is divided in proportion to what customers usually offer
-/// first, as far as they still offer it.
+/// first, as far as they still offer it, and nobody gets less than [`PRESENT_PART`] of what it would
+/// get in proportion to what it offers.
 pub fn divide_room(demands: &[CustomerDemand], room: WorkRate) -> Vec<WorkRate> {
+    let offered: WorkRate = demands.iter().map(|demand| demand.offered).sum();
+    let present_part = PRESENT_PART * room / offered.max(f32::MIN_POSITIVE);
     let granted = |demand: &CustomerDemand, level: WorkRate| {
         let usual = room * USUAL_PART * demand.usual_part;
-        level.max(usual).min(demand.offered)
+        let present = present_part * demand.offered;
+        level.max(usual).max(present).min(demand.offered)
     };
     let total = |level| demands.iter().map(|demand| granted(demand, level)).sum::<WorkRate>();
     let (mut low, mut high) = (0.0, demands.iter().map(|d| d.offered).fold(0.0, WorkRate::max));
@@ -234,6 +243,12 @@
         self.meter(load).admitted.record(now, seconds, RATE_TIME);
     }
 
+    /// Takes back an admission of work that was not run after all.
+    pub fn take_back(&mut self, load: (&ServiceName, &CustomerName), seconds: f32) {
+        let admitted = &mut self.meter(load).admitted;
+        admitted.rate = (admitted.rate - seconds / RATE_TIME.as_secs_f32()).max(0.0);
+    }
+
     /// Applies a peer's report, which replaces its last one.
     pub fn apply(&mut self, now: ClockTime, report: ShareReport) {
         self.peers.insert(report.peer.clone(), PeerShares { received: now, report });
@@ -246,8 +261,7 @@
             return;
         }
         self.next_division = now + SHARE_INTERVAL;
-        let timeout = timeout.max(REPORT_INTERVAL * 3);
-        self.peers.retain(|_, peer| now <= peer.received + timeout);
+        self.expire_peers(now, timeout);
         for meters in self.meters.values_mut() {
             meters.retain(|_, meter| meter.weight(now) >= MIN_RATE);
         }
@@ -264,8 +278,15 @@
         }
     }
 
-    /// Returns the report for peers, if room is short and the last report is long enough ago.
-    pub fn report(&mut self, now: ClockTime, own: &PeerName) -> Option<ShareReport> {
+    /// Returns the report for peers, if room is short and the last report is long enough ago. A
+    /// peer without a report for `timeout` no longer counts.
+    pub fn report(
+        &mut self,
+        now: ClockTime,
+        own: &PeerName,
+        timeout: Duration,
+    ) -> Option<ShareReport> {
+        self.expire_peers(now, timeout);
         if now < self.next_report || !self.is_short(now) {
             return None;
         }
@@ -275,11 +296,21 @@
             return None;
         }
         loads.sort_by(|a, b| b.offered.total_cmp(&a.offered));
-        loads.truncate(MAX_REPORTED);
+        let mut name_bytes = 0;
+        let fits = |load: &CustomerLoad| {
+            name_bytes += load.service.len() + load.customer.len();
+            name_bytes <= MAX_NAME_BYTES
+        };
+        let loads = loads.into_iter().take(MAX_REPORTED).take_while(fits).collect();
         let is_short = now < self.short_until;
         Some(ShareReport { peer: own.clone(), is_short, loads })
     }
 
+    fn expire_peers(&mut self, now: ClockTime, timeout: Duration) {
+        let timeout = timeout.max(REPORT_INTERVAL * 3);
+        self.peers.retain(|_, peer| now <= peer.received + timeout);
+    }
+
     fn meter(&mut self, (service, customer): (&ServiceName, &CustomerName)) -> &mut CustomerMeter {
         let meters = self.meters.entry(service.clone()).or_default();
         meters.entry(customer.clone()).or_default()
@@ -333,11 +364,13 @@
     if room >= offered * SHORT_PART {
         return HashMap::new();
     }
-    let demand = |total: &CustomerTotal| CustomerDemand {
-        offered: total.offered,
-        usual_part: total.usual / usual,
+    let demand = |(customer, total): (&CustomerName, &CustomerTotal)| {
+        let part = total.usual / usual;
+        // Requests without a customer are of many callers, and keep all that is usual.
+        let usual_part = if customer.is_empty() { part / USUAL_PART } else { part };
+        CustomerDemand { offered: total.offered, usual_part }
     };
-    let demands: Vec<CustomerDemand> = totals.values().map(demand).collect();
+    let demands: Vec<CustomerDemand> = totals.iter().map(demand).collect();
     let granted = divide_room(&demands, room);
     let standings = totals.iter().zip(granted);
     let limited = standings.filter(|((_, total), granted)| *granted < total.offered * SHORT_PART);
--- a/src/direct/sharing.rs
+++ b/src/direct/sharing.rs
@@ -10,7 +10,7 @@
 impl DirectMachine {
     /// Returns what peers have to know of customers' work, if room is short.
     pub fn share_report(&mut self, now: ClockTime) -> Option<ShareReport> {
-        self.shares.report(now, &self.settings.name)
+        self.shares.report(now, &self.settings.name, self.peers.timeout())
     }
 
     /// Returns the number of customers above their shares, counted for each service.
@@ -47,10 +47,21 @@
 
     /// Counts a request as admitted that was counted before.
     pub(super) fn record_admission(&mut self, now: ClockTime, id: FlowId, placement: &Placement) {
-        let Some(flow) = self.flows.get(&id).filter(|flow| has_share(flow)) else { return };
-        if self.has_customers() {
-            let load = (&flow.service, &customer_name(flow));
-            self.shares.record_admission(now, load, placement.own_seconds);
+        if !self.has_customers() {
+            return;
+        }
+        let Some(flow) = self.flows.get_mut(&id).filter(|flow| has_share(flow)) else { return };
+        flow.admitted_seconds = placement.own_seconds;
+        let load = (&flow.service, &customer_name(flow));
+        self.shares.record_admission(now, load, placement.own_seconds);
+    }
+
+    /// Takes the admission of a request back that no target ran.
+    pub(super) fn take_back_admission(&mut self, id: FlowId) {
+        let Some(flow) = self.flows.get_mut(&id) else { return };
+        let seconds = std::mem::take(&mut flow.admitted_seconds);
+        if seconds > 0.0 {
+            self.shares.take_back((&flow.service, &customer_name(flow)), seconds);
         }
     }
 
--- a/tests/customer_shares.rs
+++ b/tests/customer_shares.rs
@@ -32,6 +32,7 @@
     a_large_one_keeps_half_of_its_usual_part = { DivisionCase { demands: &[(8.0, 0.8), (1.0, 0.1), (1.0, 0.1)], room: 5.0, granted: &[3.0, 1.0, 1.0] } },
     a_large_one_beside_many = { DivisionCase { demands: &[(8.0, 0.8), (4.0, 0.1), (4.0, 0.1)], room: 5.0, granted: &[2.0, 1.5, 1.5] } },
     a_large_one_that_rests = { DivisionCase { demands: &[(1.0, 0.8), (9.0, 0.1), (9.0, 0.1)], room: 9.0, granted: &[1.0, 4.0, 4.0] } },
+    one_that_grows_beside_many = { DivisionCase { demands: &[(10.0, 0.09), (1.0, 0.09), (1.0, 0.09), (1.0, 0.09), (1.0, 0.09), (1.0, 0.09), (1.0, 0.09), (1.0, 0.09), (1.0, 0.09), (1.0, 0.09), (1.0, 0.09)], room: 10.0, granted: &[1.5, 0.85, 0.85, 0.85, 0.85, 0.85, 0.85, 0.85, 0.85, 0.85, 0.85] } },
     one_alone = { DivisionCase { demands: &[(8.0, 1.0)], room: 5.0, granted: &[5.0] } },
     nobody = { DivisionCase { demands: &[], room: 5.0, granted: &[] } },
 )]
@@ -53,6 +54,8 @@
 const WARM_UP: Duration = Duration::from_secs(10);
 const LENGTH: Duration = Duration::from_secs(40);
 const STEP: Duration = Duration::from_millis(2);
+/// Time after which a peer without a report no longer counts.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time from a report to its arrival.
 const REPORT_DELAY: Duration = Duration::from_millis(20);
 
@@ -145,7 +148,7 @@
         let entry = self.rng.random_range(0..self.entries.len());
         let shares = &mut self.entries[entry];
         let waiting = Duration::from_secs_f32(self.backlog[..=priority].iter().sum());
-        shares.refresh(now, Duration::from_secs(1));
+        shares.refresh(now, PEER_TIMEOUT);
         shares.record_offer(now, (&service, &customer), WORK, (waiting, ALLOWED));
         let allowed = match self.has_shares {
             true => shares.allowed_wait(&service, &customer, ALLOWED),
@@ -161,7 +164,8 @@
 
     fn exchange(&mut self, now: ClockTime) {
         for (number, entry) in self.entries.iter_mut().enumerate() {
-            if let Some(report) = entry.report(now, &format!("entry-{number}").into()) {
+            if let Some(report) = entry.report(now, &format!("entry-{number}").into(), PEER_TIMEOUT)
+            {
                 self.reports.push_back((now + REPORT_DELAY, number, report));
             }
         }
@@ -209,6 +213,44 @@
     assert!(smallest(&without[1..]) < 0.8, "the load leaves too little room: {without:?}");
 }
 
+/// Ten customers fill the targets, and an eleventh asks for ten times what it did.
+#[parameterized(one_entry = { 1 }, nine_entries = { 9 })]
+fn one_that_grows_beside_customers_that_fill_the_targets_is_not_starved(entries: usize) {
+    let mut customers = vec![ReplayedCustomer::steady(0.1); 11];
+    customers[0] = ReplayedCustomer { load: 0.1, later: 1.0, repeats: 0, priority: 1 };
+    let (parts, all) = Replay::run(&customers, entries, true);
+    assert!(smallest(&parts) > all / 4.0, "{all}: {parts:?}");
+}
+
+#[test]
+fn requests_without_a_customer_keep_what_is_usual() {
+    let mut shares = ShareTable::default();
+    let service: ServiceName = SERVICE.into();
+    let (anonymous, named): (CustomerName, CustomerName) = ("".into(), "named".into());
+    for customer in [&anonymous, &named] {
+        shares.record_offer(ClockTime::ZERO, (&service, customer), 1.0, (Duration::ZERO, ALLOWED));
+        shares.record_admission(ClockTime::ZERO, (&service, customer), 0.6);
+    }
+    shares.record_offer(ClockTime::ZERO, (&service, &named), 1.0, (ALLOWED, ALLOWED));
+    shares.refresh(Duration::from_millis(1), PEER_TIMEOUT);
+    let wait = |customer| shares.allowed_wait(&service, customer, ALLOWED);
+    assert!(wait(&anonymous) > wait(&named), "{shares:?}");
+}
+
+#[test]
+fn admissions_that_are_taken_back_do_not_count_as_room() {
+    let mut shares = ShareTable::default();
+    let (service, customer): (ServiceName, CustomerName) = (SERVICE.into(), "large".into());
+    let (now, load) = (Duration::from_secs(1), (&service, &customer));
+    for _ in 0..4 {
+        shares.record_offer(now, load, 1.0, (ALLOWED, ALLOWED));
+        shares.record_admission(now, load, 1.0);
+    }
+    shares.take_back(load, 1.0);
+    let report = shares.report(now, &"entry".into(), PEER_TIMEOUT).unwrap();
+    assert_eq!((report.loads[0].offered, report.loads[0].admitted), (4.0, 3.0));
+}
+
 #[test]
 fn eighty_at_once_are_served_alike() {
     let customers = [ReplayedCustomer::steady(2.0 / 80.0); 80];
@@ -351,9 +393,13 @@
         let customer: CustomerName = format!("customer-{number}").into();
         shares.record_offer(now, (&service, &customer), 1.0, (ALLOWED, ALLOWED));
     }
-    let report = shares.report(now, &"entry".into()).unwrap();
+    let report = shares.report(now, &"entry".into(), PEER_TIMEOUT).unwrap();
     let mut bytes = Vec::new();
     ciborium::into_writer(&report, &mut bytes).unwrap();
     assert!(bytes.len() < 1500, "{} bytes", bytes.len());
-    assert_eq!(shares.report(now, &"entry".into()), None, "one report in each interval");
+    assert_eq!(
+        shares.report(now, &"entry".into(), PEER_TIMEOUT),
+        None,
+        "one report in each interval"
+    );
 }
