--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -109,6 +109,8 @@
     pub(super) may_have_run: bool,
     /// Whether it is in the counts of its customer's usage.
     pub(super) is_counted: bool,
+    /// Work that was counted as admitted of its customer's, in seconds at a target.
+    pub(super) admitted_seconds: f32,
     /// Whether the response that is being delivered ends with its connection.
     pub(super) unframed: bool,
     pub(super) trace: RequestTrace,
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -363,6 +363,7 @@
             reserved: None,
             may_have_run: false,
             is_counted: false,
+            admitted_seconds: 0.0,
             unframed: false,
             trace,
         };
@@ -418,7 +419,8 @@
         let Some(flow) = self.flows.get(&id) else { return };
         let allowed = allowed_wait(now, flow);
         let shared = self.shared_wait(now, id, &placement, allowed);
-        if let Err(excess) = self.admit(now, id, &placement, allowed) {
+        let admitted = self.admit(now, id, &placement, allowed);
+        if let Err(excess) = admitted {
             let Some(late) = self.place_late(now, id) else {
                 return self.fail_request(id, FailureReason::CannotMeetDeadline, excess, out);
             };
@@ -430,7 +432,10 @@
         if self.reject_while_stopping(now, id, &placement, out) {
             return;
         }
-        self.record_admission(now, id, &placement);
+        // What is served late uses room that is left over, which is nobody's share.
+        if admitted.is_ok() {
+            self.record_admission(now, id, &placement);
+        }
         self.call(now, id, placement, out);
     }
 
@@ -585,6 +590,9 @@
         let spread = self.rng.random_range(RETRY_SPREAD.0..RETRY_SPREAD.1);
         let retry_after = wait.clamp(low, high).mul_f64(spread);
         let failure = RequestFailure { reason, not_run, retry_after };
+        if not_run {
+            self.take_back_admission(id);
+        }
         out.push(DirectAction::Fail { flow: id, failure });
     }
 
