--- a/src/direct/stage_plan.rs
+++ b/src/direct/stage_plan.rs
@@ -41,7 +41,7 @@
 const ORDER_INTERVAL: Duration = Duration::from_millis(400);
 /// Time until an order's effect is visible in the list of targets: the engine's switch, its
 /// heartbeat and the read interval.
-const ORDER_TIMEOUT: Duration = Duration::from_secs(9);
+pub(super) const ORDER_TIMEOUT: Duration = Duration::from_secs(9);
 /// Time before an engine that refused an order may be ordered again.
 const REFUSAL_BACKOFF: Duration = Duration::from_secs(5);
 
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -13,6 +13,7 @@
 use super::{
     InFlight, PromptSegment, PromptShape, ServiceName, SoftwareVersion, TargetStart, VersionChange,
     reading::{MIN_PAUSE, expiry_grace},
+    stage_plan::ORDER_TIMEOUT,
     version::{MAX_LIST_AGE, ServiceVersion, VersionSet, VersionTable},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
@@ -139,6 +140,9 @@
     /// Average time of a complete run, in seconds; 0 before the first one.
     pub(super) run_seconds: f32,
     pub(super) paused_until: ClockTime,
+    /// When the list first showed the engine in another stage.
+    #[serde(skip)]
+    switched: Option<ClockTime>,
     /// Time until which the target wants no requests, by its own statement.
     closed_until: ClockTime,
     /// Doubt whether the start that is registered still runs.
@@ -236,6 +240,7 @@
             samples: 0,
             run_seconds: 0.0,
             paused_until: ClockTime::ZERO,
+            switched: None,
             closed_until: ClockTime::ZERO,
             doubt: None,
             alive_at: ClockTime::ZERO,
@@ -395,7 +400,13 @@
     }
 
     /// Pauses an engine that is switching stages; repeated reports extend the pause.
+    ///
+    /// One that the list already shows in its new stage is not paused: the entry that ordered it
+    /// may be cut off from the store, and reports it until the order's time has run out.
     pub(super) fn pause_switching(&mut self, now: ClockTime) {
+        if self.switched.is_some_and(|switched| now < switched + ORDER_TIMEOUT) {
+            return;
+        }
         self.paused_until = self.paused_until.max(now + SWITCH_PAUSE);
     }
 
@@ -573,10 +584,15 @@
             known.prefill_rate = initial_rate(target.stage);
             known.samples = 0;
         }
+        if target.born_ms == known.target.born_ms && target.stage != known.target.stage {
+            known.paused_until = ClockTime::ZERO;
+            known.switched = Some(now);
+        }
         if target.born_ms != known.target.born_ms {
             // It may have run since its last registration was read.
             self.versions.record(now, &known.target);
             known.paused_until = ClockTime::ZERO;
+            known.switched = None;
             known.closed_until = ClockTime::ZERO;
             known.doubt = None;
             known.alive_at = ClockTime::ZERO;
