--- a/tests/engine_paused_after_its_switch.rs
+++ b/tests/engine_paused_after_its_switch.rs
@@ -24,6 +24,7 @@
         limits: vec![],
         demand: vec![],
         claim: Some(1),
+        usage_claim: None,
         leaving: vec![],
         switching: vec!["switched".into()],
     }));
