Hold late requests to what their callers wait, and keep two decode engines

Cause: found in the review of the parts on waiting and stages. A late request that was declined was placed again for a whole objective although its caller left before; large prompts were refused behind queues at which short ones waited; pending orders to engines that leave were subtracted twice, which could underflow; beyond the balanced share one decode engine could be the last, and none came back while late prompts waited. Change: each placement of a late request, its decode included, is held to the rest of its caller's patience; queueing is bounded, not the request's own time; orders to leaving engines are dropped; two decode engines stay, and full slots bring one back beyond the balanced share.

--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -24,7 +24,7 @@
     stream::OriginTable,
     suspect_table::SuspectTable,
     usage_duty::UsageDuty,
-    waiting::{allowed_wait, late_response_bound, priority},
+    waiting::{allowed_wait, late_wait, patience, priority},
 };
 use crate::ids::{ClockTime, DataCentreId, TargetId};
 
@@ -450,7 +450,8 @@
         let Some(flow) = self.flows.get_mut(&id) else { return Ok(()) };
         flow.trace.estimate_ms = placement.expected().as_millis() as u64;
         flow.trace.waiting_ms = placement.waiting().as_millis() as u64;
-        if placement.expected() >= flow.time_left(now) || placement.waiting() > allowed {
+        let bound = if flow.late { patience(now, flow) } else { flow.time_left(now) };
+        if placement.expected() >= bound || placement.waiting() > allowed {
             return Err(placement.waiting().saturating_sub(allowed));
         }
         Ok(())
@@ -460,9 +461,11 @@
     /// expected to wait for it.
     fn place_late(&mut self, now: ClockTime, id: FlowId) -> Option<Placement> {
         let flow = self.flows.get_mut(&id)?;
-        let bound = late_response_bound(now, flow)?;
+        let (bound, patience) = (late_wait(now, flow)?, patience(now, flow));
         let was_late = std::mem::replace(&mut flow.late, true);
-        let placement = self.choose(now, id).filter(|placement| placement.expected() < bound);
+        let placement = self
+            .choose(now, id)
+            .filter(|placement| placement.waiting() < bound && placement.expected() < patience);
         let flow = self.flows.get_mut(&id)?;
         match &placement {
             Some(placement) => {
@@ -504,11 +507,20 @@
         let chosen = source.and_then(|source| view.choose_decode(&mut self.rng, &query, source));
         match chosen {
             Some(placement) if self.reject_while_stopping(now, id, &placement, out) => {}
+            Some(placement) if self.gives_up_late(now, id, &placement) => {
+                self.fail_request(id, FailureReason::CannotMeetDeadline, Duration::ZERO, out);
+            }
             Some(placement) => self.call(now, id, placement, out),
             None => self.fail_without_target(now, id, out),
         }
     }
 
+    /// Returns whether the caller of a late request will have left before its first output.
+    fn gives_up_late(&self, now: ClockTime, id: FlowId, placement: &Placement) -> bool {
+        let flow = self.flows.get(&id).filter(|flow| flow.late);
+        flow.is_some_and(|flow| placement.expected() >= patience(now, flow))
+    }
+
     /// Fails a request that no target takes, with the time until one does, if that is known.
     fn fail_without_target(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let Some(flow) = self.flows.get(&id) else { return };
--- a/src/direct/stage_plan.rs
+++ b/src/direct/stage_plan.rs
@@ -36,6 +36,8 @@
 /// Share of prefill engines beyond which the decode engines must suffice for the peak of the
 /// last phases, rather than for the present load alone.
 const BALANCED_PREFILL_SHARE: f32 = 0.55;
+/// Decode engines that stay beyond that share, so that the loss of one does not end all decoding.
+const MIN_DECODE_ENGINES: f32 = 2.0;
 /// Number of engines for each order that may be pending; at least one may.
 const ENGINES_PER_ORDER: usize = 6;
 /// Minimum time between two orders.
@@ -143,19 +145,24 @@
     /// Returns the stage that needs another engine, if any.
     fn needed_stage(&self, prefill_engines: usize, decode_engines: usize) -> Option<TargetStage> {
         let StageLoad { prefill_wait, slot_use, .. } = self.load;
-        if self.samples < MIN_SAMPLES || prefill_engines == 0 || decode_engines == 0 {
+        if decode_engines == 0 && prefill_engines > 0 {
+            return Some(TargetStage::Decode);
+        }
+        if self.samples < MIN_SAMPLES || prefill_engines == 0 {
             return None;
         }
         let all = (prefill_engines + decode_engines) as f32;
         let use_after = slot_use * decode_engines as f32 / (decode_engines as f32 - 1.0).max(0.5);
         let is_balanced = (prefill_engines + 1) as f32 <= all * BALANCED_PREFILL_SHARE;
-        let may_add = is_balanced || (decode_engines - 1) as f32 >= self.need.peak().max(1.0);
+        let kept = self.need.peak().max(MIN_DECODE_ENGINES);
+        let may_add = is_balanced || (decode_engines - 1) as f32 >= kept;
         if prefill_wait >= LONG_WAIT_SECONDS && use_after <= SPARE_SLOT_SHARE && may_add {
             return Some(TargetStage::Prefill);
         }
+        // Late prompts wait at prefill engines however many there are, so beyond the balanced share
+        // the wait says nothing.
         let can_spare = prefill_wait <= SHORT_WAIT_SECONDS
-            || (prefill_wait <= LONG_WAIT_SECONDS
-                && prefill_engines as f32 > all * BALANCED_PREFILL_SHARE);
+            || prefill_engines as f32 > all * BALANCED_PREFILL_SHARE;
         if can_spare && slot_use >= FULL_SLOT_SHARE && prefill_engines > 1 {
             return Some(TargetStage::Decode);
         }
@@ -183,12 +190,12 @@
             return None;
         }
         for order in &self.planner.pending {
-            match order.stage {
-                TargetStage::Prefill => (prefills, decodes) = (prefills + 1, decodes - 1),
-                TargetStage::Decode | TargetStage::Plain => {
-                    (prefills, decodes) = (prefills - 1, decodes + 1);
-                }
-            }
+            let (from, to) = match order.stage {
+                TargetStage::Prefill => (&mut decodes, &mut prefills),
+                TargetStage::Decode | TargetStage::Plain => (&mut prefills, &mut decodes),
+            };
+            *from = from.saturating_sub(1);
+            *to += 1;
         }
         let stage = self.planner.needed_stage(prefills, decodes)?;
         let target = self.choose_engine_to_switch(now, stage)?;
@@ -271,13 +278,15 @@
         sum / f32::max(count, 1.0)
     }
 
-    /// Removes orders whose effect is visible or whose time has run out.
+    /// Removes orders whose effect is visible, whose time has run out, or whose engine leaves.
     fn drop_finished_orders(&mut self, now: ClockTime) {
         self.planner.refused.retain(|(_, until)| now < *until);
         let fleet = &self.fleet;
         self.planner.pending.retain(|order| {
-            let state = fleet.get(&order.target);
-            now < order.expires && state.is_some_and(|state| state.target.stage != order.stage)
+            let target = fleet.get(&order.target).map(|state| &state.target);
+            let awaited =
+                |target: &Arc<DirectTarget>| !target.leaving && target.stage != order.stage;
+            now < order.expires && target.is_some_and(awaited)
         });
     }
 
--- a/src/direct/waiting.rs
+++ b/src/direct/waiting.rs
@@ -14,7 +14,7 @@
 /// multiple of the objective. A long pause between events may allow more.
 const MIN_STREAM_PATIENCE: Duration = Duration::from_secs(2);
 const STREAM_PATIENCE_FACTOR: u32 = 4;
-/// Share of a caller's patience that the expected time of a late response may take. Requests that
+/// Share of a caller's patience for which a late request may queue. Requests that
 /// still can be in time overtake it, which no estimate allows for.
 const PATIENCE_SHARE: f32 = 0.5;
 
@@ -32,21 +32,25 @@
     flow.objective.saturating_sub(now).max(objective.mul_f32(LATE_WAIT_SHARE))
 }
 
-/// Returns until when a caller waits for the first event of a response that will be late, or
-/// `None` if the request must not wait beyond its objective.
+/// Returns the longest queueing time with which a request is admitted that will be late, or `None`
+/// if it must not wait beyond its objective.
 ///
 /// Engines serve late requests after all that still can be in time, so those use only what is left
 /// over. Other targets know no such order.
-pub(super) fn late_response_bound(now: ClockTime, flow: &DirectFlow) -> Option<Duration> {
+pub(super) fn late_wait(now: ClockTime, flow: &DirectFlow) -> Option<Duration> {
     flow.request.prompt.as_ref()?;
+    Some(patience(now, flow).mul_f32(PATIENCE_SHARE))
+}
+
+/// Returns for how long a caller still waits for the first event of a response.
+pub(super) fn patience(now: ClockTime, flow: &DirectFlow) -> Duration {
     let route = &flow.request.route;
     let left = flow.time_left(now);
     if !route.streams {
-        return Some(left.mul_f32(PATIENCE_SHARE));
+        return left;
     }
     let patience = MIN_STREAM_PATIENCE.max(route.objective * STREAM_PATIENCE_FACTOR);
-    let waited = now.saturating_sub(flow.arrived);
-    Some(patience.saturating_sub(waited).mul_f32(PATIENCE_SHARE).min(left))
+    patience.saturating_sub(now.saturating_sub(flow.arrived)).min(left)
 }
 
 /// Returns the priority at targets, where requests that will be late go last.
