Name a source of copies no more for a request after a failed call

Cause: a copy whose source hung or had restarted was charged to the engine that was called, and the source was named again on the retry.

Change: a call keeps the start of its source. After a call that was declined, lost or not run the request copies from that source no more; after three such calls that an engine took, without a success, the entry names the source to nobody for 3 s. The called engine is treated as before.

--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -30,6 +30,22 @@
         Some(call)
     }
 
+    /// Excludes the source of a failed call's copy from the request's other calls.
+    ///
+    /// The response does not say which of the two engines failed, so that the one that was called
+    /// is treated as after any failure. It has not begun to copy if it did not take the call.
+    fn copy_failed(&mut self, now: ClockTime, id: FlowId, call: &OpenCall, taken: bool) {
+        let Some(start) = call.copy_source.as_ref().filter(|_| call.first_output.is_none()) else {
+            return;
+        };
+        if let Some(flow) = self.flows.get_mut(&id) {
+            flow.failed_sources.push(start.0.clone());
+        }
+        if taken && let Some(state) = self.fleet.registered_start(start) {
+            state.source.record_failure(now);
+        }
+    }
+
     pub(super) fn call_ended(
         &mut self,
         now: ClockTime,
@@ -71,6 +87,7 @@
 
     fn call_declined(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let Some(call) = self.close_call(now, id, "declined") else { return };
+        self.copy_failed(now, id, &call, true);
         self.suspects.target_responded(&call.target_start(), call.started);
         let Some(flow) = self.flows.get_mut(&id) else { return };
         let source = flow.cache.as_ref().map(|cache| cache.target.id.clone());
@@ -105,6 +122,7 @@
         out: &mut Vec<DirectAction>,
     ) {
         let Some(call) = self.close_call(now, id, ending) else { return };
+        self.copy_failed(now, id, &call, false);
         if let Some(state) = self.fleet.get_mut(&call.target.id) {
             state.back_off(now);
         }
@@ -224,6 +242,7 @@
     fn prefill_ran(&mut self, now: ClockTime, id: FlowId, out: &mut Vec<DirectAction>) {
         let may_rerun = self.may_rerun(now, id) && self.spend_retry(now, id);
         let Some(call) = self.close_call(now, id, "prefill_ran") else { return };
+        self.copy_failed(now, id, &call, true);
         self.suspects.target_responded(&call.target_start(), call.started);
         if let Some(state) = self.fleet.get_mut(&call.target.id) {
             state.record_failure();
@@ -268,6 +287,7 @@
         }
         let may_retry = step == StepKind::Prefill || self.may_rerun(now, id);
         let Some(call) = self.close_call(now, id, "lost") else { return };
+        self.copy_failed(now, id, &call, true);
         if let Some(state) = self.fleet.get_mut(&call.target.id) {
             if closed { state.back_off(now) } else { state.record_failure() }
         }
@@ -330,6 +350,11 @@
 
     /// Updates prefill rates from a prefill that has just ended.
     fn record_prefill(&mut self, now: ClockTime, call: &OpenCall) {
+        if let Some(start) = &call.copy_source
+            && let Some(source) = self.fleet.registered_start(start)
+        {
+            source.source.record_success();
+        }
         // The transfer is no part of the rate.
         if call.copied_tokens > 0 {
             return;
--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -78,6 +78,8 @@
     /// Software version that the target must have; `None` for any.
     pub(super) version: Option<&'a SoftwareVersion>,
     pub(super) tried: &'a [TargetId],
+    /// Engines that are no sources of copies for the request.
+    pub(super) failed_sources: &'a [TargetId],
     pub(super) stream: StreamPart,
     pub(super) data_centre: &'a DataCentreId,
     /// Latency objective of the request's route.
@@ -173,7 +175,11 @@
         candidates: &[&TargetState],
     ) -> Option<Placement> {
         let holders = match has_homes(prompt) {
-            true => PrefixHolders::choose(rng, prompt, candidates.iter().copied()),
+            true => {
+                let sources = candidates.iter().copied();
+                let sources = sources.filter(|state| self.is_source(state, query));
+                PrefixHolders::choose(rng, prompt, sources)
+            }
             false => PrefixHolders::default(),
         };
         let (prefill_engines, decode_engines) = placeable_engines(candidates, prompt);
@@ -208,6 +214,11 @@
         }
     }
 
+    /// Returns whether a request may copy from an engine.
+    fn is_source(&self, state: &TargetState, query: &PlacementQuery<'_>) -> bool {
+        !state.source.is_paused(self.now) && !query.failed_sources.contains(&state.target.id)
+    }
+
     fn candidates(&self, query: &PlacementQuery<'_>) -> SmallVec<[&TargetState; 32]> {
         let allowed = |state: &&TargetState| {
             state.target.service == *query.service
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -36,6 +36,8 @@
     pub(super) prefill_tokens: u32,
     /// Prompt tokens that it copies from another target.
     pub(super) copied_tokens: u32,
+    /// Start of the target that it copies from.
+    pub(super) copy_source: Option<TargetStart>,
     /// Prompt tokens of other requests that were queued ahead of it.
     pub(super) tokens_ahead: u32,
     /// Expected time to its first output, or to the end of a prefill.
@@ -102,6 +104,8 @@
     /// Number of failed runs after which it was placed again.
     pub(super) runs: u32,
     pub(super) tried: SmallVec<[TargetId; 4]>,
+    /// Engines from which a failed call was to copy.
+    pub(super) failed_sources: SmallVec<[TargetId; 2]>,
     pub(super) call: Option<OpenCall>,
     pub(super) cache: Option<HeldCache>,
     /// Engine with a limit of which a request is kept back for the decode call.
--- a/src/direct/prefix_copy.rs
+++ b/src/direct/prefix_copy.rs
@@ -4,17 +4,50 @@
 //! cache copies them over the engines' network, which takes a few hundredths of the time of
 //! another prefill.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use rand::{RngExt, rngs::SmallRng};
 use smallvec::SmallVec;
 
-use super::{DirectTarget, EngineConfig, Locality, PromptShape, target::TargetState};
+use super::{DirectTarget, EngineConfig, Locality, PromptShape, TargetStart, target::TargetState};
+use crate::ids::ClockTime;
 
 /// Transfer time of a KV cache between data centres, relative to one within a data centre.
 pub(super) const REMOTE_TRANSFER_FACTOR: f32 = 2.0;
 /// Shortest prefix that is copied, in tokens.
 const MIN_COPIED_TOKENS: u32 = 1024;
+/// Failed calls with copies from an engine, without one that succeeded, after which it is no
+/// source for a time. The copying engine may be at fault as well, so that one is not enough.
+const MAX_SOURCE_FAILURES: u32 = 3;
+/// That time. It is the longest pause of a target that cannot be reached.
+const SOURCE_PAUSE: Duration = Duration::from_secs(3);
+
+/// Whether an engine serves as a source of copies, by the calls that named it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct SourceState {
+    /// Failed calls since the last one that succeeded.
+    failures: u32,
+    paused_until: ClockTime,
+}
+
+impl SourceState {
+    /// Records that a call with a copy from the engine failed, whichever of the two failed.
+    pub(super) fn record_failure(&mut self, now: ClockTime) {
+        self.failures += 1;
+        if self.failures >= MAX_SOURCE_FAILURES {
+            self.paused_until = now + SOURCE_PAUSE;
+        }
+    }
+
+    /// Records that a prefill with a copy from the engine ended.
+    pub(super) fn record_success(&mut self) {
+        self.failures = 0;
+    }
+
+    pub(super) fn is_paused(&self, now: ClockTime) -> bool {
+        self.paused_until > now
+    }
+}
 
 /// Copy of a prompt's prefix from the cache of another engine.
 #[derive(Debug, Clone, PartialEq)]
@@ -27,6 +60,12 @@
     pub(super) seconds: f32,
 }
 
+impl PrefixCopy {
+    pub(super) fn source_start(&self) -> TargetStart {
+        (self.source.id.clone(), self.source.born_ms)
+    }
+}
+
 /// Engine that has the most of a prompt in its cache among those of a data centre.
 struct PrefixHolder<'a> {
     state: &'a TargetState,
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -12,6 +12,7 @@
 
 use super::{
     InFlight, PromptSegment, PromptShape, ServiceName, SoftwareVersion, TargetStart, VersionChange,
+    prefix_copy::SourceState,
     reading::{MIN_PAUSE, expiry_grace},
     stage_plan::ORDER_TIMEOUT,
     typical_rate::TypicalRates,
@@ -160,6 +161,9 @@
     /// Moving average of the share of calls that failed.
     #[serde(rename = "failing")]
     pub(super) failure_rate: f32,
+    /// How copies from it went.
+    #[serde(skip)]
+    pub(super) source: SourceState,
     #[serde(skip)]
     cached_segments: HashMap<u64, SegmentUse>,
     #[serde(rename = "kept_tokens")]
@@ -252,6 +256,7 @@
             failure_backoff: MIN_FAILURE_BACKOFF,
             decline_backoff: MIN_DECLINE_BACKOFF,
             failure_rate: 0.0,
+            source: SourceState::default(),
             cached_segments: HashMap::new(),
             cached_tokens: 0,
         }
@@ -563,7 +568,10 @@
     }
 
     /// Returns the target, if this start of it is the one that is registered.
-    fn registered_start(&mut self, (target, born_ms): &TargetStart) -> Option<&mut TargetState> {
+    pub(super) fn registered_start(
+        &mut self,
+        (target, born_ms): &TargetStart,
+    ) -> Option<&mut TargetState> {
         self.targets.get_mut(target).filter(|state| state.target.born_ms == *born_ms)
     }
 
@@ -601,6 +609,7 @@
             known.paused_until = ClockTime::ZERO;
             known.switched = None;
             known.closed_until = ClockTime::ZERO;
+            known.source = SourceState::default();
             known.doubt = None;
             known.alive_at = ClockTime::ZERO;
         } else if target.sequence != known.target.sequence {
--- a/tests/shared_segment_prefilled_beside_a_copy.rs
+++ b/tests/shared_segment_prefilled_beside_a_copy.rs
@@ -7,8 +7,8 @@
 use hyper::{HeaderMap, Request};
 use sapphirewell::{
     direct::{
-        CachedSegment, CallOutcome, CallStep, DirectEvent, DirectTarget, EngineConfig, LoadReport,
-        PromptSegment, RetryPolicy, TargetChange, TargetStage,
+        CachedSegment, CallOutcome, CallStep, DirectEvent, DirectTarget, EngineConfig, InFlight,
+        LoadReport, PromptSegment, RetryPolicy, TargetChange, TargetStage, TargetUsage,
     },
     platform::runner::call_request,
 };
@@ -146,6 +146,53 @@
     assert_eq!((&*again.target, again.copy_source), ("other", None));
 }
 
+/// A third engine, at which a request is placed again that failed at `other`.
+fn rig_with_a_third_engine() -> DirectRig {
+    let mut rig = rig_with_a_keeper(&CopyCase::BUSY);
+    rig.list("third", TargetStage::Prefill);
+    rig
+}
+
+/// The source may have hung or restarted, so that it is not named again for the request.
+#[parameterized(
+    declined = { CallOutcome::Declined },
+    lost = { CallOutcome::Lost { closed: false } },
+    closed = { CallOutcome::Lost { closed: true } },
+    unreachable = { CallOutcome::Unreachable },
+    wrong_target = { CallOutcome::WrongTarget },
+)]
+fn source_of_a_failed_call_is_not_named_again(outcome: CallOutcome) {
+    let mut rig = rig_with_a_third_engine();
+    let call = rig.submit_prompt(1, SEGMENT, SHARED_TOKENS + OWN_TOKENS).call();
+    assert_eq!(call.copy_source, Some(rig.address("keeper")));
+    let failed = DirectEvent::CallEnded { flow: 1, call: call.number, outcome };
+    let again = rig.after(failed).call();
+    assert_ne!(again.target, call.target);
+    assert_eq!(again.copy_source, None);
+}
+
+/// Has the call of a request declined while `keeper` is busy, and returns whether it was to copy.
+/// The engine that declined is not paused any more by the next one.
+fn decline_call(rig: &mut DirectRig, flow: u64) -> bool {
+    rig.advance(Duration::from_millis(1_100));
+    let mut in_flight = InFlight::default();
+    in_flight.backlog.add(0, LONG_QUEUE);
+    let usage = TargetUsage { target: "keeper".into(), in_flight, ..TargetUsage::default() };
+    rig.hear_of(&format!("peer-{flow}"), vec![usage]);
+    let call = rig.submit_prompt(flow, SEGMENT, SHARED_TOKENS + OWN_TOKENS).call();
+    rig.end(flow, call.number, CallOutcome::Declined);
+    rig.step(DirectEvent::FlowEnded { flow, complete: false });
+    call.copy_source.is_some()
+}
+
+/// Calls with a copy from `keeper` that fail one after the other.
+#[test]
+fn source_that_fails_several_times_is_not_named_for_a_while() {
+    let mut rig = rig_with_a_third_engine();
+    let copied: Vec<bool> = (1..=6).map(|flow| decline_call(&mut rig, flow)).collect();
+    assert_eq!(copied, [true, true, true, false, false, true]);
+}
+
 #[test]
 fn call_names_the_engine_to_copy_from() {
     let mut rig = DirectRig::new(RetryPolicy::Never);
