Forget a segment at a source from which nothing was copied

Cause: an engine whose cache had evicted a segment was named as its source for each prompt with it, as the books of caches are estimates, and no prefill corrected them.

Change: a prefill with a copy at an engine without known work that took the time of a whole prefill (at most a quarter of the saving less, and less than the saving more) has the entry forget the prompt's segments at the source.

--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -7,8 +7,10 @@
 
 use super::{
     CallNumber, CallOutcome, DirectAction, DirectMachine, FailureReason, FlowId, RetryPolicy,
+    estimate::PlacementView,
     flow::{DirectFlow, HeldCache, OpenCall, StepKind},
     machine::{MIN_CALL_TIME, TIMEOUT_GRACE, memory_tokens},
+    prefix_copy::was_not_copied,
     report::record_cached_segments,
     target::TargetState,
     waiting::priority,
@@ -170,6 +172,7 @@
                 );
             }
         }
+        self.check_copy(now, id, &call);
         self.record_prefill(now, &call);
         let Some(flow) = self.flows.get_mut(&id) else { return };
         flow.cache = Some(HeldCache { target: call.target, handle });
@@ -348,6 +351,23 @@
         }
     }
 
+    /// Forgets the segments at the source of a copy that was not made. The source may have evicted
+    /// them, and would be named for each prompt with them.
+    fn check_copy(&mut self, now: ClockTime, id: FlowId, call: &OpenCall) {
+        let Some(start) = &call.copy_source else { return };
+        let Some(state) = self.fleet.get(&call.target.id) else { return };
+        let (fleet, peers, limits) = (&self.fleet, &self.peers, &self.limits);
+        let rate = PlacementView { fleet, peers, limits, now }.rate(state);
+        if !was_not_copied(call, rate, now.saturating_sub(call.started)) {
+            return;
+        }
+        if let Some(prompt) = self.flows.get(&id).and_then(|flow| flow.request.prompt.as_ref())
+            && let Some(source) = self.fleet.registered_start(start)
+        {
+            source.forget_cached(prompt);
+        }
+    }
+
     /// Updates prefill rates from a prefill that has just ended.
     fn record_prefill(&mut self, now: ClockTime, call: &OpenCall) {
         if let Some(start) = &call.copy_source
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -36,6 +36,8 @@
     pub(super) prefill_tokens: u32,
     /// Prompt tokens that it copies from another target.
     pub(super) copied_tokens: u32,
+    /// Expected time of that copy.
+    pub(super) copy_time: Duration,
     /// Start of the target that it copies from.
     pub(super) copy_source: Option<TargetStart>,
     /// Prompt tokens of other requests that were queued ahead of it.
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -553,6 +553,7 @@
             remaining_tokens: chosen.prefill_tokens,
             prefill_tokens: chosen.prefill_tokens,
             copied_tokens: chosen.copy.as_ref().map_or(0, |copy| copy.tokens),
+            copy_time: chosen.copy.as_ref().map_or(Duration::ZERO, PrefixCopy::time),
             copy_source: chosen.copy.as_ref().map(PrefixCopy::source_start),
             tokens_ahead,
             estimate: chosen.expected_call(),
--- a/src/direct/prefix_copy.rs
+++ b/src/direct/prefix_copy.rs
@@ -9,7 +9,11 @@
 use rand::{RngExt, rngs::SmallRng};
 use smallvec::SmallVec;
 
-use super::{DirectTarget, EngineConfig, Locality, PromptShape, TargetStart, target::TargetState};
+use super::{
+    DirectTarget, EngineConfig, Locality, PromptShape, TargetStart,
+    flow::{OpenCall, StepKind},
+    target::{CALL_OVERHEAD, TargetState},
+};
 use crate::ids::ClockTime;
 
 /// Transfer time of a KV cache between data centres, relative to one within a data centre.
@@ -22,6 +26,11 @@
 /// That time. It is the longest pause of a target that cannot be reached.
 const SOURCE_PAUSE: Duration = Duration::from_secs(3);
 
+/// Shortest saving whose absence is told from the variation of calls' times.
+const MIN_JUDGED_TIME: Duration = Duration::from_millis(50);
+/// Share of the saving by which a prefill may take less than its rate leads to expect.
+const RATE_ERROR_SHARE: f32 = 0.25;
+
 /// Whether an engine serves as a source of copies, by the calls that named it.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct SourceState {
@@ -49,6 +58,21 @@
     }
 }
 
+/// Returns whether a prefill at an engine without known work took the time of one without the
+/// copy that it was to make: the source had no such segment.
+///
+/// One that took much longer waited for work that is not known, which shows nothing.
+pub(super) fn was_not_copied(call: &OpenCall, rate: f32, took: Duration) -> bool {
+    if call.step != StepKind::Prefill || call.tokens_ahead > 0 {
+        return false;
+    }
+    let took = took.saturating_sub(CALL_OVERHEAD).as_secs_f32();
+    let whole = (call.prefill_tokens + call.copied_tokens) as f32 / rate;
+    let saved = call.copied_tokens as f32 / rate - call.copy_time.as_secs_f32();
+    let is_certain = saved >= MIN_JUDGED_TIME.as_secs_f32();
+    is_certain && (whole - saved * RATE_ERROR_SHARE..whole + saved).contains(&took)
+}
+
 /// Copy of a prompt's prefix from the cache of another engine.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct PrefixCopy {
@@ -61,6 +85,11 @@
 }
 
 impl PrefixCopy {
+    /// Returns the transfer time.
+    pub(super) fn time(&self) -> Duration {
+        Duration::try_from_secs_f32(self.seconds).unwrap_or(Duration::MAX)
+    }
+
     pub(super) fn source_start(&self) -> TargetStart {
         (self.source.id.clone(), self.source.born_ms)
     }
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -302,6 +302,16 @@
         }
     }
 
+    /// Records that the target has not cached the shared segments of a prompt.
+    pub(super) fn forget_cached(&mut self, prompt: &PromptShape) {
+        let shared = prompt.segments.len().saturating_sub(1);
+        for segment in prompt.segments.iter().take(shared) {
+            if let Some(usage) = self.cached_segments.remove(&segment.id) {
+                self.cached_tokens = self.cached_tokens.saturating_sub(usage.tokens);
+            }
+        }
+    }
+
     fn clear_cached(&mut self) {
         self.cached_segments.clear();
         self.cached_tokens = 0;
--- a/tests/shared_segment_prefilled_beside_a_copy.rs
+++ b/tests/shared_segment_prefilled_beside_a_copy.rs
@@ -146,6 +146,27 @@
     assert_eq!((&*again.target, again.copy_source), ("other", None));
 }
 
+/// How long the prefill with a copy takes at an idle engine, where it takes 60 ms with the copy
+/// and 220 ms without it, and whether `keeper` is taken to have the segment afterwards.
+#[parameterized(
+    copied = { 60, true },
+    slower_than_expected = { 130, true },
+    prefilled_whole = { 230, false },
+    // Another entry's prompts were ahead.
+    waited = { 900, true },
+)]
+fn source_that_copied_nothing_is_forgotten(millis: u64, has_segment: bool) {
+    let mut rig = rig_with_a_keeper(&CopyCase::BUSY);
+    let call = rig.submit_prompt(1, SEGMENT, SHARED_TOKENS + OWN_TOKENS).call();
+    rig.advance(Duration::from_millis(millis));
+    rig.end(1, call.number, CallOutcome::Prefilled { handle: "h".into() });
+    rig.step(DirectEvent::Target(TargetChange::Removed("other".into())));
+    rig.list("third", TargetStage::Prefill);
+    let next = rig.submit_prompt(2, SEGMENT, SHARED_TOKENS + OWN_TOKENS).call();
+    let source = has_segment.then(|| rig.address("keeper"));
+    assert_eq!(next.copy_source, source);
+}
+
 /// A third engine, at which a request is placed again that failed at `other`.
 fn rig_with_a_third_engine() -> DirectRig {
     let mut rig = rig_with_a_keeper(&CopyCase::BUSY);
