Keep holders of a prefix by software version as well

Cause: one holder was kept for each data centre. In a release, one of the other version hid those that an engine could copy from.

Change: holders are kept by data centre and version.

Result: shared_segment_prefilled_beside_a_copy 21 of 21; holder_of_another_version_hides_none fails with prefix_copy.rs of before.

--- a/src/direct/prefix_copy.rs
+++ b/src/direct/prefix_copy.rs
@@ -99,11 +99,12 @@
 struct PrefixHolder<'a> {
     state: &'a TargetState,
     tokens: u32,
-    /// Number of engines in the data centre that have as much.
+    /// Number of engines of its version in the data centre that have as much.
     equals: u32,
 }
 
-/// Engines that have the most of a prompt in their caches, one for each data centre.
+/// Engines that have the most of a prompt in their caches, one for each data centre and software
+/// version: there are several versions during a release.
 #[derive(Default)]
 pub(super) struct PrefixHolders<'a> {
     holders: SmallVec<[PrefixHolder<'a>; 4]>,
@@ -129,9 +130,11 @@
 
     fn add(&mut self, rng: &mut SmallRng, state: &'a TargetState, tokens: u32) {
         let new = PrefixHolder { state, tokens, equals: 1 };
-        let data_centre = &state.target.data_centre;
-        let known =
-            self.holders.iter_mut().find(|holder| holder.state.target.data_centre == *data_centre);
+        let DirectTarget { data_centre, version, .. } = &*state.target;
+        let known = self.holders.iter_mut().find(|holder| {
+            holder.state.target.data_centre == *data_centre
+                && holder.state.target.version == *version
+        });
         let Some(holder) = known else { return self.holders.push(new) };
         if tokens > holder.tokens {
             *holder = new;
--- a/tests/shared_segment_prefilled_beside_a_copy.rs
+++ b/tests/shared_segment_prefilled_beside_a_copy.rs
@@ -8,7 +8,8 @@
 use sapphirewell::{
     direct::{
         CachedSegment, CallOutcome, CallStep, DirectEvent, DirectTarget, EngineConfig, InFlight,
-        LoadReport, PromptSegment, RetryPolicy, TargetChange, TargetStage, TargetUsage,
+        LoadReport, PromptSegment, PromptShape, RetryPolicy, TargetChange, TargetStage,
+        TargetUsage,
     },
     platform::runner::call_request,
 };
@@ -167,6 +168,25 @@
     assert_eq!(next.copy_source, source);
 }
 
+/// In a release, an engine of the next version has more of the prompt than `keeper`.
+#[test]
+fn holder_of_another_version_hides_none() {
+    let mut rig = rig_with_a_keeper(&CopyCase::BUSY);
+    let newer = rig.target("newer", TargetStage::Decode);
+    let newer = DirectTarget { version: "v2".into(), ..newer };
+    rig.step(DirectEvent::Target(TargetChange::Listed(newer)));
+    rig.add_load("newer", LONG_QUEUE);
+    let [first, second, own] = [(SEGMENT, SHARED_TOKENS), (8, 2_000), (9, OWN_TOKENS)]
+        .map(|(id, tokens)| PromptSegment { id, tokens });
+    let cached = [first, second].map(|segment| CachedSegment { target: "newer".into(), segment });
+    let report = LoadReport { peer: "next".into(), cached: cached.into(), ..empty_report() };
+    rig.step(DirectEvent::PeerLoad(report));
+    let tokens = SHARED_TOKENS + 2_000 + OWN_TOKENS;
+    let segments = [first, second, own].into_iter().collect();
+    let call = rig.submit_shape(1, PromptShape { tokens, max_output: 120, segments }).call();
+    assert_eq!((&*call.target, call.copy_source), ("other", Some(rig.address("keeper"))));
+}
+
 /// A third engine, at which a request is placed again that failed at `other`.
 fn rig_with_a_third_engine() -> DirectRig {
     let mut rig = rig_with_a_keeper(&CopyCase::BUSY);
