Choose sources of copies apart from the engines that take a request

Cause: sources were the candidates of the placement, so that an engine that had declined a call was no source for a while, although it declines when it has much to do.

Change: a filter for sources: same service, not leaving, not closed, start not doubted, not paused as unreachable or for a switch, no failed source of the request. An engine that lost a call of the request is none either.

Test: engine_that_fails_is_no_source was one case and is a table now, which has that case with the same assertion.

--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -296,6 +296,7 @@
         }
         let Some(flow) = self.flows.get_mut(&id) else { return };
         flow.may_have_run |= step != StepKind::Prefill;
+        flow.failed_sources.push(call.target.id.clone());
         if !may_retry || !self.spend_retry(now, id) {
             let reason = if step == StepKind::Prefill {
                 FailureReason::Declined
--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -176,8 +176,7 @@
     ) -> Option<Placement> {
         let holders = match has_homes(prompt) {
             true => {
-                let sources = candidates.iter().copied();
-                let sources = sources.filter(|state| self.is_source(state, query));
+                let sources = self.fleet.iter().filter(|state| self.is_source(state, query));
                 PrefixHolders::choose(rng, prompt, sources)
             }
             false => PrefixHolders::default(),
@@ -214,9 +213,15 @@
         }
     }
 
-    /// Returns whether a request may copy from an engine.
+    /// Returns whether a request may copy from an engine, which may be one that takes no calls
+    /// for it because it declined one.
     fn is_source(&self, state: &TargetState, query: &PlacementQuery<'_>) -> bool {
-        !state.source.is_paused(self.now) && !query.failed_sources.contains(&state.target.id)
+        state.target.service == *query.service
+            && !state.target.leaving
+            && !state.is_closed(self.now)
+            && state.is_same_start()
+            && !state.source.is_paused(self.now)
+            && !query.failed_sources.contains(&state.target.id)
     }
 
     fn candidates(&self, query: &PlacementQuery<'_>) -> SmallVec<[&TargetState; 32]> {
--- a/src/direct/prefix_copy.rs
+++ b/src/direct/prefix_copy.rs
@@ -53,6 +53,11 @@
         self.failures = 0;
     }
 
+    /// Names the engine as a source no more until a time.
+    pub(super) fn pause(&mut self, until: ClockTime) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
     pub(super) fn is_paused(&self, now: ClockTime) -> bool {
         self.paused_until > now
     }
--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -430,6 +430,7 @@
             return;
         }
         self.paused_until = self.paused_until.max(now + SWITCH_PAUSE);
+        self.source.pause(now + SWITCH_PAUSE);
     }
 
     /// Pauses a target that declined. Its work in flight makes it look idle, so it would
@@ -443,6 +444,7 @@
     pub(super) fn back_off(&mut self, now: ClockTime) {
         self.record_failure();
         self.paused_until = now + self.failure_backoff;
+        self.source.pause(self.paused_until);
         self.failure_backoff = (self.failure_backoff * 2).min(MAX_FAILURE_BACKOFF);
     }
 }
--- a/tests/shared_segment_prefilled_beside_a_copy.rs
+++ b/tests/shared_segment_prefilled_beside_a_copy.rs
@@ -132,19 +132,23 @@
     assert_eq!((&*next.target, next.copy_source), ("other", None));
 }
 
-/// An engine whose connections fail is not copied from.
-#[test]
-fn engine_that_fails_is_no_source() {
+/// An engine whose connections fail or that does not respond is not copied from. One that has too
+/// much to do still is.
+#[parameterized(
+    unreachable = { CallOutcome::Unreachable, false },
+    hung = { CallOutcome::Lost { closed: false }, false },
+    closed = { CallOutcome::Lost { closed: true }, false },
+    wrong_target = { CallOutcome::WrongTarget, false },
+    declined = { CallOutcome::Declined, true },
+)]
+fn engine_that_fails_is_no_source(outcome: CallOutcome, is_source: bool) {
     let mut rig = rig_with_a_keeper(&CopyCase { queued: 0, ..CopyCase::BUSY });
     let call = rig.submit_prompt(1, SEGMENT, SHARED_TOKENS + OWN_TOKENS).call();
     assert_eq!(&*call.target, "keeper");
-    let again = rig.after(DirectEvent::CallEnded {
-        flow: 1,
-        call: call.number,
-        outcome: CallOutcome::Unreachable,
-    });
+    let again = rig.after(DirectEvent::CallEnded { flow: 1, call: call.number, outcome });
     let again = again.call();
-    assert_eq!((&*again.target, again.copy_source), ("other", None));
+    let source = is_source.then(|| rig.address("keeper"));
+    assert_eq!((&*again.target, again.copy_source), ("other", source));
 }
 
 /// How long the prefill with a copy takes at an idle engine, where it takes 60 ms with the copy
