--- a/src/direct/target.rs
+++ b/src/direct/target.rs
@@ -302,6 +302,16 @@
         }
     }
 
+    /// Records that the target has not cached the shared segments of a prompt.
+    pub(super) fn forget_cached(&mut self, prompt: &PromptShape) {
+        let shared = prompt.segments.len().saturating_sub(1);
+        for segment in prompt.segments.iter().take(shared) {
+            if let Some(usage) = self.cached_segments.remove(&segment.id) {
+                self.cached_tokens = self.cached_tokens.saturating_sub(usage.tokens);
+            }
+        }
+    }
+
     fn clear_cached(&mut self) {
         self.cached_segments.clear();
         self.cached_tokens = 0;
@@ -420,6 +430,7 @@
             return;
         }
         self.paused_until = self.paused_until.max(now + SWITCH_PAUSE);
+        self.source.pause(now + SWITCH_PAUSE);
     }
 
     /// Pauses a target that declined. Its work in flight makes it look idle, so it would
@@ -433,6 +444,7 @@
     pub(super) fn back_off(&mut self, now: ClockTime) {
         self.record_failure();
         self.paused_until = now + self.failure_backoff;
+        self.source.pause(self.paused_until);
         self.failure_backoff = (self.failure_backoff * 2).min(MAX_FAILURE_BACKOFF);
     }
 }
--- a/tests/shared_segment_prefilled_beside_a_copy.rs
+++ b/tests/shared_segment_prefilled_beside_a_copy.rs
@@ -8,7 +8,8 @@
 use sapphirewell::{
     direct::{
         CachedSegment, CallOutcome, CallStep, DirectEvent, DirectTarget, EngineConfig, InFlight,
-        LoadReport, PromptSegment, RetryPolicy, TargetChange, TargetStage, TargetUsage,
+        LoadReport, PromptSegment, PromptShape, RetryPolicy, TargetChange, TargetStage,
+        TargetUsage,
     },
     platform::runner::call_request,
 };
@@ -131,19 +132,63 @@
     assert_eq!((&*next.target, next.copy_source), ("other", None));
 }
 
-/// An engine whose connections fail is not copied from.
-#[test]
-fn engine_that_fails_is_no_source() {
+/// An engine whose connections fail or that does not respond is not copied from. One that has too
+/// much to do still is.
+#[parameterized(
+    unreachable = { CallOutcome::Unreachable, false },
+    hung = { CallOutcome::Lost { closed: false }, false },
+    closed = { CallOutcome::Lost { closed: true }, false },
+    wrong_target = { CallOutcome::WrongTarget, false },
+    declined = { CallOutcome::Declined, true },
+)]
+fn engine_that_fails_is_no_source(outcome: CallOutcome, is_source: bool) {
     let mut rig = rig_with_a_keeper(&CopyCase { queued: 0, ..CopyCase::BUSY });
     let call = rig.submit_prompt(1, SEGMENT, SHARED_TOKENS + OWN_TOKENS).call();
     assert_eq!(&*call.target, "keeper");
-    let again = rig.after(DirectEvent::CallEnded {
-        flow: 1,
-        call: call.number,
-        outcome: CallOutcome::Unreachable,
-    });
+    let again = rig.after(DirectEvent::CallEnded { flow: 1, call: call.number, outcome });
     let again = again.call();
-    assert_eq!((&*again.target, again.copy_source), ("other", None));
+    let source = is_source.then(|| rig.address("keeper"));
+    assert_eq!((&*again.target, again.copy_source), ("other", source));
+}
+
+/// How long the prefill with a copy takes at an idle engine, where it takes 60 ms with the copy
+/// and 220 ms without it, and whether `keeper` is taken to have the segment afterwards.
+#[parameterized(
+    copied = { 60, true },
+    slower_than_expected = { 130, true },
+    prefilled_whole = { 230, false },
+    // Another entry's prompts were ahead.
+    waited = { 900, true },
+)]
+fn source_that_copied_nothing_is_forgotten(millis: u64, has_segment: bool) {
+    let mut rig = rig_with_a_keeper(&CopyCase::BUSY);
+    let call = rig.submit_prompt(1, SEGMENT, SHARED_TOKENS + OWN_TOKENS).call();
+    rig.advance(Duration::from_millis(millis));
+    rig.end(1, call.number, CallOutcome::Prefilled { handle: "h".into() });
+    rig.step(DirectEvent::Target(TargetChange::Removed("other".into())));
+    rig.list("third", TargetStage::Prefill);
+    let next = rig.submit_prompt(2, SEGMENT, SHARED_TOKENS + OWN_TOKENS).call();
+    let source = has_segment.then(|| rig.address("keeper"));
+    assert_eq!(next.copy_source, source);
+}
+
+/// In a release, an engine of the next version has more of the prompt than `keeper`.
+#[test]
+fn holder_of_another_version_hides_none() {
+    let mut rig = rig_with_a_keeper(&CopyCase::BUSY);
+    let newer = rig.target("newer", TargetStage::Decode);
+    let newer = DirectTarget { version: "v2".into(), ..newer };
+    rig.step(DirectEvent::Target(TargetChange::Listed(newer)));
+    rig.add_load("newer", LONG_QUEUE);
+    let [first, second, own] = [(SEGMENT, SHARED_TOKENS), (8, 2_000), (9, OWN_TOKENS)]
+        .map(|(id, tokens)| PromptSegment { id, tokens });
+    let cached = [first, second].map(|segment| CachedSegment { target: "newer".into(), segment });
+    let report = LoadReport { peer: "next".into(), cached: cached.into(), ..empty_report() };
+    rig.step(DirectEvent::PeerLoad(report));
+    let tokens = SHARED_TOKENS + 2_000 + OWN_TOKENS;
+    let segments = [first, second, own].into_iter().collect();
+    let call = rig.submit_shape(1, PromptShape { tokens, max_output: 120, segments }).call();
+    assert_eq!((&*call.target, call.copy_source), ("other", Some(rig.address("keeper"))));
 }
 
 /// A third engine, at which a request is placed again that failed at `other`.
