Wait until an entry knows the prefill engines whose answers are cut

Cause: an entry reads registrations each 0.7 s, or when a request waits for them. The placement of prefills, which was suspected, had no part in it.

Change: one set of engines is for six batches, and the test goes on when the entry's state dump lists it.

--- a/emulator/tests/regressions/answer_cut_in_its_head_looked_complete.rs
+++ b/emulator/tests/regressions/answer_cut_in_its_head_looked_complete.rs
@@ -11,12 +11,16 @@
     time::Duration,
 };
 
-use emulator::stand_in::{
-    fleet::{ENGINES, PLAIN, PlatformFleet, PlatformSizes},
-    store::StoreModel,
+use bytes::Bytes;
+use emulator::{
+    load::LoadClient,
+    stand_in::{
+        fleet::{ENGINES, PLAIN, PlatformFleet, PlatformSizes},
+        store::StoreModel,
+    },
 };
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
+use hyper::{Method, Request};
 use sapphirewell::{
     platform::runner::{self, EngineReport},
     process::dial,
@@ -47,8 +51,12 @@
 const WARM_TIME: Duration = Duration::from_millis(10);
 /// Time in which an entry reads the bytes before the end of a connection separately.
 const READ_TIME: Duration = Duration::from_millis(3);
-/// Time in which an entry reads a registration.
-const DISCOVERY_TIME: Duration = Duration::from_millis(25);
+/// Longest time in which an entry reads a registration, and the pause between two looks.
+const DISCOVERY_TIME: Duration = Duration::from_secs(5);
+const DISCOVERY_PAUSE: Duration = Duration::from_millis(5);
+/// Batches of requests that one set of prefill engines is for: an entry reads registrations at
+/// intervals in which it plays several.
+const BATCHES: usize = 6;
 /// Time after the last answer in which a request could still run.
 const LATE_TIME: Duration = Duration::from_secs(1);
 /// Most rounds in which cuts are played that no target got to play before.
@@ -416,13 +424,31 @@
     address: SocketAddr,
     registered: Vec<Registration>,
     replaced: usize,
+    /// Batches that the present ones are still for.
+    left: usize,
 }
 
 impl PrefillEngines {
-    async fn replace(&mut self) {
+    /// Makes sure that the entry knows engines which have not failed yet. `inspection` is the
+    /// address of its state.
+    async fn prepare(&mut self, inspection: SocketAddr) {
+        if self.left == 0 {
+            self.left = BATCHES;
+            self.replace();
+            let newest = format!("\"prefill-{}-0\"", self.replaced);
+            let started = Instant::now();
+            while !state(inspection).await.contains(&newest) {
+                assert!(started.elapsed() < DISCOVERY_TIME, "{newest} was not discovered");
+                sleep(DISCOVERY_PAUSE).await;
+            }
+        }
+        self.left -= 1;
+    }
+
+    fn replace(&mut self) {
         self.replaced += 1;
         let old = std::mem::take(&mut self.registered);
-        for number in 0..2 * CONCURRENT {
+        for number in 0..2 * BATCHES * CONCURRENT {
             let name = format!("prefill-{}-{number}", self.replaced);
             let registration = Registration {
                 name,
@@ -436,10 +462,16 @@
         for registration in old {
             self.store.put("keyed.servers", &registration.name, None);
         }
-        sleep(DISCOVERY_TIME).await;
     }
 }
 
+/// Returns the state dump of an entry.
+async fn state(inspection: SocketAddr) -> String {
+    let url = format!("http://{inspection}/state");
+    let sent = LoadClient::default().send(Method::GET, &url, &[], Bytes::new()).await;
+    sent.map(|(_, body)| String::from_utf8_lossy(&body).into_owned()).unwrap_or_default()
+}
+
 #[derive(Debug, Default)]
 struct TargetRequest {
     /// First line of the head.
@@ -741,6 +773,7 @@
         address: targets.listen().await,
         registered: Vec::new(),
         replaced: 0,
+        left: 0,
     };
     let entry = fleet.entry(0);
     wait_until_served(entry, &case).await;
@@ -754,7 +787,7 @@
             targets.keeps.store(keeps, Ordering::Relaxed);
             for batch in indexes.chunks(if keeps { MAX_IDLE } else { CONCURRENT }) {
                 if case.kind == AnswerKind::Prefill {
-                    prefill.replace().await;
+                    prefill.prepare(fleet.inspection(0)).await;
                 }
                 if keeps {
                     open_idle_connections(entry, &case, batch[0]).await;
