--- a/emulator/src/demo.rs
+++ b/emulator/src/demo.rs
@@ -158,13 +158,22 @@
     /// # Errors
     /// Returns the failure to start the process.
     pub fn start_side(&mut self, index: usize) -> io::Result<ChildProcess> {
+        self.start_side_for(index, &self.target_url(index))
+    }
+
+    /// Starts the side with this index, on the same ports each time, for a target at another base
+    /// URL.
+    ///
+    /// # Errors
+    /// Returns the failure to start the process.
+    pub fn start_side_for(&mut self, index: usize, url: &str) -> io::Result<ChildProcess> {
         let mut arguments = vec!["side".to_owned()];
         arguments.extend(flag("name", format!("side-{index}")));
         arguments.extend(flag("vm", format!("vm-{index}")));
         arguments.extend(flag("data-centre", format!("dc-{}", index % 3)));
         arguments.extend(flag("listen", format!("127.0.0.1:{}", self.side_port(index))));
         arguments.extend(flag("link-listen", format!("127.0.0.1:{}", self.side_port(index) + 1)));
-        arguments.extend(flag("targets", self.target_flag_value(index)));
+        arguments.extend(flag("targets", self.target_flag_value(index, url)));
         arguments.extend(self.common_flags(10 + index));
         self.start(&format!("side-{index}"), &arguments)
     }
@@ -268,8 +277,7 @@
         self.settings.port + 100 + 2 * index as u16
     }
 
-    fn target_flag_value(&self, index: usize) -> String {
-        let url = self.target_url(index);
+    fn target_flag_value(&self, index: usize, url: &str) -> String {
         if index < self.settings.engines {
             let profile = &self.settings.deployment.engines()[index];
             return format!("{}=engine,{},{},{url}", profile.name, profile.model, profile.kv_pages);
