Judge a request that is known from crashes that another one caused

Cause: two requests were at the same three targets as these crashed, all three by one of them.

Change: such a request is judged from the last crash of both, and the repeats that reach targets after it are counted, which were not where a request had fewer than three crashes.

--- a/emulator/tests/request_without_a_body_crashed_all_targets.rs
+++ b/emulator/tests/request_without_a_body_crashed_all_targets.rs
@@ -205,7 +205,7 @@
         let mut pending_starts = case.starts != EntryStarts::Never;
         while fault_start.elapsed() < MAX_FAULT_TIME {
             sleep(Duration::from_millis(50)).await;
-            let third = counted_crash(&fleet.runners, &case);
+            let third = last_counted_crash(&fleet.runners, &case);
             if pending_starts && third.is_some_and(|at| at.elapsed() >= START_DELAY) {
                 pending_starts = false;
                 let started = if case.starts == EntryStarts::All { 0..3 } else { 2..3 };
@@ -220,9 +220,9 @@
         sound.abort();
         crashing.iter().for_each(JoinHandle::abort);
         load.finish().await;
-        let third = counted_crash(&fleet.runners, &case).expect("too few crashes");
+        let third = last_counted_crash(&fleet.runners, &case).expect("too few crashes");
         let mut violations: Vec<String> = (0..case.crashing)
-            .filter_map(|index| reached_too_often(&fleet.runners, index, &load))
+            .filter_map(|index| reached_too_often(&fleet.runners, index, &case, &load))
             .collect();
         let from = judged_from(third, &load);
         violations.extend(load.succeeds_too_seldom(CALM_TIME, fault_start, from, fault_end));
@@ -307,16 +307,19 @@
     times
 }
 
-/// Returns the third crash of the request that had it last, or its last one if no more come,
-/// as two requests at the same targets share crashes.
-fn counted_crash(runners: &[RunnerModel], case: &RequestCase) -> Option<Instant> {
-    let counted = |index| {
-        let times = crash_times(runners, index);
-        let last = times.last().filter(|last| last.elapsed() >= QUIET_TIME);
-        times.get(COUNTED_CRASH - 1).or(last).copied()
-    };
-    let counted: Option<Vec<Instant>> = (0..case.crashing).map(counted).collect();
-    counted?.into_iter().max()
+/// Returns the crash from which a request must be known: its third one, or the last one of any
+/// request if no more come. Two requests at the same targets share crashes, so that one of them
+/// may be known without having caused any.
+fn counted_crash(runners: &[RunnerModel], index: usize, case: &RequestCase) -> Option<Instant> {
+    let last = (0..case.crashing).filter_map(|index| crash_times(runners, index).pop()).max();
+    let is_quiet = |last: &Instant| last.elapsed() >= QUIET_TIME;
+    crash_times(runners, index).get(COUNTED_CRASH - 1).copied().or(last.filter(is_quiet))
+}
+
+/// Returns that crash of the request that had it last.
+fn last_counted_crash(runners: &[RunnerModel], case: &RequestCase) -> Option<Instant> {
+    let counted = (0..case.crashing).map(|index| counted_crash(runners, index, case));
+    counted.collect::<Option<Vec<_>>>()?.into_iter().max()
 }
 
 /// Returns from when sound requests are judged, at entries that are all in touch.
@@ -327,9 +330,13 @@
 }
 
 /// Judges how often a request reaches targets once its entries must know it.
-fn reached_too_often(runners: &[RunnerModel], index: usize, load: &LoadState) -> Option<String> {
-    let crashes = crash_times(runners, index);
-    let from = *crashes.get(COUNTED_CRASH - 1)? + STABLE_WINDOW;
+fn reached_too_often(
+    runners: &[RunnerModel],
+    index: usize,
+    case: &RequestCase,
+    load: &LoadState,
+) -> Option<String> {
+    let from = counted_crash(runners, index, case)? + STABLE_WINDOW;
     let is_late = |call: &&ReceivedCall| {
         let entry = locked(&load.calls).iter().find(|s| s.id == call.request).map(|s| s.entry);
         call.request.starts_with(&RequestCase::name(index))
@@ -338,6 +345,6 @@
     };
     let calls: Vec<ReceivedCall> = runners.iter().flat_map(RunnerModel::received).collect();
     let reached = count_sendings(calls.iter().filter(is_late));
-    let ended = crashes.len();
+    let ended = crash_times(runners, index).len();
     (reached > MAX_REACHED).then(|| format!("{reached} repeats sent, {ended} targets crashed"))
 }
