Hold a changed limit on heads on open connections

Cause: the limit was the size of a connection's buffer, which was set when the connection was accepted.

Change: the size of each head is compared with the limit in force; the buffer holds 128 KiB at least. A connection whose buffer is smaller than a raised limit is closed with its next response.

--- a/emulator/src/stand_in/fleet.rs
+++ b/emulator/src/stand_in/fleet.rs
@@ -120,6 +120,13 @@
         self.store.put("keyed.op", "config", Some(config.to_string().as_bytes()));
     }
 
+    /// Writes a configuration with another limit on the heads of requests.
+    pub fn configure_head_limit(&self, version: u64, bytes: usize) {
+        let mut config = configuration(version, ENGINES);
+        config["limits"]["max_header_bytes"] = json!(bytes);
+        self.store.put("keyed.op", "config", Some(config.to_string().as_bytes()));
+    }
+
     /// Writes a configuration with this number of routes more, which serve nothing in these tests.
     pub fn configure_routes(&self, version: u64, count: usize) {
         let mut config = configuration(version, ENGINES);
--- a/emulator/tests/regressions/main.rs
+++ b/emulator/tests/regressions/main.rs
@@ -8,6 +8,7 @@
 mod error_inside_a_broken_stream;
 mod idle_connections_left_no_room_for_a_new_one;
 mod late_error_of_a_prefill_refused_as_not_run;
+mod limit_on_heads_of_open_connections;
 mod log_names_no_reason_for_a_refusal;
 mod prefill_that_ran_was_refused_as_not_run;
 mod ran_request_refused_beside_extra_responses;
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use hyper::{
     Response, StatusCode,
-    header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE},
+    header::{
+        CONTENT_TYPE, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE,
+    },
     http::request::Parts,
 };
 use serde::Serialize;
@@ -46,6 +48,9 @@
         /// Header name, in lower case.
         header: &'static str,
     },
+    /// The head exceeds the configured limit.
+    #[snafu(display("head larger than the limit"))]
+    HeadTooLarge,
     /// The body exceeds the configured limit.
     #[snafu(display("body larger than the limit"))]
     BodyTooLarge,
@@ -69,6 +74,7 @@
             RequestRejection::BadHeader { .. } | RequestRejection::BodyIncomplete => {
                 StatusCode::BAD_REQUEST
             }
+            RequestRejection::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             RequestRejection::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         }
     }
@@ -95,6 +101,9 @@
 /// # Errors
 /// Returns the reason for which the request is rejected.
 pub fn validate_head(parts: &Parts, table: &RouteTable) -> Result<ValidatedHead, RequestRejection> {
+    if head_bytes(parts) > table.limits.head_bytes {
+        return Err(RequestRejection::HeadTooLarge);
+    }
     let host = header_text(&parts.headers, &HOST).unwrap_or("");
     let route = table.find(host, parts.uri.path()).ok_or(RequestRejection::NoRoute)?;
     let identity = credential::identify(&parts.headers, route, table)
@@ -119,6 +128,16 @@
     Ok(ValidatedHead { id: id.clone(), route: route.clone(), identity, time_left, prompt })
 }
 
+/// Returns the size of a request's head as it is written without optional whitespace, in bytes.
+fn head_bytes(parts: &Parts) -> usize {
+    let path = parts.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let line = parts.method.as_str().len() + path + "  HTTP/1.1\r\n".len();
+    let field = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + ": \r\n".len()
+    };
+    line + parts.headers.iter().map(field).sum::<usize>() + "\r\n".len()
+}
+
 impl ValidatedHead {
     /// Builds the request that the state machine decides on.
     pub fn to_direct_request(&self, parts: &Parts, body: &Bytes, caller: IpAddr) -> DirectRequest {
@@ -229,7 +248,7 @@
     Some(StreamResume { stream: stream.map(StreamId::from) })
 }
 
-fn header_text<'a>(headers: &'a HeaderMap, name: &hyper::header::HeaderName) -> Option<&'a str> {
+fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -44,8 +44,6 @@
 const LISTEN_BACKLOG: u32 = 1024;
 /// Delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Largest request head before the configuration is known.
-const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
 /// Longest time for which connections wait after the start until the process is ready;
 /// callers time out a connection after one second.
 const STARTUP_WAIT: Duration = Duration::from_millis(400);
@@ -53,8 +51,9 @@
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Mean `Retry-After` of a process that knows no configuration.
 const MEAN_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// Smallest buffer that the HTTP library accepts.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Smallest buffer of a connection. It holds larger heads than most configurations allow, as the
+/// limit may be raised while the connection is open.
+const MIN_BUFFER_BYTES: usize = 128 * 1024;
 /// Times after the stop signal between which idle connections are closed.
 const IDLE_CLOSE_TIMES: (Duration, Duration) =
     (Duration::from_millis(1000), Duration::from_millis(3000));
@@ -132,7 +131,7 @@
         log::debug!(error:% = error; "failed to set socket options");
     }
     let limits = driver.routes().map(|routes| routes.limits);
-    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes);
+    let buffer_bytes = limits.map_or(0, |limits| limits.head_bytes).max(MIN_BUFFER_BYTES);
     let idle_time = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_time);
     let reset = ConnectionReset::default();
     let stream = CallerStream::new(stream, reset.clone());
@@ -143,13 +142,15 @@
             let driver = driver.clone();
             guard.record_request();
             reset.attach(request.extensions_mut());
-            async move { Ok::<_, Infallible>(serve_request(driver, request, caller).await) }
+            async move {
+                Ok::<_, Infallible>(serve_request(driver, request, caller, buffer_bytes).await)
+            }
         })
     };
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new());
     builder.header_read_timeout(idle_time);
-    builder.max_buf_size(head_bytes.max(MIN_BUFFER_BYTES));
+    builder.max_buf_size(buffer_bytes);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let closing = wait_to_close(driver.connection_phase.subscribe());
@@ -186,14 +187,17 @@
     }
 }
 
-/// Serves one request up to the head of its response.
+/// Serves one request up to the head of its response. `buffer_bytes` is the largest head that the
+/// connection can read.
 async fn serve_request(
     driver: Rc<DirectDriver>,
     request: Request<Incoming>,
     caller: IpAddr,
+    buffer_bytes: usize,
 ) -> Response<ResponseBody> {
     let mut response = handle_request(&driver, request, caller).await;
-    if driver.is_stopping() {
+    let is_outgrown = driver.routes().is_some_and(|routes| routes.limits.head_bytes > buffer_bytes);
+    if driver.is_stopping() || is_outgrown {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
