Keep what was seen of the load when the authority over engines changes

Cause: only the holder of the authority sampled the load, and its planner began with nothing at each claim. An entry that took over in a phase of prefill therefore took decode engines that the phase before had needed. Change: every entry samples the load that the reports show, and a claim ends only the orders. Ended orders leave the list also without authority. Result: a_new_holder_knows_the_phase_before_its_claim; the other tests of stages pass.

--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -613,7 +613,7 @@
     }
 
     fn claim_ended(&mut self, now: ClockTime, outcome: ClaimOutcome) {
-        self.planner.reset();
+        self.planner.forget_orders();
         self.authority.claim_ended(now, outcome);
     }
 
--- a/src/direct/restore.rs
+++ b/src/direct/restore.rs
@@ -24,7 +24,7 @@
 
     pub(super) fn store_restored(&mut self, now: ClockTime, generation: StoreGeneration) {
         if self.authority.store_restored(now, generation) {
-            self.planner.reset();
+            self.planner.forget_orders();
         }
         if let Some(usage) = &mut self.usage {
             usage.store_restored(now, generation);
--- a/src/direct/stage_plan.rs
+++ b/src/direct/stage_plan.rs
@@ -93,7 +93,8 @@
     expires: ClockTime,
 }
 
-/// Planner of the engines' stages. Only the entry with the authority uses it.
+/// Planner of the engines' stages. Only the entry with the authority sends orders; all sample the
+/// load, so that a new holder of the authority knows the phases before its claim.
 #[derive(Debug, Clone, Default, Serialize)]
 pub(super) struct StagePlanner {
     load: StageLoad,
@@ -116,8 +117,11 @@
         self.pending.iter().map(|order| order.target.clone()).collect()
     }
 
-    pub(super) fn reset(&mut self) {
-        *self = StagePlanner::default();
+    /// Forgets the orders, which belong to a claim. What was seen of the load stays.
+    pub(super) fn forget_orders(&mut self) {
+        self.next_order = ClockTime::ZERO;
+        self.pending.clear();
+        self.refused.clear();
     }
 
     pub(super) fn order_ended(&mut self, now: ClockTime, target: &TargetId, outcome: OrderOutcome) {
@@ -173,7 +177,6 @@
 impl DirectMachine {
     /// Samples the load of the engines and orders one to switch its stage if needed.
     pub(super) fn plan_stages(&mut self, now: ClockTime) -> Option<StageOrder> {
-        let fence = self.authority.fence(now)?;
         if now < self.planner.next_sample {
             return None;
         }
@@ -185,6 +188,7 @@
         let (mut prefills, mut decodes) = (prefill_engines.len(), decode_engines.len());
         self.planner.add_sample(sample);
         self.drop_finished_orders(now);
+        let fence = self.authority.fence(now)?;
         let max_pending = ((prefills + decodes) / ENGINES_PER_ORDER).max(1);
         if self.planner.pending.len() >= max_pending || now < self.planner.next_order {
             return None;
--- a/tests/stage_capacity.rs
+++ b/tests/stage_capacity.rs
@@ -37,6 +37,12 @@
 
 impl StagedFleet {
     fn new() -> StagedFleet {
+        let mut fleet = StagedFleet::without_authority();
+        fleet.take_authority();
+        fleet
+    }
+
+    fn without_authority() -> StagedFleet {
         let mut rig = DirectRig::new(RetryPolicy::Resume);
         let stage = |index| match index < PREFILL_ENGINES {
             true => TargetStage::Prefill,
@@ -49,13 +55,17 @@
             rig.list(name, *stage);
         }
         rig.step(DirectEvent::Tick);
-        rig.advance(Duration::from_secs(5));
-        rig.step(DirectEvent::Tick);
-        rig.step(DirectEvent::ClaimEnded(ClaimOutcome::Taken(4)));
-        rig.advance(Duration::from_secs(5));
         StagedFleet { rig, stages, reports: 0, obeys: true }
     }
 
+    /// Takes the authority over engines, in which the holder before may still send orders for 5 s.
+    fn take_authority(&mut self) {
+        self.rig.advance(Duration::from_secs(5));
+        self.rig.step(DirectEvent::Tick);
+        self.rig.step(DirectEvent::ClaimEnded(ClaimOutcome::Taken(4)));
+        self.rig.advance(Duration::from_secs(5));
+    }
+
     fn decode_engines(&self) -> usize {
         self.stages.iter().filter(|(_, stage)| *stage == TargetStage::Decode).count()
     }
@@ -137,6 +147,18 @@
     assert!(fleet.decode_engines() <= 3, "{} left", fleet.decode_engines());
 }
 
+/// The entry that held the authority is lost after a phase of many streams, and another one takes
+/// over in the phase of reading.
+#[test]
+fn a_new_holder_knows_the_phase_before_its_claim() {
+    let mut fleet = StagedFleet::without_authority();
+    assert_eq!(fleet.play(Phase { samples: 25, prefill_tokens: 0, streams: 56 }), []);
+    fleet.take_authority();
+    let orders = fleet.play(Phase { samples: 30, ..READING });
+    assert_ne!(orders, []);
+    assert!(fleet.decode_engines() >= 4, "{} left", fleet.decode_engines());
+}
+
 /// Phases of reading and of generating alternate every 3 s, which is as long as a switch takes.
 #[test]
 fn alternating_phases_bring_few_orders() {
