Send compact reports, and copy records only without the store

At hundreds of entries the names of fields, which each peer gets again and again, were most of a report's bytes; and after all processes had been killed, all copied the records of the few seeds beside the store that answered them: the busiest entry carried 1,067 KB/s and held 24.8 MB.

Reports go in a compact encoding to entries that state that they read it, and as before to others. A starting process asks peers only while its last read of the store failed, or the store has no such records, and stops as the store answers. Metrics count datagrams by content, records by topic, and copies.

--- a/src/process/direct/copy.rs
+++ b/src/process/direct/copy.rs
@@ -4,12 +4,30 @@
 //! they may be stale or down. The store takes precedence: records that it returns later
 //! replace copied ones. Requests that crash targets are not copied, since the peers'
 //! reports name them.
+//!
+//! After a loss of power at all VMs, all processes start at the same time, and the few that the
+//! settings name serve callers beside the copies. So a process asks only while the store does not
+//! answer it, and one that is asked holds a bounded number of bytes for them.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::Cell,
+    collections::HashMap,
+    convert::Infallible,
+    net::SocketAddr,
+    pin::Pin,
+    rc::Rc,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, header::HOST};
+use hyper::{
+    Request,
+    body::{Body, Frame, SizeHint},
+    header::HOST,
+};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -32,6 +50,13 @@
 /// Longest time to the head of a peer's response, connecting included, and longest silence within
 /// its body. A large copy over a slow link takes longer.
 const COPY_TIMEOUT: Duration = Duration::from_millis(700);
+/// Interval at which a process that copies records looks whether the store has provided them.
+const STORE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Limit on the bytes of copies that connections have not taken yet. One copy is always allowed.
+/// What the kernel holds for a connection does not count.
+const MAX_OUTGOING_BYTES: usize = 1024 * 1024;
+/// Bytes of a copy that are handed to the connection at once.
+const CHUNK_BYTES: usize = 64 * 1024;
 /// Largest copy that is accepted.
 const MAX_COPY_BYTES: usize = 8 * 1024 * 1024;
 
@@ -90,8 +115,72 @@
     }
 }
 
+/// Bytes of copies that wait to be sent.
+#[derive(Debug, Clone, Default)]
+pub(super) struct OutgoingCopies {
+    bytes: Rc<Cell<usize>>,
+}
+
+impl OutgoingCopies {
+    /// Returns whether another copy may be sent now.
+    pub(super) fn admits(&self) -> bool {
+        self.bytes.get() < MAX_OUTGOING_BYTES
+    }
+
+    /// Returns the body of a copy, which counts until it was sent or given up.
+    pub(super) fn body(&self, copy: Bytes) -> CopyBody {
+        self.bytes.set(self.bytes.get() + copy.len());
+        CopyBody { rest: copy, outgoing: self.clone() }
+    }
+}
+
+/// Body of a copy.
+#[derive(Debug)]
+pub(super) struct CopyBody {
+    rest: Bytes,
+    outgoing: OutgoingCopies,
+}
+
+impl CopyBody {
+    fn sent(&self, bytes: usize) {
+        self.outgoing.bytes.set(self.outgoing.bytes.get().saturating_sub(bytes));
+    }
+}
+
+impl Body for CopyBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, Infallible>>> {
+        if self.rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        let length = self.rest.len().min(CHUNK_BYTES);
+        let chunk = self.rest.split_to(length);
+        self.sent(length);
+        Poll::Ready(Some(Ok(Frame::data(chunk))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.rest.len() as u64)
+    }
+}
+
+impl Drop for CopyBody {
+    fn drop(&mut self) {
+        self.sent(self.rest.len());
+    }
+}
+
 /// Asks peers for their records until this process knows a configuration and targets,
-/// from a peer or from the store.
+/// from a peer or from the store. While the store answers, nobody is asked.
 pub(super) async fn copy_from_peers(peers: Vec<SocketAddr>, driver: Rc<DirectDriver>) {
     tokio::time::sleep(STORE_GRACE).await;
     loop {
@@ -99,7 +188,14 @@
             if driver.has_initial_state() {
                 return;
             }
-            match fetch(*peer).await {
+            if driver.is_store_answering() {
+                break;
+            }
+            let copy = tokio::select! {
+                copy = fetch(*peer) => copy,
+                () = store_answers(&driver) => continue,
+            };
+            match copy {
                 Ok(copy) => apply(&driver, *peer, copy),
                 Err(error) => log::info!(peer:% = peer, error:% = error; "failed to copy records"),
             }
@@ -111,6 +207,13 @@
     }
 }
 
+/// Waits until the store has answered a read, or has provided all that a copy would.
+async fn store_answers(driver: &DirectDriver) {
+    while !driver.has_initial_state() && !driver.is_store_answering() {
+        tokio::time::sleep(STORE_POLL_INTERVAL).await;
+    }
+}
+
 async fn fetch(peer: SocketAddr) -> Result<RecordCopy> {
     let failed =
         |e: &dyn std::fmt::Display| Error::new(ErrorCode::Network, format!("{peer} ({e})"));
@@ -128,6 +231,9 @@
     let timed_out = |_| Error::new(ErrorCode::Timeout, peer.to_string());
     let head = tokio::time::timeout_at(first_by, exchange).await.map_err(timed_out)?;
     let (_connection, response) = head?;
+    if !response.status().is_success() {
+        return Err(failed(&response.status()));
+    }
     let limits = BodyLimits { first_by, silence: COPY_TIMEOUT, bytes: MAX_COPY_BYTES };
     let body = PacedBody::new(response.into_body(), limits);
     let bytes = body.read_to_end().await.map_err(|e| failed(&e))?;
--- a/src/process/direct/follow.rs
+++ b/src/process/direct/follow.rs
@@ -361,15 +361,15 @@
     fn apply_snapshot(&mut self, records: Vec<KeyedRecord>) {
         let offsets = records.iter().map(|record| (record.key.as_str().into(), record.offset));
         self.offsets = offsets.collect();
-        let present: Vec<TargetId> =
+        let present: HashSet<TargetId> =
             records.iter().map(|record| record.key.as_str().into()).collect();
-        let is_present = |id: &str| present.iter().any(|present| &**present == id);
-        self.driver.records.borrow_mut().retain_targets(is_present);
+        self.driver.records.borrow_mut().retain_targets(|id| present.contains(id));
         let targets: Vec<DirectTarget> =
             records.iter().filter_map(|record| self.decode(record)).collect();
-        let missing = self.registered.iter().filter(|id| !present.contains(id)).cloned();
+        let missing = self.registered.iter().filter(|id| !present.contains(*id)).cloned();
         missing.collect::<Vec<TargetId>>().iter().for_each(|id| self.log_removal(id));
         targets.iter().for_each(|target| self.log_registration(target));
+        let present = present.into_iter().collect();
         self.apply(TargetChange::Snapshot { present, targets });
     }
 
--- a/src/process/direct/gossip.rs
+++ b/src/process/direct/gossip.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -16,12 +16,13 @@
 
 use super::{
     follow::{self, FollowedTopic, TopicFollower},
+    metrics::{DirectMetrics, PeerContent},
     shell::DirectDriver,
 };
 use crate::{
     direct::{
-        DirectEvent, LoadReport, PeerName, ReadSchedule, ShareReport, StreamMessage, SuspectReport,
-        UsageEvent, UsageMessage, report_interval,
+        CompactReport, DirectEvent, LoadReport, PeerName, ReadSchedule, ShareReport, StreamMessage,
+        SuspectReport, UsageEvent, UsageMessage, report_interval,
     },
     error::{Error, ErrorCode, Result},
     platform::{
@@ -50,6 +51,12 @@
 struct PeerDatagram {
     #[serde(default, skip_serializing_if = "Option::is_none")]
     load: Option<LoadReport>,
+    /// The same as `load`, for entries that read it.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    compact: Option<CompactReport>,
+    /// Whether the sender of `load` reads compact reports.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    reads_compact: bool,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     stream: Option<PeerStreamMessage>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -60,6 +67,16 @@
     shares: Option<ShareReport>,
 }
 
+impl PeerDatagram {
+    fn content(&self) -> PeerContent {
+        match self {
+            PeerDatagram { stream: Some(_), .. } => PeerContent::Stream,
+            PeerDatagram { usage: Some(_), .. } => PeerContent::Usage,
+            _ => PeerContent::Report,
+        }
+    }
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct PeerStreamMessage {
     peer: PeerName,
@@ -71,7 +88,53 @@
     address: SocketAddr,
 }
 
-type PeerAddresses = Rc<RefCell<HashMap<String, SocketAddr>>>;
+/// Where a peer is reached.
+#[derive(Debug, Clone, Copy)]
+struct PeerAddress {
+    address: SocketAddr,
+    /// Whether its last report stated that it reads compact ones.
+    reads_compact: bool,
+}
+
+/// Addresses of peers, by name or, as the settings name them, by address.
+#[derive(Debug, Clone, Default)]
+struct PeerAddresses(Rc<RefCell<HashMap<String, PeerAddress>>>);
+
+impl PeerAddresses {
+    /// Returns the address of a peer.
+    fn find(&self, peer: &str) -> Option<SocketAddr> {
+        self.0.borrow().get(peer).map(|known| known.address)
+    }
+
+    /// Records an address. What the peer reads is kept as long as it has the same one.
+    fn insert(&self, peer: &str, address: SocketAddr) {
+        let mut peers = self.0.borrow_mut();
+        if peers.get(peer).is_none_or(|known| known.address != address) {
+            peers.insert(peer.to_owned(), PeerAddress { address, reads_compact: false });
+        }
+    }
+
+    /// Records which reports a peer reads.
+    fn set_reading(&self, peer: &str, reads_compact: bool) {
+        if let Some(known) = self.0.borrow_mut().get_mut(peer) {
+            known.reads_compact = reads_compact;
+        }
+    }
+
+    fn remove(&self, peer: &str) {
+        self.0.borrow_mut().remove(peer);
+    }
+
+    /// Returns all addresses, each with whether compact reports are read there. The same one may
+    /// be known under a peer's name and from the settings.
+    fn all(&self) -> BTreeMap<SocketAddr, bool> {
+        let mut all = BTreeMap::new();
+        for known in self.0.borrow().values() {
+            *all.entry(known.address).or_insert(false) |= known.reads_compact;
+        }
+        all
+    }
+}
 
 /// Sends single messages to peers, beside the reports.
 #[derive(Debug)]
@@ -82,32 +145,34 @@
 
 impl PeerLink {
     /// Sends a message to peers at once. One that is lost is not sent again.
-    pub(super) fn send(&self, own: &str, peers: &[PeerName], message: StreamMessage) {
-        let stream = PeerStreamMessage { peer: own.into(), message };
-        self.send_datagram(
-            peers,
-            &PeerDatagram { stream: Some(stream), ..PeerDatagram::default() },
-        );
+    pub(super) fn send(&self, driver: &DirectDriver, peers: &[PeerName], message: StreamMessage) {
+        let stream = PeerStreamMessage { peer: driver.name().into(), message };
+        let datagram = PeerDatagram { stream: Some(stream), ..PeerDatagram::default() };
+        let bytes = self.send_datagram(peers, &datagram);
+        driver.metrics.record_sent(PeerContent::Stream, peers.len(), bytes);
     }
 
     /// Sends a message about usage to a peer at once.
-    pub(super) fn send_usage(&self, peer: &PeerName, message: UsageMessage) {
+    pub(super) fn send_usage(&self, driver: &DirectDriver, peer: &PeerName, message: UsageMessage) {
         let datagram = PeerDatagram { usage: Some(message), ..PeerDatagram::default() };
-        self.send_datagram(std::slice::from_ref(peer), &datagram);
+        let bytes = self.send_datagram(std::slice::from_ref(peer), &datagram);
+        driver.metrics.record_sent(PeerContent::Usage, 1, bytes);
     }
 
-    fn send_datagram(&self, peers: &[PeerName], datagram: &PeerDatagram) {
+    /// Sends a datagram to each peer whose address is known, and returns its size in bytes.
+    fn send_datagram(&self, peers: &[PeerName], datagram: &PeerDatagram) -> usize {
         let mut bytes = Vec::new();
         if let Err(error) = ciborium::into_writer(datagram, &mut bytes) {
             log::error!(error:% = error; "failed to encode message");
-            return;
+            return 0;
         }
         for peer in peers {
-            let Some(address) = self.peers.borrow().get(&**peer).copied() else { continue };
+            let Some(address) = self.peers.find(peer) else { continue };
             if let Err(error) = self.socket.try_send_to(&bytes, address) {
                 log::debug!(peer:% = peer, error:% = error; "failed to send message");
             }
         }
+        bytes.len()
     }
 }
 
@@ -123,11 +188,11 @@
     let address = SocketAddr::new(settings.ip, settings.peer_port);
     let failed = |e| Error::new(ErrorCode::Network, format!("{address} ({e})"));
     let socket = Rc::new(UdpSocket::bind(address).await.map_err(failed)?);
-    let peers: PeerAddresses = Rc::default();
+    let peers = PeerAddresses::default();
     // The settings name a few peers to start with; the store names all of them.
     for seed in settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), settings.peer_port)) {
         if seed != address {
-            peers.borrow_mut().insert(seed.to_string(), seed);
+            peers.insert(&seed.to_string(), seed);
         }
     }
     let link = PeerLink { socket: socket.clone(), peers: peers.clone() };
@@ -159,31 +224,86 @@
 
 async fn send_reports(driver: Rc<DirectDriver>, socket: Rc<UdpSocket>, peers: PeerAddresses) {
     for number in 0_u64.. {
-        // The same address may be present under a peer's name and as a seed.
-        let addresses: BTreeSet<SocketAddr> = peers.borrow().values().copied().collect();
+        let addresses = peers.all();
         tokio::time::sleep(report_interval(addresses.len())).await;
         if addresses.is_empty() {
             continue;
         }
-        let load = driver.load_report(number % FULL_REPORT_PERIOD == 0);
-        let suspects = Some(driver.suspect_report()).filter(|report| !report.is_empty());
-        let shares = driver.share_report();
-        let datagram =
-            PeerDatagram { load: Some(load), suspects, shares, ..PeerDatagram::default() };
-        let mut bytes = Vec::new();
-        if let Err(error) = ciborium::into_writer(&datagram, &mut bytes) {
-            log::error!(error:% = error; "failed to encode report");
-            continue;
-        }
-        for address in addresses {
-            // Sends to a peer that is down are refused until it is back.
-            if let Err(error) = socket.send_to(&bytes, address).await {
-                log::debug!(address:% = address, error:% = error; "failed to send report");
+        let report = Report {
+            load: driver.load_report(number % FULL_REPORT_PERIOD == 0),
+            suspects: Some(driver.suspect_report()).filter(|report| !report.is_empty()),
+            shares: driver.share_report(),
+        };
+        for reads_compact in [false, true] {
+            let readers = addresses.iter().filter(|(_, compact)| **compact == reads_compact);
+            let readers: Vec<SocketAddr> = readers.map(|(address, _)| *address).collect();
+            if !readers.is_empty() {
+                send_report(&driver, &socket, &report.datagram(reads_compact), &readers).await;
             }
         }
     }
 }
 
+/// What peers get to know regularly.
+struct Report {
+    load: LoadReport,
+    suspects: Option<SuspectReport>,
+    shares: Option<ShareReport>,
+}
+
+impl Report {
+    fn datagram(&self, is_compact: bool) -> PeerDatagram {
+        let load = Some(self.load.clone());
+        let (load, compact) =
+            if is_compact { (None, load.map(CompactReport::from)) } else { (load, None) };
+        let (suspects, shares) = (self.suspects.clone(), self.shares.clone());
+        let reads_compact = !is_compact;
+        PeerDatagram { load, compact, reads_compact, suspects, shares, ..PeerDatagram::default() }
+    }
+}
+
+async fn send_report(
+    driver: &DirectDriver,
+    socket: &UdpSocket,
+    datagram: &PeerDatagram,
+    addresses: &[SocketAddr],
+) {
+    let mut bytes = Vec::new();
+    if let Err(error) = ciborium::into_writer(datagram, &mut bytes) {
+        log::error!(error:% = error; "failed to encode report");
+        return;
+    }
+    record_report(&driver.metrics, datagram, addresses.len(), bytes.len());
+    for address in addresses {
+        // Sends to a peer that is down are refused until it is back.
+        if let Err(error) = socket.send_to(&bytes, address).await {
+            log::debug!(address:% = address, error:% = error; "failed to send report");
+        }
+    }
+}
+
+/// Counts a report of some bytes to some peers, by its parts.
+fn record_report(metrics: &DirectMetrics, datagram: &PeerDatagram, peers: usize, bytes: usize) {
+    let parts = [
+        (PeerContent::Suspects, datagram.suspects.as_ref().map(encoded_size)),
+        (PeerContent::Shares, datagram.shares.as_ref().map(encoded_size)),
+    ];
+    let mut rest = bytes;
+    for (content, size) in parts {
+        let Some(size) = size else { continue };
+        metrics.record_sent(content, peers, size);
+        rest = rest.saturating_sub(size);
+    }
+    metrics.record_sent(PeerContent::Load, peers, rest);
+}
+
+fn encoded_size(part: &impl Serialize) -> usize {
+    let mut bytes = Vec::new();
+    // The whole was encoded before.
+    drop(ciborium::into_writer(part, &mut bytes));
+    bytes.len()
+}
+
 async fn receive_reports(driver: Rc<DirectDriver>, socket: Rc<UdpSocket>, peers: PeerAddresses) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -197,16 +317,19 @@
         };
         match ciborium::from_reader::<PeerDatagram, _>(&buffer[..length]) {
             Ok(datagram) => {
-                if let Some(load) = datagram.load {
+                driver.metrics.record_received(datagram.content(), length);
+                let reads_compact = datagram.reads_compact || datagram.compact.is_some();
+                if let Some(load) = datagram.load.or(datagram.compact.map(LoadReport::from)) {
                     if !load.has_valid_numbers() {
                         log::info!(peer:% = load.peer; "report with invalid numbers ignored");
                         continue;
                     }
-                    peers.borrow_mut().insert(load.peer.to_string(), sender);
+                    peers.insert(&load.peer, sender);
+                    peers.set_reading(&load.peer, reads_compact);
                     driver.step(DirectEvent::PeerLoad(load));
                 }
                 if let Some(PeerStreamMessage { peer, message }) = datagram.stream {
-                    peers.borrow_mut().insert(peer.to_string(), sender);
+                    peers.insert(&peer, sender);
                     driver.step(DirectEvent::StreamMessage { peer, message });
                 }
                 if let Some(report) = datagram.shares.filter(ShareReport::has_valid_numbers) {
@@ -216,7 +339,7 @@
                     driver.step(DirectEvent::Suspects(report));
                 }
                 if let Some(message) = datagram.usage {
-                    peers.borrow_mut().insert(message.peer.to_string(), sender);
+                    peers.insert(&message.peer, sender);
                     driver.step(DirectEvent::Usage(UsageEvent::Message(message)));
                 }
             }
@@ -235,13 +358,13 @@
 impl PeerFollower {
     fn apply_record(&mut self, record: KeyedRecord) {
         let Some(value) = record.value else {
-            self.peers.borrow_mut().remove(&record.key);
+            self.peers.remove(&record.key);
             return;
         };
         match serde_json::from_slice::<PublishedAddress>(&value) {
             Ok(peer) if peer.address == self.own => {}
             Ok(peer) => {
-                self.peers.borrow_mut().insert(record.key, peer.address);
+                self.peers.insert(&record.key, peer.address);
             }
             Err(error) => {
                 log::info!(key:% = record.key, error:% = error; "malformed peer address ignored")
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -7,6 +7,7 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
+use strum::IntoStaticStr;
 
 use crate::{
     direct::{CallerIdentity, CrashSuspect, UsageState},
@@ -41,6 +42,33 @@
     topic: &'static str,
 }
 
+/// What datagrams between entries hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum PeerContent {
+    /// Received report, with all of its parts.
+    Report,
+    /// Load, cached segments and what concerns all entries, in a report that is sent.
+    Load,
+    /// Customers' work in a report that is sent.
+    Shares,
+    /// Crashes and suspects in a report that is sent.
+    Suspects,
+    /// Message about the origin of a stream.
+    Stream,
+    /// Message about customers' usage.
+    Usage,
+}
+
+/// Labels of datagrams between entries.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PeerLabels {
+    /// [`PeerContent`].
+    content: &'static str,
+    /// `sent` or `received`.
+    direction: &'static str,
+}
+
 /// Labels of a faulty response.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct FaultLabels {
@@ -119,6 +147,10 @@
     identities: Family<IdentityLabels, Counter>,
     pub(super) store_calls: Family<StoreLabels, Counter>,
     pub(super) store_seconds: Histogram,
+    store_bytes: Family<TopicLabels, Counter>,
+    copied_bytes: Counter,
+    peer_bytes: Family<PeerLabels, Counter>,
+    peer_datagrams: Family<PeerLabels, Counter>,
     read_bytes: Family<TopicLabels, Gauge>,
     read_seconds: Family<TopicLabels, SecondsGauge>,
     in_flight: Gauge,
@@ -150,6 +182,10 @@
             identities: Family::default(),
             store_calls: Family::default(),
             store_seconds: Histogram::new(DURATION_BUCKETS),
+            store_bytes: Family::default(),
+            copied_bytes: Counter::default(),
+            peer_bytes: Family::default(),
+            peer_datagrams: Family::default(),
             read_bytes: Family::default(),
             read_seconds: Family::default(),
             in_flight: Gauge::default(),
@@ -220,10 +256,38 @@
     /// Records the size and time of the last read of a topic that returned records.
     pub(super) fn record_transfer(&self, topic: &'static str, transfer: PageTransfer) {
         let labels = TopicLabels { topic };
+        self.store_bytes.get_or_create(&labels).inc_by(transfer.bytes as u64);
         self.read_bytes.get_or_create(&labels).set(transfer.bytes as i64);
         self.read_seconds.get_or_create(&labels).set(transfer.time.as_secs_f64());
     }
 
+    /// Counts datagrams that were sent with some content, and its bytes in each.
+    pub(super) fn record_sent(&self, content: PeerContent, datagrams: usize, bytes: usize) {
+        self.record_datagrams(content, "sent", datagrams, bytes);
+    }
+
+    /// Counts a datagram that was received.
+    pub(super) fn record_received(&self, content: PeerContent, bytes: usize) {
+        self.record_datagrams(content, "received", 1, bytes);
+    }
+
+    fn record_datagrams(
+        &self,
+        content: PeerContent,
+        direction: &'static str,
+        datagrams: usize,
+        bytes: usize,
+    ) {
+        let labels = PeerLabels { content: content.into(), direction };
+        self.peer_datagrams.get_or_create(&labels).inc_by(datagrams as u64);
+        self.peer_bytes.get_or_create(&labels).inc_by((datagrams * bytes) as u64);
+    }
+
+    /// Counts the bytes of a copy of the records for a starting peer.
+    pub(super) fn record_copy(&self, bytes: usize) {
+        self.copied_bytes.inc_by(bytes as u64);
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register(
@@ -309,6 +373,31 @@
             self.log_lines_dropped.clone(),
         );
         self.register_usage();
+        self.register_traffic();
+    }
+
+    fn register_traffic(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "store_bytes",
+            "Bytes of records read from the store, by topic",
+            self.store_bytes.clone(),
+        );
+        registry.register(
+            "copied_bytes",
+            "Bytes of copies of the records for starting peers",
+            self.copied_bytes.clone(),
+        );
+        registry.register(
+            "peer_bytes",
+            "Bytes of datagrams between entries, by content and direction",
+            self.peer_bytes.clone(),
+        );
+        registry.register(
+            "peer_datagrams",
+            "Datagrams between entries, by content and direction",
+            self.peer_datagrams.clone(),
+        );
     }
 
     fn register_usage(&mut self) {
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -17,7 +17,7 @@
 
 use super::{
     call,
-    copy::{KnownRecords, RecordAges},
+    copy::{KnownRecords, OutgoingCopies, RecordAges},
     fault::ResponseFault,
     gossip::PeerLink,
     metrics::{BlockedCounts, DirectMetrics, FaultLabels, StateGauges, StoreLabels},
@@ -98,6 +98,10 @@
     /// When each topic of the store was last read, by this process or by the peer
     /// that its records were copied from.
     last_reads: RefCell<HashMap<&'static str, Instant>>,
+    /// Whether the last read of the store succeeded.
+    store_answers: Cell<bool>,
+    /// Copies of the records for starting peers.
+    pub(super) copies: OutgoingCopies,
     /// Sends messages to peers once their port is open.
     pub(super) peer_link: RefCell<Option<PeerLink>>,
     store: SocketAddr,
@@ -141,6 +145,8 @@
             records: RefCell::default(),
             metrics: DirectMetrics::default(),
             last_reads: RefCell::default(),
+            store_answers: Cell::default(),
+            copies: OutgoingCopies::default(),
             peer_link: RefCell::default(),
             store,
             generations,
@@ -277,7 +283,7 @@
             }
             DirectAction::SendToPeers { peers, message } => {
                 if let Some(link) = self.peer_link.borrow().as_ref() {
-                    link.send(&self.name, &peers, message);
+                    link.send(self, &peers, message);
                 }
             }
             DirectAction::ReadTargets => self.target_demand.notify_one(),
@@ -301,7 +307,7 @@
             }
             DirectAction::Usage(UsageAction::Send { peer, message }) => {
                 if let Some(link) = self.peer_link.borrow().as_ref() {
-                    link.send_usage(&peer, message);
+                    link.send_usage(self, &peer, message);
                 }
             }
             DirectAction::Usage(action) => {
@@ -361,10 +367,19 @@
 
     /// Records the result and duration of a store read in the metrics.
     pub(super) fn record_store_read(&self, topic: &'static str, end: &'static str, took: Duration) {
+        self.store_answers.set(end == STORE_READ_OK);
         self.metrics.store_calls.get_or_create(&StoreLabels { topic, end }).inc();
         self.metrics.store_seconds.observe(took.as_secs_f64());
     }
 
+    /// Returns whether the store answers, and has yet to provide records that a starting process
+    /// needs. A store that has none of them, as after a loss of its registrations, provides none.
+    pub(super) fn is_store_answering(&self) -> bool {
+        let reads = self.last_reads.borrow();
+        let is_read = |topic| reads.contains_key(topic);
+        self.store_answers.get() && !(is_read(configuration::TOPIC) && is_read(discovery::TOPIC))
+    }
+
     /// Records a page of a topic, and that the topic was read if it reached the end.
     pub(super) fn record_page(&self, topic: &'static str, page: &RecordPage) {
         if page.reached_end {
--- a/tests/load_reports.rs
+++ b/tests/load_reports.rs
@@ -6,8 +6,9 @@
 
 use sapphirewell::{
     direct::{
-        CallOutcome, DirectAction, DirectEvent, FailureReason, InFlight, LoadReport, PeerTable,
-        RetryPolicy, SuspectChange, TargetStage, TargetUsage, report_interval,
+        CachedSegment, CallOutcome, CompactReport, DirectAction, DirectEvent, FailureReason,
+        InFlight, LeavingTarget, LimitStatement, LoadReport, PeerTable, PromptSegment, RetryPolicy,
+        ServiceDemand, SuspectChange, TargetStage, TargetUsage, report_interval,
     },
     ids::TargetId,
 };
@@ -281,3 +282,63 @@
     }
     assert_eq!((peers.in_flight_at(&target), peers.prefill_rate(&target)), before);
 }
+
+/// Size of a compact report without news, in bytes.
+const MAX_EMPTY_BYTES: usize = 64;
+/// Size of a target's load in a compact report, as docs/CAPACITY.md asks.
+const MAX_USAGE_BYTES: usize = 45;
+
+fn busy_report(targets: usize) -> LoadReport {
+    let usage = |number: usize| {
+        let mut in_flight = InFlight { running: 3, ..InFlight::default() };
+        in_flight.backlog.add(1, 13_700);
+        let target = format!("label-reader-north-{number:04}").into();
+        TargetUsage { target, in_flight, prefill_rate: 48_123.7, samples: 10 }
+    };
+    let peer = "front-north-17".into();
+    let instance = 0x1234_5678_9abc_def0;
+    let targets = (0..targets).map(usage).collect();
+    LoadReport { peer, targets, ..report(instance, 70_000, false, &[]) }
+}
+
+fn encode(value: &impl serde::Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).unwrap();
+    bytes
+}
+
+/// Hundreds of entries send each other the names of the fields again and again.
+#[parameterized(idle = { 0 }, one_call = { 1 }, busy = { 40 }, every_engine = { 520 })]
+fn a_compact_report_is_small(targets: usize) {
+    let size = encode(&CompactReport::from(busy_report(targets))).len();
+    assert!(size <= MAX_EMPTY_BYTES + targets * MAX_USAGE_BYTES, "{size} bytes");
+}
+
+#[parameterized(full = { true }, partial = { false })]
+fn a_compact_report_says_the_same(full: bool) {
+    let target = TargetId::from("a");
+    let news = LoadReport {
+        full,
+        cached: vec![CachedSegment {
+            target: target.clone(),
+            segment: PromptSegment { id: u64::MAX, tokens: 13_300 },
+        }],
+        claim: Some(7),
+        usage_claim: Some(8),
+        leaving: vec![LeavingTarget { target: target.clone(), born_ms: 5 }],
+        limits: vec![LimitStatement {
+            target: target.clone(),
+            born_ms: 5,
+            limit: 2.5,
+            age: Duration::from_millis(70),
+        }],
+        demand: vec![ServiceDemand { service: "s".into(), rate: 0.1 }],
+        switching: vec![target],
+        ..busy_report(3)
+    };
+    for report in [news, busy_report(0)] {
+        let bytes = encode(&CompactReport::from(report.clone()));
+        let read: CompactReport = ciborium::from_reader(&bytes[..]).unwrap();
+        assert_eq!(LoadReport::from(read), report);
+    }
+}
