Let decode engines prefill where the configuration's pauses allow it

A long prompt at a decode engine counted as making its streams late, by 12 tokens an event and 140 ms between events. Those are the numbers of another kind of engine: here an event has 8 tokens and 250 ms are allowed. Without a stated pause no stream counts as late.

--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -79,6 +79,9 @@
     #[serde(skip)]
     rng: SmallRng,
     pub(super) routes: Option<Arc<RouteTable>>,
+    /// Shortest limit on the time between two events of a service's streams.
+    #[serde(skip)]
+    event_gaps: HashMap<ServiceName, Duration>,
     pub(super) fleet: TargetFleet,
     pub(super) peers: PeerTable,
     #[serde(rename = "most_entries")]
@@ -140,6 +143,7 @@
             fleet: TargetFleet::new(settings.drain_bound),
             settings,
             routes: None,
+            event_gaps: HashMap::new(),
             peers: PeerTable::default(),
             max_entries: MIN_ENTRIES,
             limits: LimitTable::default(),
@@ -312,6 +316,7 @@
         if newer {
             let names: HashSet<&Arc<str>> = routes.routes.iter().map(|route| &route.name).collect();
             self.returns.retain(|name, _| names.contains(name));
+            self.event_gaps = routes.event_gaps();
             self.routes = Some(routes);
         }
     }
@@ -488,7 +493,7 @@
         let flow = self.flows.get(&id)?;
         let view =
             PlacementView { fleet: &self.fleet, peers: &self.peers, limits: &self.limits, now };
-        let query = query(flow, self.routes.as_ref(), &self.settings);
+        let query = query(flow, self.routes.as_ref(), &self.event_gaps, &self.settings);
         view.choose(&mut self.rng, &query)
     }
 
@@ -505,7 +510,7 @@
         let source = flow.cache.as_ref().and_then(|cache| self.fleet.get(&cache.target.id));
         let view =
             PlacementView { fleet: &self.fleet, peers: &self.peers, limits: &self.limits, now };
-        let query = query(flow, self.routes.as_ref(), &self.settings);
+        let query = query(flow, self.routes.as_ref(), &self.event_gaps, &self.settings);
         let chosen = source.and_then(|source| view.choose_decode(&mut self.rng, &query, source));
         match chosen {
             Some(placement) if self.reject_while_stopping(now, id, &placement, out) => {}
@@ -673,6 +678,7 @@
 fn query<'a>(
     flow: &'a DirectFlow,
     routes: Option<&'a Arc<RouteTable>>,
+    event_gaps: &HashMap<ServiceName, Duration>,
     settings: &'a DirectSettings,
 ) -> PlacementQuery<'a> {
     PlacementQuery {
@@ -685,6 +691,7 @@
         stream: stream_part(flow),
         data_centre: &settings.data_centre,
         objective: flow.request.route.objective,
+        event_gap: event_gaps.get(&flow.service).copied(),
         priority: priority(flow),
     }
 }
