Break a simulated connection from a cut on

A cut replaced a signal of a target by a lost connection that the entry notices 2.5 s later, but later signals of the same call still arrived once the cut had ended. The connection now carries nothing after the cut, as real ones do.

--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -262,6 +262,8 @@
     pairs: bool,
     #[options(help = "run the platform's matrix instead of the product's own")]
     platform: bool,
+    #[options(help = "of the platform's cells, run those whose description contains this text")]
+    only: Option<String>,
 }
 
 fn run_matrix(arguments: &MatrixArguments) -> ExitCode {
@@ -275,7 +277,7 @@
     };
     let seeds: std::ops::Range<u64> = first..end;
     if arguments.platform {
-        return run_platform_matrix(seeds, arguments.pairs);
+        return run_platform_matrix(seeds, arguments);
     }
     let mut cells = matrix::single_cells(seeds.clone());
     if arguments.pairs {
@@ -286,11 +288,14 @@
     if summary.failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-fn run_platform_matrix(seeds: std::ops::Range<u64>, pairs: bool) -> ExitCode {
+fn run_platform_matrix(seeds: std::ops::Range<u64>, arguments: &MatrixArguments) -> ExitCode {
     let mut cells = platform_matrix::single_cells(seeds.clone());
-    if pairs {
+    if arguments.pairs {
         cells.extend(platform_matrix::pair_cells(seeds));
     }
+    if let Some(text) = &arguments.only {
+        cells.retain(|cell| cell.to_string().contains(text));
+    }
     let summary = platform_matrix::run_cells(&cells);
     println!("{summary}");
     if summary.failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
--- a/emulator/src/platform_rig/target.rs
+++ b/emulator/src/platform_rig/target.rs
@@ -246,6 +246,10 @@
 
     fn signal(&mut self, target: TargetIndex, call: &SimCall, signal: TargetSignal) {
         if self.is_cut(call.entry, target) {
+            // What the target sends after the cut must not overtake the loss of the connection.
+            let key = call.key();
+            let runs = self.targets[target].running.iter_mut();
+            runs.filter(|run| run.call.key() == key).for_each(|run| run.disconnected = true);
             let answered = !matches!(signal, TargetSignal::Outcome(_));
             return self.break_call(call.clone(), answered, CONNECTION_TIMEOUT);
         }
