Add customers and the usage duty to the platform's matrix

The matrix had no configuration with customers, so that keys, what targets are told of them, priorities of customers and reports of usage were tested without its faults. In cells of odd seeds each configuration now has customers, and every second one adds, removes and moves keys; heads are validated and forwarded by the code that entries run. Entries report usage to a stand-in that keeps each report, through records in the rig's store. New are six steps of the duty, two faults of the platform's interface, six rules, and eight deliberate defects, each caught.

Cells that were found without customers are replayed without.

--- a/emulator/src/platform_matrix.rs
+++ b/emulator/src/platform_matrix.rs
@@ -6,8 +6,8 @@
 use strum::IntoEnumIterator;
 
 use crate::platform_rig::{
-    DriverDefect, OfferedRequest, PlatformBreach, PlatformFault, PlatformRig, PlatformSettings,
-    PlatformSite, PlatformStep, PlatformTrigger, RequestClass, TargetPlan,
+    CallerKey, DriverDefect, OfferedRequest, PlatformBreach, PlatformFault, PlatformRig,
+    PlatformSettings, PlatformSite, PlatformStep, PlatformTrigger, RequestClass, TargetPlan,
 };
 
 /// Time from which a step triggers the faults; by then the fleet has started and serves.
@@ -30,6 +30,8 @@
     pub step: PlatformStep,
     /// Seed of all random choices.
     pub seed: u64,
+    /// Whether the configurations have customers, whose usage is reported.
+    pub has_customers: bool,
     /// Defect injected into the entries' drivers, to check that the rules detect it.
     pub defect: Option<DriverDefect>,
 }
@@ -56,12 +58,13 @@
     pub failed: Vec<PlatformCellResult>,
 }
 
-/// Returns a cell for each step, fault and seed.
+/// Returns a cell for each step, fault and seed. Those of odd seeds have customers.
 pub fn single_cells(seeds: impl Iterator<Item = u64> + Clone) -> Vec<PlatformCell> {
     cells(seeds, |fault| vec![vec![fault]])
 }
 
-/// Returns a cell for each step, pair of different faults and seed.
+/// Returns a cell for each step, pair of different faults and seed. Those of odd seeds have
+/// customers.
 pub fn pair_cells(seeds: impl Iterator<Item = u64> + Clone) -> Vec<PlatformCell> {
     cells(seeds, |first| {
         let others = PlatformFault::iter().filter(move |second| *second > first);
@@ -76,8 +79,19 @@
     let mut cells = Vec::new();
     for step in PlatformStep::iter() {
         for faults in PlatformFault::iter().flat_map(&fault_sets) {
-            for seed in seeds.clone() {
-                cells.push(PlatformCell { faults: faults.clone(), step, seed, defect: None });
+            let seeds = seeds.clone();
+            for seed in seeds {
+                let has_customers = !seed.is_multiple_of(2);
+                if step.needs_customers() && !has_customers {
+                    continue;
+                }
+                cells.push(PlatformCell {
+                    faults: faults.clone(),
+                    step,
+                    seed,
+                    has_customers,
+                    defect: None,
+                });
             }
         }
     }
@@ -86,7 +100,7 @@
 
 /// Runs one cell.
 pub fn run_cell(cell: &PlatformCell) -> PlatformCellResult {
-    let mut rig = build_fleet(cell.seed, cell.defect);
+    let mut rig = build_fleet(cell.seed, cell.has_customers, cell.defect);
     let faults = cell.faults.clone();
     rig.inject_at_step(PlatformTrigger { step: cell.step, after: FAULTS_FROM, faults });
     rig.run_until(END_TIME);
@@ -108,9 +122,14 @@
 }
 
 /// Builds a small fleet with its requests and with planned faults, which reach every step.
-pub fn build_fleet(seed: u64, defect: Option<DriverDefect>) -> PlatformRig {
-    let mut rig =
-        PlatformRig::new(PlatformSettings { seed, entries: ENTRIES, targets: targets(), defect });
+pub fn build_fleet(seed: u64, has_customers: bool, defect: Option<DriverDefect>) -> PlatformRig {
+    let mut rig = PlatformRig::new(PlatformSettings {
+        seed,
+        entries: ENTRIES,
+        targets: targets(),
+        has_customers,
+        defect,
+    });
     rig.offer(requests(seed));
     for (millis, fault, entry, target) in PLANNED_FAULTS {
         rig.inject(Duration::from_millis(millis), fault, PlatformSite { entry, target });
@@ -173,12 +192,14 @@
             at,
             classes[number % classes.len()],
             number as u64 % PREFIX_COUNT,
+            CallerKey::of_request(number),
         ));
         at += Duration::from_millis(45);
     }
     // The same poison request is sent repeatedly.
     let poison = (0..8).map(|number| {
-        offered_request(POISON_START + POISON_INTERVAL * number, RequestClass::Poison, 9)
+        let at = POISON_START + POISON_INTERVAL * number;
+        offered_request(at, RequestClass::Poison, 9, CallerKey::Plain)
     });
     calls.extend(poison);
     calls
@@ -192,12 +213,18 @@
 /// Interval at which the poison request is sent.
 const POISON_INTERVAL: Duration = Duration::from_millis(1500);
 
-fn offered_request(at: ClockTime, class: RequestClass, prefix_id: u64) -> OfferedRequest {
+fn offered_request(
+    at: ClockTime,
+    class: RequestClass,
+    prefix_id: u64,
+    key: CallerKey,
+) -> OfferedRequest {
     let has_crashing_segment = false;
     OfferedRequest {
         at,
         class,
         prefix_id,
+        key,
         has_crashing_segment,
         retries: 1,
         retries_at_once: false,
--- a/emulator/src/platform_rig.rs
+++ b/emulator/src/platform_rig.rs
@@ -9,8 +9,8 @@
 use rand::{SeedableRng, rngs::StdRng};
 use sapphirewell::{
     direct::{
-        CallNumber, CallOutcome, DirectEvent, EvidenceChange, FlowId, StageOrder, SuspectChange,
-        TargetStage, VersionChange,
+        CallNumber, CallOutcome, DirectEvent, EvidenceChange, FlowId, RouteTable, StageOrder,
+        SuspectChange, TargetStage, VersionChange,
     },
     ids::ClockTime,
 };
@@ -18,6 +18,7 @@
 use crate::event_queue::EventQueue;
 
 mod caller;
+mod customer;
 mod entry;
 mod fault;
 mod orders;
@@ -25,8 +26,10 @@
 mod step;
 mod store;
 mod target;
+mod usage;
 
 pub use caller::{AttemptAnswer, AttemptRecord, OfferedRequest, RequestClass};
+pub use customer::CallerKey;
 pub use entry::{DriverDefect, EntryId};
 pub use fault::{PlatformFault, PlatformSite};
 pub use referee::{PlatformBreach, PlatformRule};
@@ -39,6 +42,7 @@
 use referee::RuleChecker;
 use store::StoreModel;
 use target::{SimCall, SimTarget};
+use usage::{UsagePlatform, UsageReport};
 
 /// One-way network delay between two processes.
 const NETWORK_DELAY: Duration = Duration::from_micros(1500);
@@ -56,6 +60,8 @@
     pub entries: usize,
     /// Targets that are registered at the start.
     pub targets: Vec<TargetPlan>,
+    /// Whether configurations have customers, so that callers are known by their keys.
+    pub has_customers: bool,
     /// Defect injected into the entries' drivers, to check that the rules detect it.
     pub defect: Option<DriverDefect>,
 }
@@ -71,6 +77,7 @@
     pub(crate) targets: Vec<SimTarget>,
     pub(crate) callers: AttemptLog,
     pub(crate) checker: RuleChecker,
+    pub(crate) usage: UsagePlatform,
     trigger: Option<PlatformTrigger>,
     reached: BTreeSet<PlatformStep>,
     pub(crate) reports_lost_until: ClockTime,
@@ -185,6 +192,9 @@
         target: TargetIndex,
         start: u64,
     },
+    UsageReport {
+        report: Box<UsageReport>,
+    },
     Fault {
         fault: PlatformFault,
         site: PlatformSite,
@@ -204,13 +214,15 @@
             targets: Vec::new(),
             callers: AttemptLog::default(),
             checker: RuleChecker::default(),
+            usage: UsagePlatform::default(),
             trigger: None,
             reached: BTreeSet::new(),
             reports_lost_until: ClockTime::ZERO,
             next_run: 0,
             settings,
         };
-        rig.store.write_routes(rig.now, route_table(1, false));
+        let routes = RouteTable { customers: rig.customers(false), ..route_table(1, false) };
+        rig.store.write_routes(rig.now, routes);
         for plan in rig.settings.targets.clone() {
             rig.add_target(plan);
         }
@@ -335,6 +347,7 @@
                 self.stage_changes(target, start, stage);
             }
             RigEvent::SegmentCrash { target, start } => self.crash_by_segment(target, start),
+            RigEvent::UsageReport { report } => self.usage_report_arrives(*report),
             RigEvent::Fault { fault, site, ends } => self.apply_fault(fault, site, ends),
         }
     }
@@ -356,6 +369,7 @@
             | RigEvent::Machine { entry, .. }
             | RigEvent::AnswerTimeout { entry, .. } => *entry,
             RigEvent::FromTarget { call, .. } => call.entry,
+            RigEvent::UsageReport { report } => report.entry,
             RigEvent::Attempt { attempt } => self.callers.record(*attempt).entry?,
             _ => return None,
         };
--- a/emulator/src/platform_rig/caller.rs
+++ b/emulator/src/platform_rig/caller.rs
@@ -1,18 +1,19 @@
 //! Simulated callers of the platform, with a record of each attempt.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use rand::RngExt;
 use sapphirewell::{
     direct::{
-        DirectRequest, PromptSegment, PromptShape, RequestFailure, RequestIdentity, StreamId,
-        StreamResume,
+        CustomerConfig, DirectRequest, PromptSegment, PromptShape, RequestFailure, RequestIdentity,
+        StreamId, StreamResume,
     },
     ids::ClockTime,
+    platform::caller::ValidatedHead,
 };
 use strum::Display;
 
-use super::{DriverDefect, EntryId, PlatformRig, PlatformSite, PlatformStep, RigEvent};
+use super::{CallerKey, DriverDefect, EntryId, PlatformRig, PlatformSite, PlatformStep, RigEvent};
 
 /// Class of a request, which determines its route and the size of its work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -64,6 +65,8 @@
     pub class: RequestClass,
     /// Id of the prompt prefix; dossiers with the same id share a long prefix.
     pub prefix_id: u64,
+    /// Key that the caller states, where configurations have customers.
+    pub key: CallerKey,
     /// Whether its prompt shares the segment that crashes each engine.
     pub has_crashing_segment: bool,
     /// Maximum number of attempts after this one.
@@ -81,6 +84,8 @@
     Whole,
     /// The answer or the connection was interrupted.
     Broken,
+    /// The entry rejected the caller's key.
+    Rejected,
     /// The system itself answered with a failure.
     Own(RequestFailure),
     /// The caller disconnected.
@@ -197,13 +202,11 @@
 
     /// Builds the state machine's request for an attempt.
     ///
-    /// Returns `None` while the entry has no configuration.
-    pub(super) fn build_request(&self, attempt: usize) -> Option<DirectRequest> {
+    /// It is of the route and the customer that its head was validated for.
+    pub(super) fn build_request(&self, attempt: usize, head: &ValidatedHead) -> DirectRequest {
         let record = self.callers.record(attempt);
-        let entry = record.entry?;
-        let routes = self.entries[entry].machine.routes()?.clone();
         let class = record.request.class;
-        let route = routes.find("host", &format!("/{class}/x"))?.clone();
+        let route = head.route.clone();
         let prefix_id = record.request.prefix_id;
         let shared = match class {
             RequestClass::Dossier => Some((SHARED_TOKENS, OWN_TOKENS)),
@@ -231,7 +234,18 @@
         let resumes = record.resumes.filter(|_| !ignored);
         let resumes = resumes.map(|first| StreamResume { stream: Some(stream_id(first)) });
         let id = stream_id(attempt);
-        Some(DirectRequest { id, route, customer: None, time_left, prompt, identity, resumes })
+        let customer = head.identity.customer().cloned();
+        let customer = customer.map(|customer| self.with_priority(customer));
+        DirectRequest { id, route, customer, time_left, prompt, identity, resumes }
+    }
+
+    fn with_priority(&self, customer: Arc<CustomerConfig>) -> Arc<CustomerConfig> {
+        match self.settings.defect {
+            Some(DriverDefect::CustomerPriorityIgnored) => {
+                Arc::new(CustomerConfig { priority: None, ..(*customer).clone() })
+            }
+            _ => customer,
+        }
     }
 
     /// Ends an open attempt and schedules the caller's retry, if there is one.
--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -1,12 +1,13 @@
 //! Simulated entries: the real state machine, inside a model of its I/O driver.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use hyper::header::HeaderMap;
 use rand::RngExt;
 use sapphirewell::{
     direct::{
         CallNumber, CallOutcome, DirectAction, DirectEvent, DirectMachine, DirectSettings,
-        DirectTarget, FlowId, PeerName, StopPhase, StoreGeneration, StreamMessage,
+        DirectTarget, FlowId, PeerName, RouteTable, StopPhase, StoreGeneration, StreamMessage,
     },
     ids::{ClockTime, TargetId},
 };
@@ -17,6 +18,7 @@
     RigEvent, TICK_INTERVAL, TargetSignal,
     caller::AttemptAnswer,
     target::{SimCall, TargetIndex},
+    usage::usage_settings,
 };
 
 /// Index of an entry in the rig.
@@ -67,6 +69,22 @@
     RestoresIgnored,
     /// The stream that a request takes up is not passed on to the state machine.
     ResumesIgnored,
+    /// A process knows callers by the first configuration that it served with.
+    CustomersReadOnce,
+    /// A request with an unknown key is served as one without a key.
+    UnknownKeyAnonymous,
+    /// A caller's key is passed on to targets.
+    KeyForwarded,
+    /// A customer's name that a caller without a key states is passed on to targets.
+    ForgedNameForwarded,
+    /// The priority of a customer is not passed on to the state machine.
+    CustomerPriorityIgnored,
+    /// Reports of usage are sent whatever claim and counts the store holds.
+    UsageClaimUnchecked,
+    /// Messages about usage are not sent to other entries.
+    UsageMessagesOmitted,
+    /// Messages about usage hold no counts.
+    UsageCountsOmitted,
     /// An interrupted answer is passed on as complete.
     #[strum(serialize = "break_as_end")]
     TruncatedAsComplete,
@@ -76,6 +94,8 @@
 #[derive(Debug)]
 struct SimFlow {
     attempt: usize,
+    /// Headers of the caller that targets get.
+    forwarded: Arc<HeaderMap>,
     call: Option<(CallNumber, TargetIndex)>,
     delivering: bool,
 }
@@ -105,6 +125,8 @@
     /// Spans of time in which rules with time limits are not checked for this entry.
     pub(super) disturbances: Vec<(ClockTime, ClockTime)>,
     pub(super) shown_version: u64,
+    /// Configuration with which the process first took a request.
+    pub(super) first_routes: Option<Arc<RouteTable>>,
     flows: BTreeMap<FlowId, SimFlow>,
     next_flow: FlowId,
     reports: u64,
@@ -147,6 +169,7 @@
             targets_read_at: ClockTime::ZERO,
             disturbances: Vec::new(),
             shown_version: 0,
+            first_routes: None,
             flows: BTreeMap::new(),
             next_flow: 0,
             reports: 0,
@@ -168,7 +191,7 @@
             retry_window: RETRY_WINDOW,
             lease: Duration::from_secs(3),
             drain_bound: Duration::from_secs(2),
-            usage: None,
+            usage: self.settings.has_customers.then(usage_settings),
         })
     }
 
@@ -189,8 +212,10 @@
         sim.next_record = None;
         sim.known_leaving.clear();
         sim.shown_version = 0;
+        sim.first_routes = None;
         sim.add_disturbance(now, now);
         let process = sim.process;
+        self.update_clock(entry);
         for event in [
             RigEvent::Tick { entry, process },
             RigEvent::ReadTargets { entry, process },
@@ -239,6 +264,7 @@
         }
         self.schedule_after(TICK_INTERVAL, RigEvent::Tick { entry, process });
         if self.settings.defect != Some(DriverDefect::NoTicks) {
+            self.update_clock(entry);
             self.step_machine(entry, DirectEvent::Tick);
         }
         if self.entries[entry].machine.stop_phase(self.now) == StopPhase::Exiting {
@@ -249,13 +275,18 @@
     /// Submits an attempt to the entry's state machine.
     pub(super) fn submit(&mut self, entry: EntryId, attempt: usize) {
         self.check_configuration(entry);
-        let Some(request) = self.build_request(attempt) else {
+        let Some(routes) = self.entries[entry].machine.routes().cloned() else {
             return self.reject_unready(attempt);
         };
+        self.entries[entry].first_routes.get_or_insert_with(|| routes.clone());
+        let Some((head, forwarded)) = self.identify(entry, attempt, &routes) else {
+            return self.end_attempt(attempt, AttemptAnswer::Rejected);
+        };
+        let request = self.build_request(attempt, &head);
         let sim = &mut self.entries[entry];
         sim.next_flow += 1;
         let flow = sim.next_flow;
-        sim.flows.insert(flow, SimFlow { attempt, call: None, delivering: false });
+        sim.flows.insert(flow, SimFlow { attempt, forwarded, call: None, delivering: false });
         self.checker.record_offered(self.now, &request.route.services[0].service);
         self.step_machine(entry, DirectEvent::Submit { flow, request: Box::new(request) });
     }
@@ -282,7 +313,8 @@
     fn perform_action(&mut self, entry: EntryId, action: DirectAction) {
         match action {
             DirectAction::Call { flow, call, target, step, time_left, priority, .. } => {
-                let Some(attempt) = self.attempt_of(entry, flow) else { return };
+                let Some(sim) = self.entries[entry].flows.get(&flow) else { return };
+                let (attempt, forwarded) = (sim.attempt, sim.forwarded.clone());
                 let ignored = self.settings.defect == Some(DriverDefect::DeadlineIgnored);
                 let time_left = if ignored { Duration::from_secs(60) } else { time_left };
                 let process = self.entries[entry].process;
@@ -292,6 +324,7 @@
                     flow,
                     number: call,
                     attempt,
+                    forwarded,
                     target: target.clone(),
                     step,
                     priority,
@@ -329,8 +362,7 @@
             }
             DirectAction::Claim => self.append_claim(entry),
             DirectAction::Order(order) => self.send_order(entry, order),
-            // The rig's entries have no usage to report.
-            DirectAction::Usage(_) => {}
+            DirectAction::Usage(action) => self.perform_usage(entry, action),
             DirectAction::PersistSuspect(change) => {
                 let process = self.entries[entry].process;
                 self.persist_suspect(entry, process, change);
@@ -436,6 +468,11 @@
             return;
         }
         let (attempt, delivering) = (sim.attempt, sim.delivering);
+        if self.begins_to_run(attempt, delivering, &signal) {
+            let customer = super::customer::customer_name(&call.forwarded);
+            self.record_begun(attempt, customer);
+        }
+        let Some(sim) = self.entries[entry].flows.get_mut(&flow) else { return };
         match signal {
             TargetSignal::Outcome(outcome) => {
                 if !matches!(outcome, CallOutcome::Answered { .. }) {
@@ -468,6 +505,20 @@
         }
     }
 
+    /// Returns whether a signal is the first output of a request that is not the rest of a stream.
+    fn begins_to_run(&self, attempt: usize, delivering: bool, signal: &TargetSignal) -> bool {
+        let record = self.callers.record(attempt);
+        match signal {
+            TargetSignal::Outcome(CallOutcome::Answered { .. }) => {
+                !record.request.class.is_stream()
+            }
+            TargetSignal::Output(1) => {
+                delivering && record.request.class.is_stream() && record.resumes.is_none()
+            }
+            _ => false,
+        }
+    }
+
     fn apply_defect(&self, outcome: CallOutcome) -> CallOutcome {
         match (self.settings.defect, &outcome) {
             (Some(DriverDefect::LostAsUnreachable), CallOutcome::Lost { .. }) => {
--- a/emulator/src/platform_rig/fault.rs
+++ b/emulator/src/platform_rig/fault.rs
@@ -10,7 +10,7 @@
 use strum::{Display, EnumIter, EnumString};
 
 use super::{
-    EntryId, PlatformRig, PlatformRule, PlatformStep, RigEvent, TargetIndex, TargetPlan,
+    CallerKey, EntryId, PlatformRig, PlatformRule, PlatformStep, RigEvent, TargetIndex, TargetPlan,
     caller::{AttemptAnswer, OfferedRequest, RequestClass},
     target::{SimTarget, TargetState},
 };
@@ -83,6 +83,10 @@
     StoreLosesHistory,
     /// The store is away for a moment and comes back from an older copy.
     StoreRestored,
+    /// The platform takes no reports of usage.
+    UsageDown,
+    /// The platform takes reports of usage, and its answers are lost.
+    UsageAnswersLost,
     /// The operator changes the configuration.
     ChangeConfiguration,
     /// The operator changes the configuration six times in quick succession.
@@ -238,6 +242,8 @@
                 self.schedule_after(RESTORE_OUTAGE, RigEvent::StoreReturns { copied });
                 schedule_end(self, RESTORE_OUTAGE + RELIST_DELAY);
             }
+            PlatformFault::UsageDown => self.usage.down_until = until,
+            PlatformFault::UsageAnswersLost => self.usage.loses_answers_until = until,
             PlatformFault::ChangeConfiguration => self.change_routes(),
             PlatformFault::ConfigurationStorm => {
                 self.change_routes();
@@ -447,6 +453,7 @@
             at: now + Duration::from_millis(10) * number,
             class: classes[number as usize % classes.len()],
             prefix_id: u64::from(100 + number % 41),
+            key: CallerKey::of_request(number as usize),
             retries: if retries_at_once { 8 } else { 1 },
             has_crashing_segment: false,
             retries_at_once,
@@ -464,6 +471,7 @@
             class: classes[number as usize % classes.len()],
             // Sound dossiers share this prefix.
             prefix_id: 1,
+            key: CallerKey::Plain,
             has_crashing_segment: true,
             retries: 1,
             retries_at_once: false,
--- a/emulator/src/platform_rig/referee.rs
+++ b/emulator/src/platform_rig/referee.rs
@@ -11,21 +11,22 @@
 use super::{
     EntryId, PlatformRig, TargetIndex,
     caller::{AttemptAnswer, AttemptRecord, RequestClass},
+    customer::ServedIdentity,
     entry::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW},
     store::service_of,
     target::{SimCall, TargetState},
 };
 
 /// Time without a disturbance after which rules with time limits are checked.
-const STABLE_WINDOW: Duration = Duration::from_secs(3);
+pub(super) const STABLE_WINDOW: Duration = Duration::from_secs(3);
 /// Time from a target's announcement after which it must get no new calls.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
 /// Time after which entries must use a new configuration.
-const APPLY_LIMIT: Duration = Duration::from_secs(2);
+pub(super) const APPLY_LIMIT: Duration = Duration::from_secs(2);
 /// Tolerance for a call beyond its caller's deadline, and for work after its attempt ended.
 const TIME_TOLERANCE: Duration = Duration::from_millis(500);
 /// Time after an order within which no other entry may send orders.
-const LEASE: Duration = Duration::from_secs(3);
+pub(super) const LEASE: Duration = Duration::from_secs(3);
 /// Crashes after which a request counts as poison, and calls that may still arrive for it.
 const CRASH_LIMIT: usize = 3;
 /// Crashes after which a segment counts as known to crash engines, and requests that may still
@@ -65,6 +66,20 @@
     InForce,
     /// A process never reverts to an older configuration.
     NeverReverts,
+    /// A request is served only for the customer to whom its caller's key belongs, under the name
+    /// of that customer, and rejected only where the key belongs to none.
+    KeyInForce,
+    /// No target gets a caller's key.
+    KeyWithheld,
+    /// A call has the priority of its customer, or that of its route.
+    CustomerPriority,
+    /// One entry at a time reports usage, and each window with the same counts.
+    OneReporter,
+    /// A report counts the requests that began to run: never more, and without disturbance about
+    /// as many.
+    UsageCounted,
+    /// Windows after the last fault are reported in time.
+    UsageReported,
     /// A caller gets the complete answer in order, or sees that it was interrupted.
     WholeOwnAnswer,
     /// A stream holds events of one software version, over all attempts of its caller.
@@ -109,6 +124,8 @@
     orders: BTreeMap<TargetIndex, (ClockTime, EntryId, u64)>,
     /// Software version that began each stream, by the attempt that began it.
     stream_versions: BTreeMap<usize, SoftwareVersion>,
+    /// For whom each attempt may be served.
+    pub(super) expected_identities: BTreeMap<usize, Vec<ServedIdentity>>,
     breaches: Vec<PlatformBreach>,
 }
 
@@ -163,7 +180,7 @@
 
 impl PlatformRig {
     /// Returns whether an entry, the store and the reports were undisturbed for long enough.
-    fn is_undisturbed(&self, entry: EntryId) -> bool {
+    pub(super) fn is_undisturbed(&self, entry: EntryId) -> bool {
         let start = self.now.saturating_sub(STABLE_WINDOW);
         !self.entries[entry].is_disturbed(start, self.now)
             && self.store.disturbed_until + STABLE_WINDOW <= self.now
@@ -194,6 +211,7 @@
 
     /// Checks a call that reached its intended target, and counts it against the retry budget.
     pub(super) fn check_arrival(&mut self, call: &SimCall, target: TargetIndex) {
+        self.check_customer(call, target);
         let now = self.now;
         let class = self.callers.record(call.attempt).request.class;
         let service = self.targets[target].plan.service.clone();
@@ -349,10 +367,15 @@
                 add(PlatformRule::Ends, seen);
             }
         }
+        let missed = self.missed_windows(served_from);
+        if !missed.is_empty() {
+            add(PlatformRule::UsageReported, format!("windows {missed:?}"));
+        }
         let counts = |record: &&AttemptRecord| {
             record.sent >= served_from
                 && record.sent + TIME_TOLERANCE * 10 < self.now
                 && record.request.class != RequestClass::Poison
+                && record.answer != AttemptAnswer::Rejected
                 && !record.request.has_crashing_segment
                 && self.is_servable(record.request.class)
         };
--- a/emulator/src/platform_rig/step.rs
+++ b/emulator/src/platform_rig/step.rs
@@ -62,6 +62,18 @@
     OrderSent,
     /// The engine has accepted the order.
     OrderAccepted,
+    /// An entry claims the right to report usage.
+    UsageClaimed,
+    /// The entry that reports usage reads the duty's records.
+    UsageRead,
+    /// It saves counts in the store.
+    UsageSaved,
+    /// It fixes the counts of a window.
+    UsageFixed,
+    /// It checks its claim before a report.
+    UsageChecked,
+    /// It sends the report, or gives it up as the check is too old.
+    UsageReported,
     /// The process of an entry starts.
     EntryStarted,
     /// An entry gets the stop signal and starts to drain.
@@ -69,6 +81,21 @@
     DrainStarted,
 }
 
+impl PlatformStep {
+    /// Returns whether the step is reached only where configurations have customers.
+    pub fn needs_customers(self) -> bool {
+        matches!(
+            self,
+            PlatformStep::UsageClaimed
+                | PlatformStep::UsageRead
+                | PlatformStep::UsageSaved
+                | PlatformStep::UsageFixed
+                | PlatformStep::UsageChecked
+                | PlatformStep::UsageReported
+        )
+    }
+}
+
 /// Faults to inject when a step is reached.
 #[derive(Debug, Clone)]
 pub struct PlatformTrigger {
--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -19,7 +19,7 @@
 
 use super::{
     DriverDefect, EntryId, NETWORK_DELAY, PlatformRig, PlatformSite, PlatformStep, RigEvent,
-    caller::RequestClass,
+    caller::RequestClass, customer::allows_anonymous, usage::UsageStore,
 };
 
 /// Pause between two reads of the targets, as in the entries' real readers.
@@ -38,7 +38,7 @@
 pub(super) const COPY_INTERVAL: Duration = Duration::from_millis(500);
 const MAX_COPIES: usize = 24;
 /// Time after which a call of the store that gets no response fails.
-const READ_TIMEOUT: Duration = Duration::from_millis(900);
+pub(super) const READ_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Record of a target's registration, or of its removal where that is `None`.
 #[derive(Debug, Clone)]
@@ -69,6 +69,8 @@
     copies: VecDeque<(ClockTime, StoreModel)>,
     /// Entries that claimed the right to order engines, in the order of their claims.
     pub(crate) claims: Vec<EntryId>,
+    /// Records of the usage duty.
+    pub(super) usage: UsageStore,
     /// Configurations with the times at which the store accepted them.
     pub(crate) routes: Vec<(ClockTime, Arc<RouteTable>)>,
     pub(crate) down_until: ClockTime,
@@ -394,7 +396,9 @@
     pub(super) fn change_routes(&mut self) {
         let number = self.store.routes.len() as u64;
         let version = 1 + 3 * number + self.rng.random_range(0..2);
-        let table = route_table(version, !number.is_multiple_of(2));
+        let is_second = !number.is_multiple_of(2);
+        let customers = self.customers(is_second);
+        let table = RouteTable { customers, ..route_table(version, is_second) };
         self.store.write_routes(self.now, table);
         self.record_step(PlatformStep::ConfigurationWritten, PlatformSite { entry: 0, target: 0 });
     }
@@ -486,6 +490,11 @@
     }
 }
 
+/// Returns the priority of a class's route.
+pub(super) fn route_priority(class: RequestClass) -> u8 {
+    u8::from(class == RequestClass::Dossier)
+}
+
 fn route(class: RequestClass, moved: bool) -> RouteConfig {
     let (retry, timeout, objective, max_attempts) = match class {
         RequestClass::Dossier => (RetryPolicy::Resume, 5000, 500, 2),
@@ -502,9 +511,9 @@
         streams: class.is_stream(),
         timeout: Duration::from_millis(timeout),
         objective: Duration::from_millis(objective),
-        priority: u8::from(class == RequestClass::Dossier),
+        priority: route_priority(class),
         max_attempts,
-        allows_anonymous: true,
+        allows_anonymous: allows_anonymous(class),
         services: [service].into_iter().collect(),
     }
 }
--- a/emulator/src/platform_rig/target.rs
+++ b/emulator/src/platform_rig/target.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use hyper::header::HeaderMap;
 use rand::RngExt;
 use sapphirewell::{
     direct::{
@@ -76,6 +77,8 @@
     pub(crate) flow: FlowId,
     pub(crate) number: CallNumber,
     pub(crate) attempt: usize,
+    /// Headers of the caller that the target gets.
+    pub(crate) forwarded: Arc<HeaderMap>,
     pub(crate) target: Arc<DirectTarget>,
     pub(crate) step: CallStep,
     pub(crate) priority: u8,
--- a/emulator/tests/platform_matrix.rs
+++ b/emulator/tests/platform_matrix.rs
@@ -45,7 +45,13 @@
 fn a_crashing_request_is_blocked_beside_a_crashing_segment() {
     let faults = vec![PlatformFault::AllLosePower, PlatformFault::CrashingSegment];
     let step = PlatformStep::CacheFetched;
-    assert_no_failed_cell(&[PlatformCell { faults, step, seed: 1, defect: None }]);
+    assert_no_failed_cell(&[PlatformCell {
+        faults,
+        step,
+        seed: 1,
+        has_customers: false,
+        defect: None,
+    }]);
 }
 
 fn has_crashing_segment(cell: &PlatformCell) -> bool {
@@ -55,7 +61,7 @@
 /// A cell whose step is never reached injects nothing and passes unnoticed.
 #[test]
 fn planned_faults_alone_reach_every_step() {
-    let mut rig = platform_matrix::build_fleet(1, None);
+    let mut rig = platform_matrix::build_fleet(1, true, None);
     rig.run_until(Duration::from_secs(38));
     let missing: Vec<PlatformStep> =
         PlatformStep::iter().filter(|step| !rig.has_reached(*step)).collect();
@@ -73,7 +79,13 @@
 )]
 fn no_stream_goes_on_at_a_target_that_started_again_with_another_version(step: PlatformStep) {
     let faults = vec![PlatformFault::CrashTargetSameId, PlatformFault::UpgradeTarget];
-    assert_no_failed_cell(&[PlatformCell { faults, step, seed: 1, defect: None }]);
+    assert_no_failed_cell(&[PlatformCell {
+        faults,
+        step,
+        seed: 1,
+        has_customers: false,
+        defect: None,
+    }]);
 }
 
 /// All entries lose power, and connections are reset, as a target declines a call.
@@ -81,7 +93,28 @@
 fn requests_are_served_again_after_a_power_loss_with_reset_connections() {
     let faults = vec![PlatformFault::AllLosePower, PlatformFault::ResetConnections];
     let step = PlatformStep::CallDeclined;
-    assert_no_failed_cell(&[PlatformCell { faults, step, seed: 1, defect: None }]);
+    assert_no_failed_cell(&[PlatformCell {
+        faults,
+        step,
+        seed: 1,
+        has_customers: false,
+        defect: None,
+    }]);
+}
+
+/// An answer goes on after a cut that took its begin, and must not overtake the loss of the
+/// connection.
+#[test]
+fn a_connection_that_a_cut_broke_carries_nothing_after_it() {
+    let faults = vec![PlatformFault::CutFromTarget, PlatformFault::SlowTarget];
+    let step = PlatformStep::SecondCallSent;
+    assert_no_failed_cell(&[PlatformCell {
+        faults,
+        step,
+        seed: 1,
+        has_customers: false,
+        defect: None,
+    }]);
 }
 
 /// Guards against rules that never fail: each defect must break its rule in some cell.
@@ -100,12 +133,33 @@
     no_ticks = { DriverDefect::NoTicks, PlatformRule::Ends },
     restores_ignored = { DriverDefect::RestoresIgnored, PlatformRule::LeavingTarget },
     resumes_ignored = { DriverDefect::ResumesIgnored, PlatformRule::OneVersion },
+    customers_read_once = { DriverDefect::CustomersReadOnce, PlatformRule::KeyInForce },
+    unknown_key_anonymous = { DriverDefect::UnknownKeyAnonymous, PlatformRule::KeyInForce },
+    key_forwarded = { DriverDefect::KeyForwarded, PlatformRule::KeyWithheld },
+    forged_name_forwarded = { DriverDefect::ForgedNameForwarded, PlatformRule::KeyInForce },
+    customer_priority_ignored =
+        { DriverDefect::CustomerPriorityIgnored, PlatformRule::CustomerPriority },
     break_as_end = { DriverDefect::TruncatedAsComplete, PlatformRule::WholeOwnAnswer },
 )]
 fn each_driver_defect_is_detected(defect: DriverDefect, rule: PlatformRule) {
-    let cells = platform_matrix::single_cells(1..3).into_iter();
-    let cells: Vec<PlatformCell> =
-        cells.map(|cell| PlatformCell { defect: Some(defect), ..cell }).collect();
+    assert_detected(defect, rule, platform_matrix::single_cells(1..3));
+}
+
+/// The same with faults at the steps of the usage duty.
+#[parameterized(
+    usage_claim_unchecked = { DriverDefect::UsageClaimUnchecked, PlatformRule::OneReporter },
+    usage_messages_omitted = { DriverDefect::UsageMessagesOmitted, PlatformRule::UsageReported },
+    usage_counts_omitted = { DriverDefect::UsageCountsOmitted, PlatformRule::UsageCounted },
+)]
+fn each_defect_of_the_usage_duty_is_detected(defect: DriverDefect, rule: PlatformRule) {
+    let mut cells = platform_matrix::single_cells(1..2);
+    cells.retain(|cell| cell.step.needs_customers());
+    assert_detected(defect, rule, cells);
+}
+
+fn assert_detected(defect: DriverDefect, rule: PlatformRule, cells: Vec<PlatformCell>) {
+    let cells = cells.into_iter().map(|cell| PlatformCell { defect: Some(defect), ..cell });
+    let cells: Vec<PlatformCell> = cells.collect();
     let detected = cells.chunks(CELLS_PER_CHUNK).any(|chunk| {
         let summary = platform_matrix::run_cells(chunk);
         summary.failed.iter().any(|f| f.breaches.iter().any(|breach| breach.rule == rule))
