Let the soak change customers' keys, restore the store and report usage

The soak around stops had callers without keys, a store that stays, and no duty. Now keys are added, removed and moved each 1.1 s, the store is restored from older copies, entries report usage to an interface that refuses some reports and loses some answers, and bursts of long prompts make requests wait beyond their objective. Judged in addition: targets get the right customer and never a key, a lasting key is never rejected, 401 is a promise as 503 is, no two holders report usage, and no more is reported than began to run; late runs must have occurred.

--- a/emulator/src/stand_in/fleet.rs
+++ b/emulator/src/stand_in/fleet.rs
@@ -30,6 +30,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Number of missed heartbeats after which a registration is removed.
 const MISSED_HEARTBEATS: u32 = 3;
+/// Length of a window of usage, and the time for its report.
+const USAGE_TIMES: &str = "bounds.report_window_s=2\nbounds.usage_late_s=8";
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 const STOP_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -58,6 +60,8 @@
     /// Entry processes by index; a restarted entry replaces the old process.
     pub entries: Vec<ChildProcess>,
     sizes: PlatformSizes,
+    /// Address at which usage is reported.
+    usage: Option<SocketAddr>,
     store_address: SocketAddr,
     program: PathBuf,
     folder: PathBuf,
@@ -73,6 +77,17 @@
     /// Returns an error if a process or stand-in cannot start, or a timeout if an
     /// entry does not become ready.
     pub async fn spawn(sizes: PlatformSizes) -> io::Result<PlatformFleet> {
+        PlatformFleet::spawn_with_usage(sizes, None).await
+    }
+
+    /// Starts the same with entries that report usage to an address, if there is one.
+    ///
+    /// # Errors
+    /// Returns the errors of [`spawn`](Self::spawn).
+    pub async fn spawn_with_usage(
+        sizes: PlatformSizes,
+        usage: Option<SocketAddr>,
+    ) -> io::Result<PlatformFleet> {
         let store = StoreModel::default();
         let served = store.clone();
         let (store_address, _) =
@@ -88,6 +103,7 @@
             runners: Vec::new(),
             entries: Vec::new(),
             sizes,
+            usage,
             store_address,
             program: processes::system_program()?,
             folder,
@@ -133,18 +149,29 @@
 
     /// Writes a configuration with customers, each with its keys.
     pub fn configure_customers(&self, version: u64, customers: &[(&str, &[&str])]) {
+        self.configure_customers_and_timeout(version, customers, None);
+    }
+
+    /// Writes a configuration with customers, and with the same timeout for all routes if there is
+    /// one.
+    pub fn configure_customers_and_timeout(
+        &self,
+        version: u64,
+        customers: &[(&str, &[&str])],
+        timeout: Option<Duration>,
+    ) {
         let mut config = configuration(version, ENGINES);
-        let customer = |(name, keys): &(&str, &[&str])| json!({ "name": name, "api_keys": keys });
         config["tenants"] = customers.iter().map(customer).collect();
+        if let Some(timeout) = timeout {
+            set_timeout(&mut config, timeout);
+        }
         self.store.put("keyed.op", "config", Some(config.to_string().as_bytes()));
     }
 
     /// Writes a configuration with the same timeout for all routes.
     pub fn configure_timeout(&self, version: u64, timeout: Duration) {
         let mut config = configuration(version, ENGINES);
-        for route in config["routes"].as_array_mut().into_iter().flatten() {
-            route["timeout_ms"] = json!(timeout.as_millis() as u64);
-        }
+        set_timeout(&mut config, timeout);
         self.store.put("keyed.op", "config", Some(config.to_string().as_bytes()));
     }
 
@@ -314,7 +341,11 @@
         let port = self.port(index);
         let seeds: Vec<String> =
             (0..self.sizes.entries).map(|seed| self.inspection(seed).to_string()).collect();
+        let usage = self.usage.map_or_else(String::new, |address| {
+            format!("cloud_api.address={address}\ncloud_api.duties=usage\n{USAGE_TIMES}")
+        });
         [
+            usage,
             format!("node=front-{index}"),
             "zone=zone-a".to_owned(),
             "ip=127.0.0.1".to_owned(),
@@ -364,6 +395,16 @@
     route
 }
 
+fn set_timeout(config: &mut serde_json::Value, timeout: Duration) {
+    for route in config["routes"].as_array_mut().into_iter().flatten() {
+        route["timeout_ms"] = json!(timeout.as_millis() as u64);
+    }
+}
+
+fn customer((name, keys): &(&str, &[&str])) -> serde_json::Value {
+    json!({ "name": name, "api_keys": keys })
+}
+
 fn configuration(version: u64, note_service: &str) -> serde_json::Value {
     let route = |name: &str, kind: &str, timeout: u64, objective: u64, attempts: u64| {
         json!({
--- a/emulator/tests/regressions/refused_request_ran_around_stops.rs
+++ b/emulator/tests/regressions/refused_request_ran_around_stops.rs
@@ -1,8 +1,10 @@
 //! A request was refused as not run and ran, when processes stopped, died or came back meanwhile.
 
+mod customer;
 mod fault;
 mod judge;
 mod target;
+mod usage;
 
 use std::{
     sync::{
@@ -16,6 +18,7 @@
     caller::{CallerKind, CallerOutcome, CallerRequest},
     fleet::{PlatformFleet, PlatformSizes},
     kept_connection::{KeptConnection, KeptRecord, send_on_new},
+    store::StoreRestore,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use tokio::time::{Instant, sleep};
@@ -23,6 +26,7 @@
 use fault::{Action::*, FaultScript, Processes, Scope};
 use judge::Report;
 use target::{Stage, StoppableTarget, TargetWorld, Work};
+use usage::UsagePlatform;
 
 const ENTRIES: usize = 3;
 const TARGETS: [(Stage, usize); 3] = [(Stage::Plain, 3), (Stage::Prefill, 3), (Stage::Decode, 3)];
@@ -47,6 +51,14 @@
 /// Time for which the callers' last requests find their targets stopped.
 const LAST_STOP: Duration = Duration::from_millis(1500);
 
+/// Longest time of a restore of the store.
+const RESTORE_TIME: Duration = Duration::from_secs(2);
+/// Requests of a burst, the time between two bursts, and the deadline of the requests, which lets
+/// them wait beyond their objective.
+const BURST_SIZE: usize = 60;
+const BURST_INTERVAL: Duration = Duration::from_secs(3);
+const BURST_DEADLINE: Duration = Duration::from_millis(2400);
+
 /// Times of a process that runs between two stops, in milliseconds.
 const RUNNING: (u64, u64) = (5, 250);
 /// Times of a stop.
@@ -245,6 +257,7 @@
             let shared = 0xd000 + rng.random_range(0..200_u64);
             request.segments = Some(vec![(shared, 9000), (0x10_0000 + number, 3000)]);
         }
+        request.key = Some(customer::draw_key(rng));
         match rng.random_range(0..10_u32) {
             0..4 => request.deadline = Duration::from_millis(rng.random_range(30..400)),
             4..8 => request.deadline = Duration::from_millis(rng.random_range(400..1500)),
@@ -281,6 +294,28 @@
         }
     }
 
+    /// Sends many notes with long prompts at once from time to time.
+    async fn send_bursts(self, mut rng: SmallRng) {
+        let mut calls = tokio::task::JoinSet::new();
+        while !self.ended.load(Ordering::Relaxed) {
+            sleep(BURST_INTERVAL).await;
+            for number in 0..BURST_SIZE {
+                let address = self.processes.fleet().entry(number % ENTRIES);
+                let mut request = self.request(&mut rng);
+                request.kind = CallerKind::Note;
+                request.segments = Some(vec![(rng.random_range(0..u64::MAX >> 8), 12_000)]);
+                request.key = Some(customer::LASTING_KEY.to_owned());
+                request.deadline = BURST_DEADLINE;
+                calls.spawn(send_on_new(address, request, Duration::ZERO));
+            }
+        }
+        while let Some(record) = calls.join_next().await {
+            if let Some(record) = record.unwrap() {
+                self.record(record);
+            }
+        }
+    }
+
     /// Sends requests on new connections to all entries, and waits for their outcomes.
     async fn send_on_new_connections(self, mut rng: SmallRng) {
         let mut calls = tokio::task::JoinSet::new();
@@ -297,12 +332,30 @@
     }
 }
 
+/// Restores the store from older copies until a time.
+async fn restore_store(world: Arc<TargetWorld>, mut rng: SmallRng, until: Instant) {
+    loop {
+        sleep(Duration::from_millis(rng.random_range(3000..6000))).await;
+        if Instant::now() + RESTORE_TIME >= until {
+            return;
+        }
+        let restore = StoreRestore {
+            copy_age: Duration::from_millis(rng.random_range(200..2000)),
+            away: Duration::from_millis(rng.random_range(100..900)),
+            holds_polls: rng.random_bool(0.5),
+            rewrite_delay: Duration::from_millis(rng.random_range(100..1000)),
+        };
+        world.store.restore(restore).await;
+    }
+}
+
 /// Plays faults under load for a time, and reports what became of the requests.
 async fn soak(port: u16, seed: u64, time: Duration) -> Report {
     let mut rng = SmallRng::seed_from_u64(seed);
     // The fleet's own target makes it ready, and leaves before the load.
     let sizes = PlatformSizes { port, entries: ENTRIES, prefill: 0, decode: 0, plain: 1 };
-    let fleet = PlatformFleet::spawn(sizes).await.unwrap();
+    let (platform, address) = UsagePlatform::bind(seed).await.unwrap();
+    let fleet = PlatformFleet::spawn_with_usage(sizes, Some(address)).await.unwrap();
     let world = TargetWorld::new(fleet.store.clone(), seed);
     let mut targets = Vec::new();
     for (stage, count) in TARGETS {
@@ -313,12 +366,12 @@
         }
     }
     fleet.set_state(0, "draining");
-    if let Some(timeout) = TIMEOUTS_MS[(seed % TIMEOUTS_MS.len() as u64) as usize] {
-        fleet.configure_timeout(2, Duration::from_millis(timeout));
-    }
-    sleep(SETTLE_TIME).await;
+    let timeout = TIMEOUTS_MS[(seed % TIMEOUTS_MS.len() as u64) as usize];
+    let timeout = timeout.map(Duration::from_millis);
     let folder = fleet.folder().to_owned();
     let processes = Processes { fleet: Arc::new(Mutex::new(fleet)), targets };
+    customer::configure(&processes, 2, timeout);
+    sleep(SETTLE_TIME).await;
     let until = Instant::now() + time;
     let callers = Callers {
         processes: processes.clone(),
@@ -329,6 +382,9 @@
     };
     let mut calling = tokio::task::JoinSet::new();
     let mut playing = tokio::task::JoinSet::new();
+    calling.spawn(customer::change(processes.clone(), 3, timeout, until));
+    calling.spawn(restore_store(world.clone(), SmallRng::seed_from_u64(rng.random()), until));
+    calling.spawn(callers.clone().send_bursts(SmallRng::seed_from_u64(rng.random())));
     for entry in 0..ENTRIES {
         let lane_rng = SmallRng::seed_from_u64(rng.random());
         playing.spawn(processes.clone().play(SCRIPTS, Scope::Entry, entry, lane_rng, until));
@@ -358,7 +414,16 @@
     processes.restore_targets().await;
     sleep(LATE_TIME).await;
     let records = callers.records.lock().unwrap().clone();
-    let mut report = Report::new(&records, &world.begun());
+    let begun = world.begun();
+    let mut report = Report::new(&records, &begun);
+    let runs = begun.iter().filter(|work| work.work == Work::Run);
+    let mut begun_by = usage::Counts::new();
+    for customer in runs.filter_map(|work| work.customer.clone()) {
+        *begun_by.entry(customer).or_default() += 1;
+    }
+    let (usage_reports, breaches) = platform.judge(&begun_by);
+    report.usage_reports = usage_reports;
+    report.breaches.extend(breaches);
     report.read_logs(&folder);
     report.add_scripts(&scripts);
     assert!(processes.fleet().runners[0].arrivals().is_empty());
@@ -376,6 +441,7 @@
     assert!(runs.min(report.outcomes_with("503")) >= MIN_JUDGED, "seed {seed}: {report}");
     assert!(!report.late_runs.is_empty(), "seed {seed}: {report}");
     assert!(!report.only_prefilled.is_empty(), "seed {seed}: {report}");
+    assert!(report.late_priority > 0, "seed {seed}: {report}");
 }
 
 fn run(port: u16, seed: u64, time: Duration) -> Report {
--- a/emulator/tests/regressions/refused_request_ran_around_stops/judge.rs
+++ b/emulator/tests/regressions/refused_request_ran_around_stops/judge.rs
@@ -11,7 +11,10 @@
     kept_connection::KeptRecord,
 };
 
-use super::target::{BegunWork, Work};
+use super::{
+    customer::{self, LASTING_KEY},
+    target::{BegunWork, Work},
+};
 
 /// Counts by what they count.
 type Counts = BTreeMap<String, usize>;
@@ -34,17 +37,26 @@
     pub refusals: Counts,
     /// The entries' calls by how they ended, of all requests.
     pub calls: Counts,
+    /// Runs of late requests, which targets serve last.
+    pub late_priority: usize,
+    /// Reports of usage that the platform got.
+    pub usage_reports: usize,
     /// Scripts that were played.
     pub scripts: Counts,
     pub breaches: Vec<String>,
 }
 
+/// Outcome of a request whose key is unknown.
+const UNAUTHORIZED: CallerOutcome = CallerOutcome::Own { status: 401, retry_after: false };
+/// Lowest priority of requests that will be late.
+const FIRST_LATE_PRIORITY: u8 = 5;
+
 /// Returns whether a status promises that the request did not and will not run.
 fn is_promise(outcome: &CallerOutcome) -> bool {
     use CallerOutcome::{Own, TargetFailed};
     matches!(
         outcome,
-        Own { status: 408 | 421 | 429 | 503, .. } | TargetFailed(408 | 421 | 429 | 503)
+        Own { status: 401 | 408 | 421 | 429 | 503, .. } | TargetFailed(408 | 421 | 429 | 503)
     )
 }
 
@@ -135,7 +147,19 @@
         if caller.outcome == CallerOutcome::Broken {
             self.untold_runs += runs.len();
         }
+        let key = caller.request.key.as_deref().unwrap_or_default();
+        if caller.outcome == UNAUTHORIZED && key == LASTING_KEY {
+            breach("rejected with a key that all configurations have");
+        }
+        for work in begun {
+            let customer = work.customer.as_deref().unwrap_or_default();
+            if work.has_credentials || !customer::belongs(key, customer) {
+                let got = if work.has_credentials { "the key" } else { "the name" };
+                breach(&format!("{key}: its target got {got} of {customer:?}"));
+            }
+        }
         for work in &runs {
+            self.late_priority += usize::from(work.priority >= Some(FIRST_LATE_PRIORITY));
             if work.at.into_std() > record.ended_at {
                 count(&mut self.late_runs, format!("{kind:?} {outcome}"));
             }
@@ -199,6 +223,8 @@
         writeln!(f, "  runs after the outcome: {:?}", self.late_runs)?;
         writeln!(f, "  runs of requests whose entry was gone: {}", self.untold_runs)?;
         writeln!(f, "  only prefilled: {:?}", self.only_prefilled)?;
+        writeln!(f, "  late runs by priority: {}", self.late_priority)?;
+        writeln!(f, "  reports of usage: {}", self.usage_reports)?;
         writeln!(f, "  scripts: {:?}", self.scripts)?;
         writeln!(f, "  calls by the entries' logs: {:?}", self.calls)?;
         writeln!(f, "  refusals by the entries' logs: {:?}", self.refusals)?;
--- a/emulator/tests/regressions/refused_request_ran_around_stops/target.rs
+++ b/emulator/tests/regressions/refused_request_ran_around_stops/target.rs
@@ -68,6 +68,12 @@
     pub at: Instant,
     /// Target, by the id of its start.
     pub target: String,
+    /// Name of the customer that the target was told.
+    pub customer: Option<String>,
+    /// Whether the target got credentials of the caller.
+    pub has_credentials: bool,
+    /// Priority of the call.
+    pub priority: Option<u8>,
     /// Number of the connection among all of the targets.
     pub connection: u64,
     /// Status that was written; `None` if there was no response.
@@ -425,6 +431,9 @@
             work,
             at: Instant::now(),
             target: self.instance.clone(),
+            customer: request.header("tenant").map(str::to_owned),
+            has_credentials: request.header("authorization").is_some(),
+            priority: request.header("request-priority").and_then(|text| text.parse().ok()),
             connection: connection_number,
             answer: None,
         });
