--- a/emulator/src/platform_rig/target.rs
+++ b/emulator/src/platform_rig/target.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use hyper::header::HeaderMap;
 use rand::RngExt;
 use sapphirewell::{
     direct::{
@@ -76,6 +77,8 @@
     pub(crate) flow: FlowId,
     pub(crate) number: CallNumber,
     pub(crate) attempt: usize,
+    /// Headers of the caller that the target gets.
+    pub(crate) forwarded: Arc<HeaderMap>,
     pub(crate) target: Arc<DirectTarget>,
     pub(crate) step: CallStep,
     pub(crate) priority: u8,
@@ -246,6 +249,10 @@
 
     fn signal(&mut self, target: TargetIndex, call: &SimCall, signal: TargetSignal) {
         if self.is_cut(call.entry, target) {
+            // What the target sends after the cut must not overtake the loss of the connection.
+            let key = call.key();
+            let runs = self.targets[target].running.iter_mut();
+            runs.filter(|run| run.call.key() == key).for_each(|run| run.disconnected = true);
             let answered = !matches!(signal, TargetSignal::Outcome(_));
             return self.break_call(call.clone(), answered, CONNECTION_TIMEOUT);
         }
