--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -169,6 +169,7 @@
             lease: Duration::from_secs(3),
             drain_bound: Duration::from_secs(2),
             usage: None,
+            scale: None,
         })
     }
 
@@ -330,7 +331,7 @@
             DirectAction::Claim => self.append_claim(entry),
             DirectAction::Order(order) => self.send_order(entry, order),
             // The rig's entries have no usage to report.
-            DirectAction::Usage(_) => {}
+            DirectAction::Usage(_) | DirectAction::Scale(_) => {}
             DirectAction::PersistSuspect(change) => {
                 let process = self.entries[entry].process;
                 self.persist_suspect(entry, process, change);
--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -466,8 +466,8 @@
         token_bytes: 163_840.0,
         link_bits: 1.5e12,
     };
-    let plain = ServiceConfig { max_connections: 100, engine: None };
-    let llm = ServiceConfig { max_connections: 180, engine: Some(engine) };
+    let plain = ServiceConfig { max_connections: 100, engine: None, scaling: None };
+    let llm = ServiceConfig { max_connections: 180, engine: Some(engine), scaling: None };
     RouteTable {
         version,
         routes: classes.iter().map(|class| Arc::new(route(*class, moved))).collect(),
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -23,6 +23,7 @@
 mod ending;
 mod estimate;
 mod flow;
+mod isolation;
 mod limit;
 mod limited;
 mod load;
@@ -34,6 +35,10 @@
 mod resume;
 mod returning;
 mod route;
+mod scale;
+mod scale_duty;
+mod scale_need;
+mod scale_plan;
 mod share;
 mod sharing;
 mod stage_capacity;
@@ -46,6 +51,7 @@
 mod suspect_table;
 mod target;
 mod typical_rate;
+mod unheard;
 mod usage;
 mod usage_clock;
 mod usage_count;
@@ -65,9 +71,12 @@
 pub use machine::{DirectMachine, DirectSettings};
 pub use reading::{ReadSchedule, expiry_grace};
 pub use route::{
-    EngineConfig, ModelName, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ServiceConfig,
-    ServiceName, WeightedService,
+    EngineConfig, ModelName, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ScalingConfig,
+    ServiceConfig, ServiceName, WeightedService,
 };
+pub use scale::{ScaleAction, ScaleEvent, ScaleSettings};
+pub use scale_need::{RefusalMeter, room_needed};
+pub use scale_plan::{ScaleOrder, ScalePlanner, ScaleSample, TargetCount, divide_targets};
 pub use share::{CustomerDemand, CustomerLoad, ShareReport, ShareTable, WorkRate, divide_room};
 pub use stage_plan::{OrderOutcome, StageOrder};
 pub use stop::StopPhase;
@@ -93,7 +102,7 @@
 pub type CallNumber = u32;
 /// Number of times that the store was restored from an older copy, from wherever it counts.
 pub type StoreGeneration = u64;
-/// Fencing token of a claim on ordering engines or reporting usage. It rises with each claim; see [`fencing_token`].
+/// Fencing token of a claim on a duty. It rises with each claim; see [`fencing_token`].
 pub type OrderFencingToken = u64;
 /// Names a peer entry.
 pub type PeerName = Arc<str>;
@@ -310,6 +319,8 @@
     ClaimEnded(ClaimOutcome),
     /// Event of the usage duty.
     Usage(UsageEvent),
+    /// Event of the duty to order the number of targets.
+    Scale(ScaleEvent),
     /// An order ended.
     OrderEnded {
         /// The engine that was ordered.
@@ -440,6 +451,8 @@
     Order(StageOrder),
     /// Action of the usage duty.
     Usage(UsageAction),
+    /// Action of the duty to order the number of targets.
+    Scale(ScaleAction),
 }
 
 /// Whether two processes are in the same data centre.
--- a/src/direct/authority.rs
+++ b/src/direct/authority.rs
@@ -60,6 +60,8 @@
     Engines,
     /// Reports of customers' usage.
     Usage,
+    /// Orders for the number of targets.
+    Scale,
 }
 
 impl Duty {
@@ -70,7 +72,7 @@
             // More than three times the timeout of a peer.
             Duty::Engines => (preceding == 0).then_some(Duration::from_secs(5)),
             // A report is due soon, and the first by name may be cut off from the store.
-            Duty::Usage => {
+            Duty::Usage | Duty::Scale => {
                 let step = Duration::from_secs(1);
                 let turn = step.saturating_mul(u32::try_from(preceding).unwrap_or(u32::MAX));
                 Some(repeat_time(peers, Duration::from_millis(2500)).saturating_add(turn))
@@ -153,6 +155,11 @@
         true
     }
 
+    /// Notes that this entry cannot hear of claims now.
+    pub(super) fn hears_nothing(&mut self, now: ClockTime) {
+        self.heard = Some(now);
+    }
+
     pub(super) fn claim_ended(&mut self, now: ClockTime, outcome: ClaimOutcome) {
         self.heard = Some(now);
         self.state = match outcome {
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -109,6 +109,9 @@
     /// Fencing token of the entry's claim on reporting usage, if it holds one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub usage_claim: Option<OrderFencingToken>,
+    /// Fencing token of the entry's claim on ordering targets, if it holds one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub scale_claim: Option<OrderFencingToken>,
     /// Targets that stated lately that they leave.
     #[serde(default)]
     pub leaving: Vec<LeavingTarget>,
@@ -144,6 +147,7 @@
     received: ClockTime,
     claim: Option<OrderFencingToken>,
     usage_claim: Option<OrderFencingToken>,
+    scale_claim: Option<OrderFencingToken>,
     #[serde(rename = "counts")]
     targets: HashMap<TargetId, TargetUsage>,
     demand: Vec<ServiceDemand>,
@@ -154,6 +158,7 @@
         match duty {
             Duty::Engines => self.claim,
             Duty::Usage => self.usage_claim,
+            Duty::Scale => self.scale_claim,
         }
     }
 }
@@ -179,6 +184,7 @@
             received: now,
             claim: None,
             usage_claim: None,
+            scale_claim: None,
             targets: HashMap::new(),
             demand: Vec::new(),
         });
@@ -190,6 +196,7 @@
         load.received = now;
         load.claim = report.claim;
         load.usage_claim = report.usage_claim;
+        load.scale_claim = report.scale_claim;
         load.demand = report.demand;
         let targets = report.targets.into_iter().map(|usage| (usage.target.clone(), usage));
         load.targets.extend(targets);
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -12,14 +12,15 @@
 use super::{
     CachedSegment, CallNumber, ClaimOutcome, CrashSuspect, DirectAction, DirectEvent,
     DirectRequest, EngineConfig, FailureReason, FlowId, PeerName, PeerTable, RequestFailure,
-    RequestTrace, RetryPolicy, RetryWindow, RouteTable, ServiceName, ShareTable, StreamId,
-    SuspectReport, TargetChange, TargetFleet, TargetUsage, UsageSettings,
+    RequestTrace, RetryPolicy, RetryWindow, RouteTable, ScaleSettings, ServiceName, ShareTable,
+    StreamId, SuspectReport, TargetChange, TargetFleet, TargetUsage, UsageSettings,
     authority::{Duty, DutyAuthority},
     estimate::{Placement, PlacementQuery, PlacementView, StreamPart, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
     limit::LimitTable,
     prefix_copy::PrefixCopy,
     returning::ReturnEstimator,
+    scale_duty::ScaleDuty,
     stage_plan::StagePlanner,
     stop::{RequestTimes, StopPlan},
     stream::OriginTable,
@@ -70,6 +71,8 @@
     pub drain_bound: Duration,
     /// When customers' usage is reported; `None` if that is not a duty here.
     pub usage: Option<UsageSettings>,
+    /// How the number of targets is ordered; `None` if that is not a duty here.
+    pub scale: Option<ScaleSettings>,
 }
 
 /// State machine of an entry that calls targets directly.
@@ -117,6 +120,8 @@
     pub(super) authority: DutyAuthority,
     /// Reports of customers' usage, where they are a duty.
     pub(super) usage: Option<UsageDuty>,
+    /// Orders for the number of targets, where they are a duty.
+    pub(super) scale: Option<ScaleDuty>,
     pub(super) planner: StagePlanner,
     /// Times of requests by the name of their route.
     #[serde(skip)]
@@ -135,6 +140,7 @@
                 .usage
                 .clone()
                 .map(|usage| UsageDuty::new(usage, settings.lease, settings.instance)),
+            scale: settings.scale.clone().map(|scale| ScaleDuty::new(scale, settings.lease)),
             suspects: SuspectTable::new(settings.instance),
             planner: StagePlanner::default(),
             fleet: TargetFleet::new(settings.drain_bound),
@@ -297,6 +303,7 @@
             DirectEvent::StoreRestored(generation) => self.store_restored(now, generation),
             DirectEvent::ClaimEnded(outcome) => self.claim_ended(now, outcome),
             DirectEvent::Usage(event) => self.usage_event(now, event, out),
+            DirectEvent::Scale(event) => self.scale_event(now, event),
             DirectEvent::OrderEnded { target, outcome } => {
                 self.planner.order_ended(now, &target, outcome);
             }
@@ -312,6 +319,9 @@
         if newer {
             let names: HashSet<&Arc<str>> = routes.routes.iter().map(|route| &route.name).collect();
             self.returns.retain(|name, _| names.contains(name));
+            if let Some(scale) = &mut self.scale {
+                scale.configure(&routes);
+            }
             self.routes = Some(routes);
         }
     }
@@ -327,6 +337,9 @@
         let service = self.pick_service(&request);
         self.budget(&service).count_request(now);
         self.limits.record_demand(now, &service);
+        if let Some(scale) = &mut self.scale {
+            scale.record_offer(now, &service);
+        }
         let timeout_at = now + route.timeout;
         let version = self.routes.as_ref().map_or(0, |routes| routes.version);
         let returns = self.returns.entry(route.name.clone()).or_default();
@@ -601,6 +614,9 @@
         if let Some(returns) = self.returns.get_mut(&flow.request.route.name) {
             returns.request_rejected();
         }
+        if let Some(scale) = &mut self.scale {
+            scale.record_failure(&flow.service, reason);
+        }
         let (low, high) = RETRY_AFTER_BOUNDS;
         // Spreads the retries of callers that were rejected at the same time.
         let spread = self.rng.random_range(RETRY_SPREAD.0..RETRY_SPREAD.1);
@@ -652,6 +668,7 @@
         out.extend(evidence.into_iter().map(DirectAction::PersistEvidence));
         self.manage_stages(now, out);
         self.tick_usage(now, out);
+        self.tick_scale(now, out);
         while let Some((expires, id)) = self.timeouts.first().copied() {
             if expires > now {
                 return;
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -60,6 +60,7 @@
             cached: self.recent_segments.iter().map(|(_, cached)| cached.clone()).collect(),
             claim: self.authority.claim(),
             usage_claim: self.usage_claim(now),
+            scale_claim: self.scale_claim(now),
             leaving: self.fleet.leaving_since(now.saturating_sub(leaving_time)),
             limits: self.limits.statements(now),
             demand: self.limits.demands(now),
@@ -75,6 +76,12 @@
         usage.reported_claim(now, &self.peers)
     }
 
+    /// Returns the claim on ordering targets, as [`DirectMachine::usage_claim`] does.
+    fn scale_claim(&self, now: ClockTime) -> Option<OrderFencingToken> {
+        let scale = self.scale.as_ref().filter(|_| self.stop.is_none())?;
+        scale.reported_claim(now, &self.peers)
+    }
+
     pub(super) fn peer_load(&mut self, now: ClockTime, report: LoadReport) {
         if report.peer != self.settings.name && report.has_valid_numbers() {
             for cached in &report.cached {
--- a/src/direct/restore.rs
+++ b/src/direct/restore.rs
@@ -29,5 +29,8 @@
         if let Some(usage) = &mut self.usage {
             usage.store_restored(now, generation);
         }
+        if let Some(scale) = &mut self.scale {
+            scale.store_restored(now, generation);
+        }
     }
 }
--- a/src/direct/route.rs
+++ b/src/direct/route.rs
@@ -75,6 +75,17 @@
     pub link_bits: f64,
 }
 
+/// Bounds on the number of a service's targets in each data centre, where the system orders it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct ScalingConfig {
+    /// Smallest number.
+    pub min: u32,
+    /// Largest number.
+    pub max: u32,
+    /// Time from an order until new targets serve.
+    pub start_time: Duration,
+}
+
 /// Configuration of a service.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct ServiceConfig {
@@ -82,6 +93,8 @@
     pub max_connections: u32,
     /// Configuration of its engines; `None` for plain services.
     pub engine: Option<EngineConfig>,
+    /// Bounds on the number of its targets; `None` if the system does not order it.
+    pub scaling: Option<ScalingConfig>,
 }
 
 /// Limits on what callers send.
--- a/src/direct/stage_plan.rs
+++ b/src/direct/stage_plan.rs
@@ -240,7 +240,7 @@
     }
 
     /// Returns how many decode engines the streams need that run now.
-    fn decode_engines_needed(
+    pub(super) fn decode_engines_needed(
         &self,
         view: &PlacementView<'_>,
         decode_engines: &[&TargetState],
--- a/src/direct/usage.rs
+++ b/src/direct/usage.rs
@@ -174,7 +174,7 @@
     },
 }
 
-/// How a report to the platform ended.
+/// How a call to the platform ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum PostOutcome {
@@ -232,6 +232,12 @@
         /// Window and counts.
         usage: WindowUsage,
     },
+    /// Leave a message in the store, under the sender's name, for the holder that cannot be reached.
+    LeaveMessage(UsageMessage),
+    /// Remove the message of this entry.
+    RemoveMessage,
+    /// Read the messages that were left. Each is an event.
+    ReadMessages,
     /// Log that windows are not reported, as it is too late.
     Missed {
         /// First of them.
--- a/src/direct/usage_count.rs
+++ b/src/direct/usage_count.rs
@@ -35,14 +35,27 @@
     windows: BTreeMap<UsageWindow, CustomerCounts>,
 }
 
-/// Sum of a window that a holder saved.
+/// Sum that a holder saved of some process starts in a window.
 #[derive(Debug, Clone, Default, Serialize)]
-struct SavedCounts {
+struct SavedSum {
     counts: CustomerCounts,
-    /// Process starts that it includes.
+    /// Process starts that it includes. No other sum of the window does.
     instances: BTreeSet<u64>,
 }
 
+impl SavedSum {
+    /// Joins sums that overlap with this one, of which each is a part of the truth.
+    fn join(mut self, overlapping: Vec<SavedSum>) -> SavedSum {
+        let mut known = CustomerCounts::new();
+        for sum in overlapping {
+            add(&mut known, &sum.counts);
+            self.instances.extend(sum.instances);
+        }
+        merge(&mut self.counts, &known);
+        self
+    }
+}
+
 /// Last change that a peer has confirmed.
 #[derive(Debug, Clone, Copy, Serialize)]
 struct Confirmed {
@@ -64,7 +77,7 @@
     own: BTreeMap<UsageWindow, HashMap<CustomerName, OwnCount>>,
     confirmed: HashMap<PeerName, Confirmed>,
     peers: HashMap<u64, PeerCounts>,
-    saved: BTreeMap<UsageWindow, SavedCounts>,
+    saved: BTreeMap<UsageWindow, Vec<SavedSum>>,
     /// Number of changes of any counts, own or not.
     pub(super) changes: u64,
 }
@@ -153,6 +166,41 @@
         })
     }
 
+    /// Returns this entry's counts, to be left in the store for the holder.
+    pub(super) fn own_update(&self) -> UsageUpdate {
+        let windows = self.own.iter().map(|(window, counts)| {
+            let counts = counts.iter().map(|(name, count)| (name.clone(), count.requests));
+            (*window, counts.collect())
+        });
+        UsageUpdate {
+            sequence: self.sequence,
+            open: Some(self.open),
+            windows: list(windows.collect()),
+            ended: Vec::new(),
+        }
+    }
+
+    /// Returns the number of the last change of this entry's counts.
+    pub(super) fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Returns whether this entry has counts of windows that are kept.
+    pub(super) fn has_own(&self) -> bool {
+        !self.own.is_empty()
+    }
+
+    /// Returns the last change that a process start of a peer has confirmed.
+    pub(super) fn confirmed_by(&self, peer: &PeerName, instance: Option<u64>) -> u64 {
+        let known = self.confirmed.get(peer).filter(|known| Some(known.instance) == instance);
+        known.map_or(0, |known| known.sequence)
+    }
+
+    /// Returns whether a process start of an entry counts no more requests in a window.
+    pub(super) fn has_entry_closed(&self, peer: &PeerName, window: UsageWindow) -> bool {
+        self.peers.values().any(|counts| counts.peer == *peer && counts.open > window)
+    }
+
     /// Returns the counts of process starts other than those that `is_live` names.
     pub(super) fn ended(&self, is_live: impl Fn(&PeerName, u64) -> bool) -> Vec<EndedCounts> {
         let ended = self.peers.iter().filter(|(instance, counts)| {
@@ -192,6 +240,10 @@
     /// Adds counts of a peer, and returns whether all were taken. Those that are known already
     /// change nothing, in whatever order; those of windows ahead are not taken.
     pub(super) fn apply(&mut self, peer: &PeerName, instance: u64, update: &UsageUpdate) -> bool {
+        // What this entry left in the store.
+        if instance == self.instance {
+            return true;
+        }
         let kept = self.first_kept..=self.latest();
         let known = self.peers.entry(instance).or_insert_with(|| PeerCounts {
             peer: peer.clone(),
@@ -204,8 +256,7 @@
         }
         self.changes += 1;
         let mut is_whole = update.windows.iter().all(|usage| usage.window <= self.latest());
-        let own = self.instance;
-        for counts in update.ended.iter().filter(|counts| counts.instance != own) {
+        for counts in &update.ended {
             let update = UsageUpdate {
                 sequence: 0,
                 open: None,
@@ -221,9 +272,14 @@
     pub(super) fn apply_saved(&mut self, saved: &SavedUsage) {
         let kept = self.first_kept..=self.latest();
         for saved in saved.windows.iter().filter(|saved| kept.contains(&saved.usage.window)) {
+            let read = SavedSum {
+                counts: saved.usage.counts.clone(),
+                instances: saved.instances.iter().copied().collect(),
+            };
             let known = self.saved.entry(saved.usage.window).or_default();
-            merge(&mut known.counts, &saved.usage.counts);
-            known.instances.extend(&saved.instances);
+            let overlaps = |sum: &mut SavedSum| !sum.instances.is_disjoint(&read.instances);
+            let overlapping: Vec<SavedSum> = known.extract_if(.., overlaps).collect();
+            known.push(read.join(overlapping));
         }
     }
 
@@ -272,50 +328,67 @@
     }
 
     /// Returns the requests in a window over all entries, as far as they are known.
-    ///
-    /// Of process starts that a holder's saved sums include, either the sum or the counts are
-    /// newer; the larger of the two misses least.
     pub(super) fn total(&self, window: UsageWindow) -> WindowUsage {
-        let saved = self.saved.get(&window);
-        let mut included = CustomerCounts::new();
-        let mut others = CustomerCounts::new();
-        let mut add = |instance: u64, name: &CustomerName, requests: u64| {
-            let is_included = saved.is_some_and(|saved| saved.instances.contains(&instance));
-            let sum = if is_included { &mut included } else { &mut others };
-            let sum = sum.entry(name.clone()).or_default();
-            *sum = sum.saturating_add(requests);
-        };
-        for (name, count) in self.own.get(&window).into_iter().flatten() {
-            add(self.instance, name, count.requests);
-        }
-        for (instance, counts) in &self.peers {
-            for (name, requests) in counts.windows.get(&window).into_iter().flatten() {
-                add(*instance, name, *requests);
-            }
-        }
-        let mut counts = saved.map(|saved| saved.counts.clone()).unwrap_or_default();
-        merge(&mut counts, &included);
-        for (name, requests) in others {
-            let sum = counts.entry(name).or_default();
-            *sum = sum.saturating_add(requests);
+        let mut counts = CustomerCounts::new();
+        for sum in self.sums(window, |_| true) {
+            add(&mut counts, &sum.counts);
         }
         WindowUsage { window, counts }
     }
 
-    /// Returns what has to outlast a loss of power at all entries.
-    pub(super) fn to_save(&self) -> SavedUsage {
+    /// Returns what has to outlast a loss of power at all entries, or the end of those that hold
+    /// all counts.
+    ///
+    /// Process starts whose counts no further entry has are summed apart from the others. So what
+    /// the others count later does not stand for theirs.
+    pub(super) fn to_save(&self, has_further_copy: impl Fn(u64) -> bool) -> SavedUsage {
         let first = self.first_window().unwrap_or(self.open).max(self.first_kept);
-        let windows = (first..=self.open).map(|window| self.window_to_save(window));
+        let windows = (first..=self.open).flat_map(|window| {
+            let sums = self.sums(window, &has_further_copy).into_iter();
+            sums.map(move |sum| SavedWindow {
+                usage: WindowUsage { window, counts: sum.counts },
+                instances: sum.instances.into_iter().collect(),
+            })
+        });
         SavedUsage { windows: windows.filter(|saved| !saved.usage.counts.is_empty()).collect() }
     }
 
-    fn window_to_save(&self, window: UsageWindow) -> SavedWindow {
-        let saved = self.saved.get(&window).into_iter().flat_map(|saved| saved.instances.iter());
-        let peers = self.peers.iter().filter(|(_, counts)| counts.windows.contains_key(&window));
-        let own = self.own.contains_key(&window).then_some(self.instance);
-        let instances: BTreeSet<u64> =
-            saved.chain(peers.map(|(instance, _)| instance)).copied().chain(own).collect();
-        SavedWindow { usage: self.total(window), instances: instances.into_iter().collect() }
+    /// Returns sums of a window that include each process start once: the saved ones, and those
+    /// of process starts that none includes, in two parts.
+    ///
+    /// Of process starts that a saved sum includes, either the sum or the counts are newer; the
+    /// larger of the two misses least.
+    fn sums(&self, window: UsageWindow, is_first_part: impl Fn(u64) -> bool) -> Vec<SavedSum> {
+        let mut sums = self.saved.get(&window).cloned().unwrap_or_default();
+        let mut known = vec![CustomerCounts::new(); sums.len()];
+        let mut parts = [SavedSum::default(), SavedSum::default()];
+        for (instance, counts) in self.counts_in(window) {
+            match sums.iter().position(|sum| sum.instances.contains(&instance)) {
+                Some(position) => add(&mut known[position], &counts),
+                None => {
+                    let part = &mut parts[usize::from(!is_first_part(instance))];
+                    part.instances.insert(instance);
+                    add(&mut part.counts, &counts);
+                }
+            }
+        }
+        for (sum, known) in sums.iter_mut().zip(&known) {
+            merge(&mut sum.counts, known);
+        }
+        sums.extend(parts);
+        sums
+    }
+
+    /// Returns the counts of each process start in a window.
+    fn counts_in(&self, window: UsageWindow) -> impl Iterator<Item = (u64, CustomerCounts)> {
+        let own = self.own.get(&window).map(|counts| {
+            let counts = counts.iter().map(|(name, count)| (name.clone(), count.requests));
+            (self.instance, counts.collect())
+        });
+        let peers = self.peers.iter().filter_map(move |(instance, known)| {
+            Some((*instance, known.windows.get(&window)?.clone()))
+        });
+        own.into_iter().chain(peers)
     }
 }
 
@@ -337,6 +410,14 @@
     }
 }
 
+/// Adds counts of other requests.
+fn add(counts: &mut CustomerCounts, others: &CustomerCounts) {
+    for (name, requests) in others {
+        let count = counts.entry(name.clone()).or_default();
+        *count = count.saturating_add(*requests);
+    }
+}
+
 fn list(windows: BTreeMap<UsageWindow, CustomerCounts>) -> Vec<WindowUsage> {
     windows.into_iter().map(|(window, counts)| WindowUsage { window, counts }).collect()
 }
--- a/src/direct/usage_duty.rs
+++ b/src/direct/usage_duty.rs
@@ -4,7 +4,7 @@
 //! a later holder repeats exactly these or nothing. See
 //! [docs/design/duties.md](../../docs/design/duties.md).
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashSet, time::Duration};
 
 use serde::Serialize;
 use smallvec::SmallVec;
@@ -14,6 +14,8 @@
     StoreGeneration, UsageAction, UsageContent, UsageEvent, UsageMessage, UsageReceipt,
     UsageRecords, UsageSettings, UsageWindow, WindowUsage,
     authority::{ClaimOutcome, Duty, DutyAuthority},
+    isolation::HeardPeers,
+    unheard::{CountState, UnheardCounts, UnheardStep},
     usage_count::{CountLedger, digest},
     usage_report::{FixedUsage, UsageReporter},
 };
@@ -27,11 +29,17 @@
 /// Limit on the updates that the holder receives per second. With many entries the interval
 /// between them grows to stay within it.
 const MAX_UPDATES_PER_SECOND: u32 = 1000;
-/// Time for which a peer that is no longer heard counts among those that an entry is cut off from.
-/// It is that of a cut that heals; entries that stay silent for longer have ended.
+/// Time for which a peer that is no longer heard counts among those that an entry is cut off from,
+/// or whose counts may be in the store. It is that of a cut that heals; entries that stay silent
+/// for longer have ended.
 const ISOLATION_TIME: Duration = Duration::from_secs(10);
 /// Number of entries that hold all counts besides the one that reports.
 const BACKUP_COUNT: usize = 2;
+/// Interval at which the holder reads messages from the store while a report waits for them.
+const READ_INTERVAL: Duration = Duration::from_millis(400);
+/// Time for which a report waits for counts that a silent entry may leave in the store: its own
+/// delay until it does, and twice the interval of the reads.
+const SILENCE_WAIT: Duration = Duration::from_millis(1000);
 /// Share of the lateness for which a report waits for entries that have not closed its window.
 const COMPLETION_WAIT: f64 = 1.0 / 3.0;
 /// Time for which the holder cannot read the store until it no longer tells of its claim, so that
@@ -57,8 +65,11 @@
     /// Time since the start of 1970 at a time of the process's clock.
     clock: Option<(ClockTime, Duration)>,
     ledger: CountLedger,
-    /// When each peer was last live.
-    heard: HashMap<PeerName, ClockTime>,
+    heard: HeardPeers,
+    /// Counts that nobody confirms.
+    unheard: UnheardCounts,
+    /// Time before which the holder does not read messages from the store again.
+    next_read: ClockTime,
     next_update: ClockTime,
     next_save: ClockTime,
     /// Changes of the ledger that were saved.
@@ -73,7 +84,9 @@
             authority: DutyAuthority::new(Duty::Usage, lease),
             clock: None,
             ledger: CountLedger::new(instance),
-            heard: HashMap::new(),
+            heard: HeardPeers::new(ISOLATION_TIME),
+            unheard: UnheardCounts::default(),
+            next_read: ClockTime::ZERO,
             next_update: ClockTime::ZERO,
             next_save: ClockTime::ZERO,
             saved_changes: 0,
@@ -100,18 +113,8 @@
         self.authority.store_restored(now, generation);
     }
 
-    /// Returns whether over half of the peers that were heard lately are silent, so that this entry
-    /// rather than each of them is cut off.
     fn is_isolated(&self, now: ClockTime, peers: &PeerTable) -> bool {
-        let lately = |heard: &&ClockTime| now <= **heard + ISOLATION_TIME;
-        2 * peers.len() < self.heard.values().filter(lately).count()
-    }
-
-    fn note_peers(&mut self, now: ClockTime, peers: &PeerTable) {
-        self.heard.retain(|_, heard| now <= *heard + ISOLATION_TIME);
-        for name in peers.names() {
-            self.heard.insert(name.clone(), now);
-        }
+        self.heard.is_isolated(now, peers)
     }
 
     fn has_right_clock(&self, peers: &PeerTable) -> bool {
@@ -155,11 +158,13 @@
             let shortest =
                 Duration::from_secs(1).saturating_mul(peer_count) / MAX_UPDATES_PER_SECOND;
             self.next_update = now + UPDATE_INTERVAL.max(shortest);
-            self.note_peers(now, peers);
+            self.heard.note(now, peers);
             self.send_updates(own, peers, out);
+            self.leave_counts(now, own, peers, out);
         }
         if has_right_clock {
-            self.save(now, out);
+            self.save(now, own, peers, out);
+            self.read_messages(now, time, peers, out);
             self.report(now, time, peers, out);
         }
     }
@@ -224,14 +229,89 @@
     }
 
     /// Saves changed counts. What an earlier holder saved is read before.
-    fn save(&mut self, now: ClockTime, out: &mut Actions) {
+    fn save(&mut self, now: ClockTime, own: &EntryStart, peers: &PeerTable, out: &mut Actions) {
         let is_due = now >= self.next_save && self.saved_changes != self.ledger.changes;
         let is_holder = self.authority.claim().is_some() && self.reporter.has_read;
-        if is_due && is_holder {
+        // Another entry may hold the duty where this one is cut off, and have saved more.
+        if is_due && is_holder && !self.is_isolated(now, peers) {
             self.next_save = now + SAVE_INTERVAL;
             self.saved_changes = self.ledger.changes;
-            out.push(DirectAction::Usage(UsageAction::Save(self.ledger.to_save())));
+            let collectors = self.collectors(own, peers);
+            let counters = peers.names().filter(|name| !collectors.contains(name));
+            let instances: HashSet<u64> =
+                counters.filter_map(|name| peers.instance(name)).collect();
+            let saved = self.ledger.to_save(|instance| instances.contains(&instance));
+            out.push(DirectAction::Usage(UsageAction::Save(saved)));
+        }
+    }
+
+    /// Leaves this entry's counts in the store while no peer confirms them.
+    fn leave_counts(
+        &mut self,
+        now: ClockTime,
+        own: &EntryStart,
+        peers: &PeerTable,
+        out: &mut Actions,
+    ) {
+        let confirmed = self
+            .collectors(own, peers)
+            .into_iter()
+            .map(|peer| self.ledger.confirmed_by(&peer, peers.instance(&peer)))
+            .max();
+        let is_holder = self.reported_claim(now, peers).is_some();
+        let is_confirmed = is_holder || confirmed.unwrap_or(0) >= self.unheard.awaited;
+        let state = CountState {
+            sequence: self.ledger.sequence(),
+            is_confirmed: is_confirmed || !self.ledger.has_own(),
+            window: self.ledger.latest(),
+            entries: self.heard.count(now),
+        };
+        match self.unheard.next_step(now, state) {
+            Some(UnheardStep::Leave) => {
+                let EntryStart { name, instance } = own.clone();
+                let content = UsageContent::Counts(self.ledger.own_update());
+                let message = UsageMessage { peer: name, instance, content };
+                out.push(DirectAction::Usage(UsageAction::LeaveMessage(message)));
+            }
+            Some(UnheardStep::Remove) => {
+                out.push(DirectAction::Usage(UsageAction::RemoveMessage));
+            }
+            None => {}
+        }
+    }
+
+    /// Reads the counts that silent entries may have left in the store, before a window whose
+    /// report waits for them.
+    fn read_messages(
+        &mut self,
+        now: ClockTime,
+        time: Duration,
+        peers: &PeerTable,
+        out: &mut Actions,
+    ) {
+        let is_holder = self.authority.fence(now).is_some();
+        let is_due = is_holder && now >= self.next_read && !self.is_isolated(now, peers);
+        if !is_due || self.reporter.fixed.is_some() {
+            return;
         }
+        let window = self.next_window().filter(|window| time >= self.settings.end(*window));
+        if window.is_some_and(|window| self.silent_since(now, window, peers).is_some()) {
+            self.next_read = now + READ_INTERVAL;
+            out.push(DirectAction::Usage(UsageAction::ReadMessages));
+        }
+    }
+
+    /// Returns when the last of the silent entries that have not closed a window was live, if
+    /// there are any.
+    fn silent_since(
+        &self,
+        now: ClockTime,
+        window: UsageWindow,
+        peers: &PeerTable,
+    ) -> Option<ClockTime> {
+        let silent = self.heard.silent(now, peers);
+        let open = silent.filter(|(name, _)| !self.ledger.has_entry_closed(name, window));
+        open.map(|(_, heard)| heard).max()
     }
 
     /// Begins the next step of a report, if this entry may make one.
@@ -305,9 +385,13 @@
         let window = self.next_window()?;
         let end = self.settings.end(window);
         let instances = || peers.names().filter_map(|name| peers.instance(name));
+        let is_awaited = self.silent_since(now, window, peers).is_some_and(|heard| {
+            time < end.saturating_add(SILENCE_WAIT) || now < heard + SILENCE_WAIT
+        });
         let is_complete = time
             >= end.saturating_add(self.settings.lateness.mul_f64(COMPLETION_WAIT))
-            || instances().all(|instance| self.ledger.has_closed(instance, window));
+            || (!is_awaited
+                && instances().all(|instance| self.ledger.has_closed(instance, window)));
         // A clock that is ahead ends windows early.
         let is_over = time >= end && self.ledger.half_closed(instances(), window);
         (is_over && is_complete && !self.is_isolated(now, peers)).then_some(window)
@@ -335,7 +419,9 @@
         }
         let latest = self.ledger.latest();
         self.reporter.adopt(records.fixed.filter(|fixed| fixed.window <= latest));
-        self.reporter.has_read = true;
+        if !std::mem::replace(&mut self.reporter.has_read, true) {
+            out.push(DirectAction::Usage(UsageAction::ReadMessages));
+        }
         let time = self.true_time(now).filter(|_| self.authority.fence(now).is_some());
         let Some(time) = time else { return };
         self.settle_late(time, out);
@@ -473,8 +559,11 @@
         let claims = self.peers.claims(Duty::Usage, &own.name);
         let is_stopping = self.stop.is_some();
         let Some(usage) = &mut self.usage else { return };
-        let may_claim = !is_stopping && !usage.is_isolated(now, &self.peers);
-        if may_claim && usage.authority.should_claim(now, claims) {
+        let is_isolated = usage.is_isolated(now, &self.peers);
+        if is_isolated {
+            usage.authority.hears_nothing(now);
+        }
+        if !is_stopping && !is_isolated && usage.authority.should_claim(now, claims) {
             out.push(DirectAction::Usage(UsageAction::Claim));
         }
         usage.tick(now, &own, &self.peers, out);
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -8,7 +8,7 @@
 use crate::{
     direct::{
         CustomerConfig, CustomerTable, EngineConfig, RequestLimits, RetryPolicy, RouteConfig,
-        RouteTable, ServiceConfig, WeightedService,
+        RouteTable, ScalingConfig, ServiceConfig, WeightedService,
     },
     error::{Error, ErrorCode, Result},
 };
@@ -86,6 +86,14 @@
     name: Arc<str>,
     max_connections: u32,
     engine: Option<WireEngine>,
+    scaling: Option<WireScaling>,
+}
+
+#[derive(Deserialize)]
+struct WireScaling {
+    min: u32,
+    max: u32,
+    boot_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -118,11 +126,12 @@
 pub fn decode(value: &[u8]) -> Result<RouteTable> {
     let config: WireConfig<'_> = serde_json::from_slice(value).map_err(|e| decode_error(&e))?;
     let customers = config.tenants.map(customer_table).transpose()?;
-    let services = config.services.into_iter().map(|s| (s.name.clone(), service_terms(s)));
+    let services = config.services.into_iter();
+    let services: Result<_> = services.map(|s| Ok((s.name.clone(), service_terms(s)?))).collect();
     Ok(RouteTable {
         version: config.version,
         routes: config.routes.into_iter().map(|route| Arc::new(route_terms(route))).collect(),
-        services: services.collect(),
+        services: services?,
         limits: RequestLimits {
             head_bytes: config.limits.max_header_bytes,
             body_bytes: config.limits.max_body_bytes,
@@ -184,14 +193,25 @@
     }
 }
 
-fn service_terms(service: WireService) -> ServiceConfig {
+fn service_terms(service: WireService) -> Result<ServiceConfig> {
     let engine = service.engine.map(|engine| EngineConfig {
         slots: engine.slots,
         memory_tokens: engine.kv_capacity_tokens as u32,
         token_bytes: engine.token_kv_bytes,
         link_bits: engine.link_mbps * 1.0e6,
     });
-    ServiceConfig { max_connections: service.max_connections, engine }
+    let scaling = service.scaling.map(|scaling| scaling_terms(&service.name, &scaling));
+    let scaling = scaling.transpose()?;
+    Ok(ServiceConfig { max_connections: service.max_connections, engine, scaling })
+}
+
+fn scaling_terms(service: &str, scaling: &WireScaling) -> Result<ScalingConfig> {
+    let WireScaling { min, max, boot_s } = *scaling;
+    if min > max || boot_s < 0.0 {
+        let place = format!("configuration (scaling of service {service:?})");
+        return Err(Error::new(ErrorCode::Malformed, place));
+    }
+    Ok(ScalingConfig { min, max, start_time: duration_from_millis(boot_s * 1000.0) })
 }
 
 /// Returns a time that is given in milliseconds; one beyond [`MAX_TIME`] is cut.
--- a/src/platform/duty.rs
+++ b/src/platform/duty.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use crate::{
-    direct::{CustomerName, OrderFencingToken, WindowUsage},
+    direct::{CustomerName, OrderFencingToken, ScaleOrder, WindowUsage},
     error::{Error, ErrorCode, Result},
 };
 
@@ -35,11 +35,43 @@
     usage: &WindowUsage,
 ) -> Result<Request<Bytes>> {
     let wire = WireUsage { window: usage.window, counts: &usage.counts };
-    let body = serde_json::to_vec(&wire)
-        .map_err(|e| Error::new(ErrorCode::Malformed, format!("usage ({e})")))?;
+    duty_request(address, "/usage", holder, fence, &wire)
+}
+
+#[derive(Serialize)]
+struct WireScale<'a> {
+    service: &'a str,
+    zone: &'a str,
+    desired: u32,
+}
+
+/// Builds the order for the number of a service's targets in a data centre.
+///
+/// # Errors
+/// Returns [`ErrorCode::Malformed`] if the holder's name is not a header value, or a name cannot be
+/// encoded.
+pub fn scale_request(
+    address: SocketAddr,
+    holder: &str,
+    order: &ScaleOrder,
+) -> Result<Request<Bytes>> {
+    let wire =
+        WireScale { service: &order.service, zone: &order.data_centre, desired: order.targets };
+    duty_request(address, "/scale", holder, order.fence, &wire)
+}
+
+fn duty_request(
+    address: SocketAddr,
+    path: &'static str,
+    holder: &str,
+    fence: OrderFencingToken,
+    content: &impl Serialize,
+) -> Result<Request<Bytes>> {
+    let body = serde_json::to_vec(content)
+        .map_err(|e| Error::new(ErrorCode::Malformed, format!("call of {path} ({e})")))?;
     let mut request = Request::new(Bytes::from(body));
     *request.method_mut() = Method::POST;
-    *request.uri_mut() = Uri::from_static("/usage");
+    *request.uri_mut() = Uri::from_static(path);
     let headers = request.headers_mut();
     headers.insert(HOST, header_value(&address.to_string())?);
     headers.insert(&LEASE_HOLDER, header_value(holder)?);
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -20,6 +20,8 @@
 const MEGABYTE: f64 = 1024.0 * 1024.0;
 /// Name of the duty to report usage.
 const USAGE_DUTY: &str = "usage";
+/// Name of the duty to order the number of targets.
+const SCALE_DUTY: &str = "scale";
 /// Memory of a VM whose settings do not say.
 const DEFAULT_MEMORY_MB: f64 = 256.0;
 
@@ -64,6 +66,8 @@
     pub drain_bound: Duration,
     /// Where and when customers' usage is reported; `None` if that is not a duty here.
     pub usage: Option<UsageTarget>,
+    /// Where the number of targets is ordered; `None` if that is not a duty here.
+    pub scale: Option<ScaleTarget>,
 }
 
 /// Interface of the platform that takes reports of customers' usage.
@@ -75,7 +79,16 @@
     pub window: Duration,
     /// Time from a window's end until its report is too late.
     pub lateness: Duration,
-    /// Calls a second that the interface takes from all entries.
+    /// Calls a second that the interface takes from all entries for this duty.
+    pub calls_per_second: f64,
+}
+
+/// Interface of the platform that takes orders for the number of targets.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ScaleTarget {
+    /// Address of the interface.
+    pub address: SocketAddr,
+    /// Calls a second that the interface takes from all entries for this duty.
     pub calls_per_second: f64,
 }
 
@@ -106,6 +119,7 @@
         configuration_bound: reader.seconds_or("bounds.config_apply_ms", MILLISECOND, 2000.0),
         drain_bound: reader.seconds_or("bounds.drain_ms", MILLISECOND, 2000.0),
         usage: reader.usage_target(),
+        scale: reader.scale_target(),
     };
     if reader.errors.is_empty() { Ok(settings) } else { Err(reader.errors) }
 }
@@ -173,11 +187,7 @@
 
     /// Returns the interface for usage, if there is one and usage is among its duties.
     fn usage_target(&mut self) -> Option<UsageTarget> {
-        let duties = self.values.get("cloud_api.duties").cloned().unwrap_or_default();
-        if !duties.split(',').any(|duty| duty.trim() == USAGE_DUTY) {
-            return None;
-        }
-        let address = self.optional_address("cloud_api.address")?;
+        let address = self.duty_address(USAGE_DUTY)?;
         let window = self.seconds_or("bounds.report_window_s", 1.0, 5.0);
         if window.is_zero() {
             let error = Error::new(ErrorCode::OutOfRange, "bounds.report_window_s");
@@ -188,10 +198,38 @@
             address,
             window,
             lateness: self.seconds_or("bounds.usage_late_s", 1.0, 10.0),
-            calls_per_second: self.number_or("cloud_api.duty_per_s", 10.0),
+            calls_per_second: self.duty_rate(),
         })
     }
 
+    /// Returns the interface for the number of targets, if there is one and that is among its
+    /// duties.
+    fn scale_target(&mut self) -> Option<ScaleTarget> {
+        let address = self.duty_address(SCALE_DUTY)?;
+        Some(ScaleTarget { address, calls_per_second: self.duty_rate() })
+    }
+
+    /// Returns the address of the platform's interface if a duty is among its duties.
+    fn duty_address(&mut self, name: &str) -> Option<SocketAddr> {
+        if !self.duties().iter().any(|duty| duty == name) {
+            return None;
+        }
+        self.optional_address("cloud_api.address")
+    }
+
+    fn duties(&self) -> Vec<String> {
+        let duties = self.values.get("cloud_api.duties").map_or("", String::as_str);
+        duties.split(',').map(|duty| duty.trim().to_owned()).collect()
+    }
+
+    /// Returns an equal part of the calls that the platform takes for all duties, as two entries
+    /// may hold them.
+    fn duty_rate(&mut self) -> f64 {
+        let known = |duty: &&String| [USAGE_DUTY, SCALE_DUTY].contains(&duty.as_str());
+        let parts = self.duties().iter().filter(known).count().max(1);
+        self.number_or("cloud_api.duty_per_s", 10.0) / parts as f64
+    }
+
     /// Returns a time that is given in units of this many seconds, or `default` units if the
     /// setting is absent.
     fn seconds_or(&mut self, name: &str, unit: f64, default: f64) -> Duration {
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -13,15 +13,16 @@
 };
 
 use crate::{
-    direct::{DirectEvent, DirectMachine, DirectSettings, StopPhase, UsageSettings},
+    direct::{DirectEvent, DirectMachine, DirectSettings, ScaleSettings, StopPhase, UsageSettings},
     error::{Error, ErrorCode, Result},
-    platform::settings::{self, PlatformSettings, UsageTarget},
+    platform::settings::{self, PlatformSettings, ScaleTarget, UsageTarget},
 };
 
 mod answer;
 mod call;
 mod caller_stream;
 mod copy;
+mod duty_call;
 mod fault;
 mod follow;
 mod gossip;
@@ -31,6 +32,7 @@
 mod pool;
 mod record_bytes;
 mod request_body;
+mod scale;
 mod serve;
 mod shell;
 mod suspects;
@@ -49,6 +51,8 @@
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time in which the last responses reach their callers, beyond the end of the stop.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
+/// Interval between orders for targets to a platform that takes no calls.
+const MAX_SCALE_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Runs an entry until a stop signal, and then until its requests are finished or the stop
 /// grace period is over.
@@ -77,10 +81,11 @@
         lease: settings.lease,
         drain_bound: settings.drain_bound,
         usage: settings.usage.as_ref().map(usage_settings),
+        scale: settings.scale.as_ref().map(scale_settings),
     });
     let bodies = BodyMemory::of_vm(settings.memory_bytes);
-    let driver =
-        Rc::new(DirectDriver::new(machine, settings.store, bodies, settings.usage.clone()));
+    let (usage, scale) = (settings.usage.clone(), settings.scale.clone());
+    let driver = Rc::new(DirectDriver::new(machine, settings.store, bodies, usage, scale));
     let callers = serve::bind(settings.caller_listen).await?;
     let readiness = serve::bind(settings.readiness_listen).await?;
     tokio::task::spawn_local(serve::serve_readiness(readiness, driver.clone()));
@@ -116,6 +121,11 @@
     }
 }
 
+fn scale_settings(target: &ScaleTarget) -> ScaleSettings {
+    let interval = Duration::try_from_secs_f64(1.0 / target.calls_per_second);
+    ScaleSettings { call_interval: interval.unwrap_or(MAX_SCALE_INTERVAL).min(MAX_SCALE_INTERVAL) }
+}
+
 /// Finishes the requests in flight within the stop grace period, as the state machine plans it.
 async fn shut_down(
     settings: &PlatformSettings,
--- a/src/process/direct/metrics.rs
+++ b/src/process/direct/metrics.rs
@@ -97,6 +97,8 @@
     pub(super) log_lines_dropped: u64,
     /// State of the usage duty, if there is one.
     pub(super) usage: Option<UsageState>,
+    /// Whether this entry holds the duty to order the number of targets.
+    pub(super) holds_scale_duty: bool,
 }
 
 /// Bucket bounds of the duration histograms, in seconds.
@@ -135,6 +137,7 @@
     usage_holder: Gauge,
     usage_report_age: SecondsGauge,
     usage_unreported: Gauge,
+    scale_holder: Gauge,
 }
 
 impl Default for DirectMetrics {
@@ -166,6 +169,7 @@
             usage_holder: Gauge::default(),
             usage_report_age: Gauge::default(),
             usage_unreported: Gauge::default(),
+            scale_holder: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -188,6 +192,7 @@
         self.log_lines_dropped.set(state.log_lines_dropped as i64);
         let usage = state.usage.unwrap_or_default();
         self.usage_holder.set(i64::from(usage.is_holder));
+        self.scale_holder.set(i64::from(state.holds_scale_duty));
         self.usage_report_age.set(usage.report_age.as_secs_f64());
         self.usage_unreported.set(usage.unreported as i64);
         let mut text = String::new();
@@ -308,10 +313,10 @@
             "Log lines that a summary stands for",
             self.log_lines_dropped.clone(),
         );
-        self.register_usage();
+        self.register_duties();
     }
 
-    fn register_usage(&mut self) {
+    fn register_duties(&mut self) {
         let registry = &mut self.registry;
         registry.register(
             "usage_holder",
@@ -328,5 +333,10 @@
             "Ended windows of usage of which no fixed counts are known here",
             self.usage_unreported.clone(),
         );
+        registry.register(
+            "scale_holder",
+            "1 if this entry holds the duty to order the number of targets",
+            self.scale_holder.clone(),
+        );
     }
 }
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -309,7 +309,8 @@
                 | DirectAction::PersistVersion(_)
                 | DirectAction::Claim
                 | DirectAction::Order(_)
-                | DirectAction::Usage(_),
+                | DirectAction::Usage(_)
+                | DirectAction::Scale(_),
             ) => {
                 next = actions.recv().await;
             }
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -24,7 +24,7 @@
     orders,
     pool::TargetPools,
     request_body::BodyMemory,
-    suspects,
+    scale, suspects,
     usage::{self, UsageLink},
     versions,
 };
@@ -39,7 +39,7 @@
         configuration, discovery,
         generation::GenerationWatch,
         runner,
-        settings::UsageTarget,
+        settings::{ScaleTarget, UsageTarget},
         store::{RecordPage, StoreClient},
     },
     process::logging,
@@ -111,6 +111,8 @@
     pub(super) version_store: Mutex<StoreClient>,
     /// Connections of the usage duty, where there is one.
     pub(super) usage_link: Option<Rc<UsageLink>>,
+    /// Interface that takes orders for the number of targets, where there is one.
+    pub(super) scale_target: Option<ScaleTarget>,
     name: PeerName,
     started: Instant,
     /// When the stop signal came, if it has.
@@ -126,6 +128,7 @@
         store: SocketAddr,
         bodies: BodyMemory,
         usage: Option<UsageTarget>,
+        scale_target: Option<ScaleTarget>,
     ) -> DirectDriver {
         let generations = GenerationWatch::default();
         let version_store = Mutex::new(StoreClient::new(store, generations.clone()));
@@ -133,6 +136,7 @@
         let usage_link = usage.map(|target| Rc::new(UsageLink::new(target, usage_store())));
         DirectDriver {
             usage_link,
+            scale_target,
             name: machine.name().clone(),
             machine: RefCell::new(machine),
             action_senders: RefCell::default(),
@@ -307,6 +311,9 @@
             DirectAction::Usage(action) => {
                 tokio::task::spawn_local(usage::perform(self.clone(), action));
             }
+            DirectAction::Scale(action) => {
+                tokio::task::spawn_local(scale::perform(self.clone(), action));
+            }
             DirectAction::ProbeTarget(target) => {
                 tokio::task::spawn_local(call::probe(self.clone(), target));
             }
@@ -414,6 +421,7 @@
             targets_age: ages.targets,
             log_lines_dropped: logging::dropped_lines(),
             usage: machine.usage_state(self.now()),
+            holds_scale_duty: machine.holds_scale_duty(),
         })
     }
 
--- a/src/process/direct/usage.rs
+++ b/src/process/direct/usage.rs
@@ -5,28 +5,24 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::Mutex;
 
 use super::{
-    orders::{CLAIM_CHECK_LIFETIME, boot_time, token_at, write_claim},
+    duty_call::{self, CLAIM_KEY, newest_claim, record},
+    orders::{boot_time, write_claim},
     shell::DirectDriver,
 };
 use crate::{
     direct::{
-        BootTime, DirectEvent, OrderFencingToken, PostOutcome, RecordsEnd, SavedUsage, TrueClock,
-        UsageAction, UsageEvent, UsageRecords, WindowUsage,
+        DirectEvent, OrderFencingToken, PostOutcome, RecordsEnd, TrueClock, UsageAction,
+        UsageEvent, UsageRecords, WindowUsage,
     },
-    error::{Error, ErrorCode, Result},
     platform::{
         duty,
         settings::UsageTarget,
         store::{KeyedRecord, RecordPage, StoreClient, StoreError, TopicPosition},
     },
-    process::dial,
 };
 
 /// Name of the duty in the log.
@@ -34,18 +30,14 @@
 /// Topic of the duty. It is not that of the claims on engines, whose holder checks the end of its
 /// topic.
 const TOPIC: &str = "keyed.usage";
-/// Key of the claims; the newest record is the claim in force.
-const CLAIM_KEY: &str = "claim";
 /// Key of the last window whose counts are fixed.
 const FIXED_KEY: &str = "fixed";
 /// Key of the counts that a holder saved.
 const SAVED_KEY: &str = "saved";
+/// Topic of the counts that entries leave for a holder that they cannot reach, by their names.
+const MESSAGE_TOPIC: &str = "keyed.usage_messages";
 /// Topic of the saved counts. The end of the duty's topic moves only with claims and fixed counts.
 const SAVED_TOPIC: &str = "keyed.usage_saved";
-/// Timeout of a report, connecting included.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
-/// Largest response body that is read from the platform.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024;
 
 /// Connections and clock of the usage duty.
 #[derive(Debug)]
@@ -77,7 +69,17 @@
             let outcome = write_claim(&driver, DUTY, TOPIC, CLAIM_KEY).await;
             step(&driver, UsageEvent::ClaimEnded(outcome));
         }
-        UsageAction::Save(saved) => save(&link, &saved).await,
+        UsageAction::Save(saved) => {
+            write(&link, SAVED_TOPIC, SAVED_KEY, encode(&saved)).await;
+        }
+        UsageAction::LeaveMessage(message) => {
+            log::info!("counts that nobody confirms are left in the store");
+            write(&link, MESSAGE_TOPIC, driver.name(), encode(&message)).await;
+        }
+        UsageAction::RemoveMessage => {
+            write(&link, MESSAGE_TOPIC, driver.name(), Ok(Vec::new())).await;
+        }
+        UsageAction::ReadMessages => read_messages(&driver).await,
         UsageAction::Read { attempt } => {
             let records = match read(&driver).await {
                 Ok(records) => Some(records),
@@ -113,14 +115,35 @@
     driver.step(DirectEvent::Usage(event));
 }
 
-async fn save(link: &UsageLink, saved: &SavedUsage) {
+/// Writes a record, or removes the one with the key if it has no bytes.
+async fn write(
+    link: &UsageLink,
+    topic: &str,
+    key: &str,
+    bytes: std::result::Result<Vec<u8>, StoreError>,
+) {
     let mut store = link.store.lock().await;
-    let result = match encode(saved) {
-        Ok(bytes) => store.put(SAVED_TOPIC, SAVED_KEY, &bytes).await,
+    let result = match bytes {
+        Ok(bytes) => store.put(topic, key, &bytes).await,
         Err(error) => Err(error),
     };
     if let Err(error) = result {
-        log::info!(error:% = error; "failed to save usage");
+        log::info!(topic:% = topic, error:% = error; "failed to save usage");
+    }
+}
+
+/// Reads the messages that entries left in the store.
+async fn read_messages(driver: &Rc<DirectDriver>) {
+    let page = match driver.store_client().read_newest(MESSAGE_TOPIC).await {
+        Ok(page) => page,
+        Err(error) => {
+            log::info!(error:% = error; "failed to read usage messages");
+            return;
+        }
+    };
+    let left = page.records.iter().filter(|record| record.key != driver.name());
+    for message in left.filter_map(decode) {
+        step(driver, UsageEvent::Message(message));
     }
 }
 
@@ -129,7 +152,7 @@
     let mut store = driver.store_client();
     let records = decode_page(&store.read_newest(TOPIC).await?);
     let saved = store.read_newest(SAVED_TOPIC).await?;
-    let saved = saved.records.iter().find(|record| record.key == SAVED_KEY).and_then(decode);
+    let saved = record(&saved, SAVED_KEY).and_then(decode);
     Ok(UsageRecords { saved, ..records })
 }
 
@@ -181,65 +204,18 @@
             return PostOutcome::Refused;
         }
     };
-    match exchange(link, request, checked).await {
-        Ok(Some(status)) if status.is_success() => PostOutcome::Accepted,
-        Ok(Some(status)) => {
-            log::info!(status:% = status.as_u16(); "platform refused usage report");
-            PostOutcome::Refused
-        }
-        Ok(None) => PostOutcome::CheckExpired,
-        Err(error) => {
-            log::info!(error:% = error; "no response to usage report");
-            PostOutcome::NoAnswer
-        }
-    }
-}
-
-/// Sends one request over a new connection, and returns the status of its response, or `None` if
-/// the claim was checked too long ago.
-async fn exchange(
-    link: &UsageLink,
-    request: Request<Bytes>,
-    checked: BootTime,
-) -> Result<Option<StatusCode>> {
-    let address = link.target.address;
-    let failed = |e: hyper::Error| Error::new(ErrorCode::Network, format!("{address} ({e})"));
-    let work = async {
-        let mut connection = dial::connect(address, CALL_TIMEOUT).await?;
-        if boot_time().saturating_sub(checked) > CLAIM_CHECK_LIFETIME {
-            return Ok(None);
-        }
-        let response = connection.sender.send_request(request.map(Full::new)).await;
-        let response = response.map_err(failed)?;
-        let status = response.status();
-        // The body says nothing more; without its end the connection would be reset.
-        drop(Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await);
-        Ok(Some(status))
-    };
-    let timed_out = |_| Error::new(ErrorCode::Timeout, address.to_string());
-    tokio::time::timeout(CALL_TIMEOUT, work).await.map_err(timed_out)?
+    duty_call::send("usage report", link.target.address, request, checked).await
 }
 
 fn decode_page(page: &RecordPage) -> UsageRecords {
-    let record = |key: &str| page.records.iter().find(|record| record.key == key);
     UsageRecords {
-        claim: record(CLAIM_KEY).and_then(|record| decode_claim(record, page.next)),
-        fixed: record(FIXED_KEY).and_then(decode),
+        claim: newest_claim(page),
+        fixed: record(page, FIXED_KEY).and_then(decode),
         saved: None,
         end: (page.next.generation, page.next.offset),
     }
 }
 
-/// Returns who wrote a claim, and its token. Offsets are those of the page's generation.
-fn decode_claim(
-    record: &KeyedRecord,
-    page: TopicPosition,
-) -> Option<(crate::direct::PeerName, OrderFencingToken)> {
-    let holder = std::str::from_utf8(record.value.as_deref()?).ok()?;
-    let fence = token_at(TopicPosition { offset: record.offset + 1, ..page })?;
-    Some((holder.into(), fence))
-}
-
 fn decode<T: DeserializeOwned>(record: &KeyedRecord) -> Option<T> {
     let value = ciborium::from_reader(record.value.as_deref()?).ok();
     if value.is_none() {
--- a/tests/engine_paused_after_its_switch.rs
+++ b/tests/engine_paused_after_its_switch.rs
@@ -25,6 +25,7 @@
         demand: vec![],
         claim: Some(1),
         usage_claim: None,
+        scale_claim: None,
         leaving: vec![],
         switching: vec!["switched".into()],
     }));
--- a/tests/leaving_statements.rs
+++ b/tests/leaving_statements.rs
@@ -32,6 +32,7 @@
         demand: Vec::new(),
         claim: None,
         usage_claim: None,
+        scale_claim: None,
         leaving: vec![leaving(born_ms)],
         switching: Vec::new(),
     })
--- a/tests/load_reports.rs
+++ b/tests/load_reports.rs
@@ -36,6 +36,7 @@
         claim: None,
         leaving: vec![],
         usage_claim: None,
+        scale_claim: None,
         switching: vec![],
     }
 }
--- a/tests/platform_documents.rs
+++ b/tests/platform_documents.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sapphirewell::{
-    direct::{RetryPolicy, TargetStage, WindowUsage},
+    direct::{RetryPolicy, ScaleOrder, ScalingConfig, TargetStage, WindowUsage},
     platform::{configuration, discovery, duty, settings},
 };
 use yare::parameterized;
@@ -185,3 +185,63 @@
     let expected = r#"{"window":353445120,"counts":{"a":412,"b":3}}"#;
     assert_eq!(request.body(), expected);
 }
+
+struct ScalingCase {
+    /// What the service states.
+    text: &'static str,
+    /// Bounds and seconds of a start, or `None` if the configuration is malformed.
+    expected: Option<Option<(u32, u32, f64)>>,
+}
+
+#[parameterized(
+    absent = { ScalingCase { text: "", expected: Some(None) } },
+    null = { ScalingCase { text: ",\"scaling\":null", expected: Some(None) } },
+    whole = { ScalingCase {
+        text: ",\"scaling\":{\"min\":2,\"max\":9,\"boot_s\":12.5,\"more\":1}", expected: Some(Some((2, 9, 12.5)))
+    } },
+    no_time = { ScalingCase {
+        text: ",\"scaling\":{\"min\":0,\"max\":0,\"boot_s\":0}", expected: Some(Some((0, 0, 0.0)))
+    } },
+    exchanged = { ScalingCase { text: ",\"scaling\":{\"min\":9,\"max\":2,\"boot_s\":1}", expected: None } },
+    negative_time = { ScalingCase { text: ",\"scaling\":{\"min\":1,\"max\":2,\"boot_s\":-1}", expected: None } },
+    negative_number = { ScalingCase { text: ",\"scaling\":{\"min\":-1,\"max\":2,\"boot_s\":1}", expected: None } },
+    no_limit = { ScalingCase { text: ",\"scaling\":{\"min\":1,\"boot_s\":1}", expected: None } },
+    other_type = { ScalingCase { text: ",\"scaling\":[1,2,3,4]", expected: None } },
+)]
+fn the_number_of_targets_has_bounds(case: ScalingCase) {
+    let service = "\"max_connections\":110";
+    let text = CONFIG.replace(service, &format!("{service}{}", case.text));
+    let scaling =
+        configuration::decode(text.as_bytes()).ok().map(|table| table.services["t"].scaling);
+    let bounds = |(min, max, seconds)| {
+        let start_time = Duration::from_secs_f64(seconds);
+        ScalingConfig { min, max, start_time }
+    };
+    assert_eq!(scaling, case.expected.map(|expected| expected.map(bounds)));
+}
+
+#[parameterized(
+    both = { "usage,scale", 10.0, 5.0 },
+    alone = { "scale", 10.0, 10.0 },
+    unknown_beside = { "scale,other", 10.0, 10.0 },
+)]
+fn duties_share_the_calls_that_the_platform_takes(duties: &str, rate: f64, expected: f64) {
+    let more = format!(
+        "cloud_api.address=127.0.0.1:9\ncloud_api.duties={duties}\ncloud_api.duty_per_s={rate}\n"
+    );
+    let settings = settings::parse(&format!("{SETTINGS}\n{more}")).unwrap();
+    assert_eq!(settings.scale.unwrap().calls_per_second, expected);
+    let usage_rate = settings.usage.map_or(expected, |usage| usage.calls_per_second);
+    assert_eq!(usage_rate, expected);
+}
+
+#[test]
+fn orders_for_targets_name_holder_token_and_number() {
+    let order = ScaleOrder { service: "s".into(), data_centre: "z".into(), targets: 6, fence: 12 };
+    let request = duty::scale_request("127.0.0.1:9".parse().unwrap(), "vm-1", &order).unwrap();
+    assert_eq!((request.method().as_str(), request.uri().path()), ("POST", "/scale"));
+    assert_eq!(request.headers()["lease-holder"], "vm-1");
+    assert_eq!(request.headers()["fencing-token"], "12");
+    assert_eq!(request.headers()["content-type"], "application/json");
+    assert_eq!(request.body(), r#"{"service":"s","zone":"z","desired":6}"#);
+}
--- a/tests/shared_segment_prefilled_beside_a_copy.rs
+++ b/tests/shared_segment_prefilled_beside_a_copy.rs
@@ -82,6 +82,7 @@
         leaving: Vec::new(),
         claim: None,
         usage_claim: None,
+        scale_claim: None,
         switching: Vec::new(),
     }
 }
--- a/tests/stage_orders.rs
+++ b/tests/stage_orders.rs
@@ -67,6 +67,7 @@
         claim,
         leaving: vec![],
         usage_claim: None,
+        scale_claim: None,
         switching: vec![],
     }
 }
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -122,6 +122,7 @@
             lease: Duration::from_secs(3),
             drain_bound: Duration::from_secs(2),
             usage,
+            scale: None,
         });
         let now = Duration::from_secs(1);
         let mut rig =
@@ -154,7 +155,7 @@
         customers: Option<CustomerTable>,
         engine: EngineConfig,
     ) {
-        let terms = ServiceConfig { max_connections: 180, engine: Some(engine) };
+        let terms = ServiceConfig { max_connections: 180, engine: Some(engine), scaling: None };
         let table = RouteTable {
             version,
             routes: vec![self.route()],
@@ -366,6 +367,7 @@
             leaving: Vec::new(),
             claim: None,
             usage_claim: None,
+            scale_claim: None,
             switching: Vec::new(),
         }));
     }
--- a/tests/support/usage.rs
+++ b/tests/support/usage.rs
@@ -1,22 +1,33 @@
 //! Entries with the usage duty under a test clock, beside a store and a stand-in of the platform
 //! that keeps every report.
 
+#[path = "duty_calls.rs"]
+mod duty_calls;
+#[path = "usage_machine.rs"]
+mod usage_machine;
+#[path = "usage_steps.rs"]
+mod usage_steps;
+#[path = "usage_store.rs"]
+mod usage_store;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashSet},
-    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use sapphirewell::direct::{
-    BootTime, CallOutcome, ClaimOutcome, CustomerConfig, CustomerCounts, CustomerTable,
-    DirectAction, DirectEvent, DirectMachine, DirectRequest, DirectSettings, DirectTarget, FlowId,
-    OrderFencingToken, PostOutcome, RecordsEnd, RequestIdentity, RequestLimits, RetryPolicy,
-    RouteConfig, RouteTable, SavedUsage, ServiceConfig, StoreGeneration, TargetChange, TargetStage,
-    TrueClock, UsageAction, UsageEvent, UsageMessage, UsageRecords, UsageSettings, UsageWindow,
-    WeightedService, WindowUsage, fencing_token,
+    CallOutcome, ClaimOutcome, CustomerConfig, CustomerCounts, DirectAction, DirectEvent,
+    DirectMachine, FlowId, OrderFencingToken, PostOutcome, TargetChange, TrueClock, UsageAction,
+    UsageEvent, UsageMessage, UsageWindow, WindowUsage,
 };
 
+use duty_calls::{DutyCall, check_one_holder};
+use usage_machine::{CUSTOMERS, name, request, routes, settings, target, usage_settings};
+pub use usage_steps::{DutyStep, StepFault};
+use usage_steps::{Pending, step_of, with_other_counts};
+use usage_store::UsageStore;
+
 pub const LEASE: Duration = Duration::from_secs(3);
 pub const WINDOW: Duration = Duration::from_secs(5);
 pub const LATENESS: Duration = Duration::from_secs(10);
@@ -29,32 +40,6 @@
 const CHECK_LIFETIME: Duration = Duration::from_millis(500);
 /// Time of day at the start of a test, in the middle of a window.
 const START: Duration = Duration::from_millis(1_700_000_002_500);
-const CUSTOMERS: [&str; 3] = ["large", "middle", "small"];
-const SERVICE: &str = "service";
-
-/// Step of a holder at which a fault strikes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DutyStep {
-    Claim,
-    Read,
-    Fix,
-    Save,
-    Check,
-    Post,
-}
-
-/// What happens to the entry at that step.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StepFault {
-    KilledBefore,
-    KilledAfter,
-    FrozenBefore(Duration),
-    FrozenAfter(Duration),
-    /// The step takes effect, but its answer is lost.
-    AnswerLost,
-    /// The step gets no answer, and takes effect so much later.
-    CarriedOutLate(Duration),
-}
 
 /// Report that reached the platform.
 #[derive(Debug, Clone)]
@@ -76,26 +61,6 @@
     Down,
 }
 
-#[derive(Debug, Clone, Default)]
-struct Store {
-    generation: StoreGeneration,
-    end: u64,
-    claim: Option<(usize, u64)>,
-    fixed: Option<WindowUsage>,
-    saved: Option<SavedUsage>,
-}
-
-#[derive(Debug, Clone)]
-enum Pending {
-    Event(UsageEvent),
-    Claim,
-    Read(u64),
-    Fix(u64, WindowUsage, RecordsEnd),
-    Save(SavedUsage),
-    Check(u64, OrderFencingToken, WindowUsage),
-    Post(u64, OrderFencingToken, WindowUsage, BootTime),
-}
-
 struct Entry {
     machine: DirectMachine,
     instance: u64,
@@ -113,8 +78,7 @@
     pending: BTreeMap<(Duration, u64), (usize, u64, Pending)>,
     sequence: u64,
     instances: u64,
-    store: Store,
-    copies: Vec<(Duration, Store)>,
+    store: UsageStore,
     pub store_is_down: bool,
     /// Entries that cannot reach the store.
     pub cut_from_store: HashSet<usize>,
@@ -129,6 +93,8 @@
     pub store_calls: u64,
     pub message_bytes: u64,
     pub saved_bytes: u64,
+    /// Messages that were left in the store.
+    pub messages_left: u64,
     fault: Option<(DutyStep, StepFault)>,
     /// Steps that are carried out late, whatever became of their entries.
     late: Vec<(Duration, usize, Pending)>,
@@ -152,8 +118,7 @@
             pending: BTreeMap::new(),
             sequence: 0,
             instances: 0,
-            store: Store { generation: 1, ..Store::default() },
-            copies: Vec::new(),
+            store: UsageStore::new(),
             store_is_down: false,
             cut_from_store: HashSet::new(),
             cut_from_peers: HashSet::new(),
@@ -165,6 +130,7 @@
             store_calls: 0,
             message_bytes: 0,
             saved_bytes: 0,
+            messages_left: 0,
             fault: None,
             late: Vec::new(),
             faults_struck: 0,
@@ -223,17 +189,20 @@
 
     /// Replaces the store's content by that of some time ago.
     pub fn restore_store(&mut self, age: Duration) {
-        let at = self.now.saturating_sub(age);
-        let copy = self.copies.iter().rev().find(|(time, _)| *time <= at).unwrap();
-        let generation = self.store.generation + 1;
-        self.store = Store { generation, ..copy.1.clone() };
+        self.store.restore(self.now.saturating_sub(age));
+        let generation = self.store.generation;
         for entry in 0..self.entries.len() {
             self.step(entry, DirectEvent::StoreRestored(generation));
         }
     }
 
     pub fn holder(&self) -> Option<usize> {
-        self.store.claim.map(|(entry, _)| entry)
+        self.store.holder()
+    }
+
+    /// Returns the number of messages that the store holds.
+    pub fn stored_messages(&self) -> usize {
+        self.store.messages.len()
     }
 
     pub fn time_of_day(&self) -> Duration {
@@ -254,7 +223,7 @@
         self.restarts.retain(|(at, _)| *at > self.now);
         due.into_iter().for_each(|entry| self.start(entry));
         if self.is_time_for(Duration::from_millis(100), 0) {
-            self.copies.push((self.now, self.store.clone()));
+            self.store.copy(self.now);
         }
         for entry in 0..self.entries.len() {
             if !self.is_running(entry) {
@@ -363,6 +332,9 @@
             UsageAction::Missed { .. } => return,
             UsageAction::Claim => Pending::Claim,
             UsageAction::Save(saved) => Pending::Save(saved),
+            UsageAction::LeaveMessage(message) => Pending::Leave(message),
+            UsageAction::RemoveMessage => Pending::Remove,
+            UsageAction::ReadMessages => Pending::ReadMessages,
             UsageAction::Read { attempt } => Pending::Read(attempt),
             UsageAction::Fix { attempt, usage, end } => Pending::Fix(attempt, usage, end),
             UsageAction::Post { attempt, fence, usage } => Pending::Check(attempt, fence, usage),
@@ -471,25 +443,16 @@
         match pending {
             Pending::Event(event) => Some(event),
             Pending::Claim => {
-                let mut outcome = ClaimOutcome::Failed;
-                if reaches_store {
-                    self.store.end += 1;
-                    self.store.claim = Some((entry, self.store.end));
-                    let fence = fencing_token(Some(self.store.generation), self.store.end);
-                    outcome = ClaimOutcome::Taken(fence.unwrap());
-                }
+                let outcome =
+                    if reaches_store { self.store.claim(entry) } else { ClaimOutcome::Failed };
                 Some(UsageEvent::ClaimEnded(if is_lost { ClaimOutcome::Failed } else { outcome }))
             }
             Pending::Read(attempt) => {
-                let records = (reaches_store && !is_lost).then(|| self.records());
+                let records = (reaches_store && !is_lost).then(|| self.store.records());
                 Some(UsageEvent::RecordsRead { attempt, records })
             }
             Pending::Fix(attempt, usage, end) => {
-                let writes = reaches_store && end == self.records_end();
-                if writes {
-                    self.store.end += 1;
-                    self.store.fixed = Some(usage);
-                }
+                let writes = reaches_store && self.store.fix(usage, end);
                 Some(UsageEvent::Fixed { attempt, confirmed: writes && !is_lost })
             }
             Pending::Save(saved) => {
@@ -501,8 +464,28 @@
                 }
                 None
             }
+            Pending::Leave(message) => {
+                if reaches_store {
+                    self.store.messages.insert(entry, message);
+                    self.messages_left += 1;
+                }
+                None
+            }
+            Pending::Remove => {
+                if reaches_store {
+                    self.store.messages.remove(&entry);
+                }
+                None
+            }
+            Pending::ReadMessages => {
+                let messages: Vec<UsageMessage> = self.store.messages.values().cloned().collect();
+                for message in messages.into_iter().filter(|_| reaches_store) {
+                    self.step(entry, DirectEvent::Usage(UsageEvent::Message(message)));
+                }
+                None
+            }
             Pending::Check(attempt, fence, usage) => {
-                let records = self.records();
+                let records = self.store.records();
                 let outcome = match () {
                     () if !reaches_store || is_lost => PostOutcome::NoStore,
                     () if records.claim != Some((name(entry).into(), fence)) => {
@@ -548,40 +531,39 @@
         }
     }
 
-    fn records_end(&self) -> RecordsEnd {
-        (Some(self.store.generation), self.store.end)
-    }
-
-    fn records(&self) -> UsageRecords {
-        let token = |end| fencing_token(Some(self.store.generation), end).unwrap();
-        UsageRecords {
-            claim: self.store.claim.map(|(entry, end)| (name(entry).into(), token(end))),
-            fixed: self.store.fixed.clone(),
-            saved: self.store.saved.clone(),
-            end: self.records_end(),
-        }
-    }
-
-    /// Panics if the platform would call the reports those of two holders.
+    /// Panics if the platform would call the reports those of two holders, or two counts.
     pub fn check_one(&self) {
-        let mut holders: BTreeMap<OrderFencingToken, usize> = BTreeMap::new();
+        let calls = self.reports.iter().map(|report| DutyCall {
+            at: report.at,
+            entry: report.entry,
+            fence: report.fence,
+            subject: "usage".to_owned(),
+        });
+        check_one_holder(&calls.collect::<Vec<_>>(), LEASE);
         let mut counts: BTreeMap<UsageWindow, &CustomerCounts> = BTreeMap::new();
-        let mut highest = 0;
-        for (index, report) in self.reports.iter().enumerate() {
-            let Report { at, entry, fence, usage } = report;
-            assert_eq!(holders.entry(*fence).or_insert(*entry), entry, "two with one token");
-            assert!(*fence >= highest, "lower token {fence} after {highest}");
-            highest = *fence;
+        for usage in self.reports.iter().map(|report| &report.usage) {
             let known = counts.entry(usage.window).or_insert(&usage.counts);
             assert_eq!(*known, &usage.counts, "two counts of window {}", usage.window);
-            let since = self.reports[..index].iter().rev().take_while(|r| r.at + LEASE > *at);
-            let recent: Vec<usize> = since.map(|report| report.entry).collect();
-            let other = recent.iter().position(|other| other != entry);
-            let again = other.is_some_and(|other| recent[other..].contains(entry));
-            assert!(!again, "entries take turns at {at:?}");
         }
     }
 
+    /// Returns the largest error of a customer's reported count, relative to the truth, in the
+    /// windows between two times.
+    pub fn largest_error(&self, from: Duration, to: Duration) -> f64 {
+        let settings = usage_settings();
+        let (first, last) = (settings.window_at(START + from), settings.window_at(START + to));
+        let reports = self.reports.iter().map(|report| &report.usage);
+        let reports = reports.filter(|usage| (first + 1..last).contains(&usage.window));
+        let errors = reports.flat_map(|usage| {
+            let truth = &self.truth[&usage.window];
+            truth.iter().map(|(name, real)| {
+                let reported = usage.counts.get(name).copied().unwrap_or(0);
+                real.abs_diff(reported) as f64 / *real as f64
+            })
+        });
+        errors.fold(0.0, f64::max)
+    }
+
     /// Returns the windows between two times that were not reported in time within 5 in 100.
     pub fn missed(&self, from: Duration, to: Duration) -> Vec<UsageWindow> {
         let settings = usage_settings();
@@ -618,106 +600,3 @@
             })
     }
 }
-
-/// Returns a step with counts as those of a holder that knew other requests than the next one.
-fn with_other_counts(pending: Pending) -> Pending {
-    let Pending::Fix(attempt, mut usage, end) = pending else { return pending };
-    usage.counts.values_mut().for_each(|requests| *requests += 1);
-    Pending::Fix(attempt, usage, end)
-}
-
-fn step_of(pending: &Pending) -> Option<DutyStep> {
-    Some(match pending {
-        Pending::Event(_) => return None,
-        Pending::Claim => DutyStep::Claim,
-        Pending::Read(_) => DutyStep::Read,
-        Pending::Fix(..) => DutyStep::Fix,
-        Pending::Save(_) => DutyStep::Save,
-        Pending::Check(..) => DutyStep::Check,
-        Pending::Post(..) => DutyStep::Post,
-    })
-}
-
-pub fn usage_settings() -> UsageSettings {
-    UsageSettings { window: WINDOW, lateness: LATENESS, call_interval: Duration::from_millis(20) }
-}
-
-fn name(entry: usize) -> String {
-    format!("entry-{entry:04}")
-}
-
-fn settings(entry: usize, instance: u64) -> DirectSettings {
-    DirectSettings {
-        name: name(entry).into(),
-        instance,
-        seed: instance,
-        data_centre: "dc".into(),
-        retry_ratio: 0.2,
-        retry_slack: 56.0,
-        retry_window: Duration::from_secs(10),
-        lease: LEASE,
-        drain_bound: Duration::from_secs(2),
-        usage: Some(usage_settings()),
-    }
-}
-
-fn route() -> Arc<RouteConfig> {
-    let service = WeightedService { service: SERVICE.into(), weight: 1 };
-    Arc::new(RouteConfig {
-        name: "route".into(),
-        host: "host".into(),
-        prefix: "/".into(),
-        retry: RetryPolicy::Always,
-        streams: false,
-        timeout: Duration::from_secs(5),
-        objective: Duration::from_millis(500),
-        priority: 1,
-        max_attempts: 2,
-        allows_anonymous: true,
-        services: [service].into_iter().collect(),
-    })
-}
-
-fn routes() -> RouteTable {
-    let customers = CUSTOMERS.map(|name| {
-        (CustomerConfig { name: name.into(), priority: None }, vec![format!("key-{name}")])
-    });
-    RouteTable {
-        version: 1,
-        routes: vec![route()],
-        services: [(SERVICE.into(), ServiceConfig { max_connections: 180, engine: None })].into(),
-        limits: RequestLimits {
-            head_bytes: 16_384,
-            body_bytes: 65_536,
-            idle_time: Duration::from_secs(15),
-        },
-        customers: Some(CustomerTable::new(customers)),
-    }
-}
-
-fn target() -> DirectTarget {
-    DirectTarget {
-        id: "target".into(),
-        born_ms: 1,
-        service: SERVICE.into(),
-        version: "v1".into(),
-        address: SocketAddr::from(([127, 0, 0, 1], 1000)),
-        data_centre: "dc".into(),
-        stage: TargetStage::Plain,
-        slots: 1000,
-        leaving: false,
-        sequence: 1,
-    }
-}
-
-fn request(flow: FlowId, customer: Option<Arc<CustomerConfig>>) -> DirectRequest {
-    DirectRequest {
-        id: format!("request-{flow}").into(),
-        route: route(),
-        customer,
-        time_left: Duration::from_secs(5),
-        prompt: None,
-        identity: RequestIdentity { path: flow, content: flow, resource: flow, caller: flow },
-        resumes: None,
-    }
-}
--- /dev/null
+++ b/tests/support/usage_store.rs
@@ -0,0 +1,88 @@
+//! Stand-in of the store for entries with the usage duty.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use sapphirewell::direct::{
+    ClaimOutcome, RecordsEnd, SavedUsage, StoreGeneration, UsageMessage, UsageRecords, WindowUsage,
+    fencing_token,
+};
+
+use super::usage_machine::name;
+
+/// Content of the store.
+#[derive(Debug, Clone)]
+pub struct UsageStore {
+    pub generation: StoreGeneration,
+    end: u64,
+    claim: Option<(usize, u64)>,
+    fixed: Option<WindowUsage>,
+    pub saved: Option<SavedUsage>,
+    /// Messages that entries left.
+    pub messages: BTreeMap<usize, UsageMessage>,
+    copies: Vec<(Duration, Box<UsageStore>)>,
+}
+
+impl UsageStore {
+    pub fn new() -> UsageStore {
+        UsageStore {
+            generation: 1,
+            end: 0,
+            claim: None,
+            fixed: None,
+            saved: None,
+            messages: BTreeMap::new(),
+            copies: Vec::new(),
+        }
+    }
+
+    /// Keeps a copy, which it may be restored from.
+    pub fn copy(&mut self, now: Duration) {
+        let copies = std::mem::take(&mut self.copies);
+        let copy = Box::new(self.clone());
+        self.copies = copies;
+        self.copies.push((now, copy));
+    }
+
+    /// Replaces the content by that of the last copy until then.
+    pub fn restore(&mut self, at: Duration) {
+        let copies = std::mem::take(&mut self.copies);
+        let generation = self.generation + 1;
+        let copy = copies.iter().rev().find(|(time, _)| *time <= at).unwrap();
+        *self = UsageStore { generation, ..(*copy.1).clone() };
+        self.copies = copies;
+    }
+
+    pub fn holder(&self) -> Option<usize> {
+        self.claim.map(|(entry, _)| entry)
+    }
+
+    pub fn claim(&mut self, entry: usize) -> ClaimOutcome {
+        self.end += 1;
+        self.claim = Some((entry, self.end));
+        ClaimOutcome::Taken(fencing_token(Some(self.generation), self.end).unwrap())
+    }
+
+    /// Writes the counts of a window, unless the topic has more records.
+    pub fn fix(&mut self, usage: WindowUsage, end: RecordsEnd) -> bool {
+        let writes = end == self.records_end();
+        if writes {
+            self.end += 1;
+            self.fixed = Some(usage);
+        }
+        writes
+    }
+
+    fn records_end(&self) -> RecordsEnd {
+        (Some(self.generation), self.end)
+    }
+
+    pub fn records(&self) -> UsageRecords {
+        let token = |end| fencing_token(Some(self.generation), end).unwrap();
+        UsageRecords {
+            claim: self.claim.map(|(entry, end)| (name(entry).into(), token(end))),
+            fixed: self.fixed.clone(),
+            saved: self.saved.clone(),
+            end: self.records_end(),
+        }
+    }
+}
--- a/tests/two_holders_with_one_fencing_token.rs
+++ b/tests/two_holders_with_one_fencing_token.rs
@@ -122,6 +122,7 @@
         claim: Some(claim),
         leaving: vec![],
         usage_claim: None,
+        scale_claim: None,
         switching: vec![],
     })
 }
--- a/tests/usage_duty.rs
+++ b/tests/usage_duty.rs
@@ -375,3 +375,57 @@
         assert_none_missed(&mut fleet, from, seconds(20), &format!("{delay:?}"));
     }
 }
+
+/// Their counts come through the store, and are removed there afterwards.
+#[parameterized(
+    holder = { &[0] },
+    first_backup = { &[1] },
+    plain_entry = { &[3] },
+    two_entries = { &[3, 4] },
+)]
+fn counts_of_entries_cut_off_from_their_peers_arrive(entries: &[usize]) {
+    for offset in (0..5).map(|number| Duration::from_millis(950) * number) {
+        let mut fleet = settled_fleet();
+        let from = fleet.now;
+        fleet.run(offset);
+        fleet.cut_from_peers.extend(entries);
+        fleet.run(seconds(8));
+        fleet.cut_from_peers.clear();
+        let left = fleet.messages_left;
+        assert!(left <= 11 * entries.len() as u64, "{left} messages");
+        assert_none_missed(&mut fleet, from, seconds(20), &format!("{offset:?}"));
+        assert_eq!(fleet.stored_messages(), 0);
+        assert_eq!(fleet.messages_left, left);
+    }
+}
+
+/// Entries whose counts are confirmed write none.
+#[test]
+fn no_counts_are_left_in_the_store_without_a_cut() {
+    let mut fleet = settled_fleet();
+    fleet.loss = Some(3);
+    fleet.run(seconds(30));
+    fleet.kill(0, seconds(10));
+    fleet.run(seconds(30));
+    assert_eq!(fleet.messages_left, 0);
+}
+
+/// The holder and both backups die together. What they counted until a second before is in the
+/// store, and what the others counted later does not stand for it.
+#[parameterized(
+    of_a_deployment = { 27 },
+    more = { 40 },
+)]
+fn the_end_of_all_that_hold_the_counts_costs_no_window(entries: usize) {
+    let mut largest: f64 = 0.0;
+    for offset in (0..7).map(|number| Duration::from_millis(750) * number) {
+        let mut fleet = UsageFleet::new(entries);
+        fleet.run(SETTLED);
+        let from = fleet.now;
+        fleet.run(offset);
+        (0..3).for_each(|entry| fleet.kill(entry, seconds(30)));
+        assert_none_missed(&mut fleet, from, seconds(20), &format!("{offset:?}"));
+        largest = largest.max(fleet.largest_error(from, from + seconds(20)));
+    }
+    println!("{entries} entries: largest error {:.2} in 100", largest * 100.0);
+}
