Average the need of targets over the last four samples

Cause: the exponential average stretched a burst of 8 s beyond a target's start of 10 s, and it led to an order (scale_plan, short_burst).

Change: the need is the mean of the last four samples, and demand has to last for a start and the three samples by which that stretches a burst.

--- a/src/direct/scale_plan.rs
+++ b/src/direct/scale_plan.rs
@@ -28,7 +28,7 @@
 /// Shortest time between two samples.
 const MIN_SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Samples over which the need is averaged, as single ones vary with the arrivals.
-const AVERAGED_SAMPLES: f32 = 4.0;
+const AVERAGED_SAMPLES: usize = 4;
 /// Sample intervals without a sample after which the samples before say nothing.
 const GAP_INTERVALS: u32 = 4;
 /// Time after a target's start in which its registration reaches the entries.
@@ -72,7 +72,8 @@
 #[derive(Debug, Clone, Serialize)]
 struct ServicePlan {
     scaling: ScalingConfig,
-    need: Option<f32>,
+    /// Last samples, of which the mean is the need.
+    samples: VecDeque<f32>,
     /// Averaged needs without a gap, oldest first.
     needs: VecDeque<(ClockTime, f32)>,
     /// Time of the first of them that was ever added.
@@ -142,7 +143,7 @@
     pub fn forget_samples(&mut self) {
         for plan in self.services.values_mut() {
             plan.needs.clear();
-            plan.need = None;
+            plan.samples.clear();
         }
     }
 
@@ -251,7 +252,7 @@
     fn new(scaling: ScalingConfig) -> ServicePlan {
         ServicePlan {
             scaling,
-            need: None,
+            samples: VecDeque::new(),
             needs: VecDeque::new(),
             began: ClockTime::ZERO,
             data_centres: BTreeMap::new(),
@@ -280,14 +281,14 @@
         let gap = self.sample_interval().saturating_mul(GAP_INTERVALS);
         if self.needs.back().is_some_and(|(at, _)| now > *at + gap) {
             self.needs.clear();
-            self.need = None;
+            self.samples.clear();
         }
         if self.needs.is_empty() {
             self.began = now;
         }
-        let known = self.need.unwrap_or(sample.need);
-        let need = known + (sample.need - known) / AVERAGED_SAMPLES;
-        self.need = Some(need);
+        self.samples.truncate(AVERAGED_SAMPLES - 1);
+        self.samples.push_front(sample.need);
+        let need = self.samples.iter().sum::<f32>() / self.samples.len() as f32;
         self.needs.push_back((now, need));
         let oldest = now.saturating_sub(self.time_after_peak());
         while self.needs.front().is_some_and(|(at, _)| *at < oldest) {
@@ -310,7 +311,10 @@
     }
 
     fn next_order(&self, now: ClockTime) -> Option<(DataCentreId, TargetCount)> {
-        let (rise_time, fall_time) = (self.lasting_time(), self.time_after_peak());
+        // A burst shows in the means for so much longer than it lasts.
+        let averaging_time = self.sample_interval() * (AVERAGED_SAMPLES as u32 - 1);
+        let rise_time = self.lasting_time() + averaging_time;
+        let fall_time = self.time_after_peak();
         let lowest = |time| self.needs_within(now, time)?.reduce(f32::min);
         let highest = |time| self.needs_within(now, time)?.reduce(f32::max);
         // The others make up for targets that do not come.
