--- a/emulator/src/platform_rig/entry.rs
+++ b/emulator/src/platform_rig/entry.rs
@@ -192,6 +192,7 @@
             lease: Duration::from_secs(3),
             drain_bound: Duration::from_secs(2),
             usage: self.settings.has_customers.then(usage_settings),
+            scale: None,
         })
     }
 
@@ -363,6 +364,8 @@
             DirectAction::Claim => self.append_claim(entry),
             DirectAction::Order(order) => self.send_order(entry, order),
             DirectAction::Usage(action) => self.perform_usage(entry, action),
+            // The rig's entries order no targets.
+            DirectAction::Scale(_) => {}
             DirectAction::PersistSuspect(change) => {
                 let process = self.entries[entry].process;
                 self.persist_suspect(entry, process, change);
--- a/emulator/src/platform_rig/usage.rs
+++ b/emulator/src/platform_rig/usage.rs
@@ -39,6 +39,8 @@
     claim: Option<(EntryId, u64)>,
     fixed: Option<WindowUsage>,
     saved: Option<SavedUsage>,
+    /// Counts that nobody confirmed, by the entries that left them.
+    messages: BTreeMap<PeerName, UsageMessage>,
 }
 
 /// Report on its way to the platform.
@@ -127,10 +129,32 @@
             UsageAction::Post { attempt, fence, usage } => {
                 self.check_claim(entry, attempt, fence, usage);
             }
+            UsageAction::LeaveMessage(message) => self.leave_message(entry, Some(message)),
+            UsageAction::RemoveMessage => self.leave_message(entry, None),
+            UsageAction::ReadMessages => {
+                if !self.store_fails(entry) {
+                    let messages: Vec<_> = self.store.usage.messages.values().cloned().collect();
+                    for message in messages {
+                        self.answer_usage(entry, UsageEvent::Message(message));
+                    }
+                }
+            }
             UsageAction::Missed { .. } => {}
         }
     }
 
+    /// Replaces what an entry has left in the store.
+    fn leave_message(&mut self, entry: EntryId, message: Option<UsageMessage>) {
+        if self.store_fails(entry) {
+            return;
+        }
+        let name = self.entries[entry].machine.name().clone();
+        match message {
+            Some(message) => self.store.usage.messages.insert(name, message),
+            None => self.store.usage.messages.remove(&name),
+        };
+    }
+
     fn record_duty_step(&mut self, step: PlatformStep, entry: EntryId) {
         self.record_step(step, PlatformSite { entry, target: 0 });
     }
--- a/src/direct/compact_report.rs
+++ b/src/direct/compact_report.rs
@@ -36,6 +36,8 @@
     claim: Option<OrderFencingToken>,
     #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
     usage_claim: Option<OrderFencingToken>,
+    #[serde(rename = "n", default, skip_serializing_if = "Option::is_none")]
+    scale_claim: Option<OrderFencingToken>,
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     leaving: Vec<LeavingTarget>,
     #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
@@ -63,6 +65,7 @@
             cached: report.cached.into_iter().map(segment).collect(),
             claim: report.claim,
             usage_claim: report.usage_claim,
+            scale_claim: report.scale_claim,
             leaving: report.leaving,
             limits: report.limits,
             demand: report.demand,
@@ -93,6 +96,7 @@
             suspects: Vec::new(),
             claim: report.claim,
             usage_claim: report.usage_claim,
+            scale_claim: report.scale_claim,
             leaving: report.leaving,
             limits: report.limits,
             demand: report.demand,
