--- a/emulator/src/stand_in.rs
+++ b/emulator/src/stand_in.rs
@@ -5,10 +5,12 @@
 //! faults, and [`referee`] compares what callers received with what targets ran.
 
 pub mod caller;
+pub mod duty_platform;
 pub mod endless;
 pub mod fleet;
 pub mod kept_connection;
 pub mod orders;
+pub mod peer_relay;
 pub mod referee;
 pub mod runner;
 pub mod slots;
--- a/emulator/src/stand_in/fleet.rs
+++ b/emulator/src/stand_in/fleet.rs
@@ -14,6 +14,8 @@
 
 use super::{
     caller::{self, CallerKind, CallerRecord, CallerRequest},
+    duty_platform::DutyPlatform,
+    peer_relay::PeerRelay,
     referee::{self, BrokenPromise},
     runner::{CacheRegistry, RunnerKind, RunnerModel, RunnerProfile},
     store::StoreModel,
@@ -57,8 +59,15 @@
     pub runners: Vec<RunnerModel>,
     /// Entry processes by index; a restarted entry replaces the old process.
     pub entries: Vec<ChildProcess>,
+    /// Interface for the calls of duties.
+    pub duties: DutyPlatform,
+    /// Relay of the datagrams between entries.
+    pub relay: PeerRelay,
     sizes: PlatformSizes,
-    store_address: SocketAddr,
+    /// Addresses of the store for each entry.
+    store_addresses: Vec<SocketAddr>,
+    /// Settings of all entries beside the usual ones.
+    more_settings: Vec<String>,
     program: PathBuf,
     folder: PathBuf,
     heartbeats: Vec<JoinHandle<()>>,
@@ -73,10 +82,45 @@
     /// Returns an error if a process or stand-in cannot start, or a timeout if an
     /// entry does not become ready.
     pub async fn spawn(sizes: PlatformSizes) -> io::Result<PlatformFleet> {
+        PlatformFleet::spawn_with(sizes, Vec::new()).await
+    }
+
+    /// Starts a platform like [`spawn`](Self::spawn) that takes the calls of these duties, with
+    /// more settings for its entries. The entries reach each other through a relay.
+    ///
+    /// # Errors
+    /// Returns an error as [`spawn`](Self::spawn) does.
+    pub async fn spawn_with_duties(
+        sizes: PlatformSizes,
+        names: &str,
+        settings: &[&str],
+    ) -> io::Result<PlatformFleet> {
+        let duties = DutyPlatform::default();
+        let address = duties.spawn().await?;
+        let mut more: Vec<String> = settings.iter().map(|setting| (*setting).to_owned()).collect();
+        more.push(format!("cloud_api.address={address}"));
+        more.push(format!("cloud_api.duties={names}"));
+        let mut fleet = PlatformFleet::spawn_with(sizes, more).await?;
+        fleet.duties = duties;
+        Ok(fleet)
+    }
+
+    async fn spawn_with(
+        sizes: PlatformSizes,
+        more_settings: Vec<String>,
+    ) -> io::Result<PlatformFleet> {
         let store = StoreModel::default();
-        let served = store.clone();
-        let (store_address, _) =
-            super::serve(0, move |request| served.clone().handle(request)).await?;
+        let peers: Vec<SocketAddr> =
+            (0..sizes.entries).map(|index| peer_address(sizes, index)).collect();
+        // Only the tests of duties need a relay.
+        let is_relayed = !more_settings.is_empty();
+        let relay = PeerRelay::spawn(if is_relayed { &peers } else { &[] }).await?;
+        let mut store_addresses = Vec::new();
+        for peer in peers {
+            let seen = if is_relayed { store.seen_by(peer, relay.clone()) } else { store.clone() };
+            let (address, _) = super::serve(0, move |request| seen.clone().handle(request)).await?;
+            store_addresses.push(address);
+        }
         let folder = std::env::temp_dir().join(format!(
             "sapphirewell-platform-{}-{}",
             std::process::id(),
@@ -87,8 +131,11 @@
             store,
             runners: Vec::new(),
             entries: Vec::new(),
+            duties: DutyPlatform::default(),
+            relay,
             sizes,
-            store_address,
+            store_addresses,
+            more_settings,
             program: processes::system_program()?,
             folder,
             heartbeats: Vec::new(),
@@ -179,6 +226,13 @@
         SocketAddr::from(([127, 0, 0, 1], self.port(index) + 3))
     }
 
+    /// Cuts these entries off from the datagrams of all others, and no other ones. Only entries of
+    /// [`spawn_with_duties`](Self::spawn_with_duties) can be cut off.
+    pub fn cut_from_peers(&self, entries: &[usize]) {
+        let addresses = entries.iter().map(|index| peer_address(self.sizes, *index));
+        self.relay.cut(&addresses.collect::<Vec<_>>());
+    }
+
     /// Returns the directory with the entries' settings and logs.
     pub fn folder(&self) -> &std::path::Path {
         &self.folder
@@ -323,7 +377,7 @@
             format!("internal_ports={},{}", port + 2, port + 2),
             format!("listen.control={}", self.inspection(index)),
             format!("seeds={}", seeds.join(",")),
-            format!("platform.address={}", self.store_address),
+            format!("platform.address={}", self.store_addresses[index]),
             format!("limits.memory_mb={VM_MEMORY_MB}"),
             "bounds.grace_s=8".to_owned(),
             "bounds.drain_ms=2000".to_owned(),
@@ -331,6 +385,7 @@
             "bounds.retry_budget_ratio=0.2".to_owned(),
             "bounds.retry_slack=56".to_owned(),
             "bounds.budget_window_s=10".to_owned(),
+            self.more_settings.join("\n"),
         ]
         .join("\n")
     }
@@ -355,6 +410,11 @@
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
+/// Returns the address to which an entry binds for datagrams of its peers.
+fn peer_address(sizes: PlatformSizes, index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], sizes.port + 4 * index as u16 + 2))
+}
+
 /// Returns a route like another, with a name and host of its own.
 fn unused_route(number: usize, like: &serde_json::Value) -> serde_json::Value {
     let mut route = like.clone();
--- a/emulator/src/stand_in/store.rs
+++ b/emulator/src/stand_in/store.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -19,6 +20,7 @@
 
 use super::{
     BrokenOff, StandInBody,
+    peer_relay::PeerRelay,
     throttle::{LinkRate, ThrottledLink},
     whole,
 };
@@ -66,6 +68,8 @@
 
 /// Topics that the operator and the targets write.
 const FOREIGN_TOPICS: [&str; 2] = ["keyed.op", "keyed.servers"];
+/// Topic in which the entries publish their addresses.
+const PEER_TOPIC: &str = "keyed.entries";
 
 #[derive(Debug, Clone)]
 struct Record {
@@ -134,6 +138,8 @@
 pub struct StoreModel {
     state: Arc<Mutex<StoreState>>,
     changed: Arc<Notify>,
+    /// Relay behind which the reader with this address sees the other entries.
+    relay: Option<(PeerRelay, SocketAddr)>,
 }
 
 impl StoreModel {
@@ -141,6 +147,19 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the store as an entry sees it that reaches the others through a relay.
+    pub fn seen_by(&self, reader: SocketAddr, relay: PeerRelay) -> StoreModel {
+        StoreModel { relay: Some((relay, reader)), ..self.clone() }
+    }
+
+    /// Returns a topic's record as its reader sees it.
+    fn shown(&self, topic: &str, record: &Bytes) -> Bytes {
+        match &self.relay {
+            Some((relay, reader)) if topic == PEER_TOPIC => relay.seen_by(*reader, record).into(),
+            _ => record.clone(),
+        }
+    }
+
     /// Replaces the injected faults.
     pub fn set_faults(&self, faults: StoreFaults) {
         self.state().faults = faults;
@@ -291,7 +310,8 @@
                     });
                     return Err(BrokenOff::Closed);
                 }
-                let answer = self.append_all(&topic, body);
+                let at = query.get("at").and_then(|text| text.parse().ok());
+                let answer = self.append_all_at(&topic, at, body);
                 if faults.lose_append_responses { Err(BrokenOff::Closed) } else { Ok(answer) }
             }
             "/log-newest" => Ok(self.newest(&topic)),
@@ -300,6 +320,15 @@
         }
     }
 
+    /// Appends records, unless the topic does not end at the stated offset.
+    fn append_all_at(&self, topic: &str, at: Option<u64>, body: Bytes) -> Response<StandInBody> {
+        let end = self.state().topics.get(topic).map_or(0, Topic::end);
+        if at.is_some_and(|at| at != end) {
+            return response(StatusCode::PRECONDITION_FAILED, json!({ "end": end }).to_string());
+        }
+        self.append_all(topic, body)
+    }
+
     fn append_all(&self, topic: &str, mut body: Bytes) -> Response<StandInBody> {
         let mut first = None;
         while body.remaining() >= 4 {
@@ -314,12 +343,13 @@
         response(StatusCode::OK, json!({ "offset": offset, "end": offset + 1 }).to_string())
     }
 
-    fn newest(&self, topic: &str) -> Response<StandInBody> {
+    fn newest(&self, name: &str) -> Response<StandInBody> {
         let mut state = self.state();
-        let topic = state.topics.entry(topic.to_owned()).or_default();
+        let topic = state.topics.entry(name.to_owned()).or_default();
         let newest = topic.newest();
         let items = newest.iter().map(|(key, (value, offset))| {
-            json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
+            let value = STANDARD.encode(self.shown(name, value));
+            json!({ "key": key, "value": value, "offset": offset })
         });
         let items: Vec<_> = items.collect();
         let answer = json!({ "items": items, "has_more": false, "end": topic.end() });
@@ -355,9 +385,9 @@
         }
     }
 
-    fn read_now(&self, topic: &str, from: u64, limit: usize) -> Option<Response<StandInBody>> {
+    fn read_now(&self, name: &str, from: u64, limit: usize) -> Option<Response<StandInBody>> {
         let mut state = self.state();
-        let topic = state.topics.entry(topic.to_owned()).or_default();
+        let topic = state.topics.entry(name.to_owned()).or_default();
         let first = topic.first as u64;
         if from < first || from > topic.end() {
             return Some(response(StatusCode::GONE, json!({ "first": first }).to_string()));
@@ -370,7 +400,12 @@
             is_first || bytes <= limit
         };
         let records = &records[..records.iter().take_while(fits).count()];
-        (!records.is_empty()).then(|| page(topic.end(), first, records))
+        let shown = |record: &Record| Record {
+            content: self.shown(name, &record.content),
+            ..record.clone()
+        };
+        let records: Vec<Record> = records.iter().map(shown).collect();
+        (!records.is_empty()).then(|| page(topic.end(), first, &records))
     }
 }
 
