Leave out invalid bounds on targets, not the configuration

Cause: a `scaling` of a service with a missing, exchanged or otherwise invalid value refused the whole configuration, so that routes and limits did not take effect either, also where the settings list no `scale`.

Change: `scaling` is decoded on its own. An invalid one is logged as a typed error and left out. Without `boot_s`, of which the place is an assumption, a start counts as 30 s.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -86,14 +86,15 @@
     name: Arc<str>,
     max_connections: u32,
     engine: Option<WireEngine>,
-    scaling: Option<WireScaling>,
+    /// Decoded on its own, so that an invalid one keeps no configuration from taking effect.
+    scaling: Option<serde_json::Value>,
 }
 
 #[derive(Deserialize)]
 struct WireScaling {
     min: u32,
     max: u32,
-    boot_s: f64,
+    boot_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -118,8 +119,14 @@
 /// Longest time that a configuration can state: a year, which clocks can add.
 const MAX_TIME: Duration = Duration::from_secs(365 * 24 * 3600);
 
+/// Start time of a target where a service's `scaling` states none.
+const DEFAULT_START_TIME: Duration = Duration::from_secs(30);
+
 /// Decodes a configuration document.
 ///
+/// Invalid bounds on a service's number of targets are logged and left out, so that this number is
+/// not changed; they are no reason to refuse routes and limits.
+///
 /// # Errors
 /// Returns [`ErrorCode::Malformed`] if it is not valid JSON, or a field is missing or has
 /// an invalid value.
@@ -127,11 +134,10 @@
     let config: WireConfig<'_> = serde_json::from_slice(value).map_err(|e| decode_error(&e))?;
     let customers = config.tenants.map(customer_table).transpose()?;
     let services = config.services.into_iter();
-    let services: Result<_> = services.map(|s| Ok((s.name.clone(), service_terms(s)?))).collect();
     Ok(RouteTable {
         version: config.version,
         routes: config.routes.into_iter().map(|route| Arc::new(route_terms(route))).collect(),
-        services: services?,
+        services: services.map(|s| (s.name.clone(), service_terms(s))).collect(),
         limits: RequestLimits {
             head_bytes: config.limits.max_header_bytes,
             body_bytes: config.limits.max_body_bytes,
@@ -193,25 +199,36 @@
     }
 }
 
-fn service_terms(service: WireService) -> Result<ServiceConfig> {
+fn service_terms(service: WireService) -> ServiceConfig {
     let engine = service.engine.map(|engine| EngineConfig {
         slots: engine.slots,
         memory_tokens: engine.kv_capacity_tokens as u32,
         token_bytes: engine.token_kv_bytes,
         link_bits: engine.link_mbps * 1.0e6,
     });
-    let scaling = service.scaling.map(|scaling| scaling_terms(&service.name, &scaling));
-    let scaling = scaling.transpose()?;
-    Ok(ServiceConfig { max_connections: service.max_connections, engine, scaling })
+    let scaling = service.scaling.and_then(|scaling| {
+        scaling_terms(&service.name, scaling)
+            .inspect_err(|error| log::warn!(error:% = error; "bounds on targets left out"))
+            .ok()
+    });
+    ServiceConfig { max_connections: service.max_connections, engine, scaling }
 }
 
-fn scaling_terms(service: &str, scaling: &WireScaling) -> Result<ScalingConfig> {
-    let WireScaling { min, max, boot_s } = *scaling;
-    if min > max || boot_s < 0.0 {
+/// Returns the bounds on the number of a service's targets.
+///
+/// # Errors
+/// Returns [`ErrorCode::Malformed`] if a bound is missing, or a value is invalid.
+fn scaling_terms(service: &str, scaling: serde_json::Value) -> Result<ScalingConfig> {
+    let error = || {
         let place = format!("configuration (scaling of service {service:?})");
-        return Err(Error::new(ErrorCode::Malformed, place));
+        Error::new(ErrorCode::Malformed, place)
+    };
+    let WireScaling { min, max, boot_s } = serde_json::from_value(scaling).map_err(|_| error())?;
+    if min > max || boot_s.is_some_and(|seconds| seconds < 0.0) {
+        return Err(error());
     }
-    Ok(ScalingConfig { min, max, start_time: duration_from_millis(boot_s * 1000.0) })
+    let start_time = boot_s.map(|seconds| duration_from_millis(seconds * 1000.0));
+    Ok(ScalingConfig { min, max, start_time: start_time.unwrap_or(DEFAULT_START_TIME) })
 }
 
 /// Returns a time that is given in milliseconds; one beyond [`MAX_TIME`] is cut.
