Keep counts of cut entries in the store until they are read

Cause: an entry that claimed while it was cut off removed its counts from the store before another holder had read them. The holder read such counts for peers of the last 10 s only. Writes queued without bound behind a slow store, and the limit of 200 a second over all entries did not hold in a wide cut, as no peer is known in one, nor at a window's end.

Change: - Counts are removed once a peer confirms them, or this entry's accepted reports include them. - The holder reads counts for ten minutes after it last heard an entry or read counts of it that are not too late. - One write of each value is under way, and the latest one is next. - Each entry has its turn in a round that lasts 5 ms for each entry known in the last ten minutes; what is left at a window's end keeps to it. - The duty can halve its calls where another one is in force.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -24,6 +24,7 @@
 mod estimate;
 mod flow;
 mod isolation;
+mod latest_write;
 mod limit;
 mod limited;
 mod load;
@@ -66,6 +67,7 @@
 pub use crash_evidence::{CrashEvidence, EvidenceChange};
 pub use customer::{CallerIdentity, CustomerConfig, CustomerName, CustomerTable};
 pub use flow::RequestTrace;
+pub use latest_write::LatestWrite;
 pub use limit::{LimitStatement, LimitTable, RequestRate, ServiceDemand};
 pub use load::{CachedSegment, InFlight, LoadReport, PeerTable, TargetUsage, report_interval};
 pub use machine::{DirectMachine, DirectSettings};
@@ -87,6 +89,7 @@
 };
 pub use suspect_table::SuspectTable;
 pub use target::{DirectTarget, LeavingTarget, TargetChange, TargetFleet, TargetStage};
+pub use unheard::{CountState, UnheardCounts, UnheardStep};
 pub use usage::{
     BootTime, CustomerCounts, EndedCounts, PostOutcome, RecordsEnd, SavedUsage, SavedWindow,
     UsageAction, UsageContent, UsageEvent, UsageMessage, UsageReceipt, UsageRecords, UsageSettings,
--- a/src/direct/isolation.rs
+++ b/src/direct/isolation.rs
@@ -29,6 +29,11 @@
         }
     }
 
+    /// Records that a peer was live.
+    pub(super) fn note_peer(&mut self, now: ClockTime, peer: &PeerName) {
+        self.heard.insert(peer.clone(), now);
+    }
+
     /// Returns whether over half of the peers that were heard lately are silent.
     pub(super) fn is_isolated(&self, now: ClockTime, peers: &PeerTable) -> bool {
         2 * peers.len() < self.lately(now).count()
--- a/src/direct/unheard.rs
+++ b/src/direct/unheard.rs
@@ -10,65 +10,113 @@
 /// Time without a confirmation after which an entry takes itself for unheard. Counts are sent
 /// several times within it.
 const UNHEARD_TIME: Duration = Duration::from_secs(1);
-/// Shortest interval at which an unheard entry writes its counts.
+/// Shortest interval at which an unheard entry writes its counts within a window.
 const LEAVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Limit on these writes a second over all entries. The store takes over a thousand.
 const MAX_WRITES_PER_SECOND: u32 = 200;
 
+/// Shortest round, that of a single entry.
+const MIN_ROUND: Duration = Duration::from_millis(5);
+
+/// Returns the time in which so many entries write once each within [`MAX_WRITES_PER_SECOND`].
+pub(super) fn round_time(entries: usize) -> Duration {
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+    (Duration::from_secs(1).saturating_mul(entries) / MAX_WRITES_PER_SECOND).max(MIN_ROUND)
+}
+
 /// Counts of this entry, as far as they matter here.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct CountState {
+pub struct CountState {
     /// Number of the last change.
-    pub(super) sequence: u64,
-    /// Whether [`UnheardCounts::awaited`] was confirmed, or nothing is to be.
-    pub(super) is_confirmed: bool,
-    /// Window that moves on with the open one.
-    pub(super) window: UsageWindow,
-    /// Number of peers that were heard lately, all of which may be unheard.
-    pub(super) entries: usize,
+    pub sequence: u64,
+    /// Whether a peer confirmed [`UnheardCounts::awaited`], or nothing is to be.
+    pub is_confirmed: bool,
+    /// Whether this entry reports its counts itself, so that no confirmation is awaited. What was
+    /// left before stays until it is confirmed or reported, as another entry may report too.
+    pub is_reporting: bool,
+    /// The open window.
+    pub window: UsageWindow,
+    /// Last window that this entry's accepted reports include.
+    pub reported: Option<UsageWindow>,
+    /// Number of entries that may be unheard.
+    pub entries: usize,
+    /// Place of this entry among them, from 0 to 1, so that not all write at the same time.
+    pub turn: f64,
 }
 
 /// What to do with the counts in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum UnheardStep {
+pub enum UnheardStep {
+    /// Leave them there.
     Leave,
+    /// Remove them.
     Remove,
 }
 
 /// Confirmations that an entry waits for, and what it has left in the store.
 #[derive(Debug, Clone, Copy, Default, Serialize)]
-pub(super) struct UnheardCounts {
+pub struct UnheardCounts {
     /// Change whose confirmation is awaited.
-    pub(super) awaited: u64,
+    awaited: u64,
     /// Since when it is.
     since: ClockTime,
-    /// Last change that was left in the store, and the window then.
+    /// Open window, and since when it is.
+    window: (UsageWindow, ClockTime),
+    /// Last change that was left in the store, and the open window then.
     left: Option<(u64, UsageWindow)>,
-    next: ClockTime,
+    /// Time of the last write.
+    written: ClockTime,
 }
 
 impl UnheardCounts {
+    /// Returns the change whose confirmation is awaited.
+    pub fn awaited(&self) -> u64 {
+        self.awaited
+    }
+
+    /// Returns whether counts were left in the store.
+    pub fn has_left(&self) -> bool {
+        self.left.is_some()
+    }
+
     /// Returns what to do now.
-    pub(super) fn next_step(&mut self, now: ClockTime, state: CountState) -> Option<UnheardStep> {
-        if state.is_confirmed {
+    pub fn next_step(&mut self, now: ClockTime, state: CountState) -> Option<UnheardStep> {
+        if self.window.0 != state.window {
+            self.window = (state.window, now);
+        }
+        if state.is_confirmed || (state.is_reporting && self.left.is_none()) {
             self.awaited = state.sequence;
             self.since = now;
             return self.left.take().map(|_| UnheardStep::Remove);
         }
-        if now < self.since + UNHEARD_TIME {
-            return None;
+        if self.left.is_some_and(|(_, window)| Some(window) <= state.reported) {
+            self.left = None;
+            return Some(UnheardStep::Remove);
         }
-        let known = self.left.unwrap_or_default();
-        // A report waits for the counts of a window that has just ended.
-        let has_closed = state.window > known.1;
-        let is_due = now >= self.next && state.sequence > known.0;
-        if !has_closed && !is_due {
+        if now < self.due(&state)? {
             return None;
         }
         self.left = Some((state.sequence, state.window));
-        let entries = u32::try_from(state.entries).unwrap_or(u32::MAX);
-        let interval = Duration::from_secs(1).saturating_mul(entries) / MAX_WRITES_PER_SECOND;
-        self.next = now + LEAVE_INTERVAL.max(interval);
+        self.written = now;
         Some(UnheardStep::Leave)
     }
+
+    /// Returns when the counts are to be left, if they are not there.
+    fn due(&self, state: &CountState) -> Option<ClockTime> {
+        let due = match self.left {
+            None => self.since + UNHEARD_TIME,
+            // A report waits for the counts of a window that has just ended.
+            Some((_, window)) if state.window > window => self.window.1,
+            Some((sequence, _)) if state.sequence > sequence => self.written + LEAVE_INTERVAL,
+            Some(_) => return None,
+        };
+        Some(next_slot(due, round_time(state.entries), state.turn))
+    }
+}
+
+/// Returns the first time from `due` on at which it is an entry's turn, which it is once a round.
+fn next_slot(due: ClockTime, round: Duration, turn: f64) -> ClockTime {
+    let first = round.mul_f64(turn.clamp(0.0, 1.0));
+    let rounds = due.saturating_sub(first).div_duration_f64(round).ceil();
+    first + round.mul_f64(rounds)
 }
--- a/src/direct/usage_count.rs
+++ b/src/direct/usage_count.rs
@@ -283,6 +283,11 @@
         }
     }
 
+    /// Returns the window in which this entry counts requests.
+    pub(super) fn open_window(&self) -> UsageWindow {
+        self.open
+    }
+
     /// Returns whether half of these process starts at least count no more requests in a window.
     pub(super) fn half_closed(
         &self,
--- a/src/direct/usage_duty.rs
+++ b/src/direct/usage_duty.rs
@@ -4,9 +4,14 @@
 //! a later holder repeats exactly these or nothing. See
 //! [docs/design/duties.md](../../docs/design/duties.md).
 
-use std::{collections::HashSet, time::Duration};
+use std::{
+    collections::HashSet,
+    hash::{Hash, Hasher},
+    time::Duration,
+};
 
 use serde::Serialize;
+use siphasher::sip::SipHasher13;
 use smallvec::SmallVec;
 
 use super::{
@@ -15,7 +20,7 @@
     UsageRecords, UsageSettings, UsageWindow, WindowUsage,
     authority::{ClaimOutcome, Duty, DutyAuthority},
     isolation::HeardPeers,
-    unheard::{CountState, UnheardCounts, UnheardStep},
+    unheard::{CountState, UnheardCounts, UnheardStep, round_time},
     usage_count::{CountLedger, digest},
     usage_report::{FixedUsage, UsageReporter},
 };
@@ -29,10 +34,12 @@
 /// Limit on the updates that the holder receives per second. With many entries the interval
 /// between them grows to stay within it.
 const MAX_UPDATES_PER_SECOND: u32 = 1000;
-/// Time for which a peer that is no longer heard counts among those that an entry is cut off from,
-/// or whose counts may be in the store. It is that of a cut that heals; entries that stay silent
-/// for longer have ended.
+/// Time for which a peer that is no longer heard counts among those that an entry is cut off from.
+/// Where over half of the entries end for good, the others report after it.
 const ISOLATION_TIME: Duration = Duration::from_secs(10);
+/// Time for which a peer that is no longer heard may leave counts in the store. It is longer than
+/// cuts last.
+const PEER_MEMORY: Duration = Duration::from_secs(600);
 /// Number of entries that hold all counts besides the one that reports.
 const BACKUP_COUNT: usize = 2;
 /// Interval at which the holder reads messages from the store while a report waits for them.
@@ -66,6 +73,8 @@
     clock: Option<(ClockTime, Duration)>,
     ledger: CountLedger,
     heard: HeardPeers,
+    /// Peers that may be cut off and count on.
+    known: HeardPeers,
     /// Counts that nobody confirms.
     unheard: UnheardCounts,
     /// Time before which the holder does not read messages from the store again.
@@ -75,6 +84,8 @@
     /// Changes of the ledger that were saved.
     saved_changes: u64,
     reporter: UsageReporter,
+    /// Whether the platform takes the calls of another duty too.
+    pub(super) shares_calls: bool,
 }
 
 impl UsageDuty {
@@ -85,15 +96,22 @@
             clock: None,
             ledger: CountLedger::new(instance),
             heard: HeardPeers::new(ISOLATION_TIME),
+            known: HeardPeers::new(PEER_MEMORY),
             unheard: UnheardCounts::default(),
             next_read: ClockTime::ZERO,
             next_update: ClockTime::ZERO,
             next_save: ClockTime::ZERO,
             saved_changes: 0,
             reporter: UsageReporter::default(),
+            shares_calls: false,
         }
     }
 
+    /// Returns the shortest time between two calls to the platform.
+    fn call_interval(&self) -> Duration {
+        self.settings.call_interval.saturating_mul(1 + u32::from(self.shares_calls))
+    }
+
     /// Returns the claim that load reports tell of. One that cannot be checked is left out, so that
     /// an entry that can reach the store claims; without one, this claim holds on. The same holds
     /// where this VM's clock is wrong.
@@ -153,13 +171,18 @@
         if has_right_clock {
             self.drop_old(time);
         }
-        if now >= self.next_update {
+        let is_update_due = now >= self.next_update;
+        if is_update_due {
             let peer_count = u32::try_from(peers.len()).unwrap_or(u32::MAX);
             let shortest =
                 Duration::from_secs(1).saturating_mul(peer_count) / MAX_UPDATES_PER_SECOND;
             self.next_update = now + UPDATE_INTERVAL.max(shortest);
             self.heard.note(now, peers);
+            self.known.note(now, peers);
             self.send_updates(own, peers, out);
+        }
+        // A report waits for what is left at a window's end.
+        if is_update_due || self.unheard.has_left() {
             self.leave_counts(now, own, peers, out);
         }
         if has_right_clock {
@@ -201,9 +224,19 @@
         holder.into_iter().chain(names.into_iter().take(BACKUP_COUNT)).cloned().collect()
     }
 
-    fn message(&mut self, own: &EntryStart, message: &UsageMessage, out: &mut Actions) {
+    fn message(
+        &mut self,
+        now: ClockTime,
+        own: &EntryStart,
+        peers: &PeerTable,
+        message: &UsageMessage,
+        out: &mut Actions,
+    ) {
         match &message.content {
             UsageContent::Counts(update) => {
+                if message.peer != own.name {
+                    self.note_sender(now, peers, &message.peer, update.open);
+                }
                 // What was not taken is sent again.
                 let is_whole = self.ledger.apply(&message.peer, message.instance, update);
                 if self.clock.is_none() || !is_whole {
@@ -228,6 +261,21 @@
         }
     }
 
+    /// Notes an entry whose counts came, though it is not heard: it has left them in the store, and
+    /// may do so again. What ended entries have left is older.
+    fn note_sender(
+        &mut self,
+        now: ClockTime,
+        peers: &PeerTable,
+        peer: &PeerName,
+        open: Option<UsageWindow>,
+    ) {
+        let Some(time) = self.true_time(now) else { return };
+        if peers.instance(peer).is_none() && open >= Some(self.first_in_time(time)) {
+            self.known.note_peer(now, peer);
+        }
+    }
+
     /// Saves changed counts. What an earlier holder saved is read before.
     fn save(&mut self, now: ClockTime, own: &EntryStart, peers: &PeerTable, out: &mut Actions) {
         let is_due = now >= self.next_save && self.saved_changes != self.ledger.changes;
@@ -259,12 +307,18 @@
             .map(|peer| self.ledger.confirmed_by(&peer, peers.instance(&peer)))
             .max();
         let is_holder = self.reported_claim(now, peers).is_some();
-        let is_confirmed = is_holder || confirmed.unwrap_or(0) >= self.unheard.awaited;
+        // A holder that hears no peer, but has, may be cut off from another holder.
+        let is_only_entry = is_holder && self.known.count(now) == 0;
+        let is_confirmed =
+            is_only_entry || confirmed.is_some_and(|change| change >= self.unheard.awaited());
         let state = CountState {
             sequence: self.ledger.sequence(),
             is_confirmed: is_confirmed || !self.ledger.has_own(),
-            window: self.ledger.latest(),
-            entries: self.heard.count(now),
+            is_reporting: is_holder && !peers.is_empty(),
+            window: self.ledger.open_window(),
+            reported: self.reporter.settled,
+            entries: 1 + self.known.count(now),
+            turn: turn(own.instance),
         };
         match self.unheard.next_step(now, state) {
             Some(UnheardStep::Leave) => {
@@ -302,14 +356,14 @@
     }
 
     /// Returns when the last of the silent entries that have not closed a window was live, if
-    /// there are any.
+    /// there are any that may still count.
     fn silent_since(
         &self,
         now: ClockTime,
         window: UsageWindow,
         peers: &PeerTable,
     ) -> Option<ClockTime> {
-        let silent = self.heard.silent(now, peers);
+        let silent = self.known.silent(now, peers);
         let open = silent.filter(|(name, _)| !self.ledger.has_entry_closed(name, window));
         open.map(|(_, heard)| heard).max()
     }
@@ -385,9 +439,10 @@
         let window = self.next_window()?;
         let end = self.settings.end(window);
         let instances = || peers.names().filter_map(|name| peers.instance(name));
-        let is_awaited = self.silent_since(now, window, peers).is_some_and(|heard| {
-            time < end.saturating_add(SILENCE_WAIT) || now < heard + SILENCE_WAIT
-        });
+        let wait = SILENCE_WAIT + round_time(1 + self.known.count(now));
+        let is_awaited = self
+            .silent_since(now, window, peers)
+            .is_some_and(|heard| time < end.saturating_add(wait) || now < heard + wait);
         let is_complete = time
             >= end.saturating_add(self.settings.lateness.mul_f64(COMPLETION_WAIT))
             || (!is_awaited
@@ -446,7 +501,7 @@
         out: &mut Actions,
     ) {
         let Some(fixed) = self.reporter.fixed.as_mut().filter(|_| confirmed) else {
-            return self.reporter.failed(now, self.settings.call_interval);
+            return self.reporter.failed(now, self.call_interval());
         };
         fixed.confirmed = true;
         let usage = fixed.usage.clone();
@@ -472,7 +527,7 @@
                 self.reporter.accepted = Some(now);
                 self.reporter.failures = 0;
                 self.reporter.store_fails = None;
-                self.reporter.next = now + self.settings.call_interval;
+                self.reporter.next = now + self.call_interval();
             }
             PostOutcome::Superseded => self.authority.claim_ended(now, ClaimOutcome::Superseded),
             PostOutcome::NoStore => self.reporter.store_failed(now),
@@ -480,10 +535,10 @@
                 if let Some(fixed) = &mut self.reporter.fixed {
                     fixed.confirmed = false;
                 }
-                self.reporter.failed(now, self.settings.call_interval);
+                self.reporter.failed(now, self.call_interval());
             }
             PostOutcome::Refused | PostOutcome::NoAnswer | PostOutcome::CheckExpired => {
-                self.reporter.failed(now, self.settings.call_interval);
+                self.reporter.failed(now, self.call_interval());
             }
         }
     }
@@ -498,6 +553,13 @@
     instance: u64,
 }
 
+/// Returns a process start's place among all, from 0 to 1.
+fn turn(instance: u64) -> f64 {
+    let mut hasher = SipHasher13::new();
+    instance.hash(&mut hasher);
+    hasher.finish() as f64 / u64::MAX as f64
+}
+
 fn send(own: &EntryStart, peer: &PeerName, content: UsageContent, out: &mut Actions) {
     let EntryStart { name, instance } = own.clone();
     let message = UsageMessage { peer: name, instance, content };
@@ -531,7 +593,9 @@
                 usage.clock = Some((now, time));
                 usage.ledger.open(usage.settings.window_at(time));
             }
-            UsageEvent::Message(message) => usage.message(&own, &message, out),
+            UsageEvent::Message(message) => {
+                usage.message(now, &own, &self.peers, &message, out);
+            }
             UsageEvent::ClaimEnded(outcome) => usage.authority.claim_ended(now, outcome),
             UsageEvent::RecordsRead { attempt, records } => {
                 if usage.reporter.end(attempt) {
--- a/src/process/direct/usage.rs
+++ b/src/process/direct/usage.rs
@@ -1,6 +1,7 @@
 //! Records of the usage duty in the store, and reports of usage to the platform.
 
 use std::{
+    cell::RefCell,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -15,8 +16,8 @@
 };
 use crate::{
     direct::{
-        DirectEvent, OrderFencingToken, PostOutcome, RecordsEnd, TrueClock, UsageAction,
-        UsageEvent, UsageRecords, WindowUsage,
+        DirectEvent, LatestWrite, OrderFencingToken, PostOutcome, RecordsEnd, TrueClock,
+        UsageAction, UsageEvent, UsageRecords, WindowUsage,
     },
     platform::{
         duty,
@@ -39,18 +40,29 @@
 /// Topic of the saved counts. The end of the duty's topic moves only with claims and fixed counts.
 const SAVED_TOPIC: &str = "keyed.usage_saved";
 
+/// Bytes of a record; without any it is removed.
+type EncodedRecord = std::result::Result<Vec<u8>, StoreError>;
+
 /// Connections and clock of the usage duty.
 #[derive(Debug)]
 pub(super) struct UsageLink {
     target: UsageTarget,
     /// Connection for writing counts, one after the other.
     store: Mutex<StoreClient>,
-    clock: std::cell::RefCell<TrueClock>,
+    saved: RefCell<LatestWrite<EncodedRecord>>,
+    left: RefCell<LatestWrite<EncodedRecord>>,
+    clock: RefCell<TrueClock>,
 }
 
 impl UsageLink {
     pub(super) fn new(target: UsageTarget, store: StoreClient) -> UsageLink {
-        UsageLink { target, store: Mutex::new(store), clock: std::cell::RefCell::default() }
+        UsageLink {
+            target,
+            store: Mutex::new(store),
+            saved: RefCell::default(),
+            left: RefCell::default(),
+            clock: RefCell::default(),
+        }
     }
 
     /// Returns the time since the start of 1970.
@@ -70,14 +82,14 @@
             step(&driver, UsageEvent::ClaimEnded(outcome));
         }
         UsageAction::Save(saved) => {
-            write(&link, SAVED_TOPIC, SAVED_KEY, encode(&saved)).await;
+            write(&link, &link.saved, (SAVED_TOPIC, SAVED_KEY), encode(&saved)).await;
         }
         UsageAction::LeaveMessage(message) => {
             log::info!("counts that nobody confirms are left in the store");
-            write(&link, MESSAGE_TOPIC, driver.name(), encode(&message)).await;
+            write(&link, &link.left, (MESSAGE_TOPIC, driver.name()), encode(&message)).await;
         }
         UsageAction::RemoveMessage => {
-            write(&link, MESSAGE_TOPIC, driver.name(), Ok(Vec::new())).await;
+            write(&link, &link.left, (MESSAGE_TOPIC, driver.name()), Ok(Vec::new())).await;
         }
         UsageAction::ReadMessages => read_messages(&driver).await,
         UsageAction::Read { attempt } => {
@@ -115,20 +127,23 @@
     driver.step(DirectEvent::Usage(event));
 }
 
-/// Writes a record, or removes the one with the key if it has no bytes.
+/// Writes a record, and what came for it in the meantime.
 async fn write(
     link: &UsageLink,
-    topic: &str,
-    key: &str,
-    bytes: std::result::Result<Vec<u8>, StoreError>,
+    writes: &RefCell<LatestWrite<EncodedRecord>>,
+    (topic, key): (&str, &str),
+    record: EncodedRecord,
 ) {
-    let mut store = link.store.lock().await;
-    let result = match bytes {
-        Ok(bytes) => store.put(topic, key, &bytes).await,
-        Err(error) => Err(error),
-    };
-    if let Err(error) = result {
-        log::info!(topic:% = topic, error:% = error; "failed to save usage");
+    let mut next = writes.borrow_mut().begin(record);
+    while let Some(record) = next {
+        let result = match record {
+            Ok(bytes) => link.store.lock().await.put(topic, key, &bytes).await,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = result {
+            log::info!(topic:% = topic, error:% = error; "failed to save usage");
+        }
+        next = writes.borrow_mut().end();
     }
 }
 
--- a/tests/usage_duty.rs
+++ b/tests/usage_duty.rs
@@ -399,6 +399,38 @@
     }
 }
 
+/// The cut lasts longer than a peer counts among those that an entry is cut off from.
+#[test]
+fn counts_of_a_long_cut_arrive() {
+    for offset in (0..5).map(|number| Duration::from_millis(950) * number) {
+        let mut fleet = settled_fleet();
+        let from = fleet.now;
+        fleet.run(offset);
+        fleet.cut_from_peers.insert(3);
+        fleet.run(Duration::from_millis(13_500));
+        assert_eq!(fleet.holder(), Some(0), "the entry that is cut off has not claimed");
+        fleet.cut_from_peers.clear();
+        assert_none_missed(&mut fleet, from, seconds(20), &format!("{offset:?}"));
+        assert_eq!(fleet.stored_messages(), 0);
+    }
+}
+
+/// A claim confirms no counts: the holder before it may report them too.
+#[test]
+fn an_entry_that_claims_while_cut_off_keeps_its_counts_in_the_store() {
+    let mut fleet = settled_fleet();
+    fleet.cut_from_peers.insert(3);
+    while fleet.holder() != Some(3) {
+        fleet.run(Duration::from_millis(10));
+        assert!(fleet.now < seconds(140), "it claims");
+    }
+    fleet.run(seconds(1));
+    assert_eq!(fleet.stored_messages(), 1);
+    fleet.cut_from_peers.clear();
+    fleet.run(seconds(20));
+    assert_eq!(fleet.stored_messages(), 0);
+}
+
 /// Entries whose counts are confirmed write none.
 #[test]
 fn no_counts_are_left_in_the_store_without_a_cut() {
