Take no targets away in an outage or on partial knowledge

Cause: a service without targets was never ordered again, and an idle one with `min` 0 lost its last. Refused requests multiplied what ran, so that an outage counted as a lull. A holder that heard just over half of its peers took their load for all. Usage's calls were halved wherever the settings list `scale`, or a duty twice. Requests were metered for services without bounds, and the meters were never removed. A holder whose check failed told of its claim only after a later order.

Change: - One target stays in all data centres together. Without any listed, the number needed last is ordered, or `min`. Nothing falls while another data centre has to rise. - A sample counts as what was needed and is listed, at least, while 5 in 100 of the entry's requests fail or a peer of the last ten minutes is silent. - Duties share the calls where the configuration has both customers and `scaling`. Only services with bounds are metered. - A failed check is forgotten 10 s after the last one.

Tests: `an_entry_that_is_cut_off_from_its_peers_orders_nothing` allowed 3 of 4 targets, which was the fault, and now asks for 4.

--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -322,10 +322,19 @@
             if let Some(scale) = &mut self.scale {
                 scale.configure(&routes);
             }
+            self.share_duty_calls(&routes);
             self.routes = Some(routes);
         }
     }
 
+    /// Halves the calls of each duty to the platform where two entries may make them.
+    fn share_duty_calls(&mut self, routes: &RouteTable) {
+        let (Some(usage), Some(scale)) = (&mut self.usage, &mut self.scale) else { return };
+        let are_both_active = routes.customers.is_some() && scale.is_active();
+        usage.shares_calls = are_both_active;
+        scale.shares_calls = are_both_active;
+    }
+
     fn submit(
         &mut self,
         now: ClockTime,
--- a/src/direct/scale_duty.rs
+++ b/src/direct/scale_duty.rs
@@ -13,7 +13,7 @@
 use super::{
     DirectAction, DirectMachine, FailureReason, OrderFencingToken, PeerTable, PostOutcome,
     RefusalMeter, RouteTable, ScaleAction, ScaleEvent, ScaleOrder, ScalePlanner, ScaleSample,
-    ScaleSettings, ServiceName, StoreGeneration, TargetCount, TargetStage,
+    ScaleSettings, ServiceConfig, ServiceName, StoreGeneration, TargetCount, TargetStage,
     authority::{ClaimOutcome, Duty, DutyAuthority},
     backlog::PRIORITY_COUNT,
     estimate::PlacementView,
@@ -30,6 +30,30 @@
 /// Time for which the holder cannot read the store until it no longer tells of its claim.
 const STORE_FAILURE_TIME: Duration = Duration::from_secs(2);
 
+/// Time after a failed order for which the store counts as failing. Where no further order is
+/// needed, nothing else shows that it has returned.
+const STORE_FAILURE_MEMORY: Duration = Duration::from_secs(10);
+
+/// Orders whose claim could not be checked.
+#[derive(Debug, Clone, Copy, Serialize)]
+struct FailedChecks {
+    first: ClockTime,
+    last: ClockTime,
+}
+
+impl FailedChecks {
+    /// Adds a failed check to those shortly before.
+    fn add(known: Option<FailedChecks>, now: ClockTime) -> FailedChecks {
+        let recent = known.filter(|checks| now <= checks.last + STORE_FAILURE_MEMORY);
+        FailedChecks { first: recent.map_or(now, |checks| checks.first), last: now }
+    }
+
+    /// Returns whether the claim cannot be checked.
+    fn is_cut_off(&self, now: ClockTime) -> bool {
+        now >= self.first + STORE_FAILURE_TIME && now <= self.last + STORE_FAILURE_MEMORY
+    }
+}
+
 /// Duty of ordering the number of targets at one entry.
 #[derive(Debug, Clone, Serialize)]
 pub(super) struct ScaleDuty {
@@ -40,8 +64,9 @@
     refusals: HashMap<ServiceName, RefusalMeter>,
     is_ordering: bool,
     next_call: ClockTime,
-    /// Since when the store has not responded.
-    store_fails: Option<ClockTime>,
+    failed_checks: Option<FailedChecks>,
+    /// Whether the platform takes the calls of another duty too.
+    pub(super) shares_calls: bool,
 }
 
 impl ScaleDuty {
@@ -54,36 +79,46 @@
             refusals: HashMap::new(),
             is_ordering: false,
             next_call: ClockTime::ZERO,
-            store_fails: None,
+            failed_checks: None,
+            shares_calls: false,
         }
     }
 
     pub(super) fn configure(&mut self, routes: &RouteTable) {
-        let services = routes.services.iter();
-        self.planner.configure(services.filter_map(|(name, terms)| Some((name, terms.scaling?))));
+        let scaled = |(name, terms): (_, &ServiceConfig)| Some((name, terms.scaling?));
+        let services = || routes.services.iter().filter_map(scaled);
+        self.planner.configure(services());
+        let mut known = std::mem::take(&mut self.refusals);
+        let meters =
+            services().map(|(name, _)| (name.clone(), known.remove(name).unwrap_or_default()));
+        self.refusals = meters.collect();
+    }
+
+    /// Returns whether the configuration has bounds on the number of a service's targets.
+    pub(super) fn is_active(&self) -> bool {
+        !self.planner.is_empty()
     }
 
     /// Counts a request that came to this entry, a sample of those that came to all.
     pub(super) fn record_offer(&mut self, now: ClockTime, service: &ServiceName) {
-        self.refusals.entry(service.clone()).or_default().record_offer(now);
+        if let Some(meter) = self.refusals.get_mut(service) {
+            meter.record_offer(now);
+        }
     }
 
-    /// Counts a request that failed for want of room.
+    /// Counts a request that failed.
     pub(super) fn record_failure(&mut self, service: &ServiceName, reason: FailureReason) {
-        let lacks_room = match reason {
+        let Some(meter) = self.refusals.get_mut(service) else { return };
+        match reason {
             FailureReason::NoTarget
             | FailureReason::CannotMeetDeadline
             | FailureReason::Declined
             | FailureReason::CustomerShare
-            | FailureReason::TargetLimit => true,
-            FailureReason::OutcomeUnknown
-            | FailureReason::TimedOut
-            | FailureReason::CrashesTargets
+            | FailureReason::TargetLimit => meter.record_refusal(),
+            FailureReason::OutcomeUnknown | FailureReason::TimedOut => meter.record_failure(),
+            FailureReason::CrashesTargets
             | FailureReason::Stopping
-            | FailureReason::StreamVersionUnknown => false,
-        };
-        if let Some(meter) = self.refusals.get_mut(service).filter(|_| lacks_room) {
-            meter.record_refusal();
+            | FailureReason::StreamVersionUnknown => {}
         }
     }
 
@@ -94,21 +129,26 @@
         now: ClockTime,
         peers: &PeerTable,
     ) -> Option<OrderFencingToken> {
-        let is_cut_off = self.store_fails.is_some_and(|since| now >= since + STORE_FAILURE_TIME);
+        let is_cut_off = self.failed_checks.is_some_and(|checks| checks.is_cut_off(now));
         let is_alone = self.heard.is_isolated(now, peers);
         self.authority.claim().filter(|_| !is_cut_off && !is_alone)
     }
 
     pub(super) fn store_restored(&mut self, now: ClockTime, generation: StoreGeneration) {
         if self.authority.store_restored(now, generation) {
-            self.planner.forget_orders();
+            self.forget_claim();
         }
     }
 
     fn claim_ended(&mut self, now: ClockTime, outcome: ClaimOutcome) {
         self.authority.claim_ended(now, outcome);
+        self.forget_claim();
+    }
+
+    /// Forgets what belongs to an earlier claim.
+    fn forget_claim(&mut self) {
         self.planner.forget_orders();
-        self.store_fails = None;
+        self.failed_checks = None;
     }
 
     fn order_ended(&mut self, now: ClockTime, order: &ScaleOrder, outcome: PostOutcome) {
@@ -118,14 +158,14 @@
         }
         match outcome {
             PostOutcome::NoStore => {
-                self.store_fails.get_or_insert(now);
+                self.failed_checks = Some(FailedChecks::add(self.failed_checks, now));
             }
             PostOutcome::Superseded => self.claim_ended(now, ClaimOutcome::Superseded),
             PostOutcome::Accepted
             | PostOutcome::Refused
             | PostOutcome::NoAnswer
             | PostOutcome::CheckExpired
-            | PostOutcome::NotFixed => self.store_fails = None,
+            | PostOutcome::NotFixed => self.failed_checks = None,
         }
         self.planner.order_ended(now, order, outcome);
     }
@@ -137,7 +177,8 @@
         }
         let order = self.planner.next_order(now, fence)?;
         self.is_ordering = true;
-        self.next_call = now + self.settings.call_interval;
+        let shares = 1 + u32::from(self.shares_calls);
+        self.next_call = now + self.settings.call_interval.saturating_mul(shares);
         Some(order)
     }
 }
@@ -157,7 +198,7 @@
     }
 
     pub(super) fn tick_scale(&mut self, now: ClockTime, out: &mut Vec<DirectAction>) {
-        let Some(scale) = self.scale.as_mut().filter(|scale| !scale.planner.is_empty()) else {
+        let Some(scale) = self.scale.as_mut().filter(|scale| scale.is_active()) else {
             return;
         };
         scale.heard.note(now, &self.peers);
@@ -175,7 +216,7 @@
             out.push(DirectAction::Scale(ScaleAction::Claim));
         }
         if scale.authority.claim() != held {
-            scale.planner.forget_orders();
+            scale.forget_claim();
         }
         if let Some(order) = scale.next_order(now) {
             out.push(DirectAction::Scale(ScaleAction::Order(order)));
@@ -186,18 +227,18 @@
         let of_service = self.fleet.iter().filter(|state| state.target.service == *service);
         let targets: Vec<&TargetState> = of_service.collect();
         // Without a target nothing says how much room one has.
-        if targets.is_empty() {
-            return;
-        }
-        let need = self.targets_needed(now, service, &targets);
+        let need = (!targets.is_empty()).then(|| self.targets_needed(now, service, &targets));
         let mut listed: BTreeMap<DataCentreId, TargetCount> = BTreeMap::new();
         for target in targets.iter().map(|state| &state.target) {
             *listed.entry(target.data_centre.clone()).or_default() +=
                 TargetCount::from(!target.leaving);
         }
-        if let Some(scale) = &mut self.scale {
-            scale.planner.add_sample(now, service, &ScaleSample { need, listed });
-        }
+        let Some(scale) = &mut self.scale else { return };
+        // A peer that is not heard may serve as many requests as before.
+        let has_silent_peers = scale.heard.silent(now, &self.peers).next().is_some();
+        let has_failures = scale.refusals.get(service).is_some_and(|meter| meter.has_failures(now));
+        let may_be_more = has_silent_peers || has_failures;
+        scale.planner.add_sample(now, service, &ScaleSample { need, may_be_more, listed });
     }
 
     /// Returns the targets that the requests of a service need now.
--- a/src/direct/scale_need.rs
+++ b/src/direct/scale_need.rs
@@ -10,6 +10,10 @@
 const ROOM_DEVIATIONS: f32 = 2.0;
 /// Time constant of the counts of offered and refused requests.
 const REFUSAL_TIME: Duration = Duration::from_secs(10);
+/// Share of failed requests from which on those that run do not tell the need.
+const MIN_FAILED_SHARE: f32 = 0.05;
+/// Number of failed requests of the last [`REFUSAL_TIME`] below which they count as over.
+const MIN_FAILED: f32 = 0.1;
 /// Largest factor by which refused requests raise the need. Their callers come again, so that
 /// they count several times.
 const MAX_REFUSAL_FACTOR: f32 = 2.0;
@@ -23,10 +27,12 @@
     requests + ROOM_DEVIATIONS * requests.sqrt()
 }
 
-/// Requests of a service that came lately, and those that were refused for want of room.
+/// Requests of a service that came lately, those that failed, and those of them that were refused
+/// for want of room.
 #[derive(Debug, Clone, Copy, Default, Serialize)]
 pub struct RefusalMeter {
     offered: f32,
+    failed: f32,
     refused: f32,
     updated: ClockTime,
 }
@@ -40,9 +46,22 @@
 
     /// Counts that a request that came lately was refused.
     pub fn record_refusal(&mut self) {
+        self.failed += 1.0;
         self.refused += 1.0;
     }
 
+    /// Counts that a request that came lately failed for another reason.
+    pub fn record_failure(&mut self) {
+        self.failed += 1.0;
+    }
+
+    /// Returns whether so many requests have failed lately that those that run do not tell the
+    /// need. In an outage few run, whatever the demand is.
+    pub fn has_failures(&self, now: ClockTime) -> bool {
+        let failed = self.failed * self.kept(now);
+        failed >= MIN_FAILED && self.failed >= self.offered * MIN_FAILED_SHARE
+    }
+
     /// Returns how many requests came for each one that was served.
     pub fn factor(&self) -> f32 {
         let served = self.offered - self.refused;
@@ -54,10 +73,16 @@
     }
 
     fn decay(&mut self, now: ClockTime) {
-        let passed = now.saturating_sub(self.updated).as_secs_f32();
-        let kept = (-passed / REFUSAL_TIME.as_secs_f32()).exp();
+        let kept = self.kept(now);
         self.offered *= kept;
+        self.failed *= kept;
         self.refused *= kept;
         self.updated = now;
     }
+
+    /// Returns the part of the counts that is left by now.
+    fn kept(&self, now: ClockTime) -> f32 {
+        let passed = now.saturating_sub(self.updated).as_secs_f32();
+        (-passed / REFUSAL_TIME.as_secs_f32()).exp()
+    }
 }
--- a/src/direct/scale_plan.rs
+++ b/src/direct/scale_plan.rs
@@ -35,6 +35,9 @@
 const REGISTRATION_TIME: Duration = Duration::from_secs(10);
 /// Shortest and longest pause after an order that failed; it doubles in between.
 const RETRY_PAUSES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
+/// Targets of a service that are kept in all data centres without any request, as one has to be
+/// there for the first.
+const MIN_TARGETS: f32 = 1.0;
 /// Largest number of times that the wait for ordered targets doubles between repeated orders.
 const MAX_DOUBLINGS: u32 = 6;
 
@@ -57,8 +60,10 @@
 /// Need of a service, and what it has.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ScaleSample {
-    /// Targets that its requests need, in all data centres.
-    pub need: f32,
+    /// Targets that its requests need, in all data centres, or `None` if nothing tells of it.
+    pub need: Option<f32>,
+    /// Whether more may be needed: requests failed, or not all of them are known.
+    pub may_be_more: bool,
     /// Targets that are registered and do not leave, by data centre.
     pub listed: BTreeMap<DataCentreId, TargetCount>,
 }
@@ -285,8 +290,9 @@
         if self.needs.is_empty() {
             self.began = now;
         }
-        let known = self.need.unwrap_or(sample.need);
-        let need = known + (sample.need - known) / AVERAGED_SAMPLES;
+        let sampled = self.sampled_need(sample);
+        let known = self.need.unwrap_or(sampled);
+        let need = known + (sampled - known) / AVERAGED_SAMPLES;
         self.need = Some(need);
         self.needs.push_back((now, need));
         let oldest = now.saturating_sub(self.time_after_peak());
@@ -302,6 +308,18 @@
         }
     }
 
+    /// Returns the need that a sample stands for. One that may be higher leads to no fall.
+    fn sampled_need(&self, sample: &ScaleSample) -> f32 {
+        let Some(need) = sample.need else {
+            return self.need.unwrap_or(MIN_TARGETS);
+        };
+        if !sample.may_be_more {
+            return need.max(MIN_TARGETS);
+        }
+        let listed = sample.listed.values().map(|count| *count as f32).sum();
+        need.max(listed).max(self.need.unwrap_or(MIN_TARGETS))
+    }
+
     /// Returns the needs of the last `time`, or `None` if samples do not go back so far.
     fn needs_within(&self, now: ClockTime, time: Duration) -> Option<impl Iterator<Item = f32>> {
         let first = now.checked_sub(time).filter(|first| self.began <= *first)?;
@@ -326,10 +344,13 @@
         let most = divide_targets(highest(fall_time).unwrap_or(f32::INFINITY), &all_bounds);
         let fall_to = highest(fall_time / 2).unwrap_or(f32::INFINITY);
         let fall_to = divide_targets(fall_to, &all_bounds);
+        // Targets stay in one data centre until those that replace them in another are there.
+        let mut centres = self.data_centres.values().zip(&least);
+        let is_rising = centres.any(|(centre, least)| centre.listed < *least);
         let ranges = least.into_iter().zip(most).zip(rise_to.into_iter().zip(fall_to));
         let ranges = ranges.map(|((least, most), (rise_to, fall_to))| CountRange {
             least,
-            most,
+            most: if is_rising { TargetCount::MAX } else { most },
             rise_to,
             fall_to,
         });
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -79,7 +79,7 @@
     pub window: Duration,
     /// Time from a window's end until its report is too late.
     pub lateness: Duration,
-    /// Calls a second that the interface takes from all entries for this duty.
+    /// Calls a second that the interface takes from all entries for all duties.
     pub calls_per_second: f64,
 }
 
@@ -88,7 +88,7 @@
 pub struct ScaleTarget {
     /// Address of the interface.
     pub address: SocketAddr,
-    /// Calls a second that the interface takes from all entries for this duty.
+    /// Calls a second that the interface takes from all entries for all duties.
     pub calls_per_second: f64,
 }
 
@@ -211,23 +211,16 @@
 
     /// Returns the address of the platform's interface if a duty is among its duties.
     fn duty_address(&mut self, name: &str) -> Option<SocketAddr> {
-        if !self.duties().iter().any(|duty| duty == name) {
+        let duties = self.values.get("cloud_api.duties").map_or("", String::as_str);
+        if !duties.split(',').any(|duty| duty.trim() == name) {
             return None;
         }
         self.optional_address("cloud_api.address")
     }
 
-    fn duties(&self) -> Vec<String> {
-        let duties = self.values.get("cloud_api.duties").map_or("", String::as_str);
-        duties.split(',').map(|duty| duty.trim().to_owned()).collect()
-    }
-
-    /// Returns an equal part of the calls that the platform takes for all duties, as two entries
-    /// may hold them.
+    /// Returns the calls a second that the platform takes for all duties.
     fn duty_rate(&mut self) -> f64 {
-        let known = |duty: &&String| [USAGE_DUTY, SCALE_DUTY].contains(&duty.as_str());
-        let parts = self.duties().iter().filter(known).count().max(1);
-        self.number_or("cloud_api.duty_per_s", 10.0) / parts as f64
+        self.number_or("cloud_api.duty_per_s", 10.0)
     }
 
     /// Returns a time that is given in units of this many seconds, or `default` units if the
--- a/tests/scale_duty.rs
+++ b/tests/scale_duty.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use sapphirewell::direct::PostOutcome;
-use scale::{OrderStep, ScaleFleet, StepFault};
+use scale::{CALL_INTERVAL, FleetTerms, OrderStep, ScaleFleet, StepFault};
 use yare::parameterized;
 
 const ENTRIES: usize = 4;
@@ -48,6 +48,25 @@
     assert!(fleet.orders.iter().all(|(call, _)| call.entry == fleet.orders[0].0.entry));
 }
 
+/// Both duties together stay within the calls that the platform takes.
+#[parameterized(
+    alone = { FleetTerms { lists_usage: false, has_customers: true }, 1 },
+    no_customers = { FleetTerms { lists_usage: true, has_customers: false }, 1 },
+    both = { FleetTerms { lists_usage: true, has_customers: true }, 2 },
+)]
+fn duties_that_are_in_force_share_the_calls(terms: FleetTerms, parts: u32) {
+    let mut fleet = ScaleFleet::with_terms(ENTRIES, terms);
+    fleet.load = USUAL_LOAD;
+    fleet.run(seconds(30));
+    // More targets are needed in both data centres.
+    fleet.load = 2 * PEAK_LOAD;
+    fleet.run(seconds(30));
+    let times: Vec<Duration> = fleet.orders.iter().map(|(call, _)| call.at).collect();
+    let pause = times[1] - times[0];
+    let expected = CALL_INTERVAL * parts;
+    assert!((expected..expected + CALL_INTERVAL / 2).contains(&pause), "{pause:?}");
+}
+
 #[test]
 fn a_short_burst_leads_to_no_order() {
     let mut fleet = settled_fleet();
@@ -131,13 +150,74 @@
     fleet.run(seconds(cut));
     let by_it = fleet.orders[before..].iter().filter(|(call, _)| call.entry == holder);
     assert_eq!(by_it.count(), 0, "{:?}", fleet.orders);
-    // The others know three quarters of the load.
-    assert!((3..=4).contains(&fleet.target_count()), "{:?}", fleet.orders);
+    // The others know three quarters of the load, which three targets would serve.
+    assert_eq!(fleet.target_count(), 4, "{:?}", fleet.orders);
+    fleet.cut_from_peers.clear();
+    fleet.run(seconds(10));
+    assert_follows_load(&mut fleet, "");
+}
+
+/// Over half of the peers are heard, so the holder acts, but it knows a part of the load only.
+#[test]
+fn a_holder_that_hears_some_of_its_peers_takes_no_targets_away() {
+    let mut fleet = ScaleFleet::new(7);
+    fleet.load = USUAL_LOAD;
+    fleet.run(seconds(130));
+    let (holder, before) = (fleet.holder().unwrap(), fleet.target_count());
+    fleet.cut_from_peers.extend((0..7).filter(|entry| *entry != holder).take(3));
+    fleet.run(seconds(200));
+    assert_eq!(fleet.holder(), Some(holder));
+    assert_eq!(fleet.target_count(), before, "{:?}", fleet.orders);
     fleet.cut_from_peers.clear();
     fleet.run(seconds(10));
     assert_follows_load(&mut fleet, "");
 }
 
+/// Callers come again and again while no target can be reached, and nothing runs.
+#[test]
+fn an_outage_takes_no_targets_away() {
+    let mut fleet = settled_fleet();
+    fleet.run(seconds(100));
+    let before = fleet.target_count();
+    fleet.is_outage = true;
+    fleet.run(seconds(180));
+    assert_eq!(fleet.target_count(), before, "{:?}", fleet.orders);
+    fleet.is_outage = false;
+    fleet.run(seconds(10));
+    assert!(fleet.target_count() >= before, "{:?}", fleet.orders);
+    fleet.run(seconds(170));
+    assert!((3..=4).contains(&fleet.target_count()), "{:?}", fleet.orders);
+    fleet.check_one();
+}
+
+#[test]
+fn targets_that_are_all_lost_come_back() {
+    let mut fleet = settled_fleet();
+    fleet.lose_targets();
+    fleet.run(seconds(30));
+    assert!((3..=4).contains(&fleet.target_count()), "{:?}", fleet.orders);
+    fleet.run(seconds(170));
+    assert!((3..=4).contains(&fleet.target_count()), "{:?}", fleet.orders);
+    fleet.check_one();
+}
+
+/// The need is over before the store returns, so that no further order shows that it has.
+#[test]
+fn a_holder_tells_of_its_claim_after_the_store_has_returned() {
+    let mut fleet = settled_fleet();
+    let holder = fleet.holder().unwrap();
+    fleet.cut_from_store.extend(0..ENTRIES);
+    fleet.load = PEAK_LOAD;
+    fleet.run(seconds(20));
+    assert!(!fleet.tells_claim(holder));
+    fleet.load = USUAL_LOAD;
+    fleet.run(seconds(40));
+    assert!(fleet.tells_claim(holder));
+    fleet.cut_from_store.clear();
+    fleet.run(seconds(30));
+    assert_eq!(fleet.holder(), Some(holder));
+}
+
 /// Tokens after a restore are higher, and what was ordered before is not ordered back.
 #[parameterized(
     before_the_peak = { 0 },
