--- a/src/direct.rs
+++ b/src/direct.rs
@@ -26,6 +26,7 @@
 mod estimate;
 mod flow;
 mod isolation;
+mod latest_write;
 mod limit;
 mod limited;
 mod load;
@@ -71,6 +72,7 @@
 pub use crash_evidence::{CrashEvidence, EvidenceChange};
 pub use customer::{CallerIdentity, CustomerConfig, CustomerName, CustomerTable};
 pub use flow::RequestTrace;
+pub use latest_write::LatestWrite;
 pub use limit::{LimitStatement, LimitTable, RequestRate, ServiceDemand};
 pub use load::{CachedSegment, InFlight, LoadReport, PeerTable, TargetUsage, report_interval};
 pub use machine::{DirectMachine, DirectSettings};
@@ -95,6 +97,7 @@
 };
 pub use suspect_table::SuspectTable;
 pub use target::{DirectTarget, LeavingTarget, TargetChange, TargetFleet, TargetStage};
+pub use unheard::{CountState, UnheardCounts, UnheardStep};
 pub use usage::{
     BootTime, CustomerCounts, EndedCounts, PostOutcome, RecordsEnd, SavedUsage, SavedWindow,
     UsageAction, UsageContent, UsageEvent, UsageMessage, UsageReceipt, UsageRecords, UsageSettings,
--- a/src/direct/scale_plan.rs
+++ b/src/direct/scale_plan.rs
@@ -35,6 +35,9 @@
 const REGISTRATION_TIME: Duration = Duration::from_secs(10);
 /// Shortest and longest pause after an order that failed; it doubles in between.
 const RETRY_PAUSES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
+/// Targets of a service that are kept in all data centres without any request, as one has to be
+/// there for the first.
+const MIN_TARGETS: f32 = 1.0;
 /// Largest number of times that the wait for ordered targets doubles between repeated orders.
 const MAX_DOUBLINGS: u32 = 6;
 
@@ -57,8 +60,10 @@
 /// Need of a service, and what it has.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ScaleSample {
-    /// Targets that its requests need, in all data centres.
-    pub need: f32,
+    /// Targets that its requests need, in all data centres, or `None` if nothing tells of it.
+    pub need: Option<f32>,
+    /// Whether more may be needed: requests failed, or not all of them are known.
+    pub may_be_more: bool,
     /// Targets that are registered and do not leave, by data centre.
     pub listed: BTreeMap<DataCentreId, TargetCount>,
 }
@@ -72,10 +77,11 @@
 #[derive(Debug, Clone, Serialize)]
 struct ServicePlan {
     scaling: ScalingConfig,
-    /// Last samples, of which the mean is the need.
-    samples: VecDeque<f32>,
+    need: Option<f32>,
     /// Averaged needs without a gap, oldest first.
     needs: VecDeque<(ClockTime, f32)>,
+    /// Last samples, oldest first, without the delay of the average.
+    samples: VecDeque<f32>,
     /// Time of the first of them that was ever added.
     began: ClockTime,
     data_centres: BTreeMap<DataCentreId, CentrePlan>,
@@ -143,7 +149,7 @@
     pub fn forget_samples(&mut self) {
         for plan in self.services.values_mut() {
             plan.needs.clear();
-            plan.samples.clear();
+            plan.need = None;
         }
     }
 
@@ -252,8 +258,9 @@
     fn new(scaling: ScalingConfig) -> ServicePlan {
         ServicePlan {
             scaling,
-            samples: VecDeque::new(),
+            need: None,
             needs: VecDeque::new(),
+            samples: VecDeque::new(),
             began: ClockTime::ZERO,
             data_centres: BTreeMap::new(),
         }
@@ -281,15 +288,19 @@
         let gap = self.sample_interval().saturating_mul(GAP_INTERVALS);
         if self.needs.back().is_some_and(|(at, _)| now > *at + gap) {
             self.needs.clear();
-            self.samples.clear();
+            self.need = None;
         }
         if self.needs.is_empty() {
             self.began = now;
         }
-        self.samples.truncate(AVERAGED_SAMPLES - 1);
-        self.samples.push_front(sample.need);
-        let need = self.samples.iter().sum::<f32>() / self.samples.len() as f32;
+        let sampled = self.sampled_need(sample);
+        let known = self.need.unwrap_or(sampled);
+        let need = known + (sampled - known) / AVERAGED_SAMPLES as f32;
+        self.need = Some(need);
         self.needs.push_back((now, need));
+        self.samples.push_back(sampled);
+        let excess = self.samples.len().saturating_sub(AVERAGED_SAMPLES);
+        self.samples.drain(..excess);
         let oldest = now.saturating_sub(self.time_after_peak());
         while self.needs.front().is_some_and(|(at, _)| *at < oldest) {
             self.needs.pop_front();
@@ -303,6 +314,18 @@
         }
     }
 
+    /// Returns the need that a sample stands for. One that may be higher leads to no fall.
+    fn sampled_need(&self, sample: &ScaleSample) -> f32 {
+        let Some(need) = sample.need else {
+            return self.need.unwrap_or(MIN_TARGETS);
+        };
+        if !sample.may_be_more {
+            return need.max(MIN_TARGETS);
+        }
+        let listed = sample.listed.values().map(|count| *count as f32).sum();
+        need.max(listed).max(self.need.unwrap_or(MIN_TARGETS))
+    }
+
     /// Returns the needs of the last `time`, or `None` if samples do not go back so far.
     fn needs_within(&self, now: ClockTime, time: Duration) -> Option<impl Iterator<Item = f32>> {
         let first = now.checked_sub(time).filter(|first| self.began <= *first)?;
@@ -311,11 +334,10 @@
     }
 
     fn next_order(&self, now: ClockTime) -> Option<(DataCentreId, TargetCount)> {
-        // A burst shows in the means for so much longer than it lasts.
-        let averaging_time = self.sample_interval() * (AVERAGED_SAMPLES as u32 - 1);
-        let rise_time = self.lasting_time() + averaging_time;
-        let fall_time = self.time_after_peak();
-        let lowest = |time| self.needs_within(now, time)?.reduce(f32::min);
+        let (rise_time, fall_time) = (self.lasting_time(), self.time_after_peak());
+        // The average is high for some time after a burst has ended.
+        let newest = self.samples.iter().copied().reduce(f32::max)?;
+        let lowest = |time| Some(self.needs_within(now, time)?.reduce(f32::min)?.min(newest));
         let highest = |time| self.needs_within(now, time)?.reduce(f32::max);
         // The others make up for targets that do not come.
         let ScalingConfig { min, max, start_time } = self.scaling;
@@ -330,10 +352,13 @@
         let most = divide_targets(highest(fall_time).unwrap_or(f32::INFINITY), &all_bounds);
         let fall_to = highest(fall_time / 2).unwrap_or(f32::INFINITY);
         let fall_to = divide_targets(fall_to, &all_bounds);
+        // Targets stay in one data centre until those that replace them in another are there.
+        let mut centres = self.data_centres.values().zip(&least);
+        let is_rising = centres.any(|(centre, least)| centre.listed < *least);
         let ranges = least.into_iter().zip(most).zip(rise_to.into_iter().zip(fall_to));
         let ranges = ranges.map(|((least, most), (rise_to, fall_to))| CountRange {
             least,
-            most,
+            most: if is_rising { TargetCount::MAX } else { most },
             rise_to,
             fall_to,
         });
