Order nothing for a burst that is over

Cause: needs are averaged over four samples, and the average stays high for some seconds after a burst.

Change: the lowest need of the lasting time is that of the last four samples at most, without their average's delay.

--- a/src/direct/scale_plan.rs
+++ b/src/direct/scale_plan.rs
@@ -28,7 +28,7 @@
 /// Shortest time between two samples.
 const MIN_SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Samples over which the need is averaged, as single ones vary with the arrivals.
-const AVERAGED_SAMPLES: f32 = 4.0;
+const AVERAGED_SAMPLES: usize = 4;
 /// Sample intervals without a sample after which the samples before say nothing.
 const GAP_INTERVALS: u32 = 4;
 /// Time after a target's start in which its registration reaches the entries.
@@ -80,6 +80,8 @@
     need: Option<f32>,
     /// Averaged needs without a gap, oldest first.
     needs: VecDeque<(ClockTime, f32)>,
+    /// Last samples, oldest first, without the delay of the average.
+    samples: VecDeque<f32>,
     /// Time of the first of them that was ever added.
     began: ClockTime,
     data_centres: BTreeMap<DataCentreId, CentrePlan>,
@@ -258,6 +260,7 @@
             scaling,
             need: None,
             needs: VecDeque::new(),
+            samples: VecDeque::new(),
             began: ClockTime::ZERO,
             data_centres: BTreeMap::new(),
         }
@@ -292,9 +295,12 @@
         }
         let sampled = self.sampled_need(sample);
         let known = self.need.unwrap_or(sampled);
-        let need = known + (sampled - known) / AVERAGED_SAMPLES;
+        let need = known + (sampled - known) / AVERAGED_SAMPLES as f32;
         self.need = Some(need);
         self.needs.push_back((now, need));
+        self.samples.push_back(sampled);
+        let excess = self.samples.len().saturating_sub(AVERAGED_SAMPLES);
+        self.samples.drain(..excess);
         let oldest = now.saturating_sub(self.time_after_peak());
         while self.needs.front().is_some_and(|(at, _)| *at < oldest) {
             self.needs.pop_front();
@@ -329,7 +335,9 @@
 
     fn next_order(&self, now: ClockTime) -> Option<(DataCentreId, TargetCount)> {
         let (rise_time, fall_time) = (self.lasting_time(), self.time_after_peak());
-        let lowest = |time| self.needs_within(now, time)?.reduce(f32::min);
+        // The average is high for some time after a burst has ended.
+        let newest = self.samples.iter().copied().reduce(f32::max)?;
+        let lowest = |time| Some(self.needs_within(now, time)?.reduce(f32::min)?.min(newest));
         let highest = |time| self.needs_within(now, time)?.reduce(f32::max);
         // The others make up for targets that do not come.
         let ScalingConfig { min, max, start_time } = self.scaling;
