--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -469,7 +469,6 @@
         memory_tokens: 400_000,
         token_bytes: 163_840.0,
         link_bits: 1.5e12,
-        event_tokens: 12.0,
     };
     let plain = ServiceConfig { max_connections: 100, engine: None, scaling: None };
     let llm = ServiceConfig { max_connections: 180, engine: Some(engine), scaling: None };
@@ -512,7 +511,6 @@
         streams: class.is_stream(),
         timeout: Duration::from_millis(timeout),
         objective: Duration::from_millis(objective),
-        event_gap: class.is_stream().then_some(Duration::from_millis(150)),
         priority: route_priority(class),
         max_attempts,
         allows_anonymous: allows_anonymous(class),
--- a/src/direct/estimate.rs
+++ b/src/direct/estimate.rs
@@ -44,9 +44,10 @@
 /// Cost of a copied prefix to later requests, relative to the transfer time: it occupies the links
 /// of two engines.
 const COPY_COST_FACTOR: f32 = 2.0;
-/// Part of the time that may pass between two events which is left for their way to the caller, in
-/// seconds.
-const EVENT_GAP_MARGIN_SECONDS: f32 = 0.01;
+/// Output tokens in one event of a stream.
+const EVENT_TOKENS: f32 = 12.0;
+/// Longest time between two events of a response that is in time, less a margin, in seconds.
+const MAX_EVENT_GAP_SECONDS: f32 = 0.14;
 /// Longest prompt whose prefill fits within one event, so that it delays no stream beyond
 /// the limit, in tokens.
 const SHORT_PREFILL_TOKENS: u32 = 1024;
@@ -84,8 +85,6 @@
     pub(super) data_centre: &'a DataCentreId,
     /// Latency objective of the request's route.
     pub(super) objective: Duration,
-    /// Longest time between two events of the service's streams; `None` if that is not limited.
-    pub(super) event_gap: Option<Duration>,
     /// Priority of the request at targets.
     pub(super) priority: u8,
 }
@@ -273,7 +272,8 @@
         let copying = copy_seconds(copy.as_ref());
         let own = tokens as f32 / rate + copying + self.call_overhead(state, query);
         let displacing = displacing_tokens(prompt, tokens, is_home) as f32 / rate;
-        let delays_streams = tokens > SHORT_PREFILL_TOKENS && makes_streams_late(query, rate);
+        let event_gap = EVENT_TOKENS * DECODE_CHUNK_TOKENS / rate;
+        let delays_streams = tokens > SHORT_PREFILL_TOKENS && event_gap > MAX_EVENT_GAP_SECONDS;
         let stream_cost = if delays_streams { LATE_STREAM_COST_SECONDS } else { 0.0 };
         let placed = placement(state, StepKind::Run, waiting, own);
         let external_cost = placed.external_cost
@@ -455,14 +455,6 @@
     PromptPlan { tokens: prompt.tokens.saturating_sub(cached + copied).max(1), copy }
 }
 
-/// Returns whether an engine in the decode stage that prefills a long prompt at a rate makes its
-/// streams late: between two tokens of an event it prefills one chunk.
-fn makes_streams_late(query: &PlacementQuery<'_>, rate: f32) -> bool {
-    let (Some(engine), Some(limit)) = (query.engine, query.event_gap) else { return false };
-    let gap = engine.event_tokens * DECODE_CHUNK_TOKENS / rate;
-    gap > limit.as_secs_f32() - EVENT_GAP_MARGIN_SECONDS
-}
-
 fn copy_seconds(copy: Option<&PrefixCopy>) -> f32 {
     copy.map_or(0.0, |copy| copy.seconds)
 }
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -82,9 +82,6 @@
     #[serde(skip)]
     rng: SmallRng,
     pub(super) routes: Option<Arc<RouteTable>>,
-    /// Shortest limit on the time between two events of a service's streams.
-    #[serde(skip)]
-    event_gaps: HashMap<ServiceName, Duration>,
     pub(super) fleet: TargetFleet,
     pub(super) peers: PeerTable,
     #[serde(rename = "most_entries")]
@@ -149,7 +146,6 @@
             fleet: TargetFleet::new(settings.drain_bound),
             settings,
             routes: None,
-            event_gaps: HashMap::new(),
             peers: PeerTable::default(),
             max_entries: MIN_ENTRIES,
             limits: LimitTable::default(),
@@ -323,7 +319,6 @@
         if newer {
             let names: HashSet<&Arc<str>> = routes.routes.iter().map(|route| &route.name).collect();
             self.returns.retain(|name, _| names.contains(name));
-            self.event_gaps = routes.event_gaps();
             if let Some(scale) = &mut self.scale {
                 scale.configure(&routes);
             }
@@ -517,7 +512,7 @@
         let flow = self.flows.get(&id)?;
         let view =
             PlacementView { fleet: &self.fleet, peers: &self.peers, limits: &self.limits, now };
-        let query = query(flow, self.routes.as_ref(), &self.event_gaps, &self.settings);
+        let query = query(flow, self.routes.as_ref(), &self.settings);
         view.choose(&mut self.rng, &query)
     }
 
@@ -534,7 +529,7 @@
         let source = flow.cache.as_ref().and_then(|cache| self.fleet.get(&cache.target.id));
         let view =
             PlacementView { fleet: &self.fleet, peers: &self.peers, limits: &self.limits, now };
-        let query = query(flow, self.routes.as_ref(), &self.event_gaps, &self.settings);
+        let query = query(flow, self.routes.as_ref(), &self.settings);
         let chosen = source.and_then(|source| view.choose_decode(&mut self.rng, &query, source));
         match chosen {
             Some(placement) if self.reject_while_stopping(now, id, &placement, out) => {}
@@ -706,7 +701,6 @@
 fn query<'a>(
     flow: &'a DirectFlow,
     routes: Option<&'a Arc<RouteTable>>,
-    event_gaps: &HashMap<ServiceName, Duration>,
     settings: &'a DirectSettings,
 ) -> PlacementQuery<'a> {
     PlacementQuery {
@@ -719,7 +713,6 @@
         stream: stream_part(flow),
         data_centre: &settings.data_centre,
         objective: flow.request.route.objective,
-        event_gap: event_gaps.get(&flow.service).copied(),
         priority: priority(flow),
     }
 }
--- a/src/direct/route.rs
+++ b/src/direct/route.rs
@@ -52,8 +52,6 @@
     pub timeout: Duration,
     /// Latency objective: time within which a response is in time.
     pub objective: Duration,
-    /// Longest time between two events of a stream that is in time; `None` if that is not limited.
-    pub event_gap: Option<Duration>,
     /// Priority, 0 being the highest.
     pub priority: u8,
     /// Maximum number of targets that may run one request.
@@ -75,8 +73,6 @@
     pub token_bytes: f64,
     /// Bandwidth of an engine's network link, in bits per second.
     pub link_bits: f64,
-    /// Output tokens in one event of a stream.
-    pub event_tokens: f32,
 }
 
 /// Bounds on the number of a service's targets in each data centre, where the system orders it.
@@ -128,20 +124,6 @@
 }
 
 impl RouteTable {
-    /// Returns the shortest limit on the time between two events among the routes to each service:
-    /// what an engine's streams need, whichever route they belong to.
-    pub(super) fn event_gaps(&self) -> HashMap<ServiceName, Duration> {
-        let mut gaps = HashMap::new();
-        for route in &self.routes {
-            let Some(gap) = route.event_gap else { continue };
-            for weighted in &route.services {
-                let shortest = gaps.entry(weighted.service.clone()).or_insert(gap);
-                *shortest = gap.min(*shortest);
-            }
-        }
-        gaps
-    }
-
     /// Returns the route of the host whose prefix is the longest match for the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteConfig>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -65,7 +65,6 @@
     allow_anonymous: bool,
     #[serde(default)]
     resumable: bool,
-    target_gap_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -104,8 +103,6 @@
     kv_capacity_tokens: f64,
     token_kv_bytes: f64,
     link_mbps: f64,
-    /// Output tokens in one event; one if it is not stated.
-    stride: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -195,7 +192,6 @@
         streams,
         timeout: duration_from_millis(route.timeout_ms),
         objective: duration_from_millis(route.target_latency_ms),
-        event_gap: route.target_gap_ms.map(duration_from_millis),
         priority: route.priority,
         max_attempts: route.max_attempts.max(1),
         allows_anonymous: route.allow_anonymous,
@@ -209,7 +205,6 @@
         memory_tokens: engine.kv_capacity_tokens as u32,
         token_bytes: engine.token_kv_bytes,
         link_bits: engine.link_mbps * 1.0e6,
-        event_tokens: engine.stride.map_or(1.0, |tokens| tokens.max(1.0) as f32),
     });
     let scaling = service.scaling.and_then(|scaling| {
         scaling_terms(&service.name, scaling)
--- a/tests/platform_documents.rs
+++ b/tests/platform_documents.rs
@@ -79,28 +79,18 @@
 
 const CONFIG: &str = r#"{"version":7,"routes":[
     {"name":"a","host":"H.example","path_prefix":"/a/","kind":"streaming","timeout_ms":2500,
-     "target_latency_ms":250,"priority":0,"service":"s","max_attempts":1,"resumable":false,
-     "target_gap_ms":150},
+     "target_latency_ms":250,"priority":0,"service":"s","max_attempts":1,"resumable":false},
     {"name":"b","host":"h.example","path_prefix":"/a/b/","kind":"streaming","timeout_ms":5000,
      "target_latency_ms":500,"priority":1,"max_attempts":2,"resumable":true,
      "traffic_split":[{"service":"s","weight":90},{"service":"t","weight":10.5}]},
     {"name":"c","host":"h.example","path_prefix":"/c/","kind":"unsafe","timeout_ms":800,
      "target_latency_ms":150,"priority":2,"service":"t","max_attempts":1}],
     "services":[{"name":"s","max_connections":180,"engine":{"slots":16,
-     "kv_capacity_tokens":414255,"token_kv_bytes":163840,"link_mbps":1500000.0,"stride":12,"handle_ttl_s":5.0}},
+     "kv_capacity_tokens":414255,"token_kv_bytes":163840,"link_mbps":1500000.0,"handle_ttl_s":5.0}},
      {"name":"t","max_connections":110}],
     "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
      "idle_timeout_ms":15000}}"#;
 
-#[test]
-fn a_configuration_states_the_events_of_streams() {
-    let table = configuration::decode(CONFIG.as_bytes()).unwrap();
-    let engine = table.services["s"].engine.as_ref().unwrap();
-    assert_eq!(engine.event_tokens, 12.0);
-    let gaps: Vec<_> = table.routes.iter().map(|route| route.event_gap).collect();
-    assert_eq!(gaps, [Some(Duration::from_millis(150)), None, None]);
-}
-
 struct RouteCase {
     host: &'static str,
     path: &'static str,
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -18,13 +18,8 @@
 pub const SERVICE: &str = "service";
 
 /// Properties of the engines of that service.
-pub const ENGINE: EngineConfig = EngineConfig {
-    slots: 16,
-    memory_tokens: 400_000,
-    token_bytes: 163_840.0,
-    link_bits: 1.5e12,
-    event_tokens: 12.0,
-};
+pub const ENGINE: EngineConfig =
+    EngineConfig { slots: 16, memory_tokens: 400_000, token_bytes: 163_840.0, link_bits: 1.5e12 };
 
 /// [`DirectMachine`] with a test clock and one route.
 pub struct DirectRig {
@@ -184,7 +179,6 @@
             streams: true,
             timeout: Duration::from_secs(5),
             objective: Duration::from_millis(500),
-            event_gap: Some(Duration::from_millis(150)),
             priority: 1,
             max_attempts: 2,
             allows_anonymous: true,
