--- a/src/direct.rs
+++ b/src/direct.rs
@@ -44,7 +44,6 @@
 mod scale_need;
 mod scale_plan;
 mod share;
-mod share_division;
 mod sharing;
 mod stage_capacity;
 mod stage_plan;
@@ -84,10 +83,7 @@
 pub use scale::{ScaleAction, ScaleEvent, ScaleSettings};
 pub use scale_need::{RefusalMeter, room_needed};
 pub use scale_plan::{ScaleOrder, ScalePlanner, ScaleSample, TargetCount, divide_targets};
-pub use share::{CustomerLoad, LevelLoad, LoadKey, LoadPriority, ShareReport, ShareTable};
-pub use share_division::{
-    CustomerDemand, LevelGrant, LevelRaise, WorkRate, divide_levels, divide_room,
-};
+pub use share::{CustomerDemand, CustomerLoad, ShareReport, ShareTable, WorkRate, divide_room};
 pub use stage_plan::{OrderOutcome, StageOrder};
 pub use stop::StopPhase;
 pub use stream::{SoftwareVersion, StreamId, StreamMessage, StreamOrigin, StreamResume};
--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -420,10 +420,6 @@
             self.run_ended(now, id);
         }
         let answered = self.flows.get(&id).and_then(|flow| flow.call.as_ref()).cloned();
-        // Its target had not begun it when the caller left.
-        if answered.as_ref().is_some_and(|call| !complete && !call.answered) {
-            self.take_back_admission(id);
-        }
         let call = self.close_call(now, id, if complete { "whole" } else { "broken_off" });
         if let (true, Some(call)) = (complete && answered.is_some(), &call)
             && let Some(state) = self.fleet.get_mut(&call.target.id)
--- a/src/direct/flow.rs
+++ b/src/direct/flow.rs
@@ -8,8 +8,7 @@
 
 use super::{
     CallNumber, CrashSuspect, CustomerName, DirectRequest, DirectTarget, FailureReason,
-    LoadPriority, PromptShape, RequestIdentity, ServiceName, SoftwareVersion, StreamId,
-    TargetStart,
+    PromptShape, RequestIdentity, ServiceName, SoftwareVersion, StreamId, TargetStart,
     stream::OriginQuery,
     suspect::{TargetRun, request_suspects},
 };
@@ -116,8 +115,6 @@
     pub(super) may_have_run: bool,
     /// Whether it is in the counts of its customer's usage.
     pub(super) is_counted: bool,
-    /// Higher priority that targets get it with, so that its own one is not starved.
-    pub(super) raised: Option<LoadPriority>,
     /// Work that was counted as admitted of its customer's, in seconds at a target.
     pub(super) admitted_seconds: f32,
     /// Whether the response that is being delivered ends with its connection.
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -387,7 +387,6 @@
             reserved: None,
             may_have_run: false,
             is_counted: false,
-            raised: None,
             admitted_seconds: 0.0,
             unframed: false,
             trace,
@@ -438,7 +437,6 @@
         if flow.calls >= MAX_CALLS {
             return self.fail_request(id, FailureReason::Declined, Duration::ZERO, out);
         }
-        self.raise_starved(now, id);
         let Some(mut placement) = self.choose(now, id) else {
             return self.fail_without_target(now, id, out);
         };
--- a/src/direct/share.rs
+++ b/src/direct/share.rs
@@ -1,26 +1,20 @@
 //! Shares of customers in a service whose targets have too little room for all requests.
 //!
 //! They serve loads of many customers, a few of them large, of which one sends a burst or repeats
-//! refused requests at once, and of customers whose priorities compete. Entries tell each other
-//! what customers ask for and what they got, and each refuses first those that have more than
-//! their share. See [docs/design/shares.md](../../docs/design/shares.md).
+//! refused requests at once. Entries tell each other what customers ask for and what they got, and
+//! each refuses first those that have more than their share. See
+//! [docs/design/shares.md](../../docs/design/shares.md).
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    time::Duration,
-};
+use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-use super::{
-    CustomerName, PeerName, ServiceName,
-    backlog::FIRST_LATE_PRIORITY,
-    share_division::{CustomerDemand, USUAL_PART, WorkRate, divide_levels},
-};
+use super::{CustomerName, PeerName, ServiceName};
 use crate::ids::ClockTime;
 
-/// Priority of requests that are not late, 0 being the highest.
-pub type LoadPriority = u8;
+/// Work at a service's targets: the time that requests need there without waiting, in seconds for
+/// each second.
+pub type WorkRate = f32;
 
 /// Time constant of the rates that shares are computed from. It spans several reports.
 const RATE_TIME: Duration = Duration::from_secs(1);
@@ -32,6 +26,12 @@
 const PRESENT_WEIGHT: f32 = 0.02;
 /// Rate below which a customer is no longer kept.
 const MIN_RATE: WorkRate = 0.0001;
+/// Part of the room that customers keep in proportion to what they usually ask for, so that
+/// large ones are served at least half as often as all.
+const USUAL_PART: f32 = 0.5;
+/// Part of what a customer would get in proportion to its present work that it gets at least. It
+/// is more than a quarter, so that a customer whose work grows is not starved.
+const PRESENT_PART: f32 = 0.3;
 /// Part of the offered work up to which the admitted work counts as too little.
 const SHORT_PART: f32 = 0.95;
 /// Part of the allowed queueing time that is kept for customers within their shares. One that
@@ -49,14 +49,10 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Largest number of customers in a report; the largest come first.
 const MAX_REPORTED: usize = 24;
-/// Largest size of a report's loads as they are encoded, in bytes, so that a datagram carries them.
-const MAX_REPORT_BYTES: usize = 1440;
-/// Largest encoded size of a load without its names and priorities, and of one priority of it, in
-/// bytes.
-const LOAD_BYTES: usize = 26;
-const LEVEL_BYTES: usize = 12;
-/// Lowest priority, which work counts at that a peer states no priority of.
-const LOWEST_PRIORITY: LoadPriority = FIRST_LATE_PRIORITY - 1;
+/// Largest size of the names in a report, in bytes.
+const MAX_NAME_BYTES: usize = 1024;
+/// Largest number of halvings in the search for the level of equal shares.
+const LEVEL_STEPS: usize = 32;
 
 /// What one customer asks of a service, and how much of it is admitted.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -73,24 +69,6 @@
     /// Work of those that were not refused.
     #[serde(rename = "a")]
     pub admitted: WorkRate,
-    /// The same by priority. Entries of earlier versions send none.
-    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
-    pub levels: Vec<LevelLoad>,
-}
-
-/// Part of a customer's work that has one priority: that priority, the work offered and admitted.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct LevelLoad(pub LoadPriority, pub WorkRate, pub WorkRate);
-
-/// Service, customer and priority that work counts towards.
-#[derive(Debug, Clone, Copy)]
-pub struct LoadKey<'a> {
-    /// Service that the requests are for.
-    pub service: &'a ServiceName,
-    /// Customer; empty for requests without one.
-    pub customer: &'a CustomerName,
-    /// Priority of the requests.
-    pub priority: LoadPriority,
 }
 
 /// One entry's report of its customers' work.
@@ -109,18 +87,46 @@
     /// or a damaged datagram.
     pub fn has_valid_numbers(&self) -> bool {
         let is_rate = |rate: WorkRate| rate.is_finite() && rate >= 0.0;
-        let is_level =
-            |level: &LevelLoad| level.0 <= LOWEST_PRIORITY && is_rate(level.1) && is_rate(level.2);
-        let is_valid = |load: &CustomerLoad| {
-            is_rate(load.offered)
-                && is_rate(load.admitted)
-                && load.levels.len() <= usize::from(FIRST_LATE_PRIORITY)
-                && load.levels.iter().all(is_level)
-        };
+        let is_valid = |load: &CustomerLoad| is_rate(load.offered) && is_rate(load.admitted);
         self.loads.len() <= MAX_REPORTED && self.loads.iter().all(is_valid)
     }
 }
 
+/// What a customer asks for, now and usually.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct CustomerDemand {
+    /// Work that it offers.
+    pub offered: WorkRate,
+    /// Its part of what all customers usually offer, from 0 to 1.
+    pub usual_part: f32,
+}
+
+/// Divides room among customers, and returns what each is granted, in their order.
+///
+/// Shares are max-min fair: nobody gets more than it offers, and what one leaves goes to the
+/// others in equal parts. Half of the room is divided in proportion to what customers usually offer
+/// first, as far as they still offer it, and nobody gets less than [`PRESENT_PART`] of what it would
+/// get in proportion to what it offers.
+pub fn divide_room(demands: &[CustomerDemand], room: WorkRate) -> Vec<WorkRate> {
+    let offered: WorkRate = demands.iter().map(|demand| demand.offered).sum();
+    let present_part = PRESENT_PART * room / offered.max(f32::MIN_POSITIVE);
+    let granted = |demand: &CustomerDemand, level: WorkRate| {
+        let usual = room * USUAL_PART * demand.usual_part;
+        let present = present_part * demand.offered;
+        level.max(usual).max(present).min(demand.offered)
+    };
+    let total = |level| demands.iter().map(|demand| granted(demand, level)).sum::<WorkRate>();
+    let (mut low, mut high) = (0.0, demands.iter().map(|d| d.offered).fold(0.0, WorkRate::max));
+    if total(high) > room {
+        for _ in 0..LEVEL_STEPS {
+            let middle = (low + high) / 2.0;
+            if total(middle) > room { high = middle } else { low = middle }
+        }
+        high = low;
+    }
+    demands.iter().map(|demand| granted(demand, high)).collect()
+}
+
 /// Average rate of work, with exponential decay.
 #[derive(Debug, Clone, Copy, Default, Serialize)]
 struct WorkMeter {
@@ -140,14 +146,12 @@
     }
 }
 
-/// Work of one customer at this entry, of one priority.
+/// Work of one customer at this entry.
 #[derive(Debug, Clone, Copy, Default, Serialize)]
 struct CustomerMeter {
     offered: WorkMeter,
     admitted: WorkMeter,
     usual: WorkMeter,
-    /// Requests that may be raised, less those that were.
-    raise_credit: f32,
 }
 
 impl CustomerMeter {
@@ -173,29 +177,15 @@
     usual: WorkRate,
 }
 
-/// Values for each service, priority and customer.
-type LoadMap<T> = HashMap<ServiceName, LevelMap<T>>;
-/// Values for each priority and customer.
-type LevelMap<T> = BTreeMap<LoadPriority, HashMap<CustomerName, T>>;
-
-/// Part of the requests of a priority that targets get with a higher one.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
-struct RaisedPart {
-    priority: LoadPriority,
-    part: f32,
-}
-
 /// Work of customers, and the parts of the allowed queueing time of those above their shares.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct ShareTable {
     #[serde(skip)]
-    meters: LoadMap<CustomerMeter>,
+    meters: HashMap<ServiceName, HashMap<CustomerName, CustomerMeter>>,
     #[serde(skip)]
     peers: HashMap<PeerName, PeerShares>,
     /// Customers above their shares.
-    limited: LoadMap<f32>,
-    /// Priorities to which higher ones leave too little room.
-    raised: HashMap<ServiceName, BTreeMap<LoadPriority, RaisedPart>>,
+    limited: HashMap<ServiceName, HashMap<CustomerName, f32>>,
     /// When the shares are next computed.
     #[serde(skip)]
     next_division: ClockTime,
@@ -209,38 +199,26 @@
 impl ShareTable {
     /// Returns the queueing time that a request may have of the `allowed` one: less for a
     /// customer that has more than its share while there is too little room.
-    pub fn allowed_wait(&self, load: LoadKey<'_>, allowed: Duration) -> Duration {
-        let levels = self.limited.get(load.service);
-        let limited = levels.and_then(|levels| levels.get(&load.priority)?.get(load.customer));
+    pub fn allowed_wait(
+        &self,
+        service: &ServiceName,
+        customer: &CustomerName,
+        allowed: Duration,
+    ) -> Duration {
+        let limited = self.limited.get(service).and_then(|limited| limited.get(customer));
         limited.map_or(allowed, |part| allowed.mul_f32(*part))
     }
 
-    /// Returns the higher priority that targets are to get a new request with, if it is one of
-    /// those that keep its priority from being starved.
-    pub fn raise(&mut self, now: ClockTime, load: LoadKey<'_>) -> Option<LoadPriority> {
-        if !self.is_short(now) {
-            return None;
-        }
-        let raise = *self.raised.get(load.service)?.get(&load.priority)?;
-        let credit = &mut self.meter(load).raise_credit;
-        *credit += raise.part;
-        if *credit < 1.0 {
-            return None;
-        }
-        *credit -= 1.0;
-        Some(raise.priority)
-    }
-
-    /// Returns the number of customers above their shares, counted for each service and priority.
+    /// Returns the number of customers above their shares, counted for each service.
     pub fn limited_count(&self) -> usize {
-        self.limited.values().flat_map(BTreeMap::values).map(HashMap::len).sum()
+        self.limited.values().map(HashMap::len).sum()
     }
 
     /// Counts a request that needs this time at a target, and how long it would wait.
     pub fn record_offer(
         &mut self,
         now: ClockTime,
-        load: LoadKey<'_>,
+        load: (&ServiceName, &CustomerName),
         seconds: f32,
         (waiting, allowed): (Duration, Duration),
     ) {
@@ -256,12 +234,17 @@
     }
 
     /// Counts a request that was offered before and is not refused.
-    pub fn record_admission(&mut self, now: ClockTime, load: LoadKey<'_>, seconds: f32) {
+    pub fn record_admission(
+        &mut self,
+        now: ClockTime,
+        load: (&ServiceName, &CustomerName),
+        seconds: f32,
+    ) {
         self.meter(load).admitted.record(now, seconds, RATE_TIME);
     }
 
     /// Takes back an admission of work that was not run after all.
-    pub fn take_back(&mut self, load: LoadKey<'_>, seconds: f32) {
+    pub fn take_back(&mut self, load: (&ServiceName, &CustomerName), seconds: f32) {
         let admitted = &mut self.meter(load).admitted;
         admitted.rate = (admitted.rate - seconds / RATE_TIME.as_secs_f32()).max(0.0);
     }
@@ -279,25 +262,18 @@
         }
         self.next_division = now + SHARE_INTERVAL;
         self.expire_peers(now, timeout);
-        self.meters.retain(|_, levels| {
-            levels.retain(|_, meters| {
-                meters.retain(|_, meter| meter.weight(now) >= MIN_RATE);
-                !meters.is_empty()
-            });
-            !levels.is_empty()
-        });
+        for meters in self.meters.values_mut() {
+            meters.retain(|_, meter| meter.weight(now) >= MIN_RATE);
+        }
+        self.meters.retain(|_, meters| !meters.is_empty());
         self.limited.clear();
-        self.raised.clear();
         if !self.is_short(now) {
             return;
         }
         for (service, totals) in self.totals(now) {
-            let Some(standing) = ServiceStanding::of(&totals) else { continue };
-            if !standing.limited.is_empty() {
-                self.limited.insert(service.clone(), standing.limited);
-            }
-            if !standing.raised.is_empty() {
-                self.raised.insert(service, standing.raised);
+            let limited = limited_customers(&totals);
+            if !limited.is_empty() {
+                self.limited.insert(service, limited);
             }
         }
     }
@@ -315,16 +291,15 @@
             return None;
         }
         self.next_report = now + REPORT_INTERVAL;
-        let mut loads = self.own_loads(now);
+        let mut loads: Vec<CustomerLoad> = self.own_loads(now).collect();
         if loads.is_empty() {
             return None;
         }
         loads.sort_by(|a, b| b.offered.total_cmp(&a.offered));
-        let mut bytes = 0;
+        let mut name_bytes = 0;
         let fits = |load: &CustomerLoad| {
-            let names = load.service.len() + load.customer.len();
-            bytes += LOAD_BYTES + names + LEVEL_BYTES * load.levels.len();
-            bytes <= MAX_REPORT_BYTES
+            name_bytes += load.service.len() + load.customer.len();
+            name_bytes <= MAX_NAME_BYTES
         };
         let loads = loads.into_iter().take(MAX_REPORTED).take_while(fits).collect();
         let is_short = now < self.short_until;
@@ -336,10 +311,9 @@
         self.peers.retain(|_, peer| now <= peer.received + timeout);
     }
 
-    fn meter(&mut self, load: LoadKey<'_>) -> &mut CustomerMeter {
-        let levels = self.meters.entry(load.service.clone()).or_default();
-        let customers = levels.entry(load.priority).or_default();
-        customers.entry(load.customer.clone()).or_default()
+    fn meter(&mut self, (service, customer): (&ServiceName, &CustomerName)) -> &mut CustomerMeter {
+        let meters = self.meters.entry(service.clone()).or_default();
+        meters.entry(customer.clone()).or_default()
     }
 
     /// Returns whether this entry or a peer finds too little room.
@@ -347,128 +321,59 @@
         now < self.short_until || self.peers.values().any(|peer| peer.report.is_short)
     }
 
-    /// Returns the work of each customer at this entry.
-    fn own_loads(&self, now: ClockTime) -> Vec<CustomerLoad> {
-        let mut loads: HashMap<(&ServiceName, &CustomerName), CustomerLoad> = HashMap::new();
-        for (service, priority, customer, meter) in self.all_meters() {
-            let offered = meter.offered.rate_at(now, RATE_TIME);
-            let admitted = meter.admitted.rate_at(now, RATE_TIME);
-            let load = loads.entry((service, customer)).or_insert_with(|| CustomerLoad {
+    fn own_loads(&self, now: ClockTime) -> impl Iterator<Item = CustomerLoad> {
+        self.meters.iter().flat_map(move |(service, meters)| {
+            meters.iter().map(move |(customer, meter)| CustomerLoad {
                 service: service.clone(),
                 customer: customer.clone(),
-                offered: 0.0,
-                admitted: 0.0,
-                levels: Vec::new(),
-            });
-            load.offered += offered;
-            load.admitted += admitted;
-            load.levels.push(LevelLoad(priority, offered, admitted));
-        }
-        loads.into_values().collect()
-    }
-
-    fn all_meters(
-        &self,
-    ) -> impl Iterator<Item = (&ServiceName, LoadPriority, &CustomerName, &CustomerMeter)> {
-        self.meters.iter().flat_map(|(service, levels)| {
-            levels.iter().flat_map(move |(priority, meters)| {
-                meters.iter().map(move |(customer, meter)| (service, *priority, customer, meter))
+                offered: meter.offered.rate_at(now, RATE_TIME),
+                admitted: meter.admitted.rate_at(now, RATE_TIME),
             })
         })
     }
 
-    /// Sums the work of each service's customers over all entries, by priority. What is usual is
-    /// known of this entry only, at which callers arrive as at the others.
-    fn totals(&self, now: ClockTime) -> LoadMap<CustomerTotal> {
-        let mut totals: LoadMap<CustomerTotal> = HashMap::new();
+    /// Sums the work of each service's customers over all entries. What is usual is known of
+    /// this entry only, at which callers arrive as at the others.
+    fn totals(&self, now: ClockTime) -> HashMap<ServiceName, HashMap<CustomerName, CustomerTotal>> {
+        let mut totals: HashMap<ServiceName, HashMap<CustomerName, CustomerTotal>> = HashMap::new();
         let reported = self.peers.values().flat_map(|peer| peer.report.loads.iter().cloned());
-        for load in self.own_loads(now).into_iter().chain(reported) {
-            let stated = match load.levels.is_empty() {
-                true => vec![LevelLoad(self.main_priority(&load), load.offered, load.admitted)],
-                false => load.levels,
-            };
-            let levels = totals.entry(load.service).or_default();
-            for LevelLoad(priority, offered, admitted) in stated {
-                let customers = levels.entry(priority).or_default();
-                let total = customers.entry(load.customer.clone()).or_default();
-                total.offered += offered;
-                total.admitted += admitted;
-            }
+        for load in self.own_loads(now).chain(reported) {
+            let customers = totals.entry(load.service).or_default();
+            let total = customers.entry(load.customer).or_default();
+            total.offered += load.offered;
+            total.admitted += load.admitted;
         }
-        for (service, priority, customer, meter) in self.all_meters() {
-            let levels = totals.get_mut(service);
-            let total = levels.and_then(|levels| levels.get_mut(&priority)?.get_mut(customer));
-            if let Some(total) = total {
-                total.usual = meter.weight(now);
+        for (service, meters) in &self.meters {
+            for (customer, meter) in meters {
+                let total = totals.get_mut(service).and_then(|known| known.get_mut(customer));
+                if let Some(total) = total {
+                    total.usual = meter.weight(now);
+                }
             }
         }
         totals
     }
-
-    /// Returns the priority that a customer's work for a service has here for the most part.
-    fn main_priority(&self, load: &CustomerLoad) -> LoadPriority {
-        let levels = self.meters.get(&load.service).into_iter().flatten();
-        let own = levels.filter_map(|(priority, meters)| {
-            Some((meters.get(&load.customer)?.offered.rate, *priority))
-        });
-        let main = own.max_by(|a, b| a.0.total_cmp(&b.0));
-        main.map_or(LOWEST_PRIORITY, |(_, priority)| priority)
-    }
-}
-
-/// Who has more than its share of a service, and whose work would be starved by priorities.
-struct ServiceStanding {
-    limited: LevelMap<f32>,
-    raised: BTreeMap<LoadPriority, RaisedPart>,
 }
 
-impl ServiceStanding {
-    /// Compares the customers' work with their shares; returns `None` if there is room for all.
-    fn of(totals: &LevelMap<CustomerTotal>) -> Option<ServiceStanding> {
-        let sum = |value: fn(&CustomerTotal) -> f32| {
-            totals.values().flat_map(HashMap::values).map(value).sum::<f32>()
-        };
-        let (offered, room) = (sum(|total| total.offered), sum(|total| total.admitted));
-        if room >= offered * SHORT_PART {
-            return None;
-        }
-        let priorities: Vec<LoadPriority> = totals.keys().copied().collect();
-        let demands: Vec<_> = totals.values().map(level_demands).collect();
-        let mut standing = ServiceStanding { limited: BTreeMap::new(), raised: BTreeMap::new() };
-        for ((priority, totals), grant) in totals.iter().zip(divide_levels(&demands, room)) {
-            if let Some(raise) = grant.raise {
-                let raised = RaisedPart { priority: priorities[raise.level], part: raise.part };
-                standing.raised.insert(*priority, raised);
-            }
-            let limited = limited_customers(totals, &grant.granted);
-            if !limited.is_empty() {
-                standing.limited.insert(*priority, limited);
-            }
-        }
-        Some(standing)
+/// Returns the customers that have more than their share, each with the part of the allowed
+/// queueing time that it has.
+fn limited_customers(totals: &HashMap<CustomerName, CustomerTotal>) -> HashMap<CustomerName, f32> {
+    let sum = |value: fn(&CustomerTotal) -> f32| totals.values().map(value).sum::<f32>();
+    let (offered, room) = (sum(|total| total.offered), sum(|total| total.admitted));
+    let usual = sum(|total| total.usual).max(f32::MIN_POSITIVE);
+    if room >= offered * SHORT_PART {
+        return HashMap::new();
     }
-}
-
-/// Returns what the customers of a priority ask for, in the order of the map.
-fn level_demands(totals: &HashMap<CustomerName, CustomerTotal>) -> Vec<CustomerDemand> {
-    let usual = totals.values().map(|total| total.usual).sum::<f32>().max(f32::MIN_POSITIVE);
     let demand = |(customer, total): (&CustomerName, &CustomerTotal)| {
         let part = total.usual / usual;
         // Requests without a customer are of many callers, and keep all that is usual.
         let usual_part = if customer.is_empty() { part / USUAL_PART } else { part };
         CustomerDemand { offered: total.offered, usual_part }
     };
-    totals.iter().map(demand).collect()
-}
-
-/// Returns the customers that have more than they are granted, each with the part of the allowed
-/// queueing time that it has.
-fn limited_customers(
-    totals: &HashMap<CustomerName, CustomerTotal>,
-    granted: &[WorkRate],
-) -> HashMap<CustomerName, f32> {
+    let demands: Vec<CustomerDemand> = totals.iter().map(demand).collect();
+    let granted = divide_room(&demands, room);
     let standings = totals.iter().zip(granted);
-    let limited = standings.filter(|((_, total), granted)| **granted < total.offered * SHORT_PART);
+    let limited = standings.filter(|((_, total), granted)| *granted < total.offered * SHORT_PART);
     limited
         .map(|((customer, total), granted)| {
             let part = (granted / total.admitted.max(f32::MIN_POSITIVE)).min(1.0);
--- a/src/direct/sharing.rs
+++ b/src/direct/sharing.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    CustomerName, DirectMachine, FlowId, LoadKey, ShareReport, estimate::Placement,
-    flow::DirectFlow, waiting::own_priority,
+    CustomerName, DirectMachine, FlowId, ShareReport, estimate::Placement, flow::DirectFlow,
 };
 use crate::ids::ClockTime;
 
@@ -14,7 +13,7 @@
         self.shares.report(now, &self.settings.name, self.peers.timeout())
     }
 
-    /// Returns the number of customers above their shares, counted for each service and priority.
+    /// Returns the number of customers above their shares, counted for each service.
     pub fn limited_customers(&self) -> usize {
         self.shares.limited_count()
     }
@@ -25,16 +24,6 @@
         }
     }
 
-    /// Raises the priority at targets of a new request that keeps its own one from being starved.
-    pub(super) fn raise_starved(&mut self, now: ClockTime, id: FlowId) {
-        if !self.has_customers() {
-            return;
-        }
-        let has_turn = |flow: &&mut DirectFlow| has_share(flow) && !flow.late;
-        let Some(flow) = self.flows.get_mut(&id).filter(has_turn) else { return };
-        flow.raised = self.shares.raise(now, load_key(flow, &customer_name(flow)));
-    }
-
     /// Counts a request towards its customer's share, and returns the queueing time with
     /// which it is admitted of the `allowed` one.
     pub(super) fn shared_wait(
@@ -47,16 +36,13 @@
         if !self.has_customers() {
             return allowed;
         }
+        self.shares.refresh(now, self.peers.timeout());
         let Some(flow) = self.flows.get(&id).filter(|flow| has_share(flow)) else { return allowed };
         let customer = customer_name(flow);
-        let load = load_key(flow, &customer);
+        let load = (&flow.service, &customer);
         let waits = (placement.waiting(), allowed);
-        self.shares.refresh(now, self.peers.timeout());
         self.shares.record_offer(now, load, placement.own_seconds, waits);
-        match flow.raised {
-            Some(_) => allowed,
-            None => self.shares.allowed_wait(load, allowed),
-        }
+        self.shares.allowed_wait(&flow.service, &customer, allowed)
     }
 
     /// Counts a request as admitted that was counted before.
@@ -66,8 +52,8 @@
         }
         let Some(flow) = self.flows.get_mut(&id).filter(|flow| has_share(flow)) else { return };
         flow.admitted_seconds = placement.own_seconds;
-        let customer = customer_name(flow);
-        self.shares.record_admission(now, load_key(flow, &customer), placement.own_seconds);
+        let load = (&flow.service, &customer_name(flow));
+        self.shares.record_admission(now, load, placement.own_seconds);
     }
 
     /// Takes the admission of a request back that no target ran.
@@ -75,8 +61,7 @@
         let Some(flow) = self.flows.get_mut(&id) else { return };
         let seconds = std::mem::take(&mut flow.admitted_seconds);
         if seconds > 0.0 {
-            let customer = customer_name(flow);
-            self.shares.take_back(load_key(flow, &customer), seconds);
+            self.shares.take_back((&flow.service, &customer_name(flow)), seconds);
         }
     }
 
@@ -91,11 +76,6 @@
     flow.calls == 0 && flow.version.is_none()
 }
 
-/// Returns what the work of a request counts towards.
-fn load_key<'a>(flow: &'a DirectFlow, customer: &'a CustomerName) -> LoadKey<'a> {
-    LoadKey { service: &flow.service, customer, priority: own_priority(flow) }
-}
-
 /// Returns the name of a request's customer; those without one share the empty name.
 fn customer_name(flow: &DirectFlow) -> CustomerName {
     flow.request.customer.as_ref().map_or_else(|| "".into(), |customer| customer.name.clone())
--- a/src/direct/waiting.rs
+++ b/src/direct/waiting.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use super::{LoadPriority, backlog::FIRST_LATE_PRIORITY, flow::DirectFlow};
+use super::{backlog::FIRST_LATE_PRIORITY, flow::DirectFlow};
 use crate::ids::ClockTime;
 
 /// Queueing time that is allowed even if the response will be late, relative to the objective.
@@ -55,13 +55,6 @@
 
 /// Returns the priority at targets, where requests that will be late go last.
 pub(super) fn priority(flow: &DirectFlow) -> u8 {
-    match flow.late {
-        true => own_priority(flow) + FIRST_LATE_PRIORITY,
-        false => flow.raised.unwrap_or_else(|| own_priority(flow)),
-    }
-}
-
-/// Returns the priority of a request that is not late.
-pub(super) fn own_priority(flow: &DirectFlow) -> LoadPriority {
-    flow.request.priority().min(FIRST_LATE_PRIORITY - 1)
+    let priority = flow.request.priority().min(FIRST_LATE_PRIORITY - 1);
+    if flow.late { priority + FIRST_LATE_PRIORITY } else { priority }
 }
--- a/tests/customer_shares.rs
+++ b/tests/customer_shares.rs
@@ -8,8 +8,8 @@
 use sapphirewell::{
     direct::{
         CustomerConfig, CustomerDemand, CustomerLoad, CustomerName, CustomerTable, DirectAction,
-        DirectEvent, FailureReason, InFlight, LevelLoad, LoadKey, LoadPriority, RetryPolicy,
-        ServiceName, ShareReport, ShareTable, TargetStage, TargetUsage, divide_levels, divide_room,
+        DirectEvent, FailureReason, InFlight, RetryPolicy, ServiceName, ShareReport, ShareTable,
+        TargetStage, TargetUsage, divide_room,
     },
     ids::ClockTime,
 };
@@ -46,45 +46,6 @@
     assert_eq!(granted.len(), case.granted.len());
 }
 
-struct LevelCase {
-    /// Offered work of each customer, by priority.
-    offered: &'static [&'static [f32]],
-    room: f32,
-    granted: &'static [&'static [f32]],
-    /// Part of a priority's work that targets reach only with the one of this index.
-    raises: &'static [Option<(usize, f32)>],
-}
-
-#[parameterized(
-    enough_room = { LevelCase { offered: &[&[1.0], &[2.0]], room: 4.0, granted: &[&[1.0], &[2.0]], raises: &[None, None] } },
-    high_ones_fit = { LevelCase { offered: &[&[2.0, 1.0], &[4.0, 1.0]], room: 5.0, granted: &[&[2.0, 1.0], &[1.0, 1.0]], raises: &[None, None] } },
-    high_one_with_most_of_the_room = { LevelCase { offered: &[&[4.0], &[2.0, 2.0, 2.0]], room: 7.0, granted: &[&[4.0], &[1.0, 1.0, 1.0]], raises: &[None, None] } },
-    high_ones_fill_the_targets = { LevelCase { offered: &[&[4.0, 4.0], &[1.0, 1.0]], room: 5.0, granted: &[&[2.326, 2.326], &[0.174, 0.174]], raises: &[None, Some((0, 0.17))] } },
-    high_ones_leave_a_little = { LevelCase { offered: &[&[4.9], &[2.55, 2.55]], room: 5.0, granted: &[&[3.81], &[0.595, 0.595]], raises: &[None, Some((0, 0.21))] } },
-    the_middle_fills_the_targets = { LevelCase { offered: &[&[2.0], &[6.0], &[2.0]], room: 5.0, granted: &[&[2.0], &[2.4], &[0.6]], raises: &[None, None, Some((1, 0.3))] } },
-    no_room = { LevelCase { offered: &[&[1.0], &[1.0]], room: 0.0, granted: &[&[0.0], &[0.0]], raises: &[None, None] } },
-    nobody = { LevelCase { offered: &[], room: 1.0, granted: &[], raises: &[] } },
-)]
-fn room_goes_to_priorities_in_their_order_and_starves_none(case: LevelCase) {
-    let level = |offered: &&[f32]| {
-        let usual_part = 1.0 / offered.len() as f32;
-        offered.iter().map(|&offered| CustomerDemand { offered, usual_part }).collect()
-    };
-    let levels: Vec<Vec<_>> = case.offered.iter().map(level).collect();
-    let grants = divide_levels(&levels, case.room);
-    assert_eq!(grants.len(), case.granted.len());
-    for ((grant, granted), raise) in grants.iter().zip(case.granted).zip(case.raises) {
-        let is_close = |(granted, expected): (&f32, &f32)| (granted - expected).abs() < 0.01;
-        assert!(grant.granted.iter().zip(*granted).all(is_close), "{grants:?}");
-        let found = grant.raise.map(|raise| (raise.level, (raise.part * 100.0).round()));
-        assert_eq!(
-            found,
-            raise.map(|(level, part)| (level, (part * 100.0_f32).round())),
-            "{grants:?}"
-        );
-    }
-}
-
 /// Queueing time with which requests are admitted, as a latency objective leaves it.
 const ALLOWED: Duration = Duration::from_secs(1);
 /// Time that a request needs at the targets.
@@ -98,9 +59,6 @@
 /// Time from a report to its arrival.
 const REPORT_DELAY: Duration = Duration::from_millis(20);
 
-/// Time after which callers leave.
-const PATIENCE: Duration = Duration::from_secs(3);
-
 /// Part of its requests that a customer within its share is served at least, whatever others ask
 /// for. Some are refused before the shares follow.
 const PART_WITHIN_SHARE: f32 = 0.9;
@@ -124,30 +82,13 @@
     }
 }
 
-/// Request that waits at the targets.
-struct WaitingRequest {
-    /// Index of its customer in the replay.
-    number: usize,
-    /// Entry that admitted it.
-    entry: usize,
-    arrived: ClockTime,
-    work: f32,
-}
-
-/// Returns whether a request counts. Those of the last seconds may still wait at the end.
-fn is_judged(arrived: ClockTime) -> bool {
-    arrived >= WARM_UP && arrived + ALLOWED < LENGTH
-}
-
 /// Entries in front of targets that do a second of work in a second, by priority.
 struct Replay {
     entries: Vec<ShareTable>,
     has_shares: bool,
-    /// Whether the customers of the replay are one, which asks at several priorities.
-    is_one_customer: fn(usize) -> bool,
     reports: VecDeque<(ClockTime, usize, ShareReport)>,
-    /// Requests that wait, by priority.
-    waiting: [VecDeque<WaitingRequest>; 2],
+    /// Work that waits, by priority.
+    backlog: [f32; 2],
     rng: SmallRng,
     asked: Vec<u32>,
     served: Vec<u32>,
@@ -157,22 +98,11 @@
     /// Plays the load and returns, for each customer, the part of its requests that is served,
     /// and that of all requests.
     fn run(customers: &[ReplayedCustomer], entries: usize, has_shares: bool) -> (Vec<f32>, f32) {
-        Replay::run_named(customers, entries, has_shares, |_| false)
-    }
-
-    /// Plays a load in which some of the customers bear one name.
-    fn run_named(
-        customers: &[ReplayedCustomer],
-        entries: usize,
-        has_shares: bool,
-        is_one_customer: fn(usize) -> bool,
-    ) -> (Vec<f32>, f32) {
         let mut replay = Replay {
             entries: vec![ShareTable::default(); entries],
             has_shares,
-            is_one_customer,
             reports: VecDeque::new(),
-            waiting: Default::default(),
+            backlog: [0.0; 2],
             rng: SmallRng::seed_from_u64(7),
             asked: vec![0; customers.len()],
             served: vec![0; customers.len()],
@@ -189,7 +119,12 @@
     }
 
     fn step(&mut self, now: ClockTime, customers: &[ReplayedCustomer]) {
-        self.serve(now);
+        let mut done = STEP.as_secs_f32();
+        for backlog in &mut self.backlog {
+            let part = backlog.min(done);
+            *backlog -= part;
+            done -= part;
+        }
         for (number, customer) in customers.iter().enumerate() {
             let load = if now < WARM_UP { customer.load } else { customer.later };
             if self.rng.random::<f32>() < load * STEP.as_secs_f32() / WORK {
@@ -199,72 +134,34 @@
         self.exchange(now);
     }
 
-    /// Serves requests by priority, in the order of their arrival. Callers have left some.
-    fn serve(&mut self, now: ClockTime) {
-        let mut left = STEP.as_secs_f32();
-        for priority in 0..self.waiting.len() {
-            // They wait in the order of their arrival.
-            while let Some(request) =
-                self.waiting[priority].pop_front_if(|first| now > first.arrived + PATIENCE)
-            {
-                self.take_back(&request, priority);
-            }
-            let waiting = &mut self.waiting[priority];
-            while let Some(request) = waiting.front_mut().filter(|_| left > 0.0) {
-                let part = request.work.min(left);
-                request.work -= part;
-                left -= part;
-                if request.work <= 0.0 {
-                    self.served[request.number] += u32::from(is_judged(request.arrived));
-                    waiting.pop_front();
-                }
-            }
-        }
-    }
-
     fn request(&mut self, now: ClockTime, number: usize, customer: ReplayedCustomer) {
-        let _admitted = (0..=customer.repeats).any(|_| self.admit(now, number, customer.priority));
-        self.asked[number] += u32::from(is_judged(now));
+        let served = (0..=customer.repeats).any(|_| self.admit(now, number, customer.priority));
+        if now >= WARM_UP {
+            self.asked[number] += 1;
+            self.served[number] += u32::from(served);
+        }
     }
 
     fn admit(&mut self, now: ClockTime, number: usize, priority: usize) -> bool {
         let (service, customer): (ServiceName, CustomerName) =
-            (SERVICE.into(), format!("customer-{}", self.name(number)).into());
+            (SERVICE.into(), format!("customer-{number}").into());
         let entry = self.rng.random_range(0..self.entries.len());
         let shares = &mut self.entries[entry];
-        let load = load(&service, &customer, priority as LoadPriority);
-        let raised = shares.raise(now, load).filter(|_| self.has_shares);
-        let placed = raised.map_or(priority, usize::from);
-        let ahead = self.waiting[..=placed].iter().flatten().map(|request| request.work);
-        let waiting = Duration::from_secs_f32(ahead.sum());
+        let waiting = Duration::from_secs_f32(self.backlog[..=priority].iter().sum());
         shares.refresh(now, PEER_TIMEOUT);
-        shares.record_offer(now, load, WORK, (waiting, ALLOWED));
-        let allowed = match self.has_shares && raised.is_none() {
-            true => shares.allowed_wait(load, ALLOWED),
+        shares.record_offer(now, (&service, &customer), WORK, (waiting, ALLOWED));
+        let allowed = match self.has_shares {
+            true => shares.allowed_wait(&service, &customer, ALLOWED),
             false => ALLOWED,
         };
         let is_admitted = waiting <= allowed;
         if is_admitted {
-            shares.record_admission(now, load, WORK);
-            let request = WaitingRequest { number, entry, arrived: now, work: WORK };
-            self.waiting[placed].push_back(request);
+            shares.record_admission(now, (&service, &customer), WORK);
+            self.backlog[priority] += WORK;
         }
         is_admitted
     }
 
-    /// Takes back the admission of a request whose caller has left. It was admitted with this
-    /// priority unless it was raised, and then it does not wait that long.
-    fn take_back(&mut self, request: &WaitingRequest, priority: usize) {
-        let (service, customer): (ServiceName, CustomerName) =
-            (SERVICE.into(), format!("customer-{}", self.name(request.number)).into());
-        let load = load(&service, &customer, priority as LoadPriority);
-        self.entries[request.entry].take_back(load, WORK);
-    }
-
-    fn name(&self, number: usize) -> usize {
-        if (self.is_one_customer)(number) { 0 } else { number }
-    }
-
     fn exchange(&mut self, now: ClockTime) {
         for (number, entry) in self.entries.iter_mut().enumerate() {
             if let Some(report) = entry.report(now, &format!("entry-{number}").into(), PEER_TIMEOUT)
@@ -283,14 +180,6 @@
     }
 }
 
-fn load<'a>(
-    service: &'a ServiceName,
-    customer: &'a CustomerName,
-    priority: LoadPriority,
-) -> LoadKey<'a> {
-    LoadKey { service, customer, priority }
-}
-
 fn smallest(parts: &[f32]) -> f32 {
     parts.iter().copied().fold(f32::INFINITY, f32::min)
 }
@@ -339,13 +228,12 @@
     let service: ServiceName = SERVICE.into();
     let (anonymous, named): (CustomerName, CustomerName) = ("".into(), "named".into());
     for customer in [&anonymous, &named] {
-        let load = load(&service, customer, 1);
-        shares.record_offer(ClockTime::ZERO, load, 1.0, (Duration::ZERO, ALLOWED));
-        shares.record_admission(ClockTime::ZERO, load, 0.6);
+        shares.record_offer(ClockTime::ZERO, (&service, customer), 1.0, (Duration::ZERO, ALLOWED));
+        shares.record_admission(ClockTime::ZERO, (&service, customer), 0.6);
     }
-    shares.record_offer(ClockTime::ZERO, load(&service, &named, 1), 1.0, (ALLOWED, ALLOWED));
+    shares.record_offer(ClockTime::ZERO, (&service, &named), 1.0, (ALLOWED, ALLOWED));
     shares.refresh(Duration::from_millis(1), PEER_TIMEOUT);
-    let wait = |customer| shares.allowed_wait(load(&service, customer, 1), ALLOWED);
+    let wait = |customer| shares.allowed_wait(&service, customer, ALLOWED);
     assert!(wait(&anonymous) > wait(&named), "{shares:?}");
 }
 
@@ -353,7 +241,7 @@
 fn admissions_that_are_taken_back_do_not_count_as_room() {
     let mut shares = ShareTable::default();
     let (service, customer): (ServiceName, CustomerName) = (SERVICE.into(), "large".into());
-    let (now, load) = (Duration::from_secs(1), load(&service, &customer, 1));
+    let (now, load) = (Duration::from_secs(1), (&service, &customer));
     for _ in 0..4 {
         shares.record_offer(now, load, 1.0, (ALLOWED, ALLOWED));
         shares.record_admission(now, load, 1.0);
@@ -401,46 +289,6 @@
     assert!(parts[1] > all / 4.0, "{parts:?}");
 }
 
-struct PriorityCase {
-    /// Loads with a high priority, of customers of their own.
-    high: &'static [f32],
-    low: &'static [f32],
-    /// Whether the first of both are of one customer.
-    asks_at_both: bool,
-    /// Part of the requests that each is served at least, with a high and with a low priority.
-    served: (f32, f32),
-    /// Part of its requests that a low one is served at most without shares.
-    without: f32,
-}
-
-#[parameterized(
-    high_ones_leave_half = { PriorityCase { high: &[0.25, 0.25], low: &[0.5, 0.5], asks_at_both: false, served: (0.99, 0.4), without: 1.0 } },
-    a_high_one_above_an_equal_share = { PriorityCase { high: &[0.7], low: &[0.2, 0.2, 0.2, 0.2], asks_at_both: false, served: (0.99, 0.25), without: 1.0 } },
-    high_ones_fill_the_targets = { PriorityCase { high: &[0.5, 0.5, 0.5], low: &[0.25, 0.25], asks_at_both: false, served: (0.45, 0.13), without: 0.02 } },
-    high_ones_leave_almost_nothing = { PriorityCase { high: &[0.5, 0.48], low: &[0.5, 0.5], asks_at_both: false, served: (0.65, 0.126), without: 0.1 } },
-    one_asks_at_both = { PriorityCase { high: &[0.6, 0.6], low: &[0.3, 0.3], asks_at_both: true, served: (0.6, 0.14), without: 0.02 } },
-    one_asks_at_both_and_high_ones_fit = { PriorityCase { high: &[0.3, 0.3], low: &[0.6, 0.6], asks_at_both: true, served: (0.99, 0.25), without: 1.0 } },
-)]
-fn priorities_that_compete_are_served_in_their_order_and_none_is_starved(case: PriorityCase) {
-    let customers = |loads: &[f32], priority| -> Vec<ReplayedCustomer> {
-        let steady = loads.iter().map(|load| ReplayedCustomer::steady(*load));
-        steady.map(|customer| ReplayedCustomer { priority, ..customer }).collect()
-    };
-    let high = case.high.len();
-    // The numbers of both cases in which one customer asks at both priorities.
-    let is_one: fn(usize) -> bool =
-        if case.asks_at_both { |number| number % 2 == 0 } else { |_| false };
-    let all = [customers(case.high, 0), customers(case.low, 1)].concat();
-    for entries in [1, 9] {
-        let (parts, mean) = Replay::run_named(&all, entries, true, is_one);
-        assert!(smallest(&parts[..high]) > case.served.0, "{entries}: {parts:?}");
-        assert!(smallest(&parts[high..]) > case.served.1, "{entries}: {parts:?}");
-        assert!(smallest(&parts) > mean / 4.0, "{entries}: {mean}: {parts:?}");
-        let (without, _) = Replay::run_named(&all, entries, false, is_one);
-        assert!(smallest(&without[high..]) <= case.without, "{entries}: {without:?}");
-    }
-}
-
 #[test]
 fn nobody_is_limited_while_there_is_room() {
     let (parts, _) = Replay::run(&uneven(80, 0.8), 9, true);
@@ -462,7 +310,6 @@
         customer: customer.into(),
         offered,
         admitted,
-        levels: vec![LevelLoad(1, offered, admitted)],
     };
     let loads = vec![load("large", 20.0, 10.0), load("small", 1.0, 1.0)];
     let report = ShareReport { peer: "peer".into(), is_short: true, loads };
@@ -531,98 +378,25 @@
     too_many = { 1.0, 1000 },
 )]
 fn reports_with_invalid_numbers_are_ignored(offered: f32, count: usize) {
-    let load = CustomerLoad { offered, ..reported_load(Vec::new()) };
+    let load =
+        CustomerLoad { service: SERVICE.into(), customer: "large".into(), offered, admitted: 0.0 };
     let report = ShareReport { peer: "peer".into(), is_short: true, loads: vec![load; count] };
     assert!(!report.has_valid_numbers());
 }
 
-fn reported_load(levels: Vec<LevelLoad>) -> CustomerLoad {
-    let (service, customer) = (SERVICE.into(), "large".into());
-    CustomerLoad { service, customer, offered: 1.0, admitted: 0.0, levels }
-}
-
-#[parameterized(
-    valid = { vec![LevelLoad(0, 1.0, 0.0), LevelLoad(4, 1.0, 0.0)], true },
-    none_of_an_earlier_version = { vec![], true },
-    unknown_priority = { vec![LevelLoad(5, 1.0, 0.0)], false },
-    negative = { vec![LevelLoad(0, -1.0, 0.0)], false },
-    not_a_number = { vec![LevelLoad(0, 1.0, f32::NAN)], false },
-    too_many = { vec![LevelLoad(0, 1.0, 0.0); 6], false },
-)]
-fn priorities_in_reports_are_checked(levels: Vec<LevelLoad>, is_valid: bool) {
-    let report =
-        ShareReport { peer: "peer".into(), is_short: true, loads: vec![reported_load(levels)] };
-    assert_eq!(report.has_valid_numbers(), is_valid);
-}
-
-/// Fields of a load that entries of the version before know.
-#[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-struct EarlierLoad {
-    s: String,
-    c: String,
-    o: f32,
-    a: f32,
-}
-
-/// An entry of an earlier version states no priorities: its work counts at the priority that the
-/// customer has here for the most part, or else at the lowest.
-#[parameterized(known_here = { &[(1, 1.0), (3, 0.2)], 1 }, unknown_here = { &[], 4 })]
-fn work_without_a_priority_counts_at_one(own: &[(LoadPriority, f32)], limited: LoadPriority) {
-    let mut shares = ShareTable::default();
-    let (service, customer): (ServiceName, CustomerName) = (SERVICE.into(), "large".into());
-    let now = Duration::from_secs(1);
-    for (priority, seconds) in own {
-        shares.record_offer(
-            now,
-            load(&service, &customer, *priority),
-            *seconds,
-            (ALLOWED, ALLOWED),
-        );
-    }
-    let reported = CustomerLoad { offered: 20.0, admitted: 10.0, ..reported_load(Vec::new()) };
-    let report = ShareReport { peer: "peer".into(), is_short: true, loads: vec![reported] };
-    shares.apply(now, report);
-    shares.refresh(now, PEER_TIMEOUT);
-    let wait = |priority| shares.allowed_wait(load(&service, &customer, priority), ALLOWED);
-    let shortened: Vec<_> = (0..5).filter(|priority| wait(*priority) < ALLOWED).collect();
-    assert!(shortened.contains(&limited), "{shortened:?}");
-    assert!(!shortened.contains(&0), "{shortened:?}");
-}
-
-fn encode(value: &impl serde::Serialize) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(value, &mut bytes).unwrap();
-    bytes
-}
-
 #[test]
-fn entries_of_both_versions_read_each_others_loads() {
-    let load = reported_load(vec![LevelLoad(0, 0.5, 0.0), LevelLoad(2, 0.5, 0.0)]);
-    let earlier = EarlierLoad { s: SERVICE.into(), c: "large".into(), o: 1.0, a: 0.0 };
-    let read: EarlierLoad = ciborium::from_reader(&encode(&load)[..]).unwrap();
-    assert_eq!(read, earlier);
-    let read: CustomerLoad = ciborium::from_reader(&encode(&earlier)[..]).unwrap();
-    assert_eq!(read, reported_load(Vec::new()));
-}
-
-#[parameterized(
-    one_priority = { 1, "", 24 },
-    two_priorities = { 2, "", 18 },
-    all_priorities = { 5, "", 10 },
-    long_names = { 2, "-with-a-name-of-sixty-bytes-in-all-as-operators-may-chose", 8 },
-)]
-fn a_report_of_many_customers_is_small(priorities: LoadPriority, suffix: &str, reported: usize) {
+fn a_report_of_many_customers_is_small() {
     let mut shares = ShareTable::default();
     let now = Duration::from_secs(1);
     let service: ServiceName = SERVICE.into();
-    for (number, priority) in (0..38_000).flat_map(|n| (0..priorities).map(move |p| (n, p))) {
-        let customer: CustomerName = format!("customer-{number}{suffix}").into();
-        shares.record_offer(now, load(&service, &customer, priority), 1.0, (ALLOWED, ALLOWED));
+    for number in 0..38_000 {
+        let customer: CustomerName = format!("customer-{number}").into();
+        shares.record_offer(now, (&service, &customer), 1.0, (ALLOWED, ALLOWED));
     }
     let report = shares.report(now, &"entry".into(), PEER_TIMEOUT).unwrap();
-    let bytes = encode(&report);
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&report, &mut bytes).unwrap();
     assert!(bytes.len() < 1500, "{} bytes", bytes.len());
-    assert!(report.loads.len() >= reported, "{} customers", report.loads.len());
     assert_eq!(
         shares.report(now, &"entry".into(), PEER_TIMEOUT),
         None,
