--- a/review/stand_in_2/lost_slow.rs
+++ b/review/stand_in_2/lost_slow.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    http::Connection,
     record::Record,
     store::Store,
     world::{self, Answer, Runner, request_head},
@@ -28,7 +29,8 @@
         Runner::start(&store, ("i-0", "wuno96b", "ipoh"), None, "v1", |_, connection, request| {
             let id = request.header("request-id").unwrap_or("").to_owned();
             let headers = [("Request-Id", id.as_str()), ("Server-Signature", "3e1b.07")];
-            connection.respond("200 OK", &headers, &vec![b'x'; ANSWER_BYTES])
+            let length = if request.path().ends_with("large") { ANSWER_BYTES } else { 800 };
+            connection.respond("200 OK", &headers, &vec![b'x'; length])
         });
     let entries = world::start_entries(folder, &["ipoh"], &store, "")?;
     record.add("1 entry ready");
@@ -42,13 +44,19 @@
             let (answers, record) = (answers.clone(), record.clone());
             let pause = if trouble == "0" { Duration::ZERO } else { PAUSE };
             thread::spawn(move || {
+                let small = request_head("GET", "/puxa403/small", &world::new_id(), &[("Deadline-Ms", "8000")]);
                 let id = world::new_id();
-                let head = request_head("GET", "/puxa403/2f", &id, &[("Deadline-Ms", "8000")]);
+                let large = request_head("GET", "/puxa403/large", &id, &[("Deadline-Ms", "8000")]);
+                let mut connection = Connection::connect(front).expect("entry");
+                let first = world::exchange(&mut connection, &small, || {});
+                sleep(Duration::from_millis(100));
                 let sent = record.time();
-                let answer = world::send(front, &head, || sleep(pause));
+                let answer = world::exchange(&mut connection, &large, || sleep(pause));
                 record.add(format!(
-                    "request {id}: sent at {:.3}, status {}, {} of {ANSWER_BYTES} bytes, whole {} {}",
-                    sent.as_secs_f64(), answer.status, answer.body.len(), answer.is_complete, answer.error
+                    "kept connection: small answer {} whole {}; request {id}: sent at {:.3}, status {}, \
+                     {} of {ANSWER_BYTES} bytes, whole {} {}",
+                    first.status, first.is_complete, sent.as_secs_f64(), answer.status, answer.body.len(),
+                    answer.is_complete, answer.error
                 ));
                 answers.lock().unwrap().push(answer);
             })
--- a/review/stand_in_2/world.rs
+++ b/review/stand_in_2/world.rs
@@ -213,7 +213,6 @@
 #[derive(Debug, Clone, Default)]
 pub struct Answer {
     pub status: u16,
-    pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
     /// Whether the answer was read to its end.
     pub is_complete: bool,
@@ -242,16 +241,22 @@
 
 /// Sends a request on a new connection and reads its answer. `pause` is called after the head.
 pub fn send(address: SocketAddr, head: &str, pause: impl FnOnce()) -> Answer {
+    match Connection::connect(address) {
+        Ok(mut connection) => exchange(&mut connection, head, pause),
+        Err(error) => Answer { error: error.to_string(), ..Answer::default() },
+    }
+}
+
+/// Sends a request on a connection and reads its answer. `pause` is called after the head.
+pub fn exchange(connection: &mut Connection, head: &str, pause: impl FnOnce()) -> Answer {
     let mut answer = Answer::default();
     let result = (|| -> io::Result<()> {
-        let mut connection = Connection::connect(address)?;
         connection.stream.set_read_timeout(Some(Duration::from_secs(12)))?;
         connection.write(head.as_bytes())?;
         let Some(head) = connection.read_head()? else {
             return Err(io::ErrorKind::UnexpectedEof.into());
         };
         answer.status = head.status();
-        answer.headers = head.headers.clone();
         pause();
         if head.header("transfer-encoding").is_some() {
             while let Some(chunk) = connection.read_chunk()? {
