--- a/review/stand_in_2/lost_slow.rs
+++ b/review/stand_in_2/lost_slow.rs
@@ -25,18 +25,23 @@
 pub fn run(folder: &Path, record: &Record, trouble: &str) -> Option<bool> {
     let store = Store::start(None);
     store.put("keyed.op", "config", CONFIG.as_bytes());
-    let runner =
-        Runner::start(&store, ("i-0", "wuno96b", "ipoh"), None, "v1", |_, connection, request| {
+    let runner = Runner::start(
+        &store,
+        ("i-0", "wuno96b", "alm-north"),
+        None,
+        "v1",
+        |_, connection, request| {
             let id = request.header("request-id").unwrap_or("").to_owned();
             let headers = [("Request-Id", id.as_str()), ("Server-Signature", "3e1b.07")];
             let length = if request.path().ends_with("large") { ANSWER_BYTES } else { 800 };
             connection.respond("200 OK", &headers, &vec![b'x'; length])
-        });
-    let entries = world::start_entries(folder, &["ipoh"], &store, "")?;
-    record.add("1 entry ready");
+        },
+    );
+    let entries = world::start_entries(folder, &["alm-north", "alm-east"], &store, "")?;
+    record.add("2 entries ready");
     sleep(Duration::from_secs(4));
     entries[0].signal("HUP");
-    record.add("SIGHUP");
+    record.add("SIGHUP to the first");
     let front = entries[0].front;
     let answers: Arc<Mutex<Vec<Answer>>> = Arc::default();
     let clients: Vec<_> = (0..10)
--- a/review/stand_in_2/lost_stop.rs
+++ b/review/stand_in_2/lost_stop.rs
@@ -1,7 +1,7 @@
 //! LOST: a stream that came more than 3 s after SIGTERM is cut by the exit of its entry.
 //!
-//! Three entries of one zone; two get SIGTERM together. Fewer than half of them are in rotation
-//! then, so that the platform goes on to use all three.
+//! Three entries of one zone and two of another; two of the three get SIGTERM together. Fewer than
+//! half of that zone's are in rotation then, so that the platform goes on to use all three.
 
 use std::{
     path::Path,
@@ -68,9 +68,10 @@
             })
         })
         .collect();
-    let mut entries = world::start_entries(folder, &[zone; 3], &store, "")?;
-    record.add("3 entries of one zone ready");
-    let balancer = Balancer::start(&entries);
+    let mut entries =
+        world::start_entries(folder, &[zone, zone, zone, "alm-east", "alm-east"], &store, "")?;
+    record.add("3 entries of one zone and 2 of another ready");
+    let balancer = Balancer::start(&entries[..3]);
     let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
     let is_over = Arc::new(AtomicBool::new(false));
     // A stream each 25 ms, each on a new connection.
