Report no window again that a restored store has forgotten

All entries were killed right after a report, and the store came back from a copy without the record of it.

Cause: that a window is fixed was known from one record in the store and from the memory of entries. With both gone, saved counts of a reported window look like those of one that is due. A process that starts took a store without the record for one in which nothing was reported.

Change: the first holder in each generation of the store writes from which window on it reports (`start`). A process that held the duty so shortly before it saw the restore that nobody else can have acted (lease and 2 s after its last check) knows all reports: it claims again at once, begins after the last one and repeats what it had fixed. Anyone else begins with the window that was open when it first saw the generation, 0.5 s added for clocks. Records state their generation; one that came back with a copy does not count. What silent entries left is read before the records of a report: so far both reads raced.

Why it works: a window is fixed after its end and before its first call. One that was open at the first sight of a generation was not fixed in an earlier one; within a generation the record stands.

--- a/emulator/src/platform_rig/fault.rs
+++ b/emulator/src/platform_rig/fault.rs
@@ -23,6 +23,8 @@
     KillEntry,
     /// All entries lose power at once and restart after the outage.
     AllLosePower,
+    /// The processes of all entries are killed at once and restart after a short delay.
+    AllKilled,
     /// The entry's process is frozen for a short outage.
     FreezeEntry,
     /// The entry's process is frozen for longer than its peers wait for its reports.
@@ -133,6 +135,8 @@
 const MAX_CRASH_DELAY_MS: u64 = 95;
 /// Bounds of the age of the copy that the store is restored from.
 const COPY_AGE_MS: std::ops::Range<u64> = 500..9000;
+/// Time until the platform starts a killed process again.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// Time for which the store is away before it is restored, and from then until the targets have
 /// written again what it lost.
 const RESTORE_OUTAGE: Duration = Duration::from_millis(600);
@@ -165,6 +169,13 @@
                 }
                 schedule_end(self, OUTAGE);
             }
+            PlatformFault::AllKilled => {
+                for entry in 0..self.entries.len() {
+                    self.end_entry(entry, false);
+                    self.entries[entry].add_disturbance(now, now + RESTART_DELAY);
+                }
+                schedule_end(self, RESTART_DELAY);
+            }
             PlatformFault::FreezeLong => {
                 let until = now + LONG_OUTAGE;
                 self.entries[entry].frozen_until = until;
@@ -265,7 +276,7 @@
         match fault {
             PlatformFault::KillEntry => self.start_entry(entry),
             PlatformFault::StopEntry => self.finish_drain(entry),
-            PlatformFault::AllLosePower => {
+            PlatformFault::AllLosePower | PlatformFault::AllKilled => {
                 for entry in 0..self.entries.len() {
                     self.start_entry(entry);
                 }
--- a/emulator/src/platform_rig/step.rs
+++ b/emulator/src/platform_rig/step.rs
@@ -66,6 +66,8 @@
     UsageClaimed,
     /// The entry that reports usage reads the duty's records.
     UsageRead,
+    /// It writes from which window on it reports.
+    UsageStarted,
     /// It saves counts in the store.
     UsageSaved,
     /// It fixes the counts of a window.
@@ -88,6 +90,7 @@
             self,
             PlatformStep::UsageClaimed
                 | PlatformStep::UsageRead
+                | PlatformStep::UsageStarted
                 | PlatformStep::UsageSaved
                 | PlatformStep::UsageFixed
                 | PlatformStep::UsageChecked
--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -12,7 +12,7 @@
         BlockedSuspect, CrashEvidence, CrashSuspect, DirectEvent, DirectTarget, EngineConfig,
         EvidenceChange, RequestLimits, RetryPolicy, RouteConfig, RouteTable, ServiceConfig,
         ServiceVersion, StoreGeneration, StoredVersions, SuspectChange, SuspectReport,
-        TargetChange, VersionChange, WeightedService,
+        TargetChange, UsageEvent, VersionChange, WeightedService,
     },
     ids::{ClockTime, TargetId},
 };
@@ -211,7 +211,12 @@
         }
         let generation = self.store.generation;
         let sim = &mut self.entries[entry];
-        if sim.generation.replace(generation).is_none_or(|before| before == generation) {
+        let Some(before) = sim.generation.replace(generation) else {
+            let seen = DirectEvent::Usage(UsageEvent::StoreSeen(generation));
+            let seen = self.machine_event(entry, seen);
+            return self.schedule_after(Duration::ZERO, seen);
+        };
+        if before == generation {
             return;
         }
         let (process, delay) = (sim.process, sim.machine.restore_delay());
--- a/emulator/src/platform_rig/usage.rs
+++ b/emulator/src/platform_rig/usage.rs
@@ -8,9 +8,10 @@
 
 use sapphirewell::{
     direct::{
-        ClaimOutcome, CustomerCounts, CustomerName, DirectEvent, OrderFencingToken, PeerName,
-        PostOutcome, RecordsEnd, SavedUsage, UsageAction, UsageContent, UsageEvent, UsageMessage,
-        UsageRecords, UsageSettings, UsageWindow, WindowUsage, fencing_token,
+        ClaimOutcome, CustomerCounts, CustomerName, DirectEvent, FixedRecord, OrderFencingToken,
+        PeerName, PostOutcome, RecordsEnd, ReportStart, SavedUsage, UsageAction, UsageContent,
+        UsageEvent, UsageMessage, UsageRecords, UsageSettings, UsageWindow, WindowUsage,
+        fencing_token,
     },
     ids::ClockTime,
 };
@@ -37,7 +38,8 @@
     /// Number of claims and fixed counts that were written.
     end: u64,
     claim: Option<(EntryId, u64)>,
-    fixed: Option<WindowUsage>,
+    fixed: Option<FixedRecord>,
+    start: Option<ReportStart>,
     saved: Option<SavedUsage>,
     /// Counts that nobody confirmed, by the entries that left them.
     messages: BTreeMap<PeerName, UsageMessage>,
@@ -112,16 +114,31 @@
                 }
                 self.record_duty_step(PlatformStep::UsageSaved, entry);
             }
-            UsageAction::Read { attempt } => {
-                let records = (!self.store_fails(entry)).then(|| self.usage_records(entry));
+            UsageAction::Read { attempt, need } => {
+                if need.messages {
+                    self.read_messages(entry);
+                }
+                let records = (!self.store_fails(entry)).then(|| {
+                    let records = self.usage_records(entry);
+                    UsageRecords { saved: records.saved.filter(|_| need.saved), ..records }
+                });
                 self.answer_usage(entry, UsageEvent::RecordsRead { attempt, records });
                 self.record_duty_step(PlatformStep::UsageRead, entry);
             }
+            UsageAction::WriteStart { attempt, start, end } => {
+                let confirmed = !self.store_fails(entry) && end == self.usage_end(entry);
+                if confirmed {
+                    self.store.usage.end += 1;
+                    self.store.usage.start = Some(start);
+                }
+                self.answer_usage(entry, UsageEvent::StartWritten { attempt, confirmed });
+                self.record_duty_step(PlatformStep::UsageStarted, entry);
+            }
             UsageAction::Fix { attempt, usage, end } => {
                 let confirmed = !self.store_fails(entry) && end == self.usage_end(entry);
                 if confirmed {
                     self.store.usage.end += 1;
-                    self.store.usage.fixed = Some(usage);
+                    self.store.usage.fixed = Some(FixedRecord::new(usage, end.0));
                 }
                 self.answer_usage(entry, UsageEvent::Fixed { attempt, confirmed });
                 self.record_duty_step(PlatformStep::UsageFixed, entry);
@@ -131,18 +148,21 @@
             }
             UsageAction::LeaveMessage(message) => self.leave_message(entry, Some(message)),
             UsageAction::RemoveMessage => self.leave_message(entry, None),
-            UsageAction::ReadMessages => {
-                if !self.store_fails(entry) {
-                    let messages: Vec<_> = self.store.usage.messages.values().cloned().collect();
-                    for message in messages {
-                        self.answer_usage(entry, UsageEvent::Message(message));
-                    }
-                }
-            }
+            UsageAction::ReadMessages => self.read_messages(entry),
             UsageAction::Missed { .. } => {}
         }
     }
 
+    fn read_messages(&mut self, entry: EntryId) {
+        if self.store_fails(entry) {
+            return;
+        }
+        let messages: Vec<_> = self.store.usage.messages.values().cloned().collect();
+        for message in messages {
+            self.answer_usage(entry, UsageEvent::Message(message));
+        }
+    }
+
     /// Replaces what an entry has left in the store.
     fn leave_message(&mut self, entry: EntryId, message: Option<UsageMessage>) {
         if self.store_fails(entry) {
@@ -209,7 +229,8 @@
         let claim = usage.claim.and_then(|(holder, number)| {
             Some((name(holder), fencing_token(Some(self.store.generation), number)?))
         });
-        UsageRecords { claim, fixed: usage.fixed.clone(), saved: usage.saved.clone(), end }
+        let (fixed, saved) = (usage.fixed.clone(), usage.saved.clone());
+        UsageRecords { claim, fixed, start: usage.start, saved, end }
     }
 
     /// Checks the claim and the fixed counts, and sends the report only if both are the entry's.
@@ -230,7 +251,9 @@
             let own = (self.entries[entry].machine.name().clone(), fence);
             match () {
                 () if records.claim != Some(own) => Some(PostOutcome::Superseded),
-                () if records.fixed.as_ref() != Some(&usage) => Some(PostOutcome::NotFixed),
+                () if records.fixed != Some(FixedRecord::new(usage.clone(), records.end.0)) => {
+                    Some(PostOutcome::NotFixed)
+                }
                 () => None,
             }
         };
--- a/emulator/tests/platform_matrix.rs
+++ b/emulator/tests/platform_matrix.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use emulator::{
+    cells,
     platform_matrix::{self, PlatformCell},
-    platform_rig::{DriverDefect, PlatformFault, PlatformRule, PlatformStep},
+    platform_rig::{
+        DriverDefect, PlatformFault, PlatformRule, PlatformSite, PlatformStep, PlatformTrigger,
+    },
 };
 use strum::IntoEnumIterator;
 use yare::parameterized;
@@ -54,6 +57,34 @@
     }]);
 }
 
+/// A restored store may lack the reports that all entries forget as they are killed. A fault at any
+/// step of the duty follows.
+#[test]
+fn a_loss_of_all_memory_with_a_restored_store_leads_to_no_second_report() {
+    let steps = PlatformStep::iter().filter(|step| step.needs_customers());
+    let faults: Vec<PlatformFault> = PlatformFault::iter().collect();
+    let cells = steps.flat_map(|step| faults.iter().map(move |fault| (step, *fault)));
+    // The age of the copy follows from the seed.
+    let cells: Vec<_> = (1_u64..).zip(cells).collect();
+    let results = cells::run_on_all_cores(&cells, |(seed, (step, fault))| {
+        let mut rig = platform_matrix::build_fleet(*seed, true, None);
+        // Right after a report.
+        let at = Duration::from_millis(12_700);
+        let site = PlatformSite { entry: 0, target: 0 };
+        for planned in [PlatformFault::AllKilled, PlatformFault::StoreRestored] {
+            rig.inject(at, planned, site);
+        }
+        rig.inject_at_step(PlatformTrigger { step: *step, after: at, faults: vec![*fault] });
+        rig.run_until(Duration::from_secs(44));
+        let breaches = rig.breaches(Duration::from_secs(38)).into_iter();
+        let second = breaches.filter(|breach| breach.rule == PlatformRule::OneReporter);
+        second
+            .map(|breach| format!("{fault} at {step}, seed {seed}: {}", breach.seen))
+            .collect::<Vec<_>>()
+    });
+    assert_eq!(results.concat(), Vec::<String>::new());
+}
+
 fn has_crashing_segment(cell: &PlatformCell) -> bool {
     cell.faults.contains(&PlatformFault::CrashingSegment)
 }
--- a/emulator/tests/usage_reports.rs
+++ b/emulator/tests/usage_reports.rs
@@ -14,6 +14,7 @@
     caller::{CallerKind, CallerRequest, send},
     duty_platform::DutyCallRecord,
     fleet::{PlatformFleet, PlatformSizes},
+    store::StoreRestore,
 };
 use tokio::{
     task::JoinHandle,
@@ -79,6 +80,48 @@
     });
 }
 
+/// All entries end right after a report, and the store comes back from a copy without it.
+#[parameterized(
+    young_copy = { 2, 25_700 },
+    old_copy = { 7, 25_720 },
+)]
+fn a_report_that_the_store_has_lost_is_not_made_again(copy_age: u64, port: u16) {
+    tokio::runtime::Runtime::new().unwrap().block_on(async {
+        let sizes = PlatformSizes { port, entries: ENTRIES, prefill: 1, decode: 1, plain: 3 };
+        let mut fleet = PlatformFleet::spawn_with_duties(sizes, "usage", &SETTINGS).await.unwrap();
+        fleet.configure_customers(2, &CUSTOMERS);
+        sleep(SETTLING_TIME).await;
+        let load = Load::spawn(&fleet);
+        sleep(WINDOW * 2).await;
+        let known = fleet.duties.calls().len();
+        let waiting = Instant::now();
+        while fleet.duties.calls().len() == known {
+            assert!(waiting.elapsed() < WINDOW * 2, "no report");
+            sleep(Duration::from_millis(5)).await;
+        }
+        (0..ENTRIES).for_each(|entry| end(&mut fleet, entry));
+        let restore = StoreRestore {
+            copy_age: Duration::from_secs(copy_age),
+            away: Duration::from_millis(300),
+            holds_polls: false,
+            rewrite_delay: Duration::ZERO,
+        };
+        fleet.store.restore(restore).await;
+        for entry in 0..ENTRIES {
+            fleet.entries[entry] = fleet.start_entry(entry).unwrap();
+        }
+        sleep(Duration::from_secs(1)).await;
+        let from = SystemTime::now();
+        sleep(WINDOW * 3).await;
+        let to = SystemTime::now();
+        sleep(LATENESS).await;
+        load.stop().await;
+        let calls = fleet.duties.calls();
+        check_one(&calls);
+        check_counts(&fleet, &calls, window_at(from) + 1..window_at(to));
+    });
+}
+
 async fn disrupt(fleet: &mut PlatformFleet, disruption: Disruption) {
     let calls = fleet.duties.calls();
     let holder = &calls.last().expect("a report before the disruption").holder;
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -60,7 +60,9 @@
 mod usage_clock;
 mod usage_count;
 mod usage_duty;
+mod usage_history;
 mod usage_report;
+mod usage_start;
 mod version;
 mod waiting;
 
@@ -95,12 +97,13 @@
 pub use target::{DirectTarget, LeavingTarget, TargetChange, TargetFleet, TargetStage};
 pub use unheard::{CountState, UnheardCounts, UnheardStep};
 pub use usage::{
-    BootTime, CustomerCounts, EndedCounts, PostOutcome, RecordsEnd, SavedUsage, SavedWindow,
-    UsageAction, UsageContent, UsageEvent, UsageMessage, UsageReceipt, UsageRecords, UsageSettings,
-    UsageUpdate, UsageWindow, WindowUsage,
+    BootTime, CustomerCounts, EndedCounts, FixedRecord, MissCause, PostOutcome, ReadNeed,
+    RecordsEnd, ReportStart, SavedUsage, SavedWindow, UsageAction, UsageContent, UsageEvent,
+    UsageMessage, UsageReceipt, UsageRecords, UsageSettings, UsageUpdate, UsageWindow, WindowUsage,
 };
 pub use usage_clock::TrueClock;
 pub use usage_duty::UsageState;
+pub use usage_history::{ReportHistory, UsageMoment};
 pub use version::{ServiceVersion, StoredVersions, VersionChange};
 
 /// Identifies a request within one process.
--- a/src/direct/authority.rs
+++ b/src/direct/authority.rs
@@ -112,11 +112,25 @@
     lowest: OrderFencingToken,
     /// Last time a claim was known or ended, or when this process started.
     heard: Option<ClockTime>,
+    /// Whether this entry claims without waiting, as it was the holder until a restore.
+    reclaims: bool,
 }
 
 impl DutyAuthority {
     pub(super) fn new(duty: Duty, lease: Duration) -> DutyAuthority {
-        DutyAuthority { duty, lease, state: AuthorityState::None, lowest: 0, heard: None }
+        let state = AuthorityState::None;
+        DutyAuthority { duty, lease, state, lowest: 0, heard: None, reclaims: false }
+    }
+
+    /// Returns the time from a claim until its holder may make calls.
+    pub(super) fn takeover_time(&self) -> Duration {
+        self.lease + ORDER_DELIVERY_TIME
+    }
+
+    /// Claims again at once, unless a peer does so first. For a holder whose claim a restore took,
+    /// and that alone knows what it has done.
+    pub(super) fn reclaim(&mut self) {
+        self.reclaims = true;
     }
 
     /// Returns the fencing token of the recorded claim, for load reports.
@@ -141,6 +155,7 @@
         // A peer that has not noticed a restore of the store reports a claim that does not hold.
         if let Some(newest) = claims.newest.filter(|newest| *newest >= self.lowest) {
             self.heard = Some(now);
+            self.reclaims = false;
             if self.claim().is_some_and(|fence| fence < newest) {
                 self.state = AuthorityState::None;
             }
@@ -148,9 +163,10 @@
         }
         let timeout = self.duty.claim_timeout(claims.preceding, claims.peers);
         let timed_out = timeout.is_some_and(|timeout| now >= heard + timeout);
-        if self.state != AuthorityState::None || !timed_out {
+        if self.state != AuthorityState::None || !(timed_out || self.reclaims) {
             return false;
         }
+        self.reclaims = false;
         self.state = AuthorityState::Claiming;
         true
     }
@@ -164,7 +180,7 @@
         self.heard = Some(now);
         self.state = match outcome {
             ClaimOutcome::Taken(fence) if fence >= self.lowest => {
-                AuthorityState::Held { fence, from: now + self.lease + ORDER_DELIVERY_TIME }
+                AuthorityState::Held { fence, from: now + self.takeover_time() }
             }
             ClaimOutcome::Taken(_) | ClaimOutcome::Failed | ClaimOutcome::Superseded => {
                 AuthorityState::None
--- a/src/direct/usage.rs
+++ b/src/direct/usage.rs
@@ -49,6 +49,41 @@
     pub counts: CustomerCounts,
 }
 
+/// Window whose counts are fixed, as it is recorded in the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FixedRecord {
+    /// The window.
+    pub window: UsageWindow,
+    /// Requests by customer.
+    pub counts: CustomerCounts,
+    /// Generation of the store in which it was written. One of an earlier generation came back
+    /// with a copy, and says nothing of what was reported after the copy was made.
+    #[serde(default)]
+    pub generation: Option<StoreGeneration>,
+}
+
+impl FixedRecord {
+    /// Creates the record of a window's counts.
+    pub fn new(usage: WindowUsage, generation: Option<StoreGeneration>) -> FixedRecord {
+        FixedRecord { window: usage.window, counts: usage.counts, generation }
+    }
+
+    /// Returns the window and its counts.
+    pub fn into_usage(self) -> WindowUsage {
+        WindowUsage { window: self.window, counts: self.counts }
+    }
+}
+
+/// First window that may be reported in a generation of the store. Earlier ones may have been
+/// reported before the store was restored, with counts that the copy lacks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportStart {
+    /// Generation in which it was written.
+    pub generation: StoreGeneration,
+    /// The window.
+    pub first: UsageWindow,
+}
+
 /// Counts that outlast a loss of power at all entries.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SavedUsage {
@@ -135,8 +170,10 @@
     /// Entry with the newest claim, and its fencing token.
     pub claim: Option<(PeerName, OrderFencingToken)>,
     /// Last window whose counts were fixed.
-    pub fixed: Option<WindowUsage>,
-    /// Counts that a holder saved.
+    pub fixed: Option<FixedRecord>,
+    /// First window that may be reported, as the first holder of a generation wrote it.
+    pub start: Option<ReportStart>,
+    /// Counts that a holder saved, if they were asked for.
     pub saved: Option<SavedUsage>,
     /// End of the topic when they were read.
     pub end: RecordsEnd,
@@ -147,6 +184,8 @@
 pub enum UsageEvent {
     /// The time since the start of 1970, by this VM.
     Clock(Duration),
+    /// The store stated its generation to this process for the first time.
+    StoreSeen(StoreGeneration),
     /// A peer sent a message.
     Message(UsageMessage),
     /// A claim on the duty ended.
@@ -158,6 +197,13 @@
         /// The records; `None` without a response.
         records: Option<UsageRecords>,
     },
+    /// The first window that may be reported was written to the store, or it did not confirm that.
+    StartWritten {
+        /// Number of the attempt.
+        attempt: u64,
+        /// Whether the store confirmed it.
+        confirmed: bool,
+    },
     /// Counts were written to the store, or it did not confirm that.
     Fixed {
         /// Number of the attempt.
@@ -194,6 +240,20 @@
     Superseded,
 }
 
+impl PostOutcome {
+    /// Returns whether the store named the sender as the holder.
+    pub(super) fn has_checked_claim(self) -> bool {
+        match self {
+            PostOutcome::Accepted
+            | PostOutcome::Refused
+            | PostOutcome::NoAnswer
+            | PostOutcome::CheckExpired
+            | PostOutcome::NotFixed => true,
+            PostOutcome::NoStore | PostOutcome::Superseded => false,
+        }
+    }
+}
+
 /// Action of the usage duty that the driver carries out.
 #[derive(Debug, Clone, PartialEq)]
 pub enum UsageAction {
@@ -212,6 +272,18 @@
     Read {
         /// Number of the attempt, which its event repeats.
         attempt: u64,
+        /// What is needed besides the records.
+        need: ReadNeed,
+    },
+    /// Write the first window that may be reported, if the topic still ends where it did when the
+    /// claim was read.
+    WriteStart {
+        /// Number of the attempt, which its event repeats.
+        attempt: u64,
+        /// Generation and window.
+        start: ReportStart,
+        /// End of the topic when the claim was read.
+        end: RecordsEnd,
     },
     /// Write the counts of a window to the store, if the topic still ends where it did when the claim
     /// was read. After that they do not change.
@@ -238,11 +310,32 @@
     RemoveMessage,
     /// Read the messages that were left. Each is an event.
     ReadMessages,
-    /// Log that windows are not reported, as it is too late.
+    /// Log that windows are not reported.
     Missed {
         /// First of them.
         first: UsageWindow,
         /// Last of them.
         last: UsageWindow,
+        /// Why they are not.
+        cause: MissCause,
     },
 }
+
+/// What is read besides the duty's records.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReadNeed {
+    /// The counts that a holder saved.
+    pub saved: bool,
+    /// The messages that entries left, of which each is an event before that of the records.
+    pub messages: bool,
+}
+
+/// Why a window is not reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum MissCause {
+    /// Its report would be too late.
+    TooLate,
+    /// It may have been reported before the store was restored, with other counts.
+    MayBeReported,
+}
--- a/src/direct/usage_duty.rs
+++ b/src/direct/usage_duty.rs
@@ -15,13 +15,14 @@
 use smallvec::SmallVec;
 
 use super::{
-    CustomerName, DirectAction, DirectMachine, OrderFencingToken, PeerName, PeerTable, PostOutcome,
-    StoreGeneration, UsageAction, UsageContent, UsageEvent, UsageMessage, UsageReceipt,
-    UsageRecords, UsageSettings, UsageWindow, WindowUsage,
+    CustomerName, DirectAction, DirectMachine, FixedRecord, MissCause, OrderFencingToken, PeerName,
+    PeerTable, PostOutcome, ReadNeed, UsageAction, UsageContent, UsageEvent, UsageMessage,
+    UsageReceipt, UsageRecords, UsageSettings, UsageWindow, WindowUsage,
     authority::{ClaimOutcome, Duty, DutyAuthority},
     isolation::HeardPeers,
     unheard::{CountState, UnheardCounts, UnheardStep, round_time},
     usage_count::{CountLedger, digest},
+    usage_history::UsageMoment,
     usage_report::{FixedUsage, UsageReporter},
 };
 use crate::ids::ClockTime;
@@ -67,11 +68,11 @@
 /// Usage duty of one entry.
 #[derive(Debug, Clone, Serialize)]
 pub(super) struct UsageDuty {
-    settings: UsageSettings,
+    pub(super) settings: UsageSettings,
     pub(super) authority: DutyAuthority,
     /// Time since the start of 1970 at a time of the process's clock.
     clock: Option<(ClockTime, Duration)>,
-    ledger: CountLedger,
+    pub(super) ledger: CountLedger,
     heard: HeardPeers,
     /// Peers that may be cut off and count on.
     known: HeardPeers,
@@ -83,7 +84,7 @@
     next_save: ClockTime,
     /// Changes of the ledger that were saved.
     saved_changes: u64,
-    reporter: UsageReporter,
+    pub(super) reporter: UsageReporter,
     /// Whether the platform takes the calls of another duty too.
     pub(super) shares_calls: bool,
 }
@@ -108,7 +109,7 @@
     }
 
     /// Returns the shortest time between two calls to the platform.
-    fn call_interval(&self) -> Duration {
+    pub(super) fn call_interval(&self) -> Duration {
         self.settings.call_interval.saturating_mul(1 + u32::from(self.shares_calls))
     }
 
@@ -127,10 +128,6 @@
             .filter(|_| !is_cut_off && self.has_right_clock(peers) && !self.is_isolated(now, peers))
     }
 
-    pub(super) fn store_restored(&mut self, now: ClockTime, generation: StoreGeneration) {
-        self.authority.store_restored(now, generation);
-    }
-
     fn is_isolated(&self, now: ClockTime, peers: &PeerTable) -> bool {
         self.heard.is_isolated(now, peers)
     }
@@ -140,10 +137,15 @@
     }
 
     /// Returns the time since the start of 1970, once the clock was read.
-    fn true_time(&self, now: ClockTime) -> Option<Duration> {
+    pub(super) fn true_time(&self, now: ClockTime) -> Option<Duration> {
         self.clock.map(|(at, time)| time.saturating_add(now.saturating_sub(at)))
     }
 
+    /// Returns a time by both clocks.
+    pub(super) fn moment(&self, now: ClockTime) -> UsageMoment {
+        (now, self.true_time(now).unwrap_or_default())
+    }
+
     /// Counts a request that began to run.
     pub(super) fn record(&mut self, now: ClockTime, customer: &CustomerName) {
         if let Some(time) = self.true_time(now) {
@@ -374,29 +376,47 @@
         if self.reporter.fence.is_none() || self.reporter.is_busy || now < self.reporter.next {
             return;
         }
-        if !self.reporter.has_read {
-            return self.reporter.begin(out, |attempt| UsageAction::Read { attempt });
+        if !self.reporter.has_read || self.is_check_due(now) {
+            return self.read_records(now, peers, out);
         }
         let Some(fence) = self.authority.fence(now) else { return };
         self.settle_late(time, out);
         match &self.reporter.fixed {
             Some(fixed) if fixed.confirmed => {
                 let usage = fixed.usage.clone();
-                self.post(fence, usage, out);
+                self.post(now, fence, usage, out);
             }
-            Some(_) => self.reporter.begin(out, |attempt| UsageAction::Read { attempt }),
+            Some(_) => self.read_records(now, peers, out),
             None if self.complete_window(now, time, peers).is_some() => {
-                self.reporter.begin(out, |attempt| UsageAction::Read { attempt });
+                self.read_records(now, peers, out);
             }
             None => {}
         }
     }
 
-    fn post(&mut self, fence: OrderFencingToken, usage: WindowUsage, out: &mut Actions) {
+    fn read_records(&mut self, now: ClockTime, peers: &PeerTable, out: &mut Actions) {
+        let silent = self.next_window().and_then(|next| self.silent_since(now, next, peers));
+        let may_act = self.authority.fence(now).is_some();
+        let need = ReadNeed {
+            saved: !self.reporter.has_read_saved,
+            messages: may_act && silent.is_some(),
+        };
+        let moment = self.moment(now);
+        self.reporter.begin(moment, out, |attempt| UsageAction::Read { attempt, need });
+    }
+
+    fn post(
+        &mut self,
+        now: ClockTime,
+        fence: OrderFencingToken,
+        usage: WindowUsage,
+        out: &mut Actions,
+    ) {
         if let Some(fixed) = &mut self.reporter.fixed {
             fixed.posted = true;
         }
-        self.reporter.begin(out, |attempt| UsageAction::Post { attempt, fence, usage });
+        let moment = self.moment(now);
+        self.reporter.begin(moment, out, |attempt| UsageAction::Post { attempt, fence, usage });
     }
 
     /// Gives up windows whose report would be too late.
@@ -414,11 +434,12 @@
         if first > last {
             return;
         }
-        out.push(DirectAction::Usage(UsageAction::Missed { first, last }));
+        let cause = MissCause::TooLate;
+        out.push(DirectAction::Usage(UsageAction::Missed { first, last, cause }));
     }
 
     /// Returns the oldest window that may still be reported.
-    fn next_window(&self) -> Option<UsageWindow> {
+    pub(super) fn next_window(&self) -> Option<UsageWindow> {
         if let Some(fixed) = &self.reporter.fixed {
             return Some(fixed.usage.window);
         }
@@ -469,15 +490,24 @@
         if !records.claim.as_ref().is_some_and(is_own) {
             return self.authority.claim_ended(now, ClaimOutcome::Superseded);
         }
+        let may_act = self.authority.fence(now).is_some();
         if let Some(saved) = &records.saved {
             self.ledger.apply_saved(saved);
+            self.reporter.has_read_saved = may_act;
+        }
+        if !self.knows_reports(now, &records, out) {
+            return;
         }
         let latest = self.ledger.latest();
-        self.reporter.adopt(records.fixed.filter(|fixed| fixed.window <= latest));
+        let fixed = records.fixed.filter(|fixed| {
+            // One of an earlier generation is that of a window before the first.
+            fixed.generation == end.0 && fixed.window <= latest
+        });
+        self.reporter.adopt(fixed.map(FixedRecord::into_usage));
         if !std::mem::replace(&mut self.reporter.has_read, true) {
             out.push(DirectAction::Usage(UsageAction::ReadMessages));
         }
-        let time = self.true_time(now).filter(|_| self.authority.fence(now).is_some());
+        let time = self.true_time(now).filter(|_| may_act);
         let Some(time) = time else { return };
         self.settle_late(time, out);
         if self.reporter.fixed.is_none() {
@@ -488,7 +518,8 @@
         }
         let unconfirmed = self.reporter.fixed.as_ref().filter(|fixed| !fixed.confirmed);
         if let Some(usage) = unconfirmed.map(|fixed| fixed.usage.clone()) {
-            self.reporter.begin(out, |attempt| UsageAction::Fix { attempt, usage, end });
+            let moment = self.moment(now);
+            self.reporter.begin(moment, out, |attempt| UsageAction::Fix { attempt, usage, end });
         }
     }
 
@@ -513,12 +544,15 @@
             send(own, &peer, UsageContent::Received(receipt), out);
         }
         if let Some(fence) = self.authority.fence(now) {
-            self.post(fence, usage, out);
+            self.post(now, fence, usage, out);
         }
     }
 
     fn post_ended(&mut self, now: ClockTime, outcome: PostOutcome) {
         let window = self.reporter.fixed.as_ref().map(|fixed| fixed.usage.window);
+        if outcome.has_checked_claim() {
+            self.reporter.history.claim_checked(self.reporter.asked);
+        }
         match outcome {
             PostOutcome::Accepted => {
                 if let Some(window) = window {
@@ -544,7 +578,7 @@
     }
 }
 
-type Actions = Vec<DirectAction>;
+pub(super) type Actions = Vec<DirectAction>;
 
 /// Process start of this entry.
 #[derive(Debug, Clone)]
@@ -602,6 +636,12 @@
                     usage.records_read(now, &own, &self.peers, records, out);
                 }
             }
+            UsageEvent::StoreSeen(generation) => usage.generation_seen(now, generation),
+            UsageEvent::StartWritten { attempt, confirmed } => {
+                if usage.reporter.end(attempt) {
+                    usage.start_written(now, confirmed);
+                }
+            }
             UsageEvent::Fixed { attempt, confirmed } => {
                 if usage.reporter.end(attempt) {
                     usage.counts_fixed(now, &own, &self.peers, confirmed, out);
--- a/src/direct/usage_report.rs
+++ b/src/direct/usage_report.rs
@@ -4,7 +4,10 @@
 
 use serde::Serialize;
 
-use super::{DirectAction, OrderFencingToken, UsageAction, UsageWindow, WindowUsage};
+use super::{
+    DirectAction, OrderFencingToken, ReportStart, UsageAction, UsageWindow, WindowUsage,
+    usage_history::{ReportHistory, UsageMoment},
+};
 use crate::ids::ClockTime;
 
 /// Shortest and longest pause after a failed attempt; it doubles in between.
@@ -32,11 +35,19 @@
     pub(super) is_busy: bool,
     /// Whether the records were read since the claim.
     pub(super) has_read: bool,
+    /// Whether they were read since calls may be made, so that no earlier holder saves any more.
+    pub(super) has_read_saved: bool,
+    /// What is known of the reports before the store's generation.
+    pub(super) history: ReportHistory,
+    /// When the attempt in flight began.
+    pub(super) asked: UsageMoment,
+    /// First window that may be reported, while it is being written.
+    pub(super) starting: Option<ReportStart>,
     /// Oldest fixed window that was neither accepted nor too late.
     pub(super) fixed: Option<FixedUsage>,
     /// Last window that is not reported any more.
     pub(super) settled: Option<UsageWindow>,
-    /// Last window that any entry is known to have fixed.
+    /// Last window that any entry may have fixed.
     pub(super) last_fixed: Option<UsageWindow>,
     pub(super) failures: u32,
     pub(super) next: ClockTime,
@@ -56,6 +67,7 @@
         self.attempt += 1;
         self.is_busy = false;
         self.has_read = false;
+        self.has_read_saved = false;
         self.failures = 0;
         self.store_fails = None;
         // Counts that were never written may be fixed otherwise by the next holder.
@@ -64,11 +76,13 @@
 
     pub(super) fn begin(
         &mut self,
+        now: UsageMoment,
         out: &mut Vec<DirectAction>,
         action: impl FnOnce(u64) -> UsageAction,
     ) {
         self.attempt += 1;
         self.is_busy = true;
+        self.asked = now;
         out.push(DirectAction::Usage(action(self.attempt)));
     }
 
--- a/src/process/direct.rs
+++ b/src/process/direct.rs
@@ -13,7 +13,10 @@
 };
 
 use crate::{
-    direct::{DirectEvent, DirectMachine, DirectSettings, ScaleSettings, StopPhase, UsageSettings},
+    direct::{
+        DirectEvent, DirectMachine, DirectSettings, ScaleSettings, StopPhase, UsageEvent,
+        UsageSettings,
+    },
     error::{Error, ErrorCode, Result},
     platform::settings::{self, PlatformSettings, ScaleTarget, UsageTarget},
 };
@@ -173,8 +176,11 @@
     let mut known = None;
     loop {
         let generation = driver.generations.wait_for_restore(known).await;
+        driver.update_clock();
         // The first statement of a generation is no restore.
-        if known.replace(generation).is_some() {
+        if known.replace(generation).is_none() {
+            driver.step(DirectEvent::Usage(UsageEvent::StoreSeen(generation)));
+        } else {
             log::warn!(generation:% = generation; "store restored from an older copy");
             driver.step(DirectEvent::StoreRestored(generation));
         }
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -265,10 +265,15 @@
     }
 
     pub(super) fn tick(self: &Rc<Self>) {
+        self.update_clock();
+        self.step(DirectEvent::Tick);
+    }
+
+    /// Tells the state machine the time of day, if it has to know it.
+    pub(super) fn update_clock(self: &Rc<Self>) {
         if let Some(link) = &self.usage_link {
             self.step(DirectEvent::Usage(UsageEvent::Clock(link.time())));
         }
-        self.step(DirectEvent::Tick);
     }
 
     fn perform(self: &Rc<Self>, action: DirectAction) {
--- a/src/process/direct/usage.rs
+++ b/src/process/direct/usage.rs
@@ -16,8 +16,8 @@
 };
 use crate::{
     direct::{
-        DirectEvent, LatestWrite, OrderFencingToken, PostOutcome, RecordsEnd, TrueClock,
-        UsageAction, UsageEvent, UsageRecords, WindowUsage,
+        DirectEvent, FixedRecord, LatestWrite, OrderFencingToken, PostOutcome, RecordsEnd,
+        ReportStart, TrueClock, UsageAction, UsageEvent, UsageRecords, WindowUsage,
     },
     platform::{
         duty,
@@ -33,6 +33,8 @@
 const TOPIC: &str = "keyed.usage";
 /// Key of the last window whose counts are fixed.
 const FIXED_KEY: &str = "fixed";
+/// Key of the first window that may be reported in a generation of the store.
+const START_KEY: &str = "start";
 /// Key of the counts that a holder saved.
 const SAVED_KEY: &str = "saved";
 /// Topic of the counts that entries leave for a holder that they cannot reach, by their names.
@@ -92,8 +94,11 @@
             write(&link, &link.left, (MESSAGE_TOPIC, driver.name()), Ok(Vec::new())).await;
         }
         UsageAction::ReadMessages => read_messages(&driver).await,
-        UsageAction::Read { attempt } => {
-            let records = match read(&driver).await {
+        UsageAction::Read { attempt, need } => {
+            if need.messages {
+                read_messages(&driver).await;
+            }
+            let records = match read(&driver, need.saved).await {
                 Ok(records) => Some(records),
                 Err(error) => {
                     log::info!(error:% = error; "failed to read usage records");
@@ -102,6 +107,14 @@
             };
             step(&driver, UsageEvent::RecordsRead { attempt, records });
         }
+        UsageAction::WriteStart { attempt, start, end } => {
+            let confirmed = write_start(&driver, start, end).await;
+            log::info!(
+                generation:% = start.generation, first:% = start.first, confirmed:% = confirmed;
+                "usage is reported from this window on, as the store has a new generation"
+            );
+            step(&driver, UsageEvent::StartWritten { attempt, confirmed });
+        }
         UsageAction::Fix { attempt, usage, end } => {
             let confirmed = fix(&driver, &usage, end).await;
             step(&driver, UsageEvent::Fixed { attempt, confirmed });
@@ -115,8 +128,8 @@
             );
             step(&driver, UsageEvent::Posted { attempt, outcome });
         }
-        UsageAction::Missed { first, last } => {
-            log::warn!(first:% = first, last:% = last; "usage not reported, as it is too late");
+        UsageAction::Missed { first, last, cause } => {
+            log::warn!(first:% = first, last:% = last, cause:% = cause; "usage not reported");
         }
         // The driver sends messages at once.
         UsageAction::Send { .. } => {}
@@ -162,30 +175,53 @@
     }
 }
 
-/// Reads the records of the duty, and what was saved.
-async fn read(driver: &DirectDriver) -> std::result::Result<UsageRecords, StoreError> {
+/// Reads the records of the duty, and what was saved if asked for.
+async fn read(
+    driver: &DirectDriver,
+    with_saved: bool,
+) -> std::result::Result<UsageRecords, StoreError> {
     let mut store = driver.store_client();
     let records = decode_page(&store.read_newest(TOPIC).await?);
+    if !with_saved {
+        return Ok(records);
+    }
     let saved = store.read_newest(SAVED_TOPIC).await?;
     let saved = record(&saved, SAVED_KEY).and_then(decode);
     Ok(UsageRecords { saved, ..records })
 }
 
+/// Writes the first window that may be reported, unless the topic has new records, and returns
+/// whether the store confirmed it.
+async fn write_start(driver: &DirectDriver, start: ReportStart, end: RecordsEnd) -> bool {
+    let result = write_at(driver, end, START_KEY, encode(&start)).await;
+    if let Err(error) = &result {
+        log::info!(first:% = start.first, error:% = error; "failed to write the first window");
+    }
+    result.is_ok()
+}
+
 /// Writes the counts of a window, unless the topic has new records, and returns whether the store
 /// confirmed it.
 async fn fix(driver: &DirectDriver, usage: &WindowUsage, end: RecordsEnd) -> bool {
-    let (generation, offset) = end;
-    let end = TopicPosition { generation, offset };
-    let result = match encode(usage) {
-        Ok(bytes) => driver.store_client().put_at(TOPIC, end, FIXED_KEY, &bytes).await,
-        Err(error) => Err(error),
-    };
+    let record = FixedRecord::new(usage.clone(), end.0);
+    let result = write_at(driver, end, FIXED_KEY, encode(&record)).await;
     if let Err(error) = &result {
         log::info!(window:% = usage.window, error:% = error; "failed to fix usage");
     }
     result.is_ok()
 }
 
+/// Writes a record of the duty's topic, unless that has new records.
+async fn write_at(
+    driver: &DirectDriver,
+    (generation, offset): RecordsEnd,
+    key: &str,
+    record: EncodedRecord,
+) -> std::result::Result<TopicPosition, StoreError> {
+    let end = TopicPosition { generation, offset };
+    driver.store_client().put_at(TOPIC, end, key, &record?).await
+}
+
 fn encode(value: &impl Serialize) -> std::result::Result<Vec<u8>, StoreError> {
     let mut bytes = Vec::new();
     ciborium::into_writer(value, &mut bytes).map_err(|_| StoreError::Malformed)?;
@@ -209,7 +245,7 @@
     if records.claim != Some((driver.name().into(), fence)) {
         return PostOutcome::Superseded;
     }
-    if records.fixed.as_ref() != Some(usage) {
+    if records.fixed != Some(FixedRecord::new(usage.clone(), records.end.0)) {
         return PostOutcome::NotFixed;
     }
     let request = match duty::usage_request(link.target.address, driver.name(), fence, usage) {
@@ -226,6 +262,7 @@
     UsageRecords {
         claim: newest_claim(page),
         fixed: record(page, FIXED_KEY).and_then(decode),
+        start: record(page, START_KEY).and_then(decode),
         saved: None,
         end: (page.next.generation, page.next.offset),
     }
--- a/tests/support/usage.rs
+++ b/tests/support/usage.rs
@@ -18,8 +18,8 @@
 
 use sapphirewell::direct::{
     CallOutcome, ClaimOutcome, CustomerConfig, CustomerCounts, DirectAction, DirectEvent,
-    DirectMachine, FlowId, OrderFencingToken, PostOutcome, TargetChange, TrueClock, UsageAction,
-    UsageEvent, UsageMessage, UsageWindow, WindowUsage,
+    DirectMachine, FixedRecord, FlowId, OrderFencingToken, PostOutcome, StoreGeneration,
+    TargetChange, TrueClock, UsageAction, UsageEvent, UsageMessage, UsageWindow, WindowUsage,
 };
 
 use duty_calls::{DutyCall, check_one_holder};
@@ -69,6 +69,8 @@
     next_flow: FlowId,
     clock: TrueClock,
     is_configured: bool,
+    /// Generation of the store that the entry has seen.
+    generation: Option<StoreGeneration>,
 }
 
 pub struct UsageFleet {
@@ -163,6 +165,7 @@
             next_flow: 0,
             clock: TrueClock::default(),
             is_configured: false,
+            generation: None,
         });
     }
 
@@ -190,10 +193,26 @@
     /// Replaces the store's content by that of some time ago.
     pub fn restore_store(&mut self, age: Duration) {
         self.store.restore(self.now.saturating_sub(age));
+        (0..self.entries.len()).for_each(|entry| self.observe_generation(entry));
+    }
+
+    /// Tells an entry of the store's generation, once it reaches the store.
+    fn observe_generation(&mut self, entry: usize) {
         let generation = self.store.generation;
-        for entry in 0..self.entries.len() {
-            self.step(entry, DirectEvent::StoreRestored(generation));
-        }
+        let reaches_store = self.is_running(entry) && self.reaches_store(entry);
+        let Some(state) = self.entries[entry].as_mut().filter(|_| reaches_store) else { return };
+        let event = match state.generation.replace(generation) {
+            None => DirectEvent::Usage(UsageEvent::StoreSeen(generation)),
+            Some(seen) if seen < generation => DirectEvent::StoreRestored(generation),
+            Some(_) => return,
+        };
+        let time = self.shown_time(entry);
+        self.step(entry, DirectEvent::Usage(UsageEvent::Clock(time)));
+        self.step(entry, event);
+    }
+
+    fn reaches_store(&self, entry: usize) -> bool {
+        !self.store_is_down && !self.cut_from_store.contains(&entry)
     }
 
     pub fn holder(&self) -> Option<usize> {
@@ -230,6 +249,7 @@
                 continue;
             }
             self.configure(entry);
+            self.observe_generation(entry);
             if self.is_time_for(TICK, entry) {
                 let time = self.shown_time(entry);
                 self.step(entry, DirectEvent::Usage(UsageEvent::Clock(time)));
@@ -335,7 +355,10 @@
             UsageAction::LeaveMessage(message) => Pending::Leave(message),
             UsageAction::RemoveMessage => Pending::Remove,
             UsageAction::ReadMessages => Pending::ReadMessages,
-            UsageAction::Read { attempt } => Pending::Read(attempt),
+            UsageAction::Read { attempt, need } => Pending::Read(attempt, need),
+            UsageAction::WriteStart { attempt, start, end } => {
+                Pending::WriteStart(attempt, start, end)
+            }
             UsageAction::Fix { attempt, usage, end } => Pending::Fix(attempt, usage, end),
             UsageAction::Post { attempt, fence, usage } => Pending::Check(attempt, fence, usage),
         };
@@ -422,6 +445,9 @@
         let event = match pending {
             Pending::Claim => UsageEvent::ClaimEnded(ClaimOutcome::Failed),
             Pending::Fix(attempt, ..) => UsageEvent::Fixed { attempt, confirmed: false },
+            Pending::WriteStart(attempt, ..) => {
+                UsageEvent::StartWritten { attempt, confirmed: false }
+            }
             _ => return,
         };
         self.step(entry, DirectEvent::Usage(event));
@@ -435,10 +461,13 @@
         fault: Option<StepFault>,
     ) -> Option<UsageEvent> {
         let is_lost = fault == Some(StepFault::AnswerLost);
-        let reaches_store = !self.store_is_down && !self.cut_from_store.contains(&entry);
+        let reaches_store = self.reaches_store(entry);
         if !matches!(pending, Pending::Event(_) | Pending::Post(..)) {
-            // A read is of two topics.
-            self.store_calls += if matches!(pending, Pending::Read(_)) { 2 } else { 1 };
+            self.store_calls += match &pending {
+                // Each is in a topic of its own.
+                Pending::Read(_, need) => 1 + u64::from(need.saved) + u64::from(need.messages),
+                _ => 1,
+            };
         }
         match pending {
             Pending::Event(event) => Some(event),
@@ -447,10 +476,17 @@
                     if reaches_store { self.store.claim(entry) } else { ClaimOutcome::Failed };
                 Some(UsageEvent::ClaimEnded(if is_lost { ClaimOutcome::Failed } else { outcome }))
             }
-            Pending::Read(attempt) => {
-                let records = (reaches_store && !is_lost).then(|| self.store.records());
+            Pending::Read(attempt, need) => {
+                if need.messages {
+                    self.carry_out(entry, instance, Pending::ReadMessages, None);
+                }
+                let records = (reaches_store && !is_lost).then(|| self.store.records(need.saved));
                 Some(UsageEvent::RecordsRead { attempt, records })
             }
+            Pending::WriteStart(attempt, start, end) => {
+                let writes = reaches_store && self.store.write_start(start, end);
+                Some(UsageEvent::StartWritten { attempt, confirmed: writes && !is_lost })
+            }
             Pending::Fix(attempt, usage, end) => {
                 let writes = reaches_store && self.store.fix(usage, end);
                 Some(UsageEvent::Fixed { attempt, confirmed: writes && !is_lost })
@@ -485,13 +521,14 @@
                 None
             }
             Pending::Check(attempt, fence, usage) => {
-                let records = self.store.records();
+                let records = self.store.records(false);
+                let fixed = FixedRecord::new(usage.clone(), records.end.0);
                 let outcome = match () {
                     () if !reaches_store || is_lost => PostOutcome::NoStore,
                     () if records.claim != Some((name(entry).into(), fence)) => {
                         PostOutcome::Superseded
                     }
-                    () if records.fixed.as_ref() != Some(&usage) => PostOutcome::NotFixed,
+                    () if records.fixed != Some(fixed) => PostOutcome::NotFixed,
                     () => {
                         let post = Pending::Post(attempt, fence, usage, self.now);
                         self.push(entry, instance, post);
--- a/tests/support/usage_steps.rs
+++ b/tests/support/usage_steps.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use sapphirewell::direct::{
-    BootTime, OrderFencingToken, RecordsEnd, SavedUsage, UsageEvent, UsageMessage, WindowUsage,
+    BootTime, OrderFencingToken, ReadNeed, RecordsEnd, ReportStart, SavedUsage, UsageEvent,
+    UsageMessage, WindowUsage,
 };
 
 /// Step of a holder at which a fault strikes.
@@ -11,6 +12,7 @@
 pub enum DutyStep {
     Claim,
     Read,
+    WriteStart,
     Fix,
     Save,
     Check,
@@ -35,7 +37,8 @@
 pub enum Pending {
     Event(UsageEvent),
     Claim,
-    Read(u64),
+    Read(u64, ReadNeed),
+    WriteStart(u64, ReportStart, RecordsEnd),
     Fix(u64, WindowUsage, RecordsEnd),
     Save(SavedUsage),
     Leave(UsageMessage),
@@ -58,7 +61,8 @@
             return None;
         }
         Pending::Claim => DutyStep::Claim,
-        Pending::Read(_) => DutyStep::Read,
+        Pending::Read(..) => DutyStep::Read,
+        Pending::WriteStart(..) => DutyStep::WriteStart,
         Pending::Fix(..) => DutyStep::Fix,
         Pending::Save(_) => DutyStep::Save,
         Pending::Check(..) => DutyStep::Check,
--- a/tests/support/usage_store.rs
+++ b/tests/support/usage_store.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use sapphirewell::direct::{
-    ClaimOutcome, RecordsEnd, SavedUsage, StoreGeneration, UsageMessage, UsageRecords, WindowUsage,
-    fencing_token,
+    ClaimOutcome, FixedRecord, RecordsEnd, ReportStart, SavedUsage, StoreGeneration, UsageMessage,
+    UsageRecords, WindowUsage, fencing_token,
 };
 
 use super::usage_machine::name;
@@ -15,7 +15,8 @@
     pub generation: StoreGeneration,
     end: u64,
     claim: Option<(usize, u64)>,
-    fixed: Option<WindowUsage>,
+    fixed: Option<FixedRecord>,
+    start: Option<ReportStart>,
     pub saved: Option<SavedUsage>,
     /// Messages that entries left.
     pub messages: BTreeMap<usize, UsageMessage>,
@@ -29,6 +30,7 @@
             end: 0,
             claim: None,
             fixed: None,
+            start: None,
             saved: None,
             messages: BTreeMap::new(),
             copies: Vec::new(),
@@ -67,7 +69,17 @@
         let writes = end == self.records_end();
         if writes {
             self.end += 1;
-            self.fixed = Some(usage);
+            self.fixed = Some(FixedRecord::new(usage, end.0));
+        }
+        writes
+    }
+
+    /// Writes the first window that may be reported, unless the topic has more records.
+    pub fn write_start(&mut self, start: ReportStart, end: RecordsEnd) -> bool {
+        let writes = end == self.records_end();
+        if writes {
+            self.end += 1;
+            self.start = Some(start);
         }
         writes
     }
@@ -76,12 +88,14 @@
         (Some(self.generation), self.end)
     }
 
-    pub fn records(&self) -> UsageRecords {
+    /// Returns the records, with what was saved if that is asked for.
+    pub fn records(&self, with_saved: bool) -> UsageRecords {
         let token = |end| fencing_token(Some(self.generation), end).unwrap();
         UsageRecords {
             claim: self.claim.map(|(entry, end)| (name(entry).into(), token(end))),
             fixed: self.fixed.clone(),
-            saved: self.saved.clone(),
+            start: self.start,
+            saved: self.saved.clone().filter(|_| with_saved),
             end: self.records_end(),
         }
     }
