Begin late responses at a stopping entry only if its exit cannot cut them

Cause: a stopping entry took requests that may be repeated by an estimate, the average of their route and three deviations. The tokens that a stream asks for, the time between events that its route states, and the request's deadline were not looked at. A rare long response is in no average.

Change: a stream that came late is taken only if it ends before the exit with as many events as its tokens make, each as late as its route states (or as others lately). How many events a token makes is measured from whole streams. Its first two events are held back until they show its pace. A late response to any other request that may be repeated is held back until it is whole, up to 64 KiB. Where the exit comes first, the request fails with a whole answer. A second call is bounded as the first one. docs/design/stops.md has the table.

Why it works: nothing of a late response is passed on before its end is bounded or reached; until then the request can fail as a whole.

--- a/emulator/src/platform_rig/store.rs
+++ b/emulator/src/platform_rig/store.rs
@@ -37,6 +37,8 @@
 /// Interval at which the store is copied, and the number of copies that are kept.
 pub(super) const COPY_INTERVAL: Duration = Duration::from_millis(500);
 const MAX_COPIES: usize = 24;
+/// Longest time between two events that the routes state.
+const EVENT_GAP: Duration = Duration::from_millis(150);
 /// Time after which a call of the store that gets no response fails.
 pub(super) const READ_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -516,6 +518,7 @@
         streams: class.is_stream(),
         timeout: Duration::from_millis(timeout),
         objective: Duration::from_millis(objective),
+        event_gap: class.is_stream().then_some(EVENT_GAP),
         priority: route_priority(class),
         max_attempts,
         allows_anonymous: allows_anonymous(class),
--- a/emulator/src/stand_in/caller.rs
+++ b/emulator/src/stand_in/caller.rs
@@ -54,6 +54,8 @@
     pub deadline: Duration,
     /// Time after sending at which the caller disconnects; `None` waits for the end.
     pub leave_after: Option<Duration>,
+    /// Number of events that it asks for, if its answer is a stream.
+    pub max_output: u64,
     /// Stream that the request takes up; `None` for a new request.
     pub resumed: Option<ResumedStream>,
     /// Key of the customer that it is sent for, if any.
@@ -150,6 +152,7 @@
             body,
             deadline,
             leave_after: None,
+            max_output: EVENTS,
             resumed: None,
             key: None,
         }
@@ -187,7 +190,7 @@
                 segments.iter().map(|(id, tokens)| format!("{id:x}:{tokens}")).collect();
             builder = builder
                 .header("model", "m")
-                .header("token-count", format!("{tokens},{EVENTS}"))
+                .header("token-count", format!("{tokens},{}", self.max_output))
                 .header("prompt-prefix", prefix.join(","));
         }
         builder.body(Full::new(self.body.clone()))
@@ -295,7 +298,7 @@
     let text = String::from_utf8_lossy(bytes);
     let streams = matches!(request.kind, CallerKind::Dossier | CallerKind::Note);
     let first = request.resumed.as_ref().map_or(1, |resumed| resumed.last_event + 1);
-    if streams && events != (first..=EVENTS).collect::<Vec<u64>>() {
+    if streams && events != (first..=request.max_output).collect::<Vec<u64>>() {
         return CallerOutcome::Wrong(format!("events {events:?}"));
     }
     let whole = match streams {
--- a/emulator/src/stand_in/fleet.rs
+++ b/emulator/src/stand_in/fleet.rs
@@ -482,6 +482,7 @@
             "kind": kind, "timeout_ms": timeout, "target_latency_ms": objective, "priority": 1,
             "max_attempts": attempts, "sticky": kind == "streaming",
             "resumable": name == "dossier",
+            "target_gap_ms": (kind == "streaming").then_some(500),
         })
     };
     let with_service = |mut route: serde_json::Value, service: &str| {
--- a/emulator/src/stand_in/runner/call.rs
+++ b/emulator/src/stand_in/runner/call.rs
@@ -14,7 +14,7 @@
 
 use super::{
     ReceivedCall, RunRecord, RunnerFaults, RunnerKind, RunnerModel,
-    response::{cut_body, header_text, prompt_segments, trailing_number},
+    response::{cut_body, header_text, paused_body, prompt_segments, trailing_number},
     state::locked,
     stream::RunGuard,
 };
@@ -192,6 +192,9 @@
             false => (StatusCode::OK, format!("answer to {id}")),
         };
         let mut response = self.response(status, headers, body);
+        if let Some(pause) = faults.pause(id) {
+            response = response.map(|body| paused_body(body, pause));
+        }
         self.inject_header_faults(faults, &mut response);
         Ok(response)
     }
--- a/emulator/src/stand_in/runner/profile.rs
+++ b/emulator/src/stand_in/runner/profile.rs
@@ -48,6 +48,9 @@
     pub lose_answer: bool,
     /// Delay before each event of a stream, instead of that of the profile.
     pub event_gap: Option<Duration>,
+    /// Pauses before each event of a stream, and in the middle of any other answer, to requests
+    /// whose ids begin like this.
+    pub slow: Option<(String, Duration)>,
     /// Pads the data of each event of a stream by this many bytes.
     pub event_padding: usize,
     /// Aborts streams after the event with this id.
@@ -80,3 +83,11 @@
     /// Requests that crash it shortly after it begins to run them, by what their ids begin with.
     pub crashing_requests: Vec<String>,
 }
+
+impl RunnerFaults {
+    /// Returns the pause in the answer to a request, if there is one.
+    pub(super) fn pause(&self, id: &str) -> Option<Duration> {
+        let (begin, pause) = self.slow.as_ref()?;
+        id.starts_with(begin).then_some(*pause)
+    }
+}
--- a/emulator/src/stand_in/runner/response.rs
+++ b/emulator/src/stand_in/runner/response.rs
@@ -76,6 +76,20 @@
     }
 }
 
+/// Pauses in the middle of a body.
+pub(super) fn paused_body(body: StandInBody, pause: Duration) -> StandInBody {
+    let frames = unfold((Some(body), None::<Bytes>), move |(body, rest)| async move {
+        if let Some(rest) = rest {
+            sleep(pause).await;
+            return Some((Ok(Frame::data(rest)), (body, None)));
+        }
+        let mut data = body?.collect().await.ok()?.to_bytes();
+        let rest = data.split_off(data.len() / 2);
+        Some((Ok(Frame::data(data)), (None, Some(rest))))
+    });
+    StreamBody::new(frames).boxed()
+}
+
 /// Breaks a body off after `limit` bytes, unless it ends before.
 pub(super) fn cut_body(
     body: StandInBody,
--- a/emulator/src/stand_in/runner/stream.rs
+++ b/emulator/src/stand_in/runner/stream.rs
@@ -27,7 +27,7 @@
         let plan = StreamPlan {
             next: first,
             last: output.max(1),
-            gap: faults.event_gap.unwrap_or(self.profile.event_gap),
+            gap: faults.pause(&id).or(faults.event_gap).unwrap_or(self.profile.event_gap),
             break_after: faults.break_after,
             // An engine that is about to crash writes no more than one event.
             stall_after: RunnerModel::crash_cause(faults, headers).map(|_| first),
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -54,7 +54,9 @@
 mod suspect_exchange;
 mod suspect_table;
 mod target;
+mod time_bound;
 mod typical_rate;
+mod typical_time;
 mod unheard;
 mod usage;
 mod usage_clock;
@@ -87,7 +89,7 @@
 pub use scale_plan::{ScaleOrder, ScalePlanner, ScaleSample, TargetCount, divide_targets};
 pub use share::{CustomerDemand, CustomerLoad, ShareReport, ShareTable, WorkRate, divide_room};
 pub use stage_plan::{OrderOutcome, StageOrder};
-pub use stop::StopPhase;
+pub use stop::{HeldPart, StopPhase};
 pub use stream::{SoftwareVersion, StreamId, StreamMessage, StreamOrigin, StreamResume};
 pub use suspect::{
     BlockedSuspect, BreakId, BrokenRun, CrashSuspect, RequestIdentity, SegmentId, SuspectChange,
@@ -95,6 +97,8 @@
 };
 pub use suspect_table::SuspectTable;
 pub use target::{DirectTarget, LeavingTarget, TargetChange, TargetFleet, TargetStage};
+pub use time_bound::{ReceivedEvents, ResponseTerms, StreamPace, response_bound};
+pub use typical_time::TypicalTime;
 pub use unheard::{CountState, UnheardCounts, UnheardStep};
 pub use usage::{
     BootTime, CustomerCounts, EndedCounts, FixedRecord, MissCause, PostOutcome, ReadNeed,
@@ -234,6 +238,13 @@
         /// Identifier of the request that the response answers.
         flow: FlowId,
     },
+    /// A stream has ended whole.
+    StreamEnded {
+        /// Identifier of the request.
+        flow: FlowId,
+        /// Number of its events, where those that came together count as one.
+        events: u32,
+    },
     /// The target's response ended early after it had begun.
     AnswerInterrupted {
         /// Identifier of the request whose response is incomplete.
--- a/src/direct/ending.rs
+++ b/src/direct/ending.rs
@@ -330,7 +330,12 @@
         self.stream_began(now, id, out);
         self.count_stream(now, id);
         let Some(flow) = self.flows.get_mut(&id) else { return };
-        flow.trace.first_ms = Some(now.saturating_sub(flow.arrived).as_millis() as u64);
+        let waited = now.saturating_sub(flow.arrived);
+        flow.trace.first_ms = Some(waited.as_millis() as u64);
+        if flow.request.route.streams {
+            let pace = self.stream_paces.entry(flow.request.route.name.clone()).or_default();
+            pace.record_first(waited);
+        }
         let priority = priority(flow);
         let Some(call) = &mut flow.call else { return };
         call.first_output = Some(now.saturating_sub(call.started));
@@ -352,6 +357,19 @@
         }
     }
 
+    /// Records the events of a whole stream.
+    pub(super) fn stream_ended(&mut self, now: ClockTime, id: FlowId, events: u32) {
+        let Some(flow) = self.flows.get(&id) else { return };
+        let (Some(prompt), Some(call)) = (&flow.request.prompt, &flow.call) else { return };
+        // A stream that goes on has less than it asks for.
+        let Some(first) = call.first_output.filter(|_| flow.request.resumes.is_none()) else {
+            return;
+        };
+        let took = now.saturating_sub(call.started + first);
+        let pace = self.stream_paces.entry(flow.request.route.name.clone()).or_default();
+        pace.record_stream(prompt.max_output, events, took);
+    }
+
     /// Forgets the segments at the source of a copy that was not made. The source may have evicted
     /// them, and would be named for each prompt with them.
     fn check_copy(&mut self, now: ClockTime, id: FlowId, call: &OpenCall) {
--- a/src/direct/machine.rs
+++ b/src/direct/machine.rs
@@ -13,7 +13,8 @@
     CachedSegment, CallNumber, ClaimOutcome, CrashSuspect, DirectAction, DirectEvent,
     DirectRequest, EngineConfig, FailureReason, FlowId, PeerName, PeerTable, RequestFailure,
     RequestTrace, RetryPolicy, RetryWindow, RouteTable, ScaleSettings, ServiceName, ShareTable,
-    StreamId, SuspectReport, TargetChange, TargetFleet, TargetUsage, UsageSettings,
+    StreamId, StreamPace, SuspectReport, TargetChange, TargetFleet, TargetUsage, TypicalTime,
+    UsageSettings,
     authority::{Duty, DutyAuthority},
     estimate::{Placement, PlacementQuery, PlacementView, StreamPart, call_step},
     flow::{DirectFlow, OpenCall, StepKind, longest_shared_segment},
@@ -22,7 +23,7 @@
     returning::ReturnEstimator,
     scale_duty::ScaleDuty,
     stage_plan::StagePlanner,
-    stop::{RequestTimes, StopPlan},
+    stop::StopPlan,
     stream::OriginTable,
     suspect_table::SuspectTable,
     usage_duty::UsageDuty,
@@ -125,7 +126,9 @@
     pub(super) planner: StagePlanner,
     /// Times of requests by the name of their route.
     #[serde(skip)]
-    pub(super) request_times: HashMap<Arc<str>, RequestTimes>,
+    pub(super) request_times: HashMap<Arc<str>, TypicalTime>,
+    /// Events of whole streams, by route.
+    pub(super) stream_paces: HashMap<Arc<str>, StreamPace>,
     /// Stop of this process, once it was requested.
     pub(super) stop: Option<StopPlan>,
 }
@@ -163,6 +166,7 @@
             origins: OriginTable::default(),
             querying: Vec::new(),
             request_times: HashMap::new(),
+            stream_paces: HashMap::new(),
             stop: None,
         }
     }
@@ -235,6 +239,7 @@
                 self.call_ended(now, flow, call, outcome, out);
             }
             DirectEvent::FirstOutput { flow } => self.first_output(now, flow, out),
+            DirectEvent::StreamEnded { flow, events } => self.stream_ended(now, flow, events),
             DirectEvent::AnswerInterrupted { flow } => self.answer_interrupted(now, flow, out),
             DirectEvent::AnswerMalformed { flow } => self.answer_malformed(flow),
             DirectEvent::FlowEnded { flow, complete } => self.flow_ended(now, flow, complete, out),
--- a/src/direct/route.rs
+++ b/src/direct/route.rs
@@ -52,6 +52,8 @@
     pub timeout: Duration,
     /// Latency objective: time within which a response is in time.
     pub objective: Duration,
+    /// Longest time between two events of a stream that is in time, if it is stated.
+    pub event_gap: Option<Duration>,
     /// Priority, 0 being the highest.
     pub priority: u8,
     /// Maximum number of targets that may run one request.
--- a/src/direct/stop.rs
+++ b/src/direct/stop.rs
@@ -3,8 +3,13 @@
 //! The load balancer sends new connections for some time after the stop signal, and to all
 //! entries while every one of them is stopping. An entry that took requests for as long as
 //! it runs would never be idle, and its exit would cut them. So it takes only those that are
-//! expected to end early enough, rejects the others as not run, and exits when it is idle. A
-//! request that may not be repeated must end early enough even if it takes all of its time.
+//! expected to end early enough, rejects the others as not run, and exits when it is idle.
+//!
+//! An estimate is not enough for a response that is passed on as it comes, as the exit would cut
+//! it. One to a request that may not be repeated, or a stream, is bounded by what it may take at
+//! most, and a stream once more as its first events come. Any other is held back until it is
+//! whole, and fails as a whole where the exit comes first. See
+//! [docs/design/stops.md](../../docs/design/stops.md).
 
 use std::time::Duration;
 
@@ -12,8 +17,11 @@
 use strum::Display;
 
 use super::{
-    DirectAction, DirectMachine, FailureReason, FlowId, RetryPolicy, estimate::Placement,
+    DirectAction, DirectMachine, FailureReason, FlowId, ResponseTerms, RetryPolicy,
+    estimate::Placement,
+    flow::DirectFlow,
     machine::TIMEOUT_GRACE,
+    time_bound::{ReceivedEvents, response_bound},
 };
 use crate::ids::ClockTime;
 
@@ -34,37 +42,6 @@
 const OVERRUN_SHARE: f32 = 0.25;
 /// Mean time after which a caller that was rejected tries another entry.
 const REJECTED_RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Weight of a new sample in the average time of a route's requests.
-const TIME_WEIGHT: f32 = 0.1;
-/// Deviations above the average within which most requests end.
-const TIME_DEVIATIONS: f32 = 3.0;
-
-/// Time from the arrival to the end of a route's requests that ended whole.
-#[derive(Debug, Clone, Copy, Default, Serialize)]
-pub(super) struct RequestTimes {
-    /// Average, in seconds; 0 before the first request.
-    mean: f32,
-    /// Average distance from the average, in seconds.
-    deviation: f32,
-}
-
-impl RequestTimes {
-    pub(super) fn record(&mut self, took: Duration) {
-        let seconds = took.as_secs_f32();
-        if self.mean == 0.0 {
-            *self = RequestTimes { mean: seconds, deviation: seconds / 2.0 };
-            return;
-        }
-        let distance = seconds - self.mean;
-        self.mean += TIME_WEIGHT * distance;
-        self.deviation += TIME_WEIGHT * (distance.abs() - self.deviation);
-    }
-
-    /// Returns the time within which most requests end.
-    fn most(self) -> Duration {
-        Duration::from_secs_f32(self.mean + TIME_DEVIATIONS * self.deviation)
-    }
-}
 
 /// Phase of a process from normal service to its exit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Display)]
@@ -120,13 +97,24 @@
         !self.closing && now + expected <= latest.min(self.overrun_start)
     }
 
-    /// Returns whether the exit could cut a request that came at a time and takes all of the time
-    /// left to it. Of those that came early, the slow ones may run into the exit.
-    fn may_cut(&self, now: ClockTime, arrived: ClockTime, time_left: Duration) -> bool {
-        arrived >= self.strict_from && now + time_left + TIMEOUT_GRACE >= self.exit_at
+    /// Returns whether a request came so late that the exit must not cut its response. Of those
+    /// that came before, the slow ones may run into the exit.
+    fn must_not_cut(&self, flow: &DirectFlow) -> bool {
+        flow.arrived >= self.strict_from
     }
 }
 
+/// Part of a response that is read before any of it is passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeldPart {
+    /// Nothing is held back.
+    None,
+    /// The first events, by which a stream shows that it is fast enough.
+    FirstEvents,
+    /// All of it, so that the exit cannot cut it.
+    Whole,
+}
+
 impl DirectMachine {
     pub(super) fn begin_stop(&mut self, now: ClockTime, time: Duration) {
         self.stop.get_or_insert_with(|| StopPlan::new(now, time));
@@ -168,21 +156,70 @@
         out: &mut Vec<DirectAction>,
     ) -> bool {
         let (Some(plan), Some(flow)) = (&self.stop, self.flows.get(&id)) else { return false };
+        let expected = placement.expected();
         let fits = if flow.calls == 0 {
             let times = self.request_times.get(&flow.request.route.name).copied();
-            plan.admits(now, placement.expected().max(times.unwrap_or_default().most()))
+            plan.admits(now, expected.max(times.unwrap_or_default().most()))
         } else {
-            now + placement.expected() < plan.exit_at
+            flow.may_have_run || now + expected < plan.exit_at
         };
-        let is_safe = flow.request.route.retry != RetryPolicy::Never
-            || !plan.may_cut(now, flow.arrived, flow.time_left(now));
-        if fits && is_safe || flow.may_have_run {
+        // A response that is held back is not cut, but fails as a whole.
+        let is_held = held_part(flow.request.route.retry) == HeldPart::Whole;
+        if fits && (is_held || !self.may_be_cut(now, flow, expected, ReceivedEvents::None)) {
             return false;
         }
         self.fail_request(id, FailureReason::Stopping, REJECTED_RETRY_DELAY, out);
         true
     }
 
+    /// Returns whether the exit could cut the response to a request that came late, of which
+    /// these events have come. `first` is the expected time to the first.
+    fn may_be_cut(
+        &self,
+        now: ClockTime,
+        flow: &DirectFlow,
+        first: Duration,
+        received: ReceivedEvents,
+    ) -> bool {
+        let Some(plan) = self.stop.as_ref().filter(|plan| plan.must_not_cut(flow)) else {
+            return false;
+        };
+        let route = &flow.request.route;
+        let pace = self.stream_paces.get(&route.name).copied().unwrap_or_default();
+        let prompt = flow.request.prompt.as_ref();
+        let terms = ResponseTerms {
+            retry: route.retry,
+            time_left: flow.time_left(now),
+            first,
+            max_output: prompt.map(|prompt| prompt.max_output).filter(|tokens| *tokens > 0),
+            event_gap: route.event_gap,
+        };
+        now + response_bound(&terms, &pace, received) + TIMEOUT_GRACE >= plan.exit_at
+    }
+
+    /// Returns which part of the response to a request is read before any of it is passed on.
+    pub fn held_part(&self, id: FlowId) -> HeldPart {
+        match (&self.stop, self.flows.get(&id)) {
+            (Some(plan), Some(flow)) if plan.must_not_cut(flow) => {
+                held_part(flow.request.route.retry)
+            }
+            _ => HeldPart::None,
+        }
+    }
+
+    /// Returns whether a response that was held back may begin, of which these events have come,
+    /// since the exit cannot cut it.
+    pub fn may_begin(&mut self, now: ClockTime, id: FlowId, received: ReceivedEvents) -> bool {
+        let is_cut = self
+            .flows
+            .get(&id)
+            .is_some_and(|flow| self.may_be_cut(now, flow, Duration::ZERO, received));
+        if let Some(flow) = self.flows.get_mut(&id).filter(|_| is_cut) {
+            flow.trace.reason = Some(FailureReason::Stopping);
+        }
+        !is_cut
+    }
+
     /// Ends all requests that are in flight when the time for the stop is over.
     pub(super) fn end_stop(&mut self, out: &mut Vec<DirectAction>) {
         if let Some(plan) = &mut self.stop {
@@ -202,3 +239,11 @@
         self.send_last_counts(out);
     }
 }
+
+fn held_part(retry: RetryPolicy) -> HeldPart {
+    match retry {
+        RetryPolicy::Never => HeldPart::None,
+        RetryPolicy::Resume => HeldPart::FirstEvents,
+        RetryPolicy::Always => HeldPart::Whole,
+    }
+}
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -65,6 +65,7 @@
     allow_anonymous: bool,
     #[serde(default)]
     resumable: bool,
+    target_gap_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -192,6 +193,7 @@
         streams,
         timeout: duration_from_millis(route.timeout_ms),
         objective: duration_from_millis(route.target_latency_ms),
+        event_gap: route.target_gap_ms.map(duration_from_millis),
         priority: route.priority,
         max_attempts: route.max_attempts.max(1),
         allows_anonymous: route.allow_anonymous,
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -1,6 +1,8 @@
 //! Response body on its way to a caller, and the end of its request.
 
 use std::{
+    collections::VecDeque,
+    future::poll_fn,
     pin::Pin,
     rc::Rc,
     sync::Arc,
@@ -25,12 +27,17 @@
     metrics::EndLabels, pool::ConnectionLease, shell::DirectDriver,
 };
 use crate::{
-    direct::{DirectAction, DirectEvent, DirectTarget, FlowId, RequestTrace},
+    direct::{
+        DirectAction, DirectEvent, DirectTarget, FlowId, HeldPart, ReceivedEvents, RequestTrace,
+    },
     event_stream::{EventBoundary, StrayHeadScanner},
     platform::runner::{self, BodyFraming},
     process::read_limit::ReceivedBody,
 };
 
+/// Largest response that is held back, in bytes.
+const MAX_HELD_BYTES: usize = 64 * 1024;
+
 /// Error that ends a response body early; the caller's connection is closed with it.
 #[derive(Debug, Snafu)]
 pub(super) enum BodyError {
@@ -68,6 +75,8 @@
     framing: Option<BodyFraming>,
     body_bytes: u64,
     boundary: EventBoundary,
+    /// Number of events that the body had so far, where those that came together count as one.
+    events: u32,
     /// Time from the stop signal to the arrival of the request, if it came after the signal.
     stopping_for: Option<Duration>,
     /// What the calls that ended were judged by, in order.
@@ -92,6 +101,7 @@
             framing: None,
             body_bytes: 0,
             boundary: EventBoundary::default(),
+            events: 0,
             responses: SmallVec::new(),
         }
     }
@@ -214,6 +224,10 @@
     pub(super) timeout: Pin<Box<Sleep>>,
     /// When the last frame arrived.
     pub(super) last_output: Option<Instant>,
+    /// Frames that were read before any was passed on.
+    pub(super) held: VecDeque<Frame<Bytes>>,
+    /// Whether these are all.
+    pub(super) is_read: bool,
 }
 
 impl ResponseBody {
@@ -236,11 +250,79 @@
     pub(super) fn finish_without_data(&mut self) {
         if self.upstream.is_end_stream() {
             self.complete();
+            self.is_read = true;
         }
     }
 
+    /// Reads a part of the body before any of it is passed on, so that the request can still fail
+    /// as a whole.
+    ///
+    /// # Errors
+    /// Returns why the response cannot be passed on.
+    pub(super) async fn hold(&mut self, part: HeldPart) -> Result<(), BodyError> {
+        let mut bytes = 0;
+        let mut first: Option<Instant> = None;
+        while part != HeldPart::None && !self.is_read {
+            let Some(frame) = poll_fn(|context| self.poll_target(context)).await else {
+                self.is_read = true;
+                break;
+            };
+            let frame = frame?;
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            self.held.push_back(frame);
+            self.is_read = self.guard.complete;
+            let received = match (part, first) {
+                (HeldPart::FirstEvents, None) => ReceivedEvents::First,
+                (HeldPart::FirstEvents, Some(at)) => ReceivedEvents::Second { gap: at.elapsed() },
+                (HeldPart::Whole | HeldPart::None, _) if bytes > MAX_HELD_BYTES => {
+                    ReceivedEvents::None
+                }
+                (HeldPart::Whole | HeldPart::None, _) => continue,
+            };
+            if !self.is_read && !self.guard.driver.may_begin(self.guard.flow, received) {
+                return Err(self.break_off(BodyError::Stopping));
+            }
+            if received != ReceivedEvents::First {
+                return Ok(());
+            }
+            first = Some(Instant::now());
+        }
+        Ok(())
+    }
+
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Poll::Ready(Some(DirectAction::BreakOff { .. })) = self.actions.poll_recv(context) {
+        match self.held.pop_front() {
+            Some(frame) => Poll::Ready(Some(Ok(frame))),
+            None if self.is_read => Poll::Ready(None),
+            None => self.poll_target(context),
+        }
+    }
+
+    /// Returns whether nothing is left to pass on.
+    fn is_end(&self) -> bool {
+        self.held.is_empty()
+            && (self.is_read || !self.found_stray_head && self.upstream.is_end_stream())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let held: usize =
+            self.held.iter().filter_map(|frame| frame.data_ref().map(Bytes::len)).sum();
+        let (held, rest) = (held as u64, self.upstream.size_hint());
+        let mut hint = SizeHint::new();
+        hint.set_lower(held + rest.lower());
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(held + upper);
+        }
+        hint
+    }
+
+    fn poll_target(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let action = self.actions.poll_recv(context);
+        if let Poll::Ready(Some(DirectAction::BreakOff { .. } | DirectAction::Fail { .. })) = action
+        {
             return Poll::Ready(Some(Err(self.break_off(BodyError::Stopping))));
         }
         // Checked first, as a target that sends without end always has a frame ready.
@@ -281,6 +363,9 @@
         };
         self.guard.body_bytes += data.len() as u64;
         self.guard.boundary.advance(&data);
+        if !data.is_empty() && !self.guard.boundary.is_inside_event() {
+            self.guard.events = self.guard.events.saturating_add(1);
+        }
         let Some(scanner) = &mut self.stray_heads else { return Frame::data(data) };
         let scanned = scanner.scan(data);
         self.found_stray_head = scanned.found;
@@ -318,6 +403,10 @@
     /// Records that nothing of the response is missing, and gives its connection back.
     fn complete(&mut self) {
         self.guard.complete = true;
+        if self.stray_heads.is_some() {
+            let (flow, events) = (self.guard.flow, self.guard.events);
+            self.guard.driver.step(DirectEvent::StreamEnded { flow, events });
+        }
         if let Some(reset) = &self.reset {
             reset.limit_writes(None);
         }
@@ -377,7 +466,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             ResponseBody::Local(bytes) => bytes.is_none(),
-            ResponseBody::Target(body) => !body.found_stray_head && body.upstream.is_end_stream(),
+            ResponseBody::Target(body) => body.is_end(),
         }
     }
 
@@ -386,7 +475,7 @@
             ResponseBody::Local(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            ResponseBody::Target(body) => body.upstream.size_hint(),
+            ResponseBody::Target(body) => body.size_hint(),
         }
     }
 }
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -1,6 +1,7 @@
 //! Callers' connections and requests, and readiness probes.
 
 use std::{
+    collections::VecDeque,
     convert::Infallible,
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -24,13 +25,13 @@
 };
 
 use super::{
-    answer::{FlowGuard, ResponseBody, TargetBody},
+    answer::{BodyError, FlowGuard, ResponseBody, TargetBody},
     call::{self, CallSpec, CallerRequest, ConnectionChoice, PendingResponse},
     caller_stream::{CallerStream, ConnectionReset},
     shell::{ConnectionGuard, ConnectionPhase, DirectDriver},
 };
 use crate::{
-    direct::{DirectAction, DirectEvent, FlowId, RouteConfig},
+    direct::{DirectAction, DirectEvent, FailureReason, FlowId, RequestFailure},
     error::{Error, ErrorCode, Result},
     event_stream::StrayHeadScanner,
     platform::{
@@ -292,7 +293,7 @@
                 if let Some(response) = pending.take() {
                     let reset = ConnectionReset::of(&request.parts);
                     let delivery = Delivery { reset, time_left, actions };
-                    return deliver(guard, response, &head.route, delivery);
+                    return deliver(guard, response, head, delivery).await;
                 }
                 next = actions.recv().await;
             }
@@ -334,6 +335,25 @@
     response
 }
 
+/// Responds to a request in place of a target's response of which nothing was passed on.
+fn fail_held(
+    mut body: TargetBody,
+    error: BodyError,
+    head: &ValidatedHead,
+) -> Response<ResponseBody> {
+    let reason = match error {
+        BodyError::Stopping => FailureReason::Stopping,
+        BodyError::TimedOut => FailureReason::TimedOut,
+        BodyError::Target { .. } | BodyError::InsideEvent | BodyError::StrayHead => {
+            FailureReason::OutcomeUnknown
+        }
+    };
+    let failure = RequestFailure { reason, not_run: false, retry_after: Duration::ZERO };
+    let response = caller::failure_response(failure, &head.id);
+    body.guard.set_status(response.status().as_u16());
+    response.map(ResponseBody::local)
+}
+
 /// How a target's response is forwarded, and what ends it early.
 struct Delivery {
     reset: Option<ConnectionReset>,
@@ -341,12 +361,13 @@
     actions: mpsc::UnboundedReceiver<DirectAction>,
 }
 
-fn deliver(
+async fn deliver(
     mut guard: FlowGuard,
     pending: PendingResponse,
-    route: &RouteConfig,
+    head: &ValidatedHead,
     delivery: Delivery,
 ) -> Response<ResponseBody> {
+    let held_part = guard.driver().held_part(guard.flow);
     let (parts, upstream) = pending.response.into_parts();
     guard.set_status(parts.status.as_u16());
     let framing = BodyFraming::of(&parts.headers, &upstream);
@@ -361,8 +382,8 @@
         }
     }
     let (reusable, keep_alive) = TargetBody::connection_reuse(&parts.headers, framing);
-    let is_event_stream =
-        parts.status.is_success() && (route.streams || runner::is_event_stream(&parts.headers));
+    let is_event_stream = parts.status.is_success()
+        && (head.route.streams || runner::is_event_stream(&parts.headers));
     let mut body = TargetBody {
         target: pending.target,
         upstream,
@@ -376,8 +397,13 @@
         actions: delivery.actions,
         timeout: Box::pin(tokio::time::sleep(delivery.time_left)),
         last_output: None,
+        held: VecDeque::new(),
+        is_read: false,
     };
     body.finish_without_data();
+    if let Err(error) = body.hold(held_part).await {
+        return fail_held(body, error, head);
+    }
     let mut response = Response::new(ResponseBody::Target(Box::new(body)));
     *response.status_mut() = parts.status;
     *response.headers_mut() = runner::response_headers(&parts.headers);
--- a/src/process/direct/shell.rs
+++ b/src/process/direct/shell.rs
@@ -30,9 +30,9 @@
 };
 use crate::{
     direct::{
-        DirectAction, DirectEvent, DirectMachine, DirectTarget, FlowId, LeavingTarget, LoadReport,
-        PeerName, RequestRate, RequestTrace, RouteTable, ShareReport, StopPhase, SuspectReport,
-        UsageAction, UsageEvent,
+        DirectAction, DirectEvent, DirectMachine, DirectTarget, FlowId, HeldPart, LeavingTarget,
+        LoadReport, PeerName, ReceivedEvents, RequestRate, RequestTrace, RouteTable, ShareReport,
+        StopPhase, SuspectReport, UsageAction, UsageEvent,
     },
     ids::ClockTime,
     platform::{
@@ -340,6 +340,16 @@
         self.machine.borrow().connection_limit(&target.service)
     }
 
+    /// Returns which part of a response is read before any of it is passed on.
+    pub(super) fn held_part(&self, flow: FlowId) -> HeldPart {
+        self.machine.borrow().held_part(flow)
+    }
+
+    /// Returns whether a response that was held back may begin, of which these events have come.
+    pub(super) fn may_begin(&self, flow: FlowId, received: ReceivedEvents) -> bool {
+        self.machine.borrow_mut().may_begin(self.now(), flow, received)
+    }
+
     pub(super) fn trace(&self, flow: FlowId) -> Option<RequestTrace> {
         self.machine.borrow().trace(self.now(), flow)
     }
--- a/tests/request_taken_after_stop_signal.rs
+++ b/tests/request_taken_after_stop_signal.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use sapphirewell::direct::{
-    CallOutcome, DirectAction, DirectEvent, FailureReason, RequestFailure, RetryPolicy, StopPhase,
-    TargetStage,
+    CallOutcome, DirectAction, DirectEvent, FailureReason, HeldPart, ReceivedEvents,
+    RequestFailure, RetryPolicy, StopPhase, TargetStage,
 };
-use support::direct::{DirectRig, RequestedCall};
+use support::direct::{DirectRig, RequestedCall, StepResult};
 use yare::parameterized;
 
 const MS: Duration = Duration::from_millis(1);
@@ -113,6 +113,121 @@
     }
 }
 
+/// Submits a request for 120 tokens.
+fn submit_stream(rig: &mut DirectRig) -> StepResult {
+    rig.submit_tokens(2, 100, MS * 5000, None)
+}
+
+/// A stream that may go on elsewhere, of 120 tokens with such a gap between their events. All before
+/// it ended at once.
+#[parameterized(
+    early = { 2500, Some(60), true },
+    first_that_may_be_cut = { 2600, Some(60), false },
+    short = { 2600, Some(10), true },
+    short_later = { 4100, Some(10), true },
+    longer_later = { 4100, Some(30), false },
+    last_that_ends_in_time = { 4100, Some(25), true },
+    without_a_gap = { 2600, None, false },
+)]
+fn a_stream_is_taken_only_if_its_length_ends_before_the_exit(
+    after_signal: u32,
+    gap: Option<u32>,
+    is_taken: bool,
+) {
+    let mut rig = DirectRig::new(RetryPolicy::Resume);
+    rig.event_gap = gap.map(|gap| MS * gap);
+    rig.list("a", TargetStage::Decode);
+    run_requests(&mut rig, MS);
+    let busy = rig.submit(1).call();
+    stop(&mut rig);
+    advance(&mut rig, MS * after_signal);
+    let actions = submit_stream(&mut rig).actions();
+    assert_eq!(failure(&actions).is_none(), is_taken, "{actions:?}");
+    if let Some(failed) = failure(&actions) {
+        assert_eq!((failed.reason, failed.not_run), (FailureReason::Stopping, true));
+    }
+    rig.end(1, busy.number, CallOutcome::Answered { success: true });
+}
+
+/// The first call of a stream came to nothing, and another one would begin so much later.
+#[parameterized(
+    not_run = { CallOutcome::Declined, 2500, Some(true) },
+    may_have_run = { CallOutcome::Lost { closed: true }, 2500, Some(false) },
+    not_run_with_time_left = { CallOutcome::Declined, 500, None },
+    may_have_run_with_time_left = { CallOutcome::Lost { closed: true }, 500, None },
+)]
+fn a_second_call_is_made_only_if_its_stream_ends_before_the_exit(
+    outcome: CallOutcome,
+    after: u32,
+    not_run: Option<bool>,
+) {
+    let mut rig = DirectRig::new(RetryPolicy::Resume);
+    rig.event_gap = Some(MS * 10);
+    rig.list("a", TargetStage::Decode);
+    rig.list("b", TargetStage::Decode);
+    run_requests(&mut rig, MS);
+    let busy = rig.submit(1).call();
+    stop(&mut rig);
+    advance(&mut rig, MS * 3900);
+    let first = submit_stream(&mut rig).call();
+    advance(&mut rig, MS * after);
+    let actions = rig.end(2, first.number, outcome);
+    let failed = failure(&actions).map(|failed| (failed.reason, failed.not_run));
+    assert_eq!(failed, not_run.map(|not_run| (FailureReason::Stopping, not_run)), "{actions:?}");
+    rig.end(1, busy.number, CallOutcome::Answered { success: true });
+}
+
+/// What is read of a response before any of it is passed on.
+#[parameterized(
+    plain = { RetryPolicy::Always, 2600, HeldPart::Whole },
+    plain_early = { RetryPolicy::Always, 2500, HeldPart::None },
+    stream = { RetryPolicy::Resume, 2600, HeldPart::FirstEvents },
+    stream_early = { RetryPolicy::Resume, 2500, HeldPart::None },
+)]
+fn a_response_to_a_late_request_is_held_back(
+    retry: RetryPolicy,
+    after_signal: u32,
+    part: HeldPart,
+) {
+    let mut rig = DirectRig::new(retry);
+    rig.event_gap = Some(MS * 10);
+    rig.list("a", TargetStage::Decode);
+    run_requests(&mut rig, MS);
+    let busy = rig.submit(1).call();
+    stop(&mut rig);
+    advance(&mut rig, MS * after_signal);
+    let call = submit_stream(&mut rig).call();
+    rig.end(2, call.number, CallOutcome::Answered { success: true });
+    assert_eq!(rig.machine.held_part(2), part);
+    assert_eq!(rig.machine.held_part(1), HeldPart::None);
+    rig.end(1, busy.number, CallOutcome::Answered { success: true });
+}
+
+/// A stream of 120 tokens, 10 ms each, whose events come at such a time after the signal.
+#[parameterized(
+    first_in_time = { 5900, ReceivedEvents::First, true },
+    first_late = { 6100, ReceivedEvents::First, false },
+    second_in_time = { 5900, ReceivedEvents::Second { gap: MS * 10 }, true },
+    second_after_a_long_gap = { 5900, ReceivedEvents::Second { gap: MS * 40 }, false },
+)]
+fn a_held_stream_begins_only_if_it_ends_before_the_exit(
+    after_signal: u32,
+    received: ReceivedEvents,
+    begins: bool,
+) {
+    let mut rig = DirectRig::new(RetryPolicy::Resume);
+    rig.event_gap = Some(MS * 10);
+    rig.list("a", TargetStage::Decode);
+    run_requests(&mut rig, MS);
+    stop(&mut rig);
+    advance(&mut rig, MS * 3100);
+    let call = submit_stream(&mut rig).call();
+    advance(&mut rig, MS * (after_signal - 3100));
+    rig.end(2, call.number, CallOutcome::Answered { success: true });
+    let now = rig.now();
+    assert_eq!(rig.machine.may_begin(now, 2, received), begins);
+}
+
 #[test]
 fn an_idle_entry_takes_nothing_between_its_decision_and_its_exit() {
     let mut rig = rig();
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -26,6 +26,8 @@
     pub machine: DirectMachine,
     now: ClockTime,
     retry: RetryPolicy,
+    /// Longest time between two events that the route states.
+    pub event_gap: Option<Duration>,
     listed: u16,
     addresses: Vec<(String, SocketAddr)>,
     /// Customer of all requests.
@@ -125,8 +127,15 @@
             scale: None,
         });
         let now = Duration::from_secs(1);
-        let mut rig =
-            DirectRig { machine, now, retry, listed: 0, addresses: Vec::new(), customer: None };
+        let mut rig = DirectRig {
+            machine,
+            now,
+            retry,
+            event_gap: None,
+            listed: 0,
+            addresses: Vec::new(),
+            customer: None,
+        };
         rig.configure(1);
         rig
     }
@@ -179,6 +188,7 @@
             streams: true,
             timeout: Duration::from_secs(5),
             objective: Duration::from_millis(500),
+            event_gap: self.event_gap,
             priority: 1,
             max_attempts: 2,
             allows_anonymous: true,
--- a/tests/support/scale.rs
+++ b/tests/support/scale.rs
@@ -485,6 +485,7 @@
         streams: false,
         timeout: Duration::from_secs(5),
         objective: Duration::from_secs(2),
+        event_gap: None,
         priority: 1,
         max_attempts: 2,
         allows_anonymous: true,
--- a/tests/support/usage_machine.rs
+++ b/tests/support/usage_machine.rs
@@ -47,6 +47,7 @@
         streams: false,
         timeout: Duration::from_secs(5),
         objective: Duration::from_millis(500),
+        event_gap: None,
         priority: 1,
         max_attempts: 2,
         allows_anonymous: true,
