Check the claim on usage at its interval where a store states no generation

Cause: the time of the last check was noted with the record `start`, which only a store with generations gets. Change: it is noted as the store names this entry as the holder.

Evidence: every_window_is_reported_with_a_store_without_generations failed before (280 calls in 20 s, 40 allowed: the limit of 2 a second of store_calls_do_not_grow_with_the_entries) and passes; usage_duty 56 and window_reported_again_after_a_restore 35 passed.

--- a/src/direct/usage_duty.rs
+++ b/src/direct/usage_duty.rs
@@ -490,6 +490,7 @@
         if !records.claim.as_ref().is_some_and(is_own) {
             return self.authority.claim_ended(now, ClaimOutcome::Superseded);
         }
+        self.reporter.history.claim_checked(self.reporter.asked);
         let may_act = self.authority.fence(now).is_some();
         if let Some(saved) = &records.saved {
             self.ledger.apply_saved(saved);
--- a/src/direct/usage_start.rs
+++ b/src/direct/usage_start.rs
@@ -93,7 +93,6 @@
     }
 
     fn follow_start(&mut self, start: ReportStart) {
-        self.reporter.history.claim_checked(self.reporter.asked);
         self.reporter.history.known_up_to(start.generation);
         self.reporter.note_fixed(start.first.checked_sub(1));
     }
--- a/tests/support/usage.rs
+++ b/tests/support/usage.rs
@@ -190,6 +190,11 @@
         self.fault = Some((step, fault));
     }
 
+    /// Makes the store state no generation. Call before anything runs.
+    pub fn omit_generation(&mut self) {
+        self.store.generation = None;
+    }
+
     /// Replaces the store's content by that of some time ago.
     pub fn restore_store(&mut self, age: Duration) {
         self.store.restore(self.now.saturating_sub(age));
@@ -198,7 +203,7 @@
 
     /// Tells an entry of the store's generation, once it reaches the store.
     fn observe_generation(&mut self, entry: usize) {
-        let generation = self.store.generation;
+        let Some(generation) = self.store.generation else { return };
         let reaches_store = self.is_running(entry) && self.reaches_store(entry);
         let Some(state) = self.entries[entry].as_mut().filter(|_| reaches_store) else { return };
         let event = match state.generation.replace(generation) {
--- a/tests/support/usage_store.rs
+++ b/tests/support/usage_store.rs
@@ -12,7 +12,8 @@
 /// Content of the store.
 #[derive(Debug, Clone)]
 pub struct UsageStore {
-    pub generation: StoreGeneration,
+    /// Its generation, if it states one.
+    pub generation: Option<StoreGeneration>,
     end: u64,
     claim: Option<(usize, u64)>,
     fixed: Option<FixedRecord>,
@@ -26,7 +27,7 @@
 impl UsageStore {
     pub fn new() -> UsageStore {
         UsageStore {
-            generation: 1,
+            generation: Some(1),
             end: 0,
             claim: None,
             fixed: None,
@@ -48,7 +49,7 @@
     /// Replaces the content by that of the last copy until then.
     pub fn restore(&mut self, at: Duration) {
         let copies = std::mem::take(&mut self.copies);
-        let generation = self.generation + 1;
+        let generation = self.generation.map(|generation| generation + 1);
         let copy = copies.iter().rev().find(|(time, _)| *time <= at).unwrap();
         *self = UsageStore { generation, ..(*copy.1).clone() };
         self.copies = copies;
@@ -61,7 +62,7 @@
     pub fn claim(&mut self, entry: usize) -> ClaimOutcome {
         self.end += 1;
         self.claim = Some((entry, self.end));
-        ClaimOutcome::Taken(fencing_token(Some(self.generation), self.end).unwrap())
+        ClaimOutcome::Taken(fencing_token(self.generation, self.end).unwrap())
     }
 
     /// Writes the counts of a window, unless the topic has more records.
@@ -85,12 +86,12 @@
     }
 
     fn records_end(&self) -> RecordsEnd {
-        (Some(self.generation), self.end)
+        (self.generation, self.end)
     }
 
     /// Returns the records, with what was saved if that is asked for.
     pub fn records(&self, with_saved: bool) -> UsageRecords {
-        let token = |end| fencing_token(Some(self.generation), end).unwrap();
+        let token = |end| fencing_token(self.generation, end).unwrap();
         UsageRecords {
             claim: self.claim.map(|(entry, end)| (name(entry).into(), token(end))),
             fixed: self.fixed.clone(),
--- a/tests/usage_duty.rs
+++ b/tests/usage_duty.rs
@@ -45,6 +45,21 @@
     assert!(windows.is_sorted_by(|a, b| a < b), "each once, in order: {windows:?}");
 }
 
+/// A store that is never restored may state no generation.
+#[test]
+fn every_window_is_reported_with_a_store_without_generations() {
+    let mut fleet = UsageFleet::new(ENTRIES);
+    fleet.omit_generation();
+    let from = fleet.now;
+    assert_none_missed(&mut fleet, from, seconds(30), "");
+    fleet.kill(0, seconds(1));
+    let from = fleet.now;
+    assert_none_missed(&mut fleet, from, seconds(30), "");
+    let calls = fleet.store_calls;
+    fleet.run(seconds(20));
+    assert!(fleet.store_calls - calls < 40, "{} calls in 20 s", fleet.store_calls - calls);
+}
+
 #[parameterized(
     holder = { 0 },
     first_backup = { 1 },
