Answer callers of HTTP/1.0 whose held response fails

What callers saw: a reset without an answer, where others got 502. The fault came with: a held response that fails at the exit was marked as broken off, which resets the connection of a caller that knows no chunks.

Change: the reset is attached once the response begins to be passed on.

Evidence: a_held_response_that_fails_reaches_a_caller_without_chunks failed before (connection reset by peer), and passes.

--- a/emulator/tests/long_response_cut_by_a_stop.rs
+++ b/emulator/tests/long_response_cut_by_a_stop.rs
@@ -12,7 +12,12 @@
     kept_connection::{KeptRecord, send_on_new},
     runner::RunnerFaults,
 };
-use tokio::{task::JoinHandle, time::sleep};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    task::JoinHandle,
+    time::sleep,
+};
 use yare::parameterized;
 
 /// Stop grace period in the entries' settings.
@@ -155,3 +160,31 @@
         record.caller.request.id, record.caller.outcome
     )
 }
+
+/// A caller of HTTP/1.0 learns of a response that fails before any of it was passed on, too.
+#[test]
+fn a_held_response_that_fails_reaches_a_caller_without_chunks() {
+    tokio::runtime::Runtime::new().unwrap().block_on(async {
+        let sizes = PlatformSizes { port: 25_800, entries: 1, prefill: 1, decode: 1, plain: 1 };
+        let fleet = PlatformFleet::spawn(sizes).await.unwrap();
+        fleet.configure_timeout(2, TIMEOUT);
+        let slow = Some(("long".to_owned(), TIMEOUT));
+        let faults = RunnerFaults { slow, ..RunnerFaults::default() };
+        fleet.runners.iter().for_each(|runner| runner.set_faults(faults.clone()));
+        sleep(Duration::from_secs(1)).await;
+        for number in 0..20 {
+            let usual = request(number, None, CallerKind::Lookup);
+            send_on_new(fleet.entry(0), usual, Duration::ZERO).await.unwrap();
+        }
+        fleet.entries[0].signal("TERM").unwrap();
+        sleep(EARLY).await;
+        let mut stream = TcpStream::connect(fleet.entry(0)).await.unwrap();
+        let head = "GET /lookup/a HTTP/1.0\r\nhost: front.example\r\nrequest-id: long-1\r\n\
+                    deadline-ms: 8000\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.0 502"), "{answer:?}");
+        assert!(answer.ends_with('}'), "{answer:?}");
+    });
+}
--- a/src/process/direct/serve.rs
+++ b/src/process/direct/serve.rs
@@ -375,12 +375,7 @@
     if framing == BodyFraming::Connection {
         guard.driver().step(DirectEvent::UnframedAnswer { flow: guard.flow });
     }
-    if let Some(reset) = &delivery.reset {
-        reset.limit_writes(Some(tokio::time::Instant::now() + delivery.time_left));
-        if framing != BodyFraming::Length {
-            reset.arm();
-        }
-    }
+    let ends_at = tokio::time::Instant::now() + delivery.time_left;
     let (reusable, keep_alive) = TargetBody::connection_reuse(&parts.headers, framing);
     let is_event_stream = parts.status.is_success()
         && (head.route.streams || runner::is_event_stream(&parts.headers));
@@ -392,10 +387,10 @@
         reusable,
         stray_heads: is_event_stream.then(StrayHeadScanner::default),
         found_stray_head: false,
-        reset: delivery.reset,
+        reset: None,
         guard,
         actions: delivery.actions,
-        timeout: Box::pin(tokio::time::sleep(delivery.time_left)),
+        timeout: Box::pin(tokio::time::sleep_until(ends_at)),
         last_output: None,
         held: VecDeque::new(),
         is_read: false,
@@ -404,6 +399,16 @@
     if let Err(error) = body.hold(held_part).await {
         return fail_held(body, error, head);
     }
+    // One that has failed as a whole needs no reset.
+    if let Some(reset) = delivery.reset {
+        if !body.is_read {
+            reset.limit_writes(Some(ends_at));
+        }
+        if framing != BodyFraming::Length {
+            reset.arm();
+        }
+        body.reset = Some(reset);
+    }
     let mut response = Response::new(ResponseBody::Target(Box::new(body)));
     *response.status_mut() = parts.status;
     *response.headers_mut() = runner::response_headers(&parts.headers);
