Report no window again after a late write has replaced its record

What callers would see: a usage window reported a second time.

Cause: a conditional write states an offset alone, and a restored store gives offsets out again. A write of fixed counts from before the restore that the store carries out late can land after this generation's `start`, and replace the counts that were fixed since. Being of an earlier generation, it was ignored; after a loss of power the next holder then began at `start` and counted reported windows anew.

Change: fixed counts of an earlier generation that were written after this one's `start` tell of it. Nobody vouches then; the window that is open is the first, and `start` is written anew. The stand-in of the store compares offsets alone, as the real one does.

--- a/emulator/src/platform_rig/usage.rs
+++ b/emulator/src/platform_rig/usage.rs
@@ -40,6 +40,8 @@
     claim: Option<(EntryId, u64)>,
     fixed: Option<FixedRecord>,
     start: Option<ReportStart>,
+    /// Whether the fixed counts were written after `start`.
+    is_fixed_after_start: bool,
     saved: Option<SavedUsage>,
     /// Counts that nobody confirmed, by the entries that left them.
     messages: BTreeMap<PeerName, UsageMessage>,
@@ -130,6 +132,7 @@
                 if confirmed {
                     self.store.usage.end += 1;
                     self.store.usage.start = Some(start);
+                    self.store.usage.is_fixed_after_start = false;
                 }
                 self.answer_usage(entry, UsageEvent::StartWritten { attempt, confirmed });
                 self.record_duty_step(PlatformStep::UsageStarted, entry);
@@ -139,6 +142,7 @@
                 if confirmed {
                     self.store.usage.end += 1;
                     self.store.usage.fixed = Some(FixedRecord::new(usage, end.0));
+                    self.store.usage.is_fixed_after_start = true;
                 }
                 self.answer_usage(entry, UsageEvent::Fixed { attempt, confirmed });
                 self.record_duty_step(PlatformStep::UsageFixed, entry);
@@ -229,8 +233,14 @@
         let claim = usage.claim.and_then(|(holder, number)| {
             Some((name(holder), fencing_token(Some(self.store.generation), number)?))
         });
-        let (fixed, saved) = (usage.fixed.clone(), usage.saved.clone());
-        UsageRecords { claim, fixed, start: usage.start, saved, end }
+        UsageRecords {
+            claim,
+            fixed: usage.fixed.clone(),
+            start: usage.start,
+            is_fixed_after_start: usage.is_fixed_after_start,
+            saved: usage.saved.clone(),
+            end,
+        }
     }
 
     /// Checks the claim and the fixed counts, and sends the report only if both are the entry's.
--- a/src/direct/usage.rs
+++ b/src/direct/usage.rs
@@ -173,12 +173,28 @@
     pub fixed: Option<FixedRecord>,
     /// First window that may be reported, as the first holder of a generation wrote it.
     pub start: Option<ReportStart>,
+    /// Whether `fixed` was written after `start`.
+    pub is_fixed_after_start: bool,
     /// Counts that a holder saved, if they were asked for.
     pub saved: Option<SavedUsage>,
     /// End of the topic when they were read.
     pub end: RecordsEnd,
 }
 
+impl UsageRecords {
+    /// Returns the first window that may be reported, if it was written in this generation.
+    pub(super) fn current_start(&self) -> Option<ReportStart> {
+        self.start.filter(|start| Some(start.generation) == self.end.0)
+    }
+
+    /// Returns whether a call of an earlier generation was carried out late, and has replaced the
+    /// counts that were fixed since the first window of this one was written.
+    pub(super) fn has_late_counts(&self) -> bool {
+        let is_earlier = self.fixed.as_ref().is_some_and(|fixed| fixed.generation != self.end.0);
+        is_earlier && self.is_fixed_after_start && self.current_start().is_some()
+    }
+}
+
 /// Event of the usage duty.
 #[derive(Debug, Clone)]
 pub enum UsageEvent {
--- a/src/direct/usage_start.rs
+++ b/src/direct/usage_start.rs
@@ -52,13 +52,22 @@
     ) -> bool {
         let Some(generation) = records.end.0 else { return true };
         self.generation_seen(now, generation);
-        if let Some(start) = records.start.filter(|start| start.generation == generation) {
+        let has_late_counts = records.has_late_counts();
+        if has_late_counts {
+            // What was reported in this generation is not recorded any more.
+            self.reporter.fixed = None;
+        } else if let Some(start) = records.current_start() {
             self.follow_start(start);
             return true;
         }
-        let first = self.first_unreported(now, generation);
+        let is_known = self.reporter.history.knows(generation) && !has_late_counts;
+        let first = match is_known {
+            true => self.first_unfixed(now),
+            false if has_late_counts => self.first_over_after(now, Duration::ZERO),
+            false => self.first_over_after(now, self.reporter.history.seen_for(now)),
+        };
         let doubted = self.next_window().filter(|next| *next < first);
-        if let Some(next) = doubted.filter(|_| !self.reporter.history.knows(generation)) {
+        if let Some(next) = doubted.filter(|_| !is_known) {
             let cause = MissCause::MayBeReported;
             let missed = UsageAction::Missed { first: next, last: first - 1, cause };
             out.push(DirectAction::Usage(missed));
@@ -70,18 +79,16 @@
         false
     }
 
-    /// Returns the first window that cannot have been reported, with the store restored to this
-    /// generation.
-    fn first_unreported(&self, now: ClockTime, generation: StoreGeneration) -> UsageWindow {
-        let history = &self.reporter.history;
-        if history.knows(generation)
-            && let Some(last) = self.reporter.settled.max(self.reporter.last_fixed)
-        {
-            return last + 1;
-        }
-        let time = self.true_time(now).unwrap_or_default();
-        let seen_at = time.saturating_sub(history.seen_for(now));
-        self.settings.window_at(seen_at.saturating_add(CLOCK_TOLERANCE))
+    /// Returns the first window that nobody has fixed, where all reports are known.
+    fn first_unfixed(&self, now: ClockTime) -> UsageWindow {
+        let last = self.reporter.settled.max(self.reporter.last_fixed);
+        last.map_or_else(|| self.first_over_after(now, Duration::ZERO), |last| last + 1)
+    }
+
+    /// Returns the first window that was certainly not over at a time so long ago.
+    fn first_over_after(&self, now: ClockTime, ago: Duration) -> UsageWindow {
+        let time = self.true_time(now).unwrap_or_default().saturating_sub(ago);
+        self.settings.window_at(time.saturating_add(CLOCK_TOLERANCE))
     }
 
     pub(super) fn start_written(&mut self, now: ClockTime, confirmed: bool) {
--- a/src/process/direct/usage.rs
+++ b/src/process/direct/usage.rs
@@ -259,9 +259,11 @@
 }
 
 fn decode_page(page: &RecordPage) -> UsageRecords {
+    let offset = |key| record(page, key).map(|record| record.offset);
     UsageRecords {
         claim: newest_claim(page),
         fixed: record(page, FIXED_KEY).and_then(decode),
+        is_fixed_after_start: offset(FIXED_KEY) > offset(START_KEY),
         start: record(page, START_KEY).and_then(decode),
         saved: None,
         end: (page.next.generation, page.next.offset),
--- a/tests/support/usage.rs
+++ b/tests/support/usage.rs
@@ -220,6 +220,13 @@
         !self.store_is_down && !self.cut_from_store.contains(&entry)
     }
 
+    // The file serves tests without it, too.
+    #[allow(dead_code)]
+    /// Lets a write of fixed counts from the generation before take effect now.
+    pub fn land_late_counts(&mut self) {
+        self.store.land_late_counts();
+    }
+
     pub fn holder(&self) -> Option<usize> {
         self.store.holder()
     }
--- a/tests/support/usage_store.rs
+++ b/tests/support/usage_store.rs
@@ -18,6 +18,8 @@
     claim: Option<(usize, u64)>,
     fixed: Option<FixedRecord>,
     start: Option<ReportStart>,
+    /// Whether the fixed counts were written after `start`.
+    is_fixed_after_start: bool,
     pub saved: Option<SavedUsage>,
     /// Messages that entries left.
     pub messages: BTreeMap<usize, UsageMessage>,
@@ -32,6 +34,7 @@
             claim: None,
             fixed: None,
             start: None,
+            is_fixed_after_start: false,
             saved: None,
             messages: BTreeMap::new(),
             copies: Vec::new(),
@@ -65,22 +68,35 @@
         ClaimOutcome::Taken(fencing_token(self.generation, self.end).unwrap())
     }
 
-    /// Writes the counts of a window, unless the topic has more records.
+    /// Writes the counts of a window, unless the topic has more records. A call states an offset
+    /// alone, so that a late one may take effect in a later generation.
     pub fn fix(&mut self, usage: WindowUsage, end: RecordsEnd) -> bool {
-        let writes = end == self.records_end();
+        let writes = end.1 == self.end;
         if writes {
             self.end += 1;
             self.fixed = Some(FixedRecord::new(usage, end.0));
+            self.is_fixed_after_start = true;
         }
         writes
     }
 
+    // The file serves tests without it, too.
+    #[allow(dead_code)]
+    /// Writes counts of the generation before, at an offset that is given out again.
+    pub fn land_late_counts(&mut self) {
+        let generation = self.generation.map(|generation| generation - 1);
+        let window = self.fixed.as_ref().map_or(0, |fixed| fixed.window.saturating_sub(1));
+        let end = self.records_end();
+        self.fix(WindowUsage { window, ..WindowUsage::default() }, (generation, end.1));
+    }
+
     /// Writes the first window that may be reported, unless the topic has more records.
     pub fn write_start(&mut self, start: ReportStart, end: RecordsEnd) -> bool {
-        let writes = end == self.records_end();
+        let writes = end.1 == self.end;
         if writes {
             self.end += 1;
             self.start = Some(start);
+            self.is_fixed_after_start = false;
         }
         writes
     }
@@ -96,6 +112,7 @@
             claim: self.claim.map(|(entry, end)| (name(entry).into(), token(end))),
             fixed: self.fixed.clone(),
             start: self.start,
+            is_fixed_after_start: self.is_fixed_after_start,
             saved: self.saved.clone().filter(|_| with_saved),
             end: self.records_end(),
         }
--- a/tests/window_reported_again_after_a_restore.rs
+++ b/tests/window_reported_again_after_a_restore.rs
@@ -151,6 +151,34 @@
     }
 }
 
+/// A write from before the restore takes effect after a report, as its offset is given out again.
+/// It replaces the counts that were fixed, and power is lost.
+#[parameterized(
+    at_once = { Duration::ZERO },
+    before_the_next_report = { seconds(2) },
+    after_the_next_report = { seconds(6) },
+)]
+fn a_late_write_replaces_the_counts_of_a_later_generation(gap: Duration) {
+    play(|fleet| {
+        fleet.restore_store(seconds(2));
+        let reports = fleet.reports.len();
+        // The third is made right after its window, so that not all of it is saved.
+        while fleet.reports.len() < reports + 3 {
+            fleet.run(millis(10));
+        }
+        fleet.land_late_counts();
+        fleet.run(gap);
+        fleet.kill_all(millis(300));
+        let reported = fleet.reports.iter().map(|report| report.usage.window).max();
+        let reports = fleet.reports.len();
+        fleet.run(seconds(20));
+        let later = fleet.reports[reports..].iter().map(|report| report.usage.window);
+        // Counts that were fixed again since are repeated exactly.
+        let is_repeated = gap >= WINDOW;
+        assert!(is_repeated || later.min() > reported, "a window counted anew, after {reported:?}");
+    });
+}
+
 /// The platform has taken the report, and the holder does not know it.
 #[parameterized(
     holder_lives = { &[] },
