--- a/emulator/tests/long_response_cut_by_a_stop.rs
+++ b/emulator/tests/long_response_cut_by_a_stop.rs
@@ -30,9 +30,8 @@
 const INTERVAL: Duration = Duration::from_millis(25);
 /// Time of the requests before the stop, and from the signal on.
 const LOAD: (Duration, Duration) = (Duration::from_millis(1500), Duration::from_secs(9));
-/// Times after the signal between which every second request is a long one.
-const LONG_FROM_TO: (Duration, Duration) =
-    (Duration::from_millis(3050), Duration::from_millis(3600));
+/// Time in which every second request is a long one.
+const LONG_TIME: Duration = Duration::from_millis(550);
 /// Time after the signal until which a slow response may run into the exit.
 const EARLY: Duration = Duration::from_secs(3);
 /// Shares of the short requests that were served before long ones were turned away: those that
@@ -45,10 +44,13 @@
     kind: CallerKind,
     events: u64,
     pause: Duration,
+    /// Time after the signal from which they are sent.
+    from: Duration,
 }
 
-const fn long(kind: CallerKind, events: u64, pause_ms: u64) -> LongRequest {
-    LongRequest { kind, events, pause: Duration::from_millis(pause_ms) }
+const fn long(from_ms: u64, kind: CallerKind, events: u64, pause_ms: u64) -> LongRequest {
+    let (pause, from) = (Duration::from_millis(pause_ms), Duration::from_millis(from_ms));
+    LongRequest { kind, events, pause, from }
 }
 
 /// Request with the time after the signal at which it was sent.
@@ -59,9 +61,13 @@
 }
 
 #[parameterized(
-    many_events = { 25_740, long(CallerKind::Dossier, 22, 200) },
-    slow_events = { 25_760, long(CallerKind::Dossier, 4, 1100) },
-    slow_body = { 25_780, long(CallerKind::Lookup, 1, 4400) },
+    many_events = { 25_740, long(3050, CallerKind::Dossier, 22, 200) },
+    many_events_a_second_later = { 25_820, long(4050, CallerKind::Dossier, 22, 200) },
+    many_events_two_seconds_later = { 25_840, long(5050, CallerKind::Dossier, 22, 200) },
+    slow_events = { 25_760, long(3050, CallerKind::Dossier, 4, 1100) },
+    slow_events_a_second_later = { 25_860, long(4050, CallerKind::Dossier, 4, 1100) },
+    slow_body = { 25_780, long(3050, CallerKind::Lookup, 1, 4400) },
+    slow_body_a_second_later = { 25_880, long(4050, CallerKind::Lookup, 1, 4400) },
 )]
 fn long_responses_end_whole_or_not_at_all_while_entries_stop(port: u16, long: LongRequest) {
     tokio::runtime::Runtime::new().unwrap().block_on(async {
@@ -97,8 +103,9 @@
             }
         }
         let number = calls.len();
-        let (from, to) = LONG_FROM_TO;
-        let is_long = after.is_some_and(|after| after >= from && after <= to) && number % 4 < 2;
+        let is_long_time =
+            after.is_some_and(|after| after >= long.from && after <= long.from + LONG_TIME);
+        let is_long = is_long_time && number % 4 < 2;
         let request = request(number, is_long.then_some(long), long.kind);
         let entry = fleet.entry(number % STOPPED);
         calls.push(tokio::spawn(async move {
