Move the steps of usage reports into a module of their own

Nothing but visibility and imports changes. usage_duty 56, usage_counts 14, usage_history 18, window_reported_again_after_a_restore 38 and log_lines 3 passed.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -64,6 +64,7 @@
 mod usage_duty;
 mod usage_history;
 mod usage_report;
+mod usage_reporting;
 mod usage_start;
 mod version;
 mod waiting;
--- a/src/direct/usage_duty.rs
+++ b/src/direct/usage_duty.rs
@@ -15,15 +15,14 @@
 use smallvec::SmallVec;
 
 use super::{
-    CustomerName, DirectAction, DirectMachine, FixedRecord, MissCause, OrderFencingToken, PeerName,
-    PeerTable, PostOutcome, ReadNeed, UsageAction, UsageContent, UsageEvent, UsageMessage,
-    UsageReceipt, UsageRecords, UsageSettings, UsageWindow, WindowUsage,
-    authority::{ClaimOutcome, Duty, DutyAuthority},
+    CustomerName, DirectAction, DirectMachine, OrderFencingToken, PeerName, PeerTable, UsageAction,
+    UsageContent, UsageEvent, UsageMessage, UsageReceipt, UsageSettings, UsageWindow,
+    authority::{Duty, DutyAuthority},
     isolation::HeardPeers,
-    unheard::{CountState, UnheardCounts, UnheardStep, round_time},
+    unheard::{CountState, UnheardCounts, UnheardStep},
     usage_count::{CountLedger, digest},
     usage_history::UsageMoment,
-    usage_report::{FixedUsage, UsageReporter},
+    usage_report::UsageReporter,
 };
 use crate::ids::ClockTime;
 
@@ -45,11 +44,6 @@
 const BACKUP_COUNT: usize = 2;
 /// Interval at which the holder reads messages from the store while a report waits for them.
 const READ_INTERVAL: Duration = Duration::from_millis(400);
-/// Time for which a report waits for counts that a silent entry may leave in the store: its own
-/// delay until it does, and twice the interval of the reads.
-const SILENCE_WAIT: Duration = Duration::from_millis(1000);
-/// Share of the lateness for which a report waits for entries that have not closed its window.
-const COMPLETION_WAIT: f64 = 1.0 / 3.0;
 /// Time for which the holder cannot read the store until it no longer tells of its claim, so that
 /// another entry may claim.
 const STORE_FAILURE_TIME: Duration = Duration::from_secs(2);
@@ -75,7 +69,7 @@
     pub(super) ledger: CountLedger,
     heard: HeardPeers,
     /// Peers that may be cut off and count on.
-    known: HeardPeers,
+    pub(super) known: HeardPeers,
     /// Counts that nobody confirms.
     unheard: UnheardCounts,
     /// Time before which the holder does not read messages from the store again.
@@ -128,7 +122,7 @@
             .filter(|_| !is_cut_off && self.has_right_clock(peers) && !self.is_isolated(now, peers))
     }
 
-    fn is_isolated(&self, now: ClockTime, peers: &PeerTable) -> bool {
+    pub(super) fn is_isolated(&self, now: ClockTime, peers: &PeerTable) -> bool {
         self.heard.is_isolated(now, peers)
     }
 
@@ -201,7 +195,7 @@
     }
 
     /// Returns the first window whose report is not too late.
-    fn first_in_time(&self, time: Duration) -> UsageWindow {
+    pub(super) fn first_in_time(&self, time: Duration) -> UsageWindow {
         self.settings.window_at(time.saturating_sub(self.settings.lateness))
     }
 
@@ -218,7 +212,11 @@
         }
     }
 
-    fn collectors(&self, own: &EntryStart, peers: &PeerTable) -> SmallVec<[PeerName; 4]> {
+    pub(super) fn collectors(
+        &self,
+        own: &EntryStart,
+        peers: &PeerTable,
+    ) -> SmallVec<[PeerName; 4]> {
         let holder = peers.holder(Duty::Usage);
         let mut names: Vec<&PeerName> =
             peers.names().filter(|name| **name != own.name && Some(*name) != holder).collect();
@@ -359,7 +357,7 @@
 
     /// Returns when the last of the silent entries that have not closed a window was live, if
     /// there are any that may still count.
-    fn silent_since(
+    pub(super) fn silent_since(
         &self,
         now: ClockTime,
         window: UsageWindow,
@@ -369,214 +367,6 @@
         let open = silent.filter(|(name, _)| !self.ledger.has_entry_closed(name, window));
         open.map(|(_, heard)| heard).max()
     }
-
-    /// Begins the next step of a report, if this entry may make one.
-    fn report(&mut self, now: ClockTime, time: Duration, peers: &PeerTable, out: &mut Actions) {
-        self.reporter.follow_claim(self.authority.claim());
-        if self.reporter.fence.is_none() || self.reporter.is_busy || now < self.reporter.next {
-            return;
-        }
-        if !self.reporter.has_read || self.is_check_due(now) {
-            return self.read_records(now, peers, out);
-        }
-        let Some(fence) = self.authority.fence(now) else { return };
-        self.settle_late(time, out);
-        match &self.reporter.fixed {
-            Some(fixed) if fixed.confirmed => {
-                let usage = fixed.usage.clone();
-                self.post(now, fence, usage, out);
-            }
-            Some(_) => self.read_records(now, peers, out),
-            None if self.complete_window(now, time, peers).is_some() => {
-                self.read_records(now, peers, out);
-            }
-            None => {}
-        }
-    }
-
-    fn read_records(&mut self, now: ClockTime, peers: &PeerTable, out: &mut Actions) {
-        let silent = self.next_window().and_then(|next| self.silent_since(now, next, peers));
-        let may_act = self.authority.fence(now).is_some();
-        let need = ReadNeed {
-            saved: !self.reporter.has_read_saved,
-            messages: may_act && silent.is_some(),
-        };
-        let moment = self.moment(now);
-        self.reporter.begin(moment, out, |attempt| UsageAction::Read { attempt, need });
-    }
-
-    fn post(
-        &mut self,
-        now: ClockTime,
-        fence: OrderFencingToken,
-        usage: WindowUsage,
-        out: &mut Actions,
-    ) {
-        if let Some(fixed) = &mut self.reporter.fixed {
-            fixed.posted = true;
-        }
-        let moment = self.moment(now);
-        self.reporter.begin(moment, out, |attempt| UsageAction::Post { attempt, fence, usage });
-    }
-
-    /// Gives up windows whose report would be too late.
-    fn settle_late(&mut self, time: Duration, out: &mut Actions) {
-        let Some(first) = self.next_window() else { return };
-        let in_time = self.first_in_time(time);
-        if first >= in_time {
-            return;
-        }
-        let last = in_time - 1;
-        // An earlier holder reported it, or said that it did not.
-        let is_known = self.reporter.fixed.as_ref().is_some_and(|fixed| fixed.adopted);
-        let first = first + u64::from(is_known);
-        self.reporter.settle(last);
-        if first > last {
-            return;
-        }
-        let cause = MissCause::TooLate;
-        out.push(DirectAction::Usage(UsageAction::Missed { first, last, cause }));
-    }
-
-    /// Returns the oldest window that may still be reported.
-    pub(super) fn next_window(&self) -> Option<UsageWindow> {
-        if let Some(fixed) = &self.reporter.fixed {
-            return Some(fixed.usage.window);
-        }
-        // Counts that another entry fixed, but that were not read, are not reported.
-        match self.reporter.settled.max(self.reporter.last_fixed) {
-            Some(last) => Some(last + 1),
-            None => self.ledger.first_window(),
-        }
-    }
-
-    /// Returns the next window if all live entries have closed it, or have had the time to.
-    fn complete_window(
-        &self,
-        now: ClockTime,
-        time: Duration,
-        peers: &PeerTable,
-    ) -> Option<UsageWindow> {
-        let window = self.next_window()?;
-        let end = self.settings.end(window);
-        let instances = || peers.names().filter_map(|name| peers.instance(name));
-        let wait = SILENCE_WAIT + round_time(1 + self.known.count(now));
-        let is_awaited = self
-            .silent_since(now, window, peers)
-            .is_some_and(|heard| time < end.saturating_add(wait) || now < heard + wait);
-        let is_complete = time
-            >= end.saturating_add(self.settings.lateness.mul_f64(COMPLETION_WAIT))
-            || (!is_awaited
-                && instances().all(|instance| self.ledger.has_closed(instance, window)));
-        // A clock that is ahead ends windows early.
-        let is_over = time >= end && self.ledger.half_closed(instances(), window);
-        (is_over && is_complete && !self.is_isolated(now, peers)).then_some(window)
-    }
-
-    fn records_read(
-        &mut self,
-        now: ClockTime,
-        own: &EntryStart,
-        peers: &PeerTable,
-        records: Option<UsageRecords>,
-        out: &mut Actions,
-    ) {
-        let Some(records) = records else { return self.reporter.store_failed(now) };
-        self.reporter.store_fails = None;
-        let end = records.end;
-        let is_own = |(holder, fence): &(PeerName, OrderFencingToken)| {
-            *holder == own.name && Some(*fence) == self.authority.claim()
-        };
-        if !records.claim.as_ref().is_some_and(is_own) {
-            return self.authority.claim_ended(now, ClaimOutcome::Superseded);
-        }
-        self.reporter.history.claim_checked(self.reporter.asked);
-        let may_act = self.authority.fence(now).is_some();
-        if let Some(saved) = &records.saved {
-            self.ledger.apply_saved(saved);
-            self.reporter.has_read_saved = may_act;
-        }
-        if !self.knows_reports(now, &records, out) {
-            return;
-        }
-        let latest = self.ledger.latest();
-        let fixed = records.fixed.filter(|fixed| {
-            // One of an earlier generation is that of a window before the first.
-            fixed.generation == end.0 && fixed.window <= latest
-        });
-        self.reporter.adopt(fixed.map(FixedRecord::into_usage));
-        if !std::mem::replace(&mut self.reporter.has_read, true) {
-            out.push(DirectAction::Usage(UsageAction::ReadMessages));
-        }
-        let time = self.true_time(now).filter(|_| may_act);
-        let Some(time) = time else { return };
-        self.settle_late(time, out);
-        if self.reporter.fixed.is_none() {
-            let Some(window) = self.complete_window(now, time, peers) else { return };
-            let usage = self.ledger.total(window);
-            self.reporter.fixed =
-                Some(FixedUsage { usage, confirmed: false, adopted: false, posted: false });
-        }
-        let unconfirmed = self.reporter.fixed.as_ref().filter(|fixed| !fixed.confirmed);
-        if let Some(usage) = unconfirmed.map(|fixed| fixed.usage.clone()) {
-            let moment = self.moment(now);
-            self.reporter.begin(moment, out, |attempt| UsageAction::Fix { attempt, usage, end });
-        }
-    }
-
-    fn counts_fixed(
-        &mut self,
-        now: ClockTime,
-        own: &EntryStart,
-        peers: &PeerTable,
-        confirmed: bool,
-        out: &mut Actions,
-    ) {
-        let Some(fixed) = self.reporter.fixed.as_mut().filter(|_| confirmed) else {
-            return self.reporter.failed(now, self.call_interval());
-        };
-        fixed.confirmed = true;
-        let usage = fixed.usage.clone();
-        self.reporter.note_fixed(Some(usage.window));
-        // They know of it also if the store is restored from a copy without the record.
-        for peer in self.collectors(own, peers) {
-            let receipt =
-                UsageReceipt { counter: 0, sequence: 0, ended: 0, fixed: Some(usage.window) };
-            send(own, &peer, UsageContent::Received(receipt), out);
-        }
-        if let Some(fence) = self.authority.fence(now) {
-            self.post(now, fence, usage, out);
-        }
-    }
-
-    fn post_ended(&mut self, now: ClockTime, outcome: PostOutcome) {
-        let window = self.reporter.fixed.as_ref().map(|fixed| fixed.usage.window);
-        if outcome.has_checked_claim() {
-            self.reporter.history.claim_checked(self.reporter.asked);
-        }
-        match outcome {
-            PostOutcome::Accepted => {
-                if let Some(window) = window {
-                    self.reporter.settle(window);
-                }
-                self.reporter.accepted = Some(now);
-                self.reporter.failures = 0;
-                self.reporter.store_fails = None;
-                self.reporter.next = now + self.call_interval();
-            }
-            PostOutcome::Superseded => self.authority.claim_ended(now, ClaimOutcome::Superseded),
-            PostOutcome::NoStore => self.reporter.store_failed(now),
-            PostOutcome::NotFixed => {
-                if let Some(fixed) = &mut self.reporter.fixed {
-                    fixed.confirmed = false;
-                }
-                self.reporter.failed(now, self.call_interval());
-            }
-            PostOutcome::Refused | PostOutcome::NoAnswer | PostOutcome::CheckExpired => {
-                self.reporter.failed(now, self.call_interval());
-            }
-        }
-    }
 }
 
 pub(super) type Actions = Vec<DirectAction>;
@@ -584,8 +374,8 @@
 /// Process start of this entry.
 #[derive(Debug, Clone)]
 pub(super) struct EntryStart {
-    name: PeerName,
-    instance: u64,
+    pub(super) name: PeerName,
+    pub(super) instance: u64,
 }
 
 /// Returns a process start's place among all, from 0 to 1.
@@ -595,7 +385,7 @@
     hasher.finish() as f64 / u64::MAX as f64
 }
 
-fn send(own: &EntryStart, peer: &PeerName, content: UsageContent, out: &mut Actions) {
+pub(super) fn send(own: &EntryStart, peer: &PeerName, content: UsageContent, out: &mut Actions) {
     let EntryStart { name, instance } = own.clone();
     let message = UsageMessage { peer: name, instance, content };
     out.push(DirectAction::Usage(UsageAction::Send { peer: peer.clone(), message }));
