--- a/src/direct/time_bound.rs
+++ b/src/direct/time_bound.rs
@@ -81,7 +81,7 @@
 /// Events of a response that have come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReceivedEvents {
-    /// None. The request is not sent yet.
+    /// None that tell its pace: the request is not sent yet, or its response is no stream.
     None,
     /// The first one.
     First,
--- a/src/direct/usage_start.rs
+++ b/src/direct/usage_start.rs
@@ -63,8 +63,8 @@
         let is_known = self.reporter.history.knows(generation) && !has_late_counts;
         let first = match is_known {
             true => self.first_unfixed(now),
-            false if has_late_counts => self.first_over_after(now, Duration::ZERO),
-            false => self.first_over_after(now, self.reporter.history.seen_for(now)),
+            false if has_late_counts => self.first_open(now, Duration::ZERO),
+            false => self.first_open(now, self.reporter.history.seen_for(now)),
         };
         let doubted = self.next_window().filter(|next| *next < first);
         if let Some(next) = doubted.filter(|_| !is_known) {
@@ -82,11 +82,12 @@
     /// Returns the first window that nobody has fixed, where all reports are known.
     fn first_unfixed(&self, now: ClockTime) -> UsageWindow {
         let last = self.reporter.settled.max(self.reporter.last_fixed);
-        last.map_or_else(|| self.first_over_after(now, Duration::ZERO), |last| last + 1)
+        last.map_or_else(|| self.first_open(now, Duration::ZERO), |last| last + 1)
     }
 
-    /// Returns the first window that was certainly not over at a time so long ago.
-    fn first_over_after(&self, now: ClockTime, ago: Duration) -> UsageWindow {
+    /// Returns the first window that was certainly not over so long ago. None from it on had been
+    /// reported by then.
+    fn first_open(&self, now: ClockTime, ago: Duration) -> UsageWindow {
         let time = self.true_time(now).unwrap_or_default().saturating_sub(ago);
         self.settings.window_at(time.saturating_add(CLOCK_TOLERANCE))
     }
--- a/src/process/direct/answer.rs
+++ b/src/process/direct/answer.rs
@@ -255,7 +255,8 @@
     }
 
     /// Reads a part of the body before any of it is passed on, so that the request can still fail
-    /// as a whole.
+    /// as a whole. A response that is larger than [`MAX_HELD_BYTES`] begins if it ends before the
+    /// exit even with all the time left to its request.
     ///
     /// # Errors
     /// Returns why the response cannot be passed on.
