--- a/review/stand_in_3/platform.rs
+++ b/review/stand_in_3/platform.rs
@@ -42,6 +42,10 @@
         drop(self.0.wait());
     }
 
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
     pub fn has_ended(&mut self) -> bool {
         matches!(self.0.try_wait(), Ok(Some(_)))
     }
@@ -57,6 +61,8 @@
     pub name: String,
     pub front: SocketAddr,
     ready: SocketAddr,
+    settings: PathBuf,
+    output: PathBuf,
     pub process: Process,
 }
 
@@ -128,7 +134,7 @@
             let output = deployment.folder.join(format!("{name}.log"));
             let process = start_entry(&settings, &output);
             let (front, ready) = (at(0), at(1));
-            deployment.entries.push(Entry { name, front, ready, process });
+            deployment.entries.push(Entry { name, front, ready, settings, output, process });
         }
         deployment
     }
@@ -219,6 +225,23 @@
     }
 }
 
+impl Deployment {
+    /// Ends an entry and starts it again after a short delay.
+    pub fn restart_entry(&mut self, number: usize) {
+        let entry = &mut self.entries[number];
+        entry.process.kill();
+        thread::sleep(Duration::from_millis(300));
+        entry.process = start_entry(&entry.settings, &entry.output);
+    }
+}
+
+/// Returns the resident memory of a process, in KiB; 0 if it has ended.
+pub fn resident_kib(id: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|text| text.trim().split(' ').next()?.parse().ok()).unwrap_or(0)
+}
+
 /// Starts the program with the command of the deploy file.
 fn start_entry(settings: &PathBuf, output: &PathBuf) -> Process {
     let log = fs::OpenOptions::new().create(true).append(true).open(output).expect("a log");
