--- a/review/stand_in_3/memory.rs
+++ b/review/stand_in_3/memory.rs
@@ -127,6 +127,8 @@
                 ends[number] += 1;
                 let name = &deployment.entries[number].name;
                 record.add(&format!("{name} has {size} KiB and is ended, as the limit is 260 MB"));
+                deployment.kill_entry(number);
+                thread::sleep(Duration::from_millis(300));
                 deployment.restart_entry(number);
             }
         }
