--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,11 +3,9 @@
 # TROUBLE=0 does the same without the disruption. review/build-3.sh builds the stand-ins before.
 folder=review/$(basename "$(cd "$(dirname "$0")" && pwd)")
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review-3/stand_in ] && [ -x target/release/sapphirewell ] || exit 2
-# What the settings state as `limits.max_fds`.
-ulimit -n 4100 || exit 2
-# On a time-out the whole process group is ended, the entries with it.
-timeout -k 3 115 target/review-3/stand_in memory "$folder/record.txt"
+[ -x target/review-3/stop ] && [ -x target/release/sapphirewell ] || exit 2
+# Entries end with the program that started them.
+timeout -k 3 115 target/review-3/stop "$folder"
 code=$?
 [ "$code" -le 2 ] && exit "$code"
 exit 2
--- a/review/stand_in_3/lost.rs
+++ b/review/stand_in_3/lost.rs
@@ -75,7 +75,7 @@
     for number in 0..2 * RUNNERS {
         let version = if number < RUNNERS { "v1" } else { "v2" };
         let id = format!("i-a{number}");
-        runners.push(deployment.start_runner(&id, version, free_address()));
+        runners.push(deployment.start_runner(&id, version, free_address(), 64));
     }
     deployment.wait_until_ready();
     // The entries hear of each other, and are in touch.
--- a/review/stand_in_3/main.rs
+++ b/review/stand_in_3/main.rs
@@ -6,6 +6,7 @@
 mod platform;
 mod runner;
 mod store;
+mod versions;
 
 fn main() {
     let words: Vec<String> = std::env::args().skip(1).collect();
@@ -14,6 +15,7 @@
         ["runner", ..] => runner::run(&words[1..]),
         ["memory", record] => std::process::exit(memory::run(record, has_trouble)),
         ["lost", record] => std::process::exit(lost::run(record, has_trouble)),
+        ["versions", record] => std::process::exit(versions::run(record, has_trouble)),
         _ => platform::cannot_run("unknown case"),
     }
 }
--- a/review/stand_in_3/platform.rs
+++ b/review/stand_in_3/platform.rs
@@ -188,10 +188,17 @@
         self.record.add("all entries are ready");
     }
 
-    pub fn start_runner(&self, id: &str, version: &str, address: SocketAddr) -> Process {
+    pub fn start_runner(
+        &self,
+        id: &str,
+        version: &str,
+        address: SocketAddr,
+        room: usize,
+    ) -> Process {
         let program = std::env::current_exe().expect("the stand-in");
         let command = Command::new(program)
             .args(["runner", id, version, &address.to_string(), &self.store_address.to_string()])
+            .arg(room.to_string())
             .stdin(Stdio::null())
             .spawn();
         self.record.add(&format!("runner {id} starts at {address} with version {version}"));
--- a/review/stand_in_3/runner.rs
+++ b/review/stand_in_3/runner.rs
@@ -4,7 +4,10 @@
 use std::{
     io::{BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -26,11 +29,16 @@
     address: SocketAddr,
     store: SocketAddr,
     born: u128,
+    /// Requests that run, and how many fit; any further ones are turned away.
+    running: AtomicUsize,
+    room: usize,
 }
 
-/// Runs a runner: `ID VERSION ADDRESS STORE`.
+/// Runs a runner: `ID VERSION ADDRESS STORE ROOM`.
 pub fn run(words: &[String]) {
-    let [id, version, address, store] = words else { panic!("runner: ID VERSION ADDRESS STORE") };
+    let [id, version, address, store, room] = words else {
+        panic!("runner: ID VERSION ADDRESS STORE ROOM");
+    };
     let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
     let runner = Arc::new(Runner {
         id: id.clone(),
@@ -38,6 +46,8 @@
         address: address.parse().unwrap(),
         store: store.parse().unwrap(),
         born,
+        running: AtomicUsize::new(0),
+        room: room.parse().unwrap(),
     });
     let listener = TcpListener::bind(runner.address).expect("the runner's address");
     let beating = runner.clone();
@@ -97,7 +107,17 @@
                 );
                 respond(stream, "200 OK", &[], report.as_bytes())
             }
-            ("POST", path) if path.starts_with("/stream/") => self.generate(stream, head, &request),
+            ("POST", path) if path.starts_with("/stream/") => {
+                let result = if self.running.fetch_add(1, Ordering::Relaxed) < self.room {
+                    self.generate(stream, head, &request)
+                } else {
+                    let fields =
+                        [("Request-Id", &*request), ("Not-Executed", "1"), ("Retry-After", "2")];
+                    respond(stream, "503 Service Unavailable", &fields, b"")
+                };
+                self.running.fetch_sub(1, Ordering::Relaxed);
+                result
+            }
             _ => respond(stream, "400 Bad Request", &[("Request-Id", &request)], b""),
         }
     }
--- a/review/stand_in_3/store.rs
+++ b/review/stand_in_3/store.rs
@@ -61,6 +61,15 @@
         changed.notify_all();
     }
 
+    /// Waits for the next heartbeat of a runner.
+    pub fn wait_for_beat(&self, id: &str) {
+        let beat = || self.state.0.lock().unwrap().beats.get(id).copied();
+        let before = beat();
+        while beat() == before {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     fn expire(&self) {
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
