--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,8 +4,14 @@
 folder=review/$(basename "$(cd "$(dirname "$0")" && pwd)")
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/stop ] && [ -x target/release/sapphirewell ] || exit 2
-# Entries end with the program that started them.
-timeout -k 3 115 target/review-3/stop "$folder"
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+# Entries and runners end with the program that started them, also where it is killed.
+timeout -k 3 115 target/review-3/stop "$folder" &
+played=$!
+trap 'kill "$played" 2>/dev/null; wait "$played"; rm -rf "$TMPDIR"; exit 2' INT TERM
+wait "$played"
 code=$?
+rm -rf "$TMPDIR"
 [ "$code" -le 2 ] && exit "$code"
 exit 2
--- a/review/stand_in_3/platform.rs
+++ b/review/stand_in_3/platform.rs
@@ -4,6 +4,7 @@
     fs::{self, File},
     io::Write,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
@@ -13,6 +14,24 @@
 
 use crate::{http, store::Store};
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Lets a process end with this one, whose main thread starts it.
+fn end_with_this(command: &mut Command) -> &mut Command {
+    // SAFETY: the call only sets the signal that the process gets when this one ends.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        })
+    }
+}
+
 /// Record of what was sent, answered and run.
 #[derive(Clone)]
 pub struct Record {
@@ -196,11 +215,12 @@
         room: usize,
     ) -> Process {
         let program = std::env::current_exe().expect("the stand-in");
-        let command = Command::new(program)
+        let mut command = Command::new(program);
+        command
             .args(["runner", id, version, &address.to_string(), &self.store_address.to_string()])
             .arg(room.to_string())
-            .stdin(Stdio::null())
-            .spawn();
+            .stdin(Stdio::null());
+        let command = end_with_this(&mut command).spawn();
         self.record.add(&format!("runner {id} starts at {address} with version {version}"));
         Process(command.expect("a runner"))
     }
@@ -237,14 +257,14 @@
 /// Starts the program with the command of the deploy file.
 fn start_entry(settings: &PathBuf, output: &PathBuf) -> Process {
     let log = fs::OpenOptions::new().create(true).append(true).open(output).expect("a log");
-    let command = Command::new("target/release/sapphirewell")
+    let mut command = Command::new("target/release/sapphirewell");
+    command
         .arg("direct-entry")
         .env("SAPPHIREWELL_CONFIG", settings)
         .stdin(Stdio::null())
         .stdout(log.try_clone().expect("a log"))
-        .stderr(log)
-        .spawn();
-    match command {
+        .stderr(log);
+    match end_with_this(&mut command).spawn() {
         Ok(child) => Process(child),
         Err(error) => cannot_run(&format!("target/release/sapphirewell: {error}")),
     }
